--- /dev/null
+++ b/cmake/catch_main.cc
@@ -0,0 +1,3 @@
+// The main function of every test program.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/cmd/trefoilctl.cc
@@ -0,0 +1,243 @@
+// The operators' and callers' tool.
+#include "trefoil/base/endpoint.h"
+#include "trefoil/http/client.h"
+#include "trefoil/platform/store_client.h"
+#include "trefoil/service/service_document.h"
+
+#include <Poco/JSON/Object.h>
+#include <cstdio>
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using trefoil::Endpoint;
+using trefoil::Failure;
+using trefoil::HttpAnswer;
+using trefoil::HttpRequest;
+using trefoil::Milliseconds;
+using Arguments = std::map<std::string, docopt::value>;
+
+constexpr const char* kUsage = R"(trefoilctl, the tool of trefoillb's operators and callers.
+
+Usage:
+  trefoilctl put FILE --store=ADDRESS
+  trefoilctl show SERVICE --store=ADDRESS
+  trefoilctl status --host=ADDRESS
+  trefoilctl complete SERVICE PROMPT --host=ADDRESS --credential=TEXT [--tokens=N]
+  trefoilctl call METHOD TARGET [BODY] --host=ADDRESS --credential=TEXT
+  trefoilctl --help
+  trefoilctl --version
+
+Commands:
+  put       Check a service document and put it into the store. Another operator's change in between is
+            told, not overwritten.
+  show      Print the document of a service.
+  status    Print what an entry host sees.
+  complete  Send a completion and print the answer as it streams.
+  call      Send a request to a plain service and print status, verdict and body.
+
+Options:
+  --store=ADDRESS    The key-value service, as IP:PORT.
+  --host=ADDRESS     An entry host, as IP:PORT.
+  --credential=TEXT  The client account's credential.
+  --tokens=N         The most tokens to generate [default: 16].
+
+Exit status: 0 done, 1 failed, 2 bad command line or document.
+)";
+constexpr const char* kVersion = "trefoilctl 0.1.0";
+constexpr int kExitFailed = 1;
+constexpr int kExitBadInput = 2;
+constexpr Milliseconds kStoreLimit{ 5'000 };
+constexpr Milliseconds kCallLimit{ 120'000 };
+
+int
+Fail(std::string_view aReason, int aCode = kExitFailed)
+{
+  std::fprintf(stderr, "trefoilctl: %s\n", std::string{ aReason }.c_str());
+  return aCode;
+}
+
+std::string
+Text(const Arguments& aArguments, const std::string& aKey)
+{
+  return aArguments.at(aKey).asString();
+}
+
+int
+Put(const Arguments& aArguments, const Endpoint& aStore)
+{
+  const std::string path = Text(aArguments, "FILE");
+  std::ifstream file{ path };
+  if (!file) {
+    return Fail(fmt::format("{}: cannot be read", path), kExitBadInput);
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  const auto document = trefoil::ParseServiceDocument(text.str(), path);
+  if (!document.ok()) {
+    return Fail(std::string{ document.status().message() }, kExitBadInput);
+  }
+  const trefoil::StoreClient store{ .mEndpoint = aStore };
+  const std::string key = "services/" + document->mService.Value();
+  const auto current = trefoil::Read(store, key, trefoil::Now() + kStoreLimit);
+  if (!current.ok()) {
+    return Fail(std::string{ current.status().message() });
+  }
+  const auto write =
+    trefoil::CompareAndSwap(store,
+                            { .mKey = key, .mValue = text.str(), .mExpected = current->mRevision },
+                            trefoil::Now() + kStoreLimit);
+  if (write.mState != trefoil::StoreWriteState::kWritten) {
+    return Fail(fmt::format("the document was not accepted: {} {}",
+                            NameOf(trefoil::kStoreWriteStateNames, write.mState),
+                            write.mReason));
+  }
+  std::printf("accepted as revision %llu\n",
+              static_cast<unsigned long long>(write.mCurrent.mRevision));
+  return 0;
+}
+
+int
+Show(const Arguments& aArguments, const Endpoint& aStore)
+{
+  const auto entry = trefoil::Read({ .mEndpoint = aStore },
+                                   "services/" + Text(aArguments, "SERVICE"),
+                                   trefoil::Now() + kStoreLimit);
+  if (!entry.ok()) {
+    return Fail(std::string{ entry.status().message() });
+  }
+  if (entry->mRevision == 0) {
+    return Fail("there is no such service");
+  }
+  std::printf("# revision %llu\n%s",
+              static_cast<unsigned long long>(entry->mRevision),
+              entry->mValue.c_str());
+  return 0;
+}
+
+HttpRequest
+WithCredential(const Arguments& aArguments, HttpRequest aRequest)
+{
+  trefoil::SetHeader(
+    aRequest.mHeaders, "Authorization", "Bearer " + Text(aArguments, "--credential"));
+  return aRequest;
+}
+
+int
+PrintAnswer(const trefoil::HttpResult& aResult)
+{
+  if (const auto* failure = std::get_if<Failure>(&aResult)) {
+    return Fail(fmt::format("{} ({})",
+                            std::string{ failure->mStatus.message() },
+                            trefoil::VerdictName(failure->mVerdict)));
+  }
+  const auto& answer = std::get<HttpAnswer>(aResult);
+  const std::string verdict{ trefoil::HeaderValue(answer.mHeaders, "X-Trefoil-Verdict") };
+  std::printf("status %d verdict %s\n%s", answer.mStatus, verdict.c_str(), answer.mBody.c_str());
+  return answer.mStatus < 400 ? 0 : kExitFailed;
+}
+
+int
+CallPlain(const Arguments& aArguments, const Endpoint& aHost)
+{
+  HttpRequest request{ .mMethod = Text(aArguments, "METHOD"),
+                       .mTarget = Text(aArguments, "TARGET") };
+  if (aArguments.at("BODY").isString()) {
+    request.mBody = Text(aArguments, "BODY");
+  }
+  return PrintAnswer(trefoil::Call({ .mServer = aHost,
+                                     .mRequest = WithCredential(aArguments, request),
+                                     .mDeadline = trefoil::Now() + kCallLimit }));
+}
+
+std::string
+CompletionBody(const Arguments& aArguments)
+{
+  Poco::JSON::Object body;
+  body.set("model", Text(aArguments, "SERVICE"));
+  body.set("prompt", Text(aArguments, "PROMPT"));
+  body.set("max_tokens", static_cast<int>(aArguments.at("--tokens").asLong()));
+  body.set("stream", true);
+  std::ostringstream text;
+  body.stringify(text);
+  return text.str();
+}
+
+// Prints the events of a stream. Returns whether it came to its end mark.
+bool
+PrintEvents(trefoil::HttpStream& aStream)
+{
+  while (true) {
+    const auto line = aStream.ReadLine(trefoil::Now() + kCallLimit);
+    if (!line.ok()) {
+      return false;
+    }
+    if (line->starts_with("data: ") || line->starts_with("event: ")) {
+      std::printf("%s\n", line->c_str());
+      std::fflush(stdout);
+    }
+    if (*line == "data: [DONE]") {
+      return true;
+    }
+  }
+}
+
+int
+Complete(const Arguments& aArguments, const Endpoint& aHost)
+{
+  HttpRequest request{ .mMethod = "POST",
+                       .mTarget = "/v1/completions",
+                       .mBody = CompletionBody(aArguments) };
+  const trefoil::HttpCall call{ .mServer = aHost,
+                                .mRequest = WithCredential(aArguments, request),
+                                .mDeadline = trefoil::Now() + kCallLimit };
+  auto opened = trefoil::HttpStream::Open(call);
+  if (const auto* failure = std::get_if<Failure>(&opened)) {
+    return PrintAnswer(*failure);
+  }
+  auto& stream = std::get<trefoil::HttpStream>(opened);
+  if (stream.Status() != 200) {
+    return PrintAnswer(stream.ReadAll(call));
+  }
+  return PrintEvents(stream) ? 0 : Fail("the answer did not come to its end");
+}
+
+int
+Run(const Arguments& aArguments)
+{
+  const bool usesStore = aArguments.at("put").asBool() || aArguments.at("show").asBool();
+  const auto endpoint = trefoil::ParseEndpoint(Text(aArguments, usesStore ? "--store" : "--host"));
+  if (!endpoint.ok()) {
+    return Fail(std::string{ endpoint.status().message() }, kExitBadInput);
+  }
+  if (aArguments.at("put").asBool()) {
+    return Put(aArguments, *endpoint);
+  }
+  if (aArguments.at("show").asBool()) {
+    return Show(aArguments, *endpoint);
+  }
+  if (aArguments.at("complete").asBool()) {
+    return Complete(aArguments, *endpoint);
+  }
+  if (aArguments.at("call").asBool()) {
+    return CallPlain(aArguments, *endpoint);
+  }
+  return PrintAnswer(trefoil::Call({ .mServer = *endpoint,
+                                     .mRequest = { .mTarget = "/status" },
+                                     .mDeadline = trefoil::Now() + kCallLimit }));
+}
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  const std::vector<std::string> words{ aValues + 1, aValues + aCount };
+  return Run(docopt::docopt(kUsage, words, true, kVersion));
+}
--- /dev/null
+++ b/cmd/trefoild.cc
@@ -0,0 +1,100 @@
+// The daemon of an entry host.
+#include "trefoil/node/entry_host.h"
+#include "trefoil/settings/host_settings.h"
+
+#include <csignal>
+#include <cstdio>
+#include <docopt/docopt.h>
+#include <pthread.h>
+#include <spdlog/spdlog.h>
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr const char* kUsage = R"(trefoild, an entry host of trefoillb.
+
+Usage:
+  trefoild [--check] SETTINGS
+  trefoild --help
+  trefoild --version
+
+Options:
+  --check    Check the settings file and stop.
+  --help     Show this page.
+  --version  Show the version.
+
+SIGTERM and SIGINT stop it without cutting off a request.
+Exit status: 0 stopped as asked, 1 failed, 2 bad command line or settings.
+)";
+constexpr const char* kVersion = "trefoild 0.1.0";
+constexpr int kExitFailed = 1;
+constexpr int kExitBadSettings = 2;
+
+spdlog::level::level_enum
+LevelOf(trefoil::LogLevel aLevel)
+{
+  switch (aLevel) {
+    case trefoil::LogLevel::kDebug:
+      return spdlog::level::debug;
+    case trefoil::LogLevel::kInfo:
+      return spdlog::level::info;
+    case trefoil::LogLevel::kWarning:
+      return spdlog::level::warn;
+    case trefoil::LogLevel::kError:
+      return spdlog::level::err;
+  }
+  return spdlog::level::info;
+}
+
+// Blocks the signals that stop the daemon in this thread and in those it will start.
+sigset_t
+BlockStopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+int
+Run(const trefoil::HostSettings& aSettings)
+{
+  const sigset_t signals = BlockStopSignals();
+  auto host = trefoil::EntryHost::Start(aSettings);
+  if (!host.ok()) {
+    spdlog::error("cannot start: {}", host.status().ToString());
+    return kExitFailed;
+  }
+  spdlog::info(
+    "entry host {} listens on {}", aSettings.mHost.Value(), trefoil::ToText(aSettings.mListen));
+  int signal = 0;
+  sigwait(&signals, &signal);
+  spdlog::info("stopping after signal {}", signal);
+  const std::int64_t left = (*host)->Stop();
+  spdlog::info("stopped with {} requests in flight", left);
+  return 0;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  const std::vector<std::string> words{ aValues + 1, aValues + aCount };
+  auto arguments = docopt::docopt(kUsage, words, true, kVersion);
+  const auto settings = trefoil::ReadHostSettings(arguments["SETTINGS"].asString());
+  if (!settings.ok()) {
+    std::fprintf(stderr, "trefoild: %s\n", std::string{ settings.status().message() }.c_str());
+    return kExitBadSettings;
+  }
+  if (arguments["--check"].asBool()) {
+    std::puts("the settings are good");
+    return 0;
+  }
+  spdlog::set_level(LevelOf(settings->mLogLevel));
+  spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e%z %l host=" + settings->mHost.Value() + " %v");
+  return Run(*settings);
+}
--- /dev/null
+++ b/standin/store.cc
@@ -0,0 +1,179 @@
+#include "standin/store.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/time/time.h"
+
+#include <Poco/JSON/Object.h>
+#include <algorithm>
+#include <sstream>
+
+namespace trefoil::standin {
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+constexpr std::string_view kKeyPrefix = "/v1/kv/";
+constexpr std::uint64_t kLongestWaitMilliseconds = 60'000;
+constexpr std::size_t kMostValueBytes = std::size_t{ 1 } << 20;
+
+std::uint64_t
+NumberInQuery(const HttpRequest& aRequest, std::string_view aKey)
+{
+  std::uint64_t number = 0;
+  return absl::SimpleAtoi(QueryValue(aRequest.mTarget, aKey), &number) ? number : 0;
+}
+
+Object::Ptr
+ObjectOf(const std::string& aKey, const StoredValue& aValue)
+{
+  Object::Ptr object = new Object;
+  object->set("key", aKey);
+  object->set("value", aValue.mValue);
+  object->set("revision", aValue.mRevision);
+  object->set("deleted", aValue.mDeleted);
+  return object;
+}
+
+std::string
+TextOf(const Object& aObject)
+{
+  std::ostringstream text;
+  aObject.stringify(text);
+  return text.str();
+}
+
+} // namespace
+
+void
+Store::Serve(HttpExchange& aExchange)
+{
+  const std::string_view path = PathOf(aExchange.Request().mTarget);
+  if (path.starts_with(kKeyPrefix)) {
+    ServeKey(aExchange, std::string{ path.substr(kKeyPrefix.size()) });
+  } else if (path == "/v1/list") {
+    ServeList(aExchange);
+  } else if (path == "/v1/watch") {
+    ServeWatch(aExchange);
+  } else {
+    aExchange.Answer({ .mStatus = 404, .mBody = "not found\n" });
+  }
+}
+
+void
+Store::ServeKey(HttpExchange& aExchange, const std::string& aKey)
+{
+  const std::string& method = aExchange.Request().mMethod;
+  if (method == "GET") {
+    ServeRead(aExchange, aKey);
+  } else if (method == "PUT" || method == "DELETE") {
+    ServeWrite(aExchange, aKey);
+  } else {
+    aExchange.Answer({ .mStatus = 405, .mBody = "use GET, PUT or DELETE\n" });
+  }
+}
+
+void
+Store::ServeRead(HttpExchange& aExchange, const std::string& aKey)
+{
+  StoredValue value;
+  {
+    const absl::MutexLock lock{ &mMutex };
+    const auto found = mValues.find(aKey);
+    if (found != mValues.end()) {
+      value = found->second;
+    }
+  }
+  if (value.mRevision == 0 || value.mDeleted) {
+    aExchange.Answer({ .mStatus = 404, .mBody = "no such key\n" });
+    return;
+  }
+  aExchange.Answer({ .mBody = TextOf(*ObjectOf(aKey, value)) });
+}
+
+void
+Store::ServeWrite(HttpExchange& aExchange, const std::string& aKey)
+{
+  const HttpRequest& request = aExchange.Request();
+  if (request.mBody.size() > kMostValueBytes) {
+    aExchange.Answer({ .mStatus = 413, .mBody = "a value holds a megabyte at most\n" });
+    return;
+  }
+  const std::uint64_t expected = NumberInQuery(request, "expect");
+  HttpAnswer answer;
+  {
+    const absl::MutexLock lock{ &mMutex };
+    StoredValue& value = mValues[aKey];
+    const std::uint64_t current = value.mDeleted ? 0 : value.mRevision;
+    if (current != expected) {
+      StoredValue shown = value;
+      shown.mRevision = current;
+      answer = { .mStatus = 409, .mBody = TextOf(*ObjectOf(aKey, shown)) };
+    } else {
+      value = { .mValue = request.mBody,
+                .mRevision = ++mRevision,
+                .mDeleted = request.mMethod == "DELETE" };
+      Object written;
+      written.set("revision", mRevision);
+      answer.mBody = TextOf(written);
+    }
+  }
+  aExchange.Answer(answer);
+}
+
+std::string
+Store::Listing(std::string_view aPrefix, std::uint64_t aAfter, bool aWithDeleted)
+{
+  Array::Ptr entries = new Array;
+  for (const auto& [key, value] : mValues) {
+    const bool shown = value.mRevision > aAfter && (aWithDeleted || !value.mDeleted);
+    if (key.starts_with(aPrefix) && shown) {
+      entries->add(ObjectOf(key, value));
+    }
+  }
+  Object listing;
+  listing.set("revision", mRevision);
+  listing.set("entries", entries);
+  return TextOf(listing);
+}
+
+bool
+Store::HasChange(std::string_view aPrefix, std::uint64_t aAfter)
+{
+  return std::ranges::any_of(mValues, [&](const auto& aEntry) {
+    return aEntry.first.starts_with(aPrefix) && aEntry.second.mRevision > aAfter;
+  });
+}
+
+void
+Store::ServeList(HttpExchange& aExchange)
+{
+  HttpAnswer answer;
+  {
+    const absl::MutexLock lock{ &mMutex };
+    answer.mBody = Listing(QueryValue(aExchange.Request().mTarget, "prefix"), 0, false);
+  }
+  aExchange.Answer(answer);
+}
+
+void
+Store::ServeWatch(HttpExchange& aExchange)
+{
+  const HttpRequest& request = aExchange.Request();
+  const std::string prefix = QueryValue(request.mTarget, "prefix");
+  const std::uint64_t after = NumberInQuery(request, "after");
+  const std::uint64_t wait = std::min(NumberInQuery(request, "wait_ms"), kLongestWaitMilliseconds);
+  HttpAnswer answer;
+  {
+    const absl::MutexLock lock{ &mMutex };
+    const auto changed = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex) {
+      return HasChange(prefix, after);
+    };
+    mMutex.AwaitWithTimeout(absl::Condition(&changed),
+                            absl::Milliseconds(static_cast<std::int64_t>(wait)));
+    answer.mBody = Listing(prefix, after, true);
+  }
+  aExchange.Answer(answer);
+}
+
+} // namespace trefoil::standin
--- /dev/null
+++ b/standin/store.h
@@ -0,0 +1,52 @@
+// A stand-in for the platform's key-value service: compare-and-swap, listings and watches, in
+// memory.
+//
+//   Store store;
+//   HttpServer::Start({ .mListen = endpoint, .mHandler = [&](HttpExchange& aExchange) {
+//   store.Serve(aExchange); } });
+//
+// docs/PROTOCOLS.md gives the interface. Thread-safe.
+#pragma once
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "trefoil/http/server.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace trefoil::standin {
+
+struct StoredValue
+{
+  std::string mValue;
+  std::uint64_t mRevision = 0;
+  bool mDeleted = false;
+};
+
+class Store
+{
+public:
+  void Serve(HttpExchange& aExchange);
+
+private:
+  void ServeKey(HttpExchange& aExchange, const std::string& aKey);
+  void ServeRead(HttpExchange& aExchange, const std::string& aKey);
+  void ServeWrite(HttpExchange& aExchange, const std::string& aKey);
+  void ServeList(HttpExchange& aExchange);
+  void ServeWatch(HttpExchange& aExchange);
+  // Returns the entries under a prefix whose revision is over `aAfter`, as JSON.
+  std::string Listing(std::string_view aPrefix, std::uint64_t aAfter, bool aWithDeleted)
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
+  bool HasChange(std::string_view aPrefix, std::uint64_t aAfter)
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
+
+  absl::Mutex mMutex;
+  std::uint64_t mRevision ABSL_GUARDED_BY(mMutex) = 0;
+  std::map<std::string, StoredValue> mValues ABSL_GUARDED_BY(mMutex);
+};
+
+} // namespace trefoil::standin
--- /dev/null
+++ b/trefoil/backend/engine_client.cc
@@ -0,0 +1,121 @@
+#include "trefoil/backend/engine_client.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace trefoil {
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpUnavailable = 503;
+constexpr std::string_view kDataPrefix = "data: ";
+constexpr std::string_view kEndMark = "[DONE]";
+
+std::string
+TextOf(const Poco::JSON::Object& aChoice)
+{
+  if (aChoice.has("delta")) {
+    return aChoice.getObject("delta")->optValue<std::string>("content", "");
+  }
+  return aChoice.optValue<std::string>("text", "");
+}
+
+std::string
+FinishReasonOf(const Poco::JSON::Object& aChoice)
+{
+  if (aChoice.isNull("finish_reason")) {
+    return {};
+  }
+  return aChoice.optValue<std::string>("finish_reason", "");
+}
+
+} // namespace
+
+absl::StatusOr<std::string>
+RenderEngineBody(const EngineCall& aCall)
+{
+  try {
+    auto body = Poco::JSON::Parser{}.parse(aCall.mBody).extract<Poco::JSON::Object::Ptr>();
+    Poco::JSON::Object::Ptr resume = new Poco::JSON::Object;
+    resume->set("attempt", aCall.mAttempt.Value());
+    resume->set("first_index", aCall.mFirstIndex);
+    resume->set("generated", aCall.mGenerated);
+    body->set("stream", true);
+    body->set("resume", resume);
+    std::ostringstream text;
+    body->stringify(text);
+    return text.str();
+  } catch (const Poco::Exception& error) {
+    return absl::InvalidArgumentError(error.displayText());
+  }
+}
+
+absl::StatusOr<EngineEvent>
+ParseEngineEvent(std::string_view aData)
+{
+  if (aData == kEndMark) {
+    return EngineEvent{ .mKind = EngineEventKind::kEnd };
+  }
+  try {
+    const auto object =
+      Poco::JSON::Parser{}.parse(std::string{ aData }).extract<Poco::JSON::Object::Ptr>();
+    const auto choice = object->getArray("choices")->getObject(0);
+    return EngineEvent{ .mKind = EngineEventKind::kToken,
+                        .mAttempt = AttemptId{ object->getValue<std::string>("id") },
+                        .mIndex = object->getValue<std::int64_t>("token_index"),
+                        .mText = TextOf(*choice),
+                        .mFinishReason = FinishReasonOf(*choice) };
+  } catch (const Poco::Exception& error) {
+    return absl::DataLossError(error.displayText());
+  }
+}
+
+EngineStream::OpenResult
+EngineStream::Open(const EngineCall& aCall)
+{
+  const auto body = RenderEngineBody(aCall);
+  if (!body.ok()) {
+    return Failure{ .mVerdict = Verdict::kNotRun, .mStatus = body.status() };
+  }
+  auto opened = HttpStream::Open(
+    { .mServer = aCall.mServer,
+      .mRequest = { .mMethod = "POST",
+                    .mTarget = std::string{ NameOf(kCompletionPaths, aCall.mForm) },
+                    .mHeaders = { { .mName = "Content-Type", .mValue = "application/json" } },
+                    .mBody = *body },
+      .mDeadline = aCall.mDeadline });
+  if (auto* failure = std::get_if<Failure>(&opened)) {
+    return std::move(*failure);
+  }
+  auto& stream = std::get<HttpStream>(opened);
+  if (stream.Status() != kHttpOk) {
+    const bool refused = stream.Status() == kHttpUnavailable;
+    return Failure{ .mVerdict = refused ? Verdict::kNotRun : Verdict::kRan,
+                    .mStatus = absl::UnavailableError(
+                      fmt::format("the engine answered {}", stream.Status())) };
+  }
+  return EngineStream{ std::move(stream) };
+}
+
+absl::StatusOr<EngineEvent>
+EngineStream::Next(Instant aDeadline)
+{
+  while (true) {
+    const auto line = mStream.ReadLine(aDeadline);
+    if (absl::IsOutOfRange(line.status())) {
+      return absl::UnavailableError("the engine's stream ended without its end mark");
+    }
+    if (!line.ok()) {
+      return line.status();
+    }
+    const std::string_view text = *line;
+    if (text.starts_with(kDataPrefix)) {
+      return ParseEngineEvent(text.substr(kDataPrefix.size()));
+    }
+  }
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/frontend/answer.cc
@@ -0,0 +1,77 @@
+#include "trefoil/frontend/answer.h"
+
+#include <Poco/JSON/Object.h>
+#include <sstream>
+
+namespace trefoil {
+namespace {
+
+constexpr int kHttpBadRequest = 400;
+constexpr int kHttpUnauthorized = 401;
+constexpr int kHttpForbidden = 403;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpTooManyRequests = 429;
+constexpr int kHttpUnavailable = 503;
+constexpr int kHttpGatewayTimeout = 504;
+constexpr std::string_view kRetryAfterSeconds = "1";
+
+} // namespace
+
+int
+HttpStatusOf(const Failure& aFailure)
+{
+  if (aFailure.mVerdict != Verdict::kNotRun) {
+    return kHttpGatewayTimeout;
+  }
+  switch (aFailure.mStatus.code()) {
+    case absl::StatusCode::kInvalidArgument:
+      return kHttpBadRequest;
+    case absl::StatusCode::kUnauthenticated:
+      return kHttpUnauthorized;
+    case absl::StatusCode::kPermissionDenied:
+      return kHttpForbidden;
+    case absl::StatusCode::kNotFound:
+      return kHttpNotFound;
+    case absl::StatusCode::kResourceExhausted:
+      return kHttpTooManyRequests;
+    default:
+      return kHttpUnavailable;
+  }
+}
+
+std::string
+FailureBody(const RequestId& aId, const Failure& aFailure)
+{
+  Poco::JSON::Object::Ptr error = new Poco::JSON::Object;
+  error->set("message", std::string{ aFailure.mStatus.message() });
+  error->set("type", absl::StatusCodeToString(aFailure.mStatus.code()));
+  error->set("verdict", std::string{ VerdictName(aFailure.mVerdict) });
+  error->set("request_id", aId.Value());
+  Poco::JSON::Object body;
+  body.set("error", error);
+  std::ostringstream text;
+  body.stringify(text);
+  return text.str();
+}
+
+HttpAnswer
+RenderFailure(const RequestId& aId, const Failure& aFailure)
+{
+  HttpAnswer answer{ .mStatus = HttpStatusOf(aFailure),
+                     .mBody = FailureBody(aId, aFailure) + "\n" };
+  SetHeader(answer.mHeaders, "Content-Type", "application/json");
+  if (answer.mStatus == kHttpTooManyRequests || answer.mStatus == kHttpUnavailable) {
+    SetHeader(answer.mHeaders, "Retry-After", kRetryAfterSeconds);
+  }
+  AddVerdict(answer, aId, aFailure.mVerdict);
+  return answer;
+}
+
+void
+AddVerdict(HttpAnswer& aAnswer, const RequestId& aId, Verdict aVerdict)
+{
+  SetHeader(aAnswer.mHeaders, kRequestIdHeader, aId.Value());
+  SetHeader(aAnswer.mHeaders, kVerdictHeader, VerdictName(aVerdict));
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/frontend/completion.h
@@ -0,0 +1,67 @@
+// Callers' completion requests and answers in the widely used JSON form: parsing and rendering
+// only.
+//
+//   absl::StatusOr<CompletionRequest> request = ParseCompletion(CompletionForm::kText, http.mBody);
+//   std::string event = RenderTokenEvent(*request, id, token);
+//
+// docs/PROTOCOLS.md gives the interface.
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "trefoil/backend/engine_client.h"
+#include "trefoil/base/ids.h"
+#include "trefoil/base/verdict.h"
+#include "trefoil/http/message.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace trefoil {
+
+struct CompletionRequest
+{
+  CompletionForm mForm = CompletionForm::kText;
+  // The "model" of the request names the service.
+  ServiceId mService;
+  // The prompt, or the messages of a chat one after the other.
+  std::string mPrompt;
+  bool mStream = false;
+  // The caller's JSON, for the engine.
+  std::string mBody;
+};
+
+// One token as the caller sees it.
+struct TokenEvent
+{
+  std::int64_t mIndex = 0;
+  std::string_view mText;
+  // Empty before the last token.
+  std::string_view mFinishReason;
+};
+
+// Parses a request's JSON body. Returns InvalidArgument with the reason.
+absl::StatusOr<CompletionRequest>
+ParseCompletion(CompletionForm aForm, std::string_view aBody);
+
+// Renders a token as a server-sent event whose id is the token's index.
+std::string
+RenderTokenEvent(const CompletionRequest& aRequest, const RequestId& aId, const TokenEvent& aToken);
+
+// Renders the event that ends a stream.
+std::string
+RenderEndEvent();
+
+// Renders the event that ends a stream that cannot be completed.
+std::string
+RenderErrorEvent(const RequestId& aId, const Failure& aFailure);
+
+// Renders a whole answer that was not streamed.
+HttpAnswer
+RenderWholeAnswer(const CompletionRequest& aRequest,
+                  const RequestId& aId,
+                  std::string_view aText,
+                  std::string_view aFinishReason,
+                  std::int64_t aTokens);
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/http/message.cc
@@ -0,0 +1,87 @@
+#include "trefoil/http/message.h"
+
+#include <Poco/Exception.h>
+#include <Poco/URI.h>
+#include <algorithm>
+#include <cctype>
+#include <iterator>
+
+namespace trefoil {
+namespace {
+
+bool
+SameName(std::string_view aLeft, std::string_view aRight)
+{
+  return std::ranges::equal(aLeft, aRight, [](unsigned char aFirst, unsigned char aSecond) {
+    return std::tolower(aFirst) == std::tolower(aSecond);
+  });
+}
+
+} // namespace
+
+std::string_view
+HeaderValue(const HttpHeaders& aHeaders, std::string_view aName)
+{
+  for (const HttpHeader& header : aHeaders) {
+    if (SameName(header.mName, aName)) {
+      return header.mValue;
+    }
+  }
+  return {};
+}
+
+void
+SetHeader(HttpHeaders& aHeaders, std::string_view aName, std::string_view aValue)
+{
+  std::erase_if(aHeaders,
+                [aName](const HttpHeader& aHeader) { return SameName(aHeader.mName, aName); });
+  aHeaders.push_back({ .mName = std::string{ aName }, .mValue = std::string{ aValue } });
+}
+
+bool
+IsHopByHop(std::string_view aName)
+{
+  constexpr std::string_view kNames[] = { "connection",
+                                          "keep-alive",
+                                          "proxy-authenticate",
+                                          "proxy-authorization",
+                                          "proxy-connection",
+                                          "te",
+                                          "trailer",
+                                          "transfer-encoding",
+                                          "upgrade" };
+  return std::ranges::any_of(kNames,
+                             [aName](std::string_view aKnown) { return SameName(aKnown, aName); });
+}
+
+std::string_view
+PathOf(std::string_view aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+std::string
+QueryValue(std::string_view aTarget, std::string_view aKey)
+{
+  try {
+    const Poco::URI uri{ std::string{ aTarget } };
+    for (const auto& [key, value] : uri.getQueryParameters()) {
+      if (key == aKey) {
+        return value;
+      }
+    }
+  } catch (const Poco::Exception&) {
+    return {};
+  }
+  return {};
+}
+
+std::string
+UrlEncode(std::string_view aText)
+{
+  std::string encoded;
+  Poco::URI::encode(std::string{ aText }, "!#$&'()*+,/:;=?@[]%", encoded);
+  return encoded;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/node/control_state.h
@@ -0,0 +1,56 @@
+// The control state of an entry host, and how events change it.
+//
+//   ControlState state = MakeControlState({ .mHost = host, ... }, aNow);
+//   ControlEffects effects = Step(state, event, aNow);
+//   Instant wakeAt = NextTimer(state);
+//
+// Plain data and functions without I/O: the control thread feeds them and carries out the effects.
+#pragma once
+
+#include "trefoil/base/endpoint.h"
+#include "trefoil/base/ids.h"
+#include "trefoil/base/instant.h"
+#include "trefoil/config/documents_in_force.h"
+#include "trefoil/membership/members.h"
+#include "trefoil/node/event.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace trefoil {
+
+struct ControlOptions
+{
+  HostId mHost;
+  AvailabilityZoneId mZone;
+  Endpoint mPeerEndpoint;
+  Endpoint mListen;
+  std::vector<Endpoint> mSeeds;
+  std::uint64_t mIncarnation = 0;
+};
+
+struct ControlState
+{
+  ControlOptions mOptions;
+  DocumentsInForce mDocuments;
+  Members mMembers;
+  bool mReady = false;
+  bool mStoreReachable = false;
+  bool mLeaving = false;
+  std::uint64_t mSequence = 0;
+  std::uint64_t mSnapshotNumber = 0;
+  Instant mNextHeartbeatAt;
+};
+
+ControlState
+MakeControlState(ControlOptions aOptions, Instant aNow);
+
+// Applies an event and returns what is to be done.
+ControlEffects
+Step(ControlState& aState, const ControlEvent& aEvent, Instant aNow);
+
+// Returns when TimerFired is due.
+Instant
+NextTimer(const ControlState& aState);
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/node/entry_host.cc
@@ -0,0 +1,160 @@
+#include "trefoil/node/entry_host.h"
+
+#include "trefoil/platform/store_client.h"
+#include "trefoil/wire/codec.h"
+
+#include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
+#include <spdlog/spdlog.h>
+
+namespace trefoil {
+namespace {
+
+// How long a call to the store may take.
+constexpr Milliseconds kStoreLimit{ 2000 };
+// How long a watch waits for a change.
+constexpr Milliseconds kWatchWait{ 1000 };
+// The pause after a failed call to the store.
+constexpr Milliseconds kStorePause{ 250 };
+// How often the threads that wait on a socket look whether the host stops.
+constexpr Milliseconds kReceiveWait{ 200 };
+// How often a stop looks whether the requests in flight have ended.
+constexpr Milliseconds kDrainCheck{ 20 };
+// How long the balancer may take to notice that the host is not ready.
+constexpr Milliseconds kBalancerNotice{ 300 };
+constexpr std::string_view kDocumentPrefix = "services/";
+
+} // namespace
+
+EntryHost::EntryHost(const HostSettings& aSettings, UdpSocket aSocket)
+  : mSettings(aSettings)
+  , mSocket(std::move(aSocket))
+  , mTraffic{ .mHost = mSettings.mHost,
+              .mZone = mSettings.mZone,
+              .mSnapshots = &mSnapshots,
+              .mInFlight = &mInFlight,
+              .mActive = &mActive }
+{
+}
+
+absl::StatusOr<std::unique_ptr<EntryHost>>
+EntryHost::Start(const HostSettings& aSettings)
+{
+  auto socket = UdpSocket::Bind(aSettings.mPeerListen);
+  if (!socket.ok()) {
+    return socket.status();
+  }
+  std::unique_ptr<EntryHost> host{ new EntryHost{ aSettings, std::move(*socket) } };
+  EntryHost* raw = host.get();
+  auto server = HttpServer::Start(
+    { .mListen = aSettings.mListen,
+      .mHandler = [raw](HttpExchange& aExchange) { Serve(raw->mTraffic, aExchange); },
+      .mMostBodyBytes = static_cast<std::size_t>(aSettings.mMostBodyBytes),
+      .mMostConnections = aSettings.mMostConnections,
+      .mIdleConnectionMilliseconds = aSettings.mIdleConnectionMilliseconds });
+  if (!server.ok()) {
+    return server.status();
+  }
+  host->mServer = std::move(*server);
+  host->mControlThread = std::thread{ [raw] { raw->RunControl(); } };
+  host->mStoreThread = std::thread{ [raw] { raw->RunStoreWatch(); } };
+  host->mPeerThread = std::thread{ [raw] { raw->RunPeerReceive(); } };
+  return host;
+}
+
+EntryHost::~EntryHost()
+{
+  mStopping = true;
+  mServer.reset();
+  mQueue.Close();
+  for (std::thread* thread : { &mControlThread, &mStoreThread, &mPeerThread }) {
+    if (thread->joinable()) {
+      thread->join();
+    }
+  }
+}
+
+std::int64_t
+EntryHost::Stop()
+{
+  const Instant end = Now() + Milliseconds{ mSettings.mStopNoticeMilliseconds };
+  mQueue.Push(StopAnnounced{});
+  absl::SleepFor(absl::FromChrono(std::min(kBalancerNotice, Remaining(end, Now()))));
+  mServer->StopListening();
+  while (mActive.load() > 0 && !HasPassed(end, Now())) {
+    absl::SleepFor(absl::FromChrono(kDrainCheck));
+  }
+  return mActive.load();
+}
+
+void
+EntryHost::RunControl()
+{
+  ControlState state =
+    MakeControlState({ .mHost = mSettings.mHost,
+                       .mZone = mSettings.mZone,
+                       .mPeerEndpoint = mSettings.mPeerListen,
+                       .mListen = mSettings.mListen,
+                       .mSeeds = mSettings.mSeeds,
+                       .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())) },
+                     Now());
+  while (!mQueue.Closed()) {
+    const auto event = mQueue.Pop(NextTimer(state));
+    if (event.has_value()) {
+      CarryOut(Step(state, *event, Now()));
+    }
+    if (HasPassed(NextTimer(state), Now())) {
+      CarryOut(Step(state, TimerFired{}, Now()));
+    }
+  }
+}
+
+void
+EntryHost::CarryOut(const ControlEffects& aEffects)
+{
+  for (const ControlEffect& effect : aEffects) {
+    if (const auto* publish = std::get_if<PublishSnapshot>(&effect)) {
+      mSnapshots.Publish(publish->mSnapshot);
+    } else if (const auto* send = std::get_if<SendMessage>(&effect)) {
+      // A datagram that cannot be sent is lost like any other: heartbeats repeat.
+      mSocket.Send(send->mTo, Encode(send->mMessage)).IgnoreError();
+    }
+  }
+}
+
+void
+EntryHost::RunStoreWatch()
+{
+  const StoreClient store{ .mEndpoint = mSettings.mStore };
+  std::optional<std::uint64_t> revision;
+  while (!mStopping.load()) {
+    const auto listing = revision.has_value()
+                           ? Watch(store, kDocumentPrefix, *revision, Now() + kWatchWait)
+                           : List(store, kDocumentPrefix, Now() + kStoreLimit);
+    if (!listing.ok()) {
+      spdlog::warn("the store does not answer: {}", listing.status().ToString());
+      mQueue.Push(StoreUnreachable{});
+      absl::SleepFor(absl::FromChrono(kStorePause));
+      continue;
+    }
+    revision = std::max(revision.value_or(0), listing->mRevision);
+    mQueue.Push(DocumentsRead{ .mListing = *listing });
+  }
+}
+
+void
+EntryHost::RunPeerReceive()
+{
+  while (!mStopping.load()) {
+    const auto bytes = mSocket.Receive(Now() + kReceiveWait);
+    if (!bytes.ok()) {
+      continue;
+    }
+    auto message = Decode(*bytes);
+    if (message.ok()) {
+      mQueue.Push(MessageArrived{ .mMessage = std::move(*message) });
+    }
+  }
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/node/entry_host.h
@@ -0,0 +1,63 @@
+// One entry host: the control thread, the traffic threads and what connects them.
+//
+//   absl::StatusOr<std::unique_ptr<EntryHost>> host = EntryHost::Start(settings);
+//   (*host)->Stop();
+//
+// Threads: one control thread owns all control state and blocks on one queue. One thread watches
+// the store, one receives datagrams, and each connection of a caller has a thread.
+#pragma once
+
+#include "absl/status/statusor.h"
+#include "trefoil/http/server.h"
+#include "trefoil/node/control_state.h"
+#include "trefoil/node/event_queue.h"
+#include "trefoil/node/in_flight.h"
+#include "trefoil/node/snapshot.h"
+#include "trefoil/node/traffic.h"
+#include "trefoil/settings/host_settings.h"
+#include "trefoil/wire/udp_socket.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <thread>
+
+namespace trefoil {
+
+class EntryHost
+{
+public:
+  // Returns Unavailable if an endpoint cannot be bound.
+  static absl::StatusOr<std::unique_ptr<EntryHost>> Start(const HostSettings& aSettings);
+
+  EntryHost(const EntryHost&) = delete;
+  EntryHost& operator=(const EntryHost&) = delete;
+  ~EntryHost();
+
+  // Stops without cutting off a request: tells the balancer and the other hosts, takes no further
+  // connections and waits for the requests in flight, the stop notice at most. Returns how many
+  // were still running.
+  std::int64_t Stop();
+
+private:
+  EntryHost(const HostSettings& aSettings, UdpSocket aSocket);
+  void RunControl();
+  void RunStoreWatch();
+  void RunPeerReceive();
+  void CarryOut(const ControlEffects& aEffects);
+
+  HostSettings mSettings;
+  UdpSocket mSocket;
+  EventQueue mQueue;
+  SnapshotCell mSnapshots;
+  InFlightTable mInFlight;
+  std::atomic<std::int64_t> mActive = 0;
+  std::atomic<bool> mStopping = false;
+  TrafficContext mTraffic;
+  std::optional<HttpServer> mServer;
+  std::thread mControlThread;
+  std::thread mStoreThread;
+  std::thread mPeerThread;
+};
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/node/internal/plain_traffic.cc
@@ -0,0 +1,135 @@
+#include "trefoil/node/internal/plain_traffic.h"
+
+#include "trefoil/frontend/answer.h"
+#include "trefoil/http/client.h"
+#include "trefoil/node/internal/caller.h"
+#include "trefoil/node/internal/pick_server.h"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+
+namespace trefoil {
+namespace {
+
+constexpr int kMostAttempts = 3;
+
+// A target split into the service's name and what the service sees.
+struct PlainTarget
+{
+  ServiceId mService;
+  std::string mRest;
+};
+
+PlainTarget
+SplitTarget(std::string_view aTarget)
+{
+  const std::string_view tail = aTarget.substr(aTarget.starts_with('/') ? 1 : 0);
+  const std::size_t end = tail.find_first_of("/?");
+  if (end == std::string_view::npos) {
+    return { .mService = ServiceId{ std::string{ tail } }, .mRest = "/" };
+  }
+  const std::string_view rest = tail.substr(end);
+  return { .mService = ServiceId{ std::string{ tail.substr(0, end) } },
+           .mRest = rest.starts_with('/') ? std::string{ rest } : "/" + std::string{ rest } };
+}
+
+bool
+IsForwarded(std::string_view aName)
+{
+  HttpHeaders own{ { .mName = "Authorization" },
+                   { .mName = "Host" },
+                   { .mName = "Content-Length" } };
+  const bool isOwn = std::ranges::any_of(own, [&](const HttpHeader& aHeader) {
+    return HeaderValue({ { aHeader.mName, "x" } }, aName) == "x";
+  });
+  return !isOwn && !IsHopByHop(aName);
+}
+
+HttpHeaders
+ForwardedHeaders(const HttpHeaders& aHeaders)
+{
+  HttpHeaders forwarded;
+  for (const HttpHeader& header : aHeaders) {
+    if (IsForwarded(header.mName)) {
+      forwarded.push_back(header);
+    }
+  }
+  return forwarded;
+}
+
+// What an attempt's failure means for the next one.
+bool
+MayTryAgain(const Failure& aFailure, Repeatable aRepeatable, Instant aDeadline)
+{
+  if (HasPassed(aDeadline, Now())) {
+    return false;
+  }
+  return aFailure.mVerdict == Verdict::kNotRun || aRepeatable == Repeatable::kYes;
+}
+
+HttpResult
+CallService(const TrafficContext& aContext, const Caller& aCaller, const HttpRequest& aRequest)
+{
+  const Repeatable repeatable =
+    RepeatableOf(*aCaller.mDocument, aRequest.mMethod, PathOf(aRequest.mTarget));
+  std::set<BackendServerId> failed;
+  Failure last{ .mVerdict = Verdict::kNotRun,
+                .mStatus = absl::UnavailableError("the service has no backend server") };
+  for (int attempt = 0; attempt < kMostAttempts; ++attempt) {
+    const auto server = PickServer(aContext, *aCaller.mDocument, failed);
+    if (!server.has_value()) {
+      return last;
+    }
+    const InFlightGuard inFlight{ *aContext.mInFlight, server->mServer };
+    HttpResult result =
+      Call({ .mServer = server->mEndpoint, .mRequest = aRequest, .mDeadline = aCaller.mDeadline });
+    const auto* failure = std::get_if<Failure>(&result);
+    if (failure == nullptr) {
+      return result;
+    }
+    last = { .mVerdict = Combine(last.mVerdict, failure->mVerdict), .mStatus = failure->mStatus };
+    if (!MayTryAgain(*failure, repeatable, aCaller.mDeadline)) {
+      return last;
+    }
+    failed.insert(server->mServer);
+  }
+  return last;
+}
+
+} // namespace
+
+void
+ServePlain(const TrafficContext& aContext, HttpExchange& aExchange)
+{
+  const RequestId id = NewRequestId();
+  const PlainTarget target = SplitTarget(aExchange.Request().mTarget);
+  const auto refuse = [&aExchange, &id](const absl::Status& aStatus) {
+    aExchange.Answer(RenderFailure(id, { .mVerdict = Verdict::kNotRun, .mStatus = aStatus }));
+  };
+  const auto caller =
+    Identify(*aContext.mSnapshots->Read(), target.mService, aExchange.Request(), Now());
+  if (!caller.ok()) {
+    refuse(caller.status());
+    return;
+  }
+  if (caller->mDocument->mKind != ServiceKind::kPlain) {
+    refuse(absl::InvalidArgumentError("the service is no plain service"));
+    return;
+  }
+  HttpRequest request = aExchange.Request();
+  request.mTarget = target.mRest;
+  request.mHeaders = ForwardedHeaders(aExchange.Request().mHeaders);
+  SetHeader(request.mHeaders, kRequestIdHeader, id.Value());
+  const HttpResult result = CallService(aContext, *caller, request);
+  if (const auto* failure = std::get_if<Failure>(&result)) {
+    aExchange.Answer(RenderFailure(id, *failure));
+    return;
+  }
+  HttpAnswer answer = std::get<HttpAnswer>(result);
+  answer.mHeaders = ForwardedHeaders(answer.mHeaders);
+  AddVerdict(answer, id, Verdict::kRan);
+  aExchange.Answer(answer);
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/node/snapshot.cc
@@ -0,0 +1,29 @@
+#include "trefoil/node/snapshot.h"
+
+namespace trefoil {
+
+const ServiceView*
+FindService(const Snapshot& aSnapshot, const ServiceId& aService)
+{
+  const auto found = aSnapshot.mServices.find(aService);
+  if (found == aSnapshot.mServices.end() || found->second.mDocument == nullptr) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+void
+SnapshotCell::Publish(std::shared_ptr<const Snapshot> aSnapshot)
+{
+  const absl::MutexLock lock{ &mMutex };
+  mSnapshot = std::move(aSnapshot);
+}
+
+std::shared_ptr<const Snapshot>
+SnapshotCell::Read() const
+{
+  const absl::MutexLock lock{ &mMutex };
+  return mSnapshot;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/node/traffic.cc
@@ -0,0 +1,78 @@
+#include "trefoil/node/traffic.h"
+
+#include "trefoil/frontend/completion.h"
+#include "trefoil/node/internal/caller.h"
+#include "trefoil/node/internal/completion_traffic.h"
+#include "trefoil/node/internal/plain_traffic.h"
+#include "trefoil/node/internal/status_page.h"
+
+#include <string_view>
+
+namespace trefoil {
+namespace {
+
+constexpr int kHttpUnavailable = 503;
+constexpr int kHttpMethodNotAllowed = 405;
+
+// Counts a request while it is being served.
+class ActiveGuard
+{
+public:
+  explicit ActiveGuard(std::atomic<std::int64_t>& aActive)
+    : mActive(aActive)
+  {
+    ++mActive;
+  }
+  ~ActiveGuard() { --mActive; }
+  ActiveGuard(const ActiveGuard&) = delete;
+  ActiveGuard& operator=(const ActiveGuard&) = delete;
+
+private:
+  std::atomic<std::int64_t>& mActive;
+};
+
+void
+ServeReadiness(const TrafficContext& aContext, HttpExchange& aExchange)
+{
+  const bool ready = aContext.mSnapshots->Read()->mReady;
+  aExchange.Answer(
+    { .mStatus = ready ? 200 : kHttpUnavailable, .mBody = ready ? "ready\n" : "not ready\n" });
+}
+
+void
+ServeCompletionPath(const TrafficContext& aContext, HttpExchange& aExchange, CompletionForm aForm)
+{
+  if (aExchange.Request().mMethod != "POST") {
+    aExchange.Answer({ .mStatus = kHttpMethodNotAllowed, .mBody = "use POST\n" });
+    return;
+  }
+  ServeCompletion(aContext, aExchange, aForm);
+}
+
+} // namespace
+
+void
+Serve(const TrafficContext& aContext, HttpExchange& aExchange)
+{
+  const ActiveGuard active{ *aContext.mActive };
+  const std::string_view path = PathOf(aExchange.Request().mTarget);
+  if (path == "/healthz") {
+    aExchange.Answer({ .mBody = "alive\n" });
+    return;
+  }
+  if (path == "/readyz") {
+    ServeReadiness(aContext, aExchange);
+    return;
+  }
+  if (path == "/status") {
+    aExchange.Answer(RenderStatusPage(aContext));
+    return;
+  }
+  if (const auto form = ValueOf(kCompletionPaths, path)) {
+    ServeCompletionPath(aContext, aExchange, *form);
+    return;
+  }
+  ServePlain(aContext, aExchange);
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/node/traffic.h
@@ -0,0 +1,32 @@
+// Serves callers' requests on the traffic threads.
+//
+//   TrafficContext context{ .mSnapshots = &cell, .mInFlight = &table };
+//   Serve(context, exchange);
+//
+// Runs on many threads at once; each request belongs to one.
+#pragma once
+
+#include "trefoil/http/server.h"
+#include "trefoil/node/in_flight.h"
+#include "trefoil/node/snapshot.h"
+
+#include <atomic>
+#include <cstdint>
+
+namespace trefoil {
+
+struct TrafficContext
+{
+  HostId mHost;
+  AvailabilityZoneId mZone;
+  SnapshotCell* mSnapshots = nullptr;
+  InFlightTable* mInFlight = nullptr;
+  // Requests that are being served now.
+  std::atomic<std::int64_t>* mActive = nullptr;
+};
+
+// Answers one request of a caller, an operator or the balancer.
+void
+Serve(const TrafficContext& aContext, HttpExchange& aExchange);
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/routing/choose.cc
@@ -0,0 +1,52 @@
+#include "trefoil/routing/choose.h"
+
+#include <algorithm>
+
+namespace trefoil {
+namespace {
+
+constexpr unsigned kHalfBits = 32;
+
+std::size_t
+LeastInFlight(std::span<const Candidate> aCandidates, std::uint64_t aRandom)
+{
+  // The search starts at a random place, so that equal candidates share the work.
+  const std::size_t start = aRandom % aCandidates.size();
+  std::size_t best = start;
+  for (std::size_t step = 1; step < aCandidates.size(); ++step) {
+    const std::size_t index = (start + step) % aCandidates.size();
+    if (aCandidates[index].mInFlight < aCandidates[best].mInFlight) {
+      best = index;
+    }
+  }
+  return best;
+}
+
+std::size_t
+LessLoadedOfTwo(std::span<const Candidate> aCandidates, std::uint64_t aRandom)
+{
+  const std::size_t first = (aRandom >> kHalfBits) % aCandidates.size();
+  const std::size_t second = (aRandom & UINT32_MAX) % aCandidates.size();
+  return aCandidates[second].mInFlight < aCandidates[first].mInFlight ? second : first;
+}
+
+} // namespace
+
+std::optional<std::size_t>
+Choose(RoutingPolicy aPolicy, std::span<const Candidate> aCandidates, std::uint64_t aRandom)
+{
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
+  switch (aPolicy) {
+    case RoutingPolicy::kRandom:
+      return aRandom % aCandidates.size();
+    case RoutingPolicy::kLeastInFlight:
+      return LeastInFlight(aCandidates, aRandom);
+    case RoutingPolicy::kPowerOfTwo:
+      return LessLoadedOfTwo(aCandidates, aRandom);
+  }
+  return std::nullopt;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/routing/choose_test.cc
@@ -0,0 +1,58 @@
+#include "trefoil/routing/choose.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <string>
+#include <vector>
+
+namespace trefoil {
+namespace {
+
+std::vector<Candidate>
+CandidatesOf(const std::vector<std::int64_t>& aLoads)
+{
+  std::vector<Candidate> candidates;
+  for (const std::int64_t load : aLoads) {
+    candidates.push_back(
+      { .mServer = BackendServerId{ std::to_string(candidates.size()) }, .mInFlight = load });
+  }
+  return candidates;
+}
+
+TEST_CASE("An attempt goes to one of the candidates")
+{
+  SECTION("to none if there are none")
+  {
+    for (const auto& entry : kRoutingPolicyNames) {
+      CHECK_FALSE(Choose(entry.mValue, {}, 7).has_value());
+    }
+  }
+  SECTION("to a valid one under every policy")
+  {
+    const bool holds = rc::check([](std::uint64_t aRandom) {
+      const auto loads = *rc::gen::nonEmpty<std::vector<std::int64_t>>();
+      const auto candidates = CandidatesOf(loads);
+      for (const auto& entry : kRoutingPolicyNames) {
+        RC_ASSERT(Choose(entry.mValue, candidates, aRandom).value() < candidates.size());
+      }
+    });
+    CHECK(holds);
+  }
+  SECTION("to a least loaded one under least_in_flight")
+  {
+    const auto candidates = CandidatesOf({ 3, 1, 2 });
+    for (std::uint64_t random = 0; random < 10; ++random) {
+      CHECK(Choose(RoutingPolicy::kLeastInFlight, candidates, random) == 1U);
+    }
+  }
+  SECTION("never to the busiest of many under power_of_two, unless it is drawn twice")
+  {
+    const auto candidates = CandidatesOf({ 9, 1 });
+    CHECK(Choose(RoutingPolicy::kPowerOfTwo, candidates, std::uint64_t{ 1 } << 32) == 1U);
+    CHECK(Choose(RoutingPolicy::kPowerOfTwo, candidates, 1) == 1U);
+    CHECK(Choose(RoutingPolicy::kPowerOfTwo, candidates, 0) == 0U);
+  }
+}
+
+} // namespace
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/settings/host_settings.cc
@@ -0,0 +1,117 @@
+#include "trefoil/settings/host_settings.h"
+
+#include "trefoil/settings/toml_reader.h"
+
+#include <fmt/format.h>
+#include <fstream>
+#include <sstream>
+
+namespace trefoil {
+namespace {
+
+constexpr std::int64_t kDefaultMostConnections = 2000;
+constexpr std::int64_t kDefaultMostBodyBytes = 4 << 20;
+constexpr std::int64_t kMostBodyBytesLimit = 64 << 20;
+constexpr std::int64_t kDefaultIdleConnectionMilliseconds = 15'000;
+constexpr std::int64_t kDefaultStopNoticeMilliseconds = 25'000;
+constexpr std::int64_t kLongestMilliseconds = 3'600'000;
+
+Endpoint
+ReadEndpoint(TomlReader& aReader, std::string_view aKey)
+{
+  const std::string text = aReader.RequiredString(aKey);
+  const auto endpoint = ParseEndpoint(text);
+  if (!endpoint.ok()) {
+    aReader.Fault(aKey, std::string{ endpoint.status().message() });
+    return {};
+  }
+  return *endpoint;
+}
+
+std::vector<Endpoint>
+ReadEndpoints(TomlReader& aReader, std::string_view aKey)
+{
+  std::vector<Endpoint> endpoints;
+  for (const std::string& text : aReader.OptionalStrings(aKey)) {
+    const auto endpoint = ParseEndpoint(text);
+    if (!endpoint.ok()) {
+      aReader.Fault(aKey, std::string{ endpoint.status().message() });
+      return {};
+    }
+    endpoints.push_back(*endpoint);
+  }
+  return endpoints;
+}
+
+std::string
+ReadName(TomlReader& aReader, std::string_view aKey)
+{
+  std::string name = aReader.RequiredString(aKey);
+  if (name.empty()) {
+    aReader.Fault(aKey, "must not be empty");
+  }
+  return name;
+}
+
+LogLevel
+ReadLogLevel(TomlReader& aReader)
+{
+  const auto level = ValueOf(kLogLevelNames, aReader.OptionalString("log_level", "info"));
+  if (!level.has_value()) {
+    aReader.Fault("log_level", "must be debug, info, warning or error");
+    return LogLevel::kInfo;
+  }
+  return *level;
+}
+
+} // namespace
+
+absl::StatusOr<HostSettings>
+ParseHostSettings(std::string_view aText, std::string_view aFile)
+{
+  const auto document = ParseToml(aText, aFile);
+  if (!document.ok()) {
+    return document.status();
+  }
+  TomlReader reader = document->Root();
+  HostSettings settings;
+  settings.mHost = HostId{ ReadName(reader, "host") };
+  settings.mZone = AvailabilityZoneId{ ReadName(reader, "availability_zone") };
+  settings.mListen = ReadEndpoint(reader, "listen");
+  settings.mPeerListen = ReadEndpoint(reader, "peer_listen");
+  settings.mStore = ReadEndpoint(reader, "store");
+  settings.mSeeds = ReadEndpoints(reader, "seeds");
+  settings.mMostConnections = reader.OptionalInt(
+    "most_connections", kDefaultMostConnections, { .mLeast = 1, .mMost = 20'000 });
+  settings.mMostBodyBytes = reader.OptionalInt(
+    "most_body_bytes", kDefaultMostBodyBytes, { .mLeast = 1024, .mMost = kMostBodyBytesLimit });
+  settings.mIdleConnectionMilliseconds =
+    reader.OptionalInt("idle_connection_ms",
+                       kDefaultIdleConnectionMilliseconds,
+                       { .mLeast = 10, .mMost = kLongestMilliseconds });
+  settings.mStopNoticeMilliseconds =
+    reader.OptionalInt("stop_notice_ms",
+                       kDefaultStopNoticeMilliseconds,
+                       { .mLeast = 0, .mMost = kLongestMilliseconds });
+  settings.mLogLevel = ReadLogLevel(reader);
+  const absl::Status status = reader.Finish();
+  if (!status.ok()) {
+    return status;
+  }
+  return settings;
+}
+
+absl::StatusOr<HostSettings>
+ReadHostSettings(std::string_view aPath)
+{
+  const std::string path{ aPath };
+  std::ifstream file{ path };
+  if (!file) {
+    return absl::NotFoundError(fmt::format("{}: cannot be read", path));
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseHostSettings(text.str(), path);
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/wire/codec.cc
@@ -0,0 +1,66 @@
+#include "trefoil/wire/codec.h"
+
+#include "trefoil/base/digest.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <exception>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace trefoil {
+namespace {
+
+constexpr std::size_t kChecksumBytes = 8;
+constexpr std::size_t kHeadBytes = 1 + kChecksumBytes;
+constexpr unsigned kBitsPerByte = 8;
+
+std::string
+ChecksumOf(std::string_view aPayload)
+{
+  const std::uint64_t digest = Digest64(aPayload);
+  std::string bytes;
+  for (std::size_t i = 0; i < kChecksumBytes; ++i) {
+    bytes.push_back(static_cast<char>(digest >> (i * kBitsPerByte)));
+  }
+  return bytes;
+}
+
+} // namespace
+
+std::string
+Encode(const Message& aMessage)
+{
+  std::ostringstream out;
+  cereal::PortableBinaryOutputArchive archive{ out };
+  archive(aMessage);
+  const std::string payload = out.str();
+  return static_cast<char>(kProtocolVersion) + ChecksumOf(payload) + payload;
+}
+
+absl::StatusOr<Message>
+Decode(std::string_view aBytes)
+{
+  if (aBytes.size() < kHeadBytes || aBytes.size() > kMostMessageBytes) {
+    return absl::InvalidArgumentError(fmt::format("{} bytes are no message", aBytes.size()));
+  }
+  if (static_cast<unsigned char>(aBytes.front()) != kProtocolVersion) {
+    return absl::InvalidArgumentError("the message has another protocol version");
+  }
+  const std::string_view payload = aBytes.substr(kHeadBytes);
+  if (aBytes.substr(1, kChecksumBytes) != ChecksumOf(payload)) {
+    return absl::InvalidArgumentError("the message's checksum is wrong");
+  }
+  try {
+    std::istringstream in{ std::string{ payload } };
+    cereal::PortableBinaryInputArchive archive{ in };
+    Message message;
+    archive(message);
+    return message;
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/wire/udp_socket.cc
@@ -0,0 +1,77 @@
+#include "trefoil/wire/udp_socket.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <array>
+
+namespace trefoil {
+namespace {
+
+constexpr std::size_t kMostDatagramBytes = 65'507;
+
+Poco::Net::SocketAddress
+AddressOf(const Endpoint& aEndpoint)
+{
+  return { aEndpoint.mAddress, aEndpoint.mPort };
+}
+
+} // namespace
+
+struct UdpSocket::State
+{
+  Poco::Net::DatagramSocket mSocket;
+};
+
+UdpSocket::UdpSocket(std::unique_ptr<State> aState)
+  : mState(std::move(aState))
+{
+}
+
+UdpSocket::UdpSocket(UdpSocket&&) noexcept = default;
+UdpSocket&
+UdpSocket::operator=(UdpSocket&&) noexcept = default;
+UdpSocket::~UdpSocket() = default;
+
+absl::StatusOr<UdpSocket>
+UdpSocket::Bind(const Endpoint& aEndpoint)
+{
+  try {
+    auto state = std::make_unique<State>();
+    state->mSocket.bind(AddressOf(aEndpoint), true);
+    return UdpSocket{ std::move(state) };
+  } catch (const Poco::Exception& error) {
+    return absl::UnavailableError(error.displayText());
+  }
+}
+
+absl::Status
+UdpSocket::Send(const Endpoint& aTo, std::string_view aBytes)
+{
+  try {
+    mState->mSocket.sendTo(aBytes.data(), static_cast<int>(aBytes.size()), AddressOf(aTo));
+    return absl::OkStatus();
+  } catch (const Poco::Exception& error) {
+    return absl::UnavailableError(error.displayText());
+  }
+}
+
+absl::StatusOr<std::string>
+UdpSocket::Receive(Instant aDeadline)
+{
+  try {
+    const Poco::Timespan left{ std::chrono::microseconds{ Remaining(aDeadline, Now()) }.count() };
+    if (!mState->mSocket.poll(left, Poco::Net::Socket::SELECT_READ)) {
+      return absl::DeadlineExceededError("no datagram came in time");
+    }
+    std::array<char, kMostDatagramBytes> buffer{};
+    Poco::Net::SocketAddress sender;
+    const int bytes =
+      mState->mSocket.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), sender);
+    return std::string{ buffer.data(), static_cast<std::size_t>(bytes) };
+  } catch (const Poco::Exception& error) {
+    return absl::UnavailableError(error.displayText());
+  }
+}
+
+} // namespace trefoil
