--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -37,7 +37,7 @@
   }
   std::string prompt;
   for (const auto& item : *aBody.getArray("messages")) {
-    const auto message = item.extract<Object::Ptr>();
+    const auto& message = item.extract<Object::Ptr>();
     prompt += message->getValue<std::string>("role") + ": ";
     prompt += message->getValue<std::string>("content") + "\n";
   }
--- a/trefoil/frontend/completion.cc
+++ b/trefoil/frontend/completion.cc
@@ -29,7 +29,7 @@
   }
   std::string prompt;
   for (const auto& item : *aBody.getArray("messages")) {
-    const auto message = item.extract<Object::Ptr>();
+    const auto& message = item.extract<Object::Ptr>();
     prompt += message->getValue<std::string>("role") + ": ";
     prompt += message->getValue<std::string>("content") + "\n";
   }
@@ -82,7 +82,7 @@
 AnswerObject(const CompletionRequest& aRequest,
              const RequestId& aId,
              std::string_view aKind,
-             Object::Ptr aChoice)
+             const Object::Ptr& aChoice)
 {
   Poco::JSON::Array::Ptr choices = new Poco::JSON::Array;
   choices->add(aChoice);
--- a/trefoil/http/client.cc
+++ b/trefoil/http/client.cc
@@ -34,7 +34,7 @@
 constexpr Milliseconds kConnectLimit{ 1000 };
 // A socket takes a time limit of zero as "none".
 constexpr Milliseconds kShortestLimit{ 1 };
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 
 Poco::Timespan
 LimitUntil(Instant aDeadline)
--- a/trefoil/http/server.cc
+++ b/trefoil/http/server.cc
@@ -35,7 +35,7 @@
 constexpr int kThreadIdleSeconds = 60;
 constexpr int kMostWaitingConnections = 1024;
 constexpr int kListenBacklog = 1024;
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 constexpr int kPayloadTooLarge = 413;
 
 // Reads a request's body. Returns nothing if it is longer than allowed.
@@ -193,17 +193,14 @@
   Poco::Net::HTTPServer mServer;
 
   State(HttpServerOptions aOptions,
-        Poco::Net::ServerSocket aSocket,
-        Poco::Net::HTTPServerParams::Ptr aParams)
+        const Poco::Net::ServerSocket& aSocket,
+        const Poco::Net::HTTPServerParams::Ptr& aParams)
     : mThreads(2,
                static_cast<int>(aOptions.mMostConnections),
                kThreadIdleSeconds,
                kThreadStackBytes)
-    , mSocket(std::move(aSocket))
-    , mServer(new FunctionHandlerFactory{ std::move(aOptions) },
-              mThreads,
-              mSocket,
-              std::move(aParams))
+    , mSocket(aSocket)
+    , mServer(new FunctionHandlerFactory{ std::move(aOptions) }, mThreads, mSocket, aParams)
   {
   }
 };
