Carry out the control thread's calls to the store on threads of their own

Cause: the control thread must not block on I/O, and several packages need reads and compare-and-swap writes. Change: effects StoreReadWanted and StoreWriteWanted, a bounded worker, and events with topic and tag as the answer. A call whose deadline passes in line is not sent (store_worker_test).

--- a/trefoil/node/control_state.cc
+++ b/trefoil/node/control_state.cc
@@ -125,6 +125,18 @@
   return effects;
 }
 
+ControlEffects
+On(ControlState&, const StoreReadDone&, Instant)
+{
+  return {};
+}
+
+ControlEffects
+On(ControlState&, const StoreWriteDone&, Instant)
+{
+  return {};
+}
+
 } // namespace
 
 ControlState
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -29,6 +29,7 @@
 EntryHost::EntryHost(const HostSettings& aSettings, UdpSocket aSocket)
   : mSettings(aSettings)
   , mSocket(std::move(aSocket))
+  , mStoreWorker({ .mStore = { .mEndpoint = mSettings.mStore }, .mQueue = &mQueue })
   , mTraffic{ .mHost = mSettings.mHost,
               .mZone = mSettings.mZone,
               .mSnapshots = &mSnapshots,
@@ -113,15 +114,35 @@
 EntryHost::CarryOut(const ControlEffects& aEffects)
 {
   for (const ControlEffect& effect : aEffects) {
-    if (const auto* publish = std::get_if<PublishSnapshot>(&effect)) {
-      mSnapshots.Publish(publish->mSnapshot);
-    } else if (const auto* send = std::get_if<SendMessage>(&effect)) {
-      // A datagram that cannot be sent is lost like any other: heartbeats repeat.
-      mSocket.Send(send->mTo, Encode(send->mMessage)).IgnoreError();
-    }
+    std::visit([this](const auto& aKind) { CarryOut(aKind); }, effect);
   }
 }
 
+void
+EntryHost::CarryOut(const PublishSnapshot& aEffect)
+{
+  mSnapshots.Publish(aEffect.mSnapshot);
+}
+
+void
+EntryHost::CarryOut(const SendMessage& aEffect)
+{
+  // A datagram that cannot be sent is lost like any other: the sender repeats what must arrive.
+  mSocket.Send(aEffect.mTo, Encode(aEffect.mMessage)).IgnoreError();
+}
+
+void
+EntryHost::CarryOut(const StoreReadWanted& aEffect)
+{
+  mStoreWorker.Submit(aEffect);
+}
+
+void
+EntryHost::CarryOut(const StoreWriteWanted& aEffect)
+{
+  mStoreWorker.Submit(aEffect);
+}
+
 void
 EntryHost::RunStoreWatch()
 {
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -13,6 +13,7 @@
 #include "trefoil/node/event_queue.h"
 #include "trefoil/node/in_flight.h"
 #include "trefoil/node/snapshot.h"
+#include "trefoil/node/store_worker.h"
 #include "trefoil/node/traffic.h"
 #include "trefoil/settings/host_settings.h"
 #include "trefoil/wire/udp_socket.h"
@@ -45,11 +46,16 @@
   void RunStoreWatch();
   void RunPeerReceive();
   void CarryOut(const ControlEffects& aEffects);
+  void CarryOut(const PublishSnapshot& aEffect);
+  void CarryOut(const SendMessage& aEffect);
+  void CarryOut(const StoreReadWanted& aEffect);
+  void CarryOut(const StoreWriteWanted& aEffect);
 
   HostSettings mSettings;
   UdpSocket mSocket;
   EventQueue mQueue;
   SnapshotCell mSnapshots;
+  StoreWorker mStoreWorker;
   InFlightTable mInFlight;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
--- a/trefoil/node/event.h
+++ b/trefoil/node/event.h
@@ -1,12 +1,17 @@
 // What reaches the control thread, and what it asks the other threads to do.
 #pragma once
 
+#include "absl/status/statusor.h"
 #include "trefoil/base/endpoint.h"
+#include "trefoil/base/instant.h"
+#include "trefoil/base/name_table.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/platform/store_client.h"
 #include "trefoil/wire/message.h"
 
+#include <cstdint>
 #include <memory>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -36,8 +41,47 @@
 struct TimerFired
 {};
 
-using ControlEvent =
-  std::variant<DocumentsRead, StoreUnreachable, MessageArrived, StopAnnounced, TimerFired>;
+// Which package asked for a call to the store.
+enum class StoreTopic
+{
+  kClaims,
+  kLeases,
+  kMoves,
+  kOrders,
+  kAudit,
+};
+
+inline constexpr NameTable<StoreTopic, 5> kStoreTopicNames{ {
+  { StoreTopic::kClaims, "claims" },
+  { StoreTopic::kLeases, "leases" },
+  { StoreTopic::kMoves, "moves" },
+  { StoreTopic::kOrders, "orders" },
+  { StoreTopic::kAudit, "audit" },
+} };
+
+// A read that was asked for by StoreReadWanted has ended.
+struct StoreReadDone
+{
+  StoreTopic mTopic = StoreTopic::kClaims;
+  std::uint64_t mTag = 0;
+  absl::StatusOr<StoreEntry> mEntry;
+};
+
+// A write that was asked for by StoreWriteWanted has ended.
+struct StoreWriteDone
+{
+  StoreTopic mTopic = StoreTopic::kClaims;
+  std::uint64_t mTag = 0;
+  StoreWrite mWrite;
+};
+
+using ControlEvent = std::variant<DocumentsRead,
+                                  StoreUnreachable,
+                                  MessageArrived,
+                                  StopAnnounced,
+                                  TimerFired,
+                                  StoreReadDone,
+                                  StoreWriteDone>;
 
 // Show this snapshot to the traffic threads.
 struct PublishSnapshot
@@ -52,7 +96,25 @@
   Message mMessage;
 };
 
-using ControlEffect = std::variant<PublishSnapshot, SendMessage>;
+// Read a key of the store, and answer with StoreReadDone of the same topic and tag.
+struct StoreReadWanted
+{
+  StoreTopic mTopic = StoreTopic::kClaims;
+  std::uint64_t mTag = 0;
+  std::string mKey;
+  Instant mDeadline;
+};
+
+// Write a key of the store, and answer with StoreWriteDone of the same topic and tag.
+struct StoreWriteWanted
+{
+  StoreTopic mTopic = StoreTopic::kClaims;
+  std::uint64_t mTag = 0;
+  StoreWriteRequest mWrite;
+  Instant mDeadline;
+};
+
+using ControlEffect = std::variant<PublishSnapshot, SendMessage, StoreReadWanted, StoreWriteWanted>;
 using ControlEffects = std::vector<ControlEffect>;
 
 } // namespace trefoil
--- /dev/null
+++ b/trefoil/node/store_worker_test.cc
@@ -0,0 +1,63 @@
+#include "trefoil/node/store_worker.h"
+
+#include "standin/store.h"
+#include "trefoil/http/server.h"
+
+#include <catch2/catch.hpp>
+
+namespace trefoil {
+namespace {
+
+constexpr Milliseconds kGenerousLimit{ 20'000 };
+
+TEST_CASE("The control thread's calls to the store are carried out elsewhere")
+{
+  standin::Store store;
+  auto server =
+    HttpServer::Start({ .mListen = { .mAddress = "127.0.0.1", .mPort = 0 },
+                        .mHandler = [&store](HttpExchange& aExchange) { store.Serve(aExchange); },
+                        .mMostConnections = 8 });
+  REQUIRE(server.ok());
+  EventQueue queue;
+  StoreWorker worker{
+    { .mStore = { .mEndpoint = { .mAddress = "127.0.0.1", .mPort = server->Port() } },
+      .mQueue = &queue }
+  };
+  const Instant deadline = Now() + kGenerousLimit;
+
+  SECTION("a write comes back with its topic and tag")
+  {
+    worker.Submit(StoreWriteWanted{ .mTopic = StoreTopic::kMoves,
+                                    .mTag = 7,
+                                    .mWrite = { .mKey = "moves/rules", .mValue = "x" },
+                                    .mDeadline = deadline });
+    const auto event = queue.Pop(deadline);
+    REQUIRE(event.has_value());
+    const auto& done = std::get<StoreWriteDone>(*event);
+    CHECK(done.mTopic == StoreTopic::kMoves);
+    CHECK(done.mTag == 7);
+    CHECK(done.mWrite.mState == StoreWriteState::kWritten);
+
+    SECTION("and can be read")
+    {
+      worker.Submit(StoreReadWanted{ .mTag = 8, .mKey = "moves/rules", .mDeadline = deadline });
+      const auto next = queue.Pop(deadline);
+      REQUIRE(next.has_value());
+      CHECK(std::get<StoreReadDone>(*next).mEntry->mValue == "x");
+    }
+  }
+  SECTION("a call whose deadline has passed is not sent")
+  {
+    worker.Submit(
+      StoreWriteWanted{ .mWrite = { .mKey = "late", .mValue = "x" }, .mDeadline = Now() });
+    const auto event = queue.Pop(deadline);
+    REQUIRE(event.has_value());
+    CHECK(std::get<StoreWriteDone>(*event).mWrite.mState == StoreWriteState::kNotWritten);
+    CHECK(
+      Read({ .mEndpoint = { .mAddress = "127.0.0.1", .mPort = server->Port() } }, "late", deadline)
+        ->mRevision == 0);
+  }
+}
+
+} // namespace
+} // namespace trefoil
