Replace the heartbeats from all to all by gossip in a zone and digests between zones

Cause: each host sent a heartbeat to every other one four times a second, which grows with the square of the fleet. Change: a host sends its view of its zone to three random members every 500 ms and its view of all zones to one host a second; suspicion before death, refutation by a newer sequence, leaving announced to all known hosts, an echo after a freeze before the view counts as fresh. The codec writes integers and lengths in base 128 and grows lists as they are read, so that a forged length allocates nothing (codec_test). Hosts ask each other over TCP with the same messages (peer_link).

--- a/trefoil/config/documents_in_force.h
+++ b/trefoil/config/documents_in_force.h
@@ -12,6 +12,7 @@
 #include "trefoil/base/ids.h"
 #include "trefoil/base/name_table.h"
 #include "trefoil/service/service_document.h"
+#include "trefoil/wire/config_message.h"
 
 #include <cstdint>
 #include <map>
@@ -20,15 +21,6 @@
 
 namespace trefoil {
 
-// A document as it stands in the store.
-struct DocumentRevision
-{
-  ServiceId mService;
-  std::uint64_t mRevision = 0;
-  std::string mText;
-  bool mDeleted = false;
-};
-
 enum class DocumentFate
 {
   kInForce,
--- a/trefoil/node/control_state.cc
+++ b/trefoil/node/control_state.cc
@@ -1,12 +1,12 @@
 #include "trefoil/node/control_state.h"
 
-#include <set>
+#include "trefoil/node/internal/peer_control.h"
+
 #include <string_view>
 
 namespace trefoil {
 namespace {
 
-constexpr Milliseconds kHeartbeatEvery{ 250 };
 constexpr std::string_view kDocumentPrefix = "services/";
 
 std::shared_ptr<const Snapshot>
@@ -16,7 +16,8 @@
   snapshot->mNumber = ++aState.mSnapshotNumber;
   snapshot->mReady = aState.mReady && !aState.mLeaving;
   snapshot->mStoreReachable = aState.mStoreReachable;
-  snapshot->mMembers = aState.mMembers;
+  snapshot->mMembers = aState.mGossip.mMembers;
+  snapshot->mFreshUntil = aState.mGossip.mFreshUntil;
   for (const auto& [service, document] : aState.mDocuments.mByService) {
     snapshot->mServices[service] = { .mDocument = document.mDocument,
                                      .mRevision = document.mRevision,
@@ -25,41 +26,6 @@
   return snapshot;
 }
 
-Heartbeat
-MakeHeartbeat(ControlState& aState)
-{
-  return { .mHost = aState.mOptions.mHost,
-           .mZone = aState.mOptions.mZone,
-           .mPeerEndpoint = aState.mOptions.mPeerEndpoint,
-           .mListen = aState.mOptions.mListen,
-           .mIncarnation = aState.mOptions.mIncarnation,
-           .mSequence = ++aState.mSequence,
-           .mLeaving = aState.mLeaving,
-           .mConfigRevision = NewestRevision(aState.mDocuments) };
-}
-
-// Returns where heartbeats go: to the seeds and to every known member.
-std::set<Endpoint>
-HeartbeatTargets(const ControlState& aState)
-{
-  std::set<Endpoint> targets{ aState.mOptions.mSeeds.begin(), aState.mOptions.mSeeds.end() };
-  for (const auto& [host, member] : aState.mMembers.mByHost) {
-    targets.insert(member.mLast.mPeerEndpoint);
-  }
-  targets.erase(aState.mOptions.mPeerEndpoint);
-  return targets;
-}
-
-void
-SendHeartbeats(ControlState& aState, ControlEffects& aEffects, Instant aNow)
-{
-  aState.mNextHeartbeatAt = aNow + kHeartbeatEvery;
-  const Heartbeat heartbeat = MakeHeartbeat(aState);
-  for (const Endpoint& target : HeartbeatTargets(aState)) {
-    aEffects.emplace_back(SendMessage{ .mTo = target, .mMessage = heartbeat });
-  }
-}
-
 ControlEffects
 Publish(ControlState& aState)
 {
@@ -93,15 +59,21 @@
   return Publish(aState);
 }
 
+void
+AddDatagrams(ControlEffects& aEffects, Datagrams aDatagrams)
+{
+  for (Datagram& datagram : aDatagrams) {
+    aEffects.emplace_back(
+      SendMessage{ .mTo = std::move(datagram.mTo), .mMessage = std::move(datagram.mMessage) });
+  }
+}
+
 ControlEffects
 On(ControlState& aState, const MessageArrived& aEvent, Instant aNow)
 {
-  if (const auto* heartbeat = std::get_if<Heartbeat>(&aEvent.mMessage)) {
-    if (heartbeat->mHost != aState.mOptions.mHost) {
-      ApplyHeartbeat(aState.mMembers, *heartbeat, aNow);
-    }
-  }
-  return {};
+  ControlEffects effects;
+  AddDatagrams(effects, OnPeerMessage(aState, aEvent.mMessage, aNow));
+  return effects;
 }
 
 ControlEffects
@@ -109,19 +81,16 @@
 {
   aState.mLeaving = true;
   ControlEffects effects = Publish(aState);
-  SendHeartbeats(aState, effects, aNow);
+  AddDatagrams(effects, AnnounceLeaving(aState.mGossip, aNow));
   return effects;
 }
 
 ControlEffects
 On(ControlState& aState, const TimerFired&, Instant aNow)
 {
-  if (!HasPassed(aState.mNextHeartbeatAt, aNow)) {
-    return {};
-  }
-  ExpireMembers(aState.mMembers, aNow);
+  Datagrams datagrams = OnPeerTimer(aState, aNow);
   ControlEffects effects = Publish(aState);
-  SendHeartbeats(aState, effects, aNow);
+  AddDatagrams(effects, std::move(datagrams));
   return effects;
 }
 
@@ -143,8 +112,15 @@
 MakeControlState(ControlOptions aOptions, Instant aNow)
 {
   ControlState state;
+  state.mGossip = MakeGossipState({ .mHost = aOptions.mHost,
+                                    .mZone = aOptions.mZone,
+                                    .mPeerEndpoint = aOptions.mPeerEndpoint,
+                                    .mListen = aOptions.mListen,
+                                    .mSeeds = aOptions.mSeeds,
+                                    .mIncarnation = aOptions.mIncarnation,
+                                    .mRandomSeed = aOptions.mRandomSeed },
+                                  aNow);
   state.mOptions = std::move(aOptions);
-  state.mNextHeartbeatAt = aNow;
   return state;
 }
 
@@ -157,7 +133,7 @@
 Instant
 NextTimer(const ControlState& aState)
 {
-  return aState.mNextHeartbeatAt;
+  return NextPeerTimer(aState);
 }
 
 } // namespace trefoil
--- a/trefoil/node/control_state.h
+++ b/trefoil/node/control_state.h
@@ -11,7 +11,7 @@
 #include "trefoil/base/ids.h"
 #include "trefoil/base/instant.h"
 #include "trefoil/config/documents_in_force.h"
-#include "trefoil/membership/members.h"
+#include "trefoil/membership/gossip.h"
 #include "trefoil/node/event.h"
 
 #include <cstdint>
@@ -27,19 +27,19 @@
   Endpoint mListen;
   std::vector<Endpoint> mSeeds;
   std::uint64_t mIncarnation = 0;
+  // Decides which hosts gossip goes to.
+  std::uint64_t mRandomSeed = 0;
 };
 
 struct ControlState
 {
   ControlOptions mOptions;
   DocumentsInForce mDocuments;
-  Members mMembers;
+  GossipState mGossip;
   bool mReady = false;
   bool mStoreReachable = false;
   bool mLeaving = false;
-  std::uint64_t mSequence = 0;
   std::uint64_t mSnapshotNumber = 0;
-  Instant mNextHeartbeatAt;
 };
 
 ControlState
--- a/trefoil/node/control_state_test.cc
+++ b/trefoil/node/control_state_test.cc
@@ -74,7 +74,7 @@
     {
       const auto later = Step(state, StopAnnounced{}, kStart);
       CHECK_FALSE(PublishedIn(later).mReady);
-      CHECK(std::get<Heartbeat>(std::get<SendMessage>(later.at(1)).mMessage).mLeaving);
+      CHECK(std::get<Gossip>(std::get<SendMessage>(later.at(1)).mMessage).mSender.mLeaving);
     }
   }
 }
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -1,5 +1,6 @@
 #include "trefoil/node/entry_host.h"
 
+#include "trefoil/base/digest.h"
 #include "trefoil/platform/store_client.h"
 #include "trefoil/wire/codec.h"
 
@@ -97,7 +98,8 @@
                        .mPeerEndpoint = mSettings.mPeerListen,
                        .mListen = mSettings.mListen,
                        .mSeeds = mSettings.mSeeds,
-                       .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())) },
+                       .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())),
+                       .mRandomSeed = Digest64(RandomHex()) },
                      Now());
   while (!mQueue.Closed()) {
     const auto event = mQueue.Pop(NextTimer(state));
--- a/trefoil/node/snapshot.h
+++ b/trefoil/node/snapshot.h
@@ -35,6 +35,8 @@
   // Whether documents were read at least once since the start.
   bool mReady = false;
   bool mStoreReachable = false;
+  // Until when effects on others may rest on the snapshot. A process that was frozen finds it past.
+  Instant mFreshUntil;
   std::map<ServiceId, ServiceView> mServices;
   Members mMembers;
 };
--- a/trefoil/wire/codec.cc
+++ b/trefoil/wire/codec.cc
@@ -1,13 +1,10 @@
 #include "trefoil/wire/codec.h"
 
 #include "trefoil/base/digest.h"
+#include "trefoil/wire/internal/archive.h"
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/variant.hpp>
 #include <exception>
 #include <fmt/format.h>
-#include <sstream>
 
 namespace trefoil {
 namespace {
@@ -32,10 +29,9 @@
 std::string
 Encode(const Message& aMessage)
 {
-  std::ostringstream out;
-  cereal::PortableBinaryOutputArchive archive{ out };
+  WireOutput archive;
   archive(aMessage);
-  const std::string payload = out.str();
+  const std::string& payload = archive.Bytes();
   return static_cast<char>(kProtocolVersion) + ChecksumOf(payload) + payload;
 }
 
@@ -53,10 +49,12 @@
     return absl::InvalidArgumentError("the message's checksum is wrong");
   }
   try {
-    std::istringstream in{ std::string{ payload } };
-    cereal::PortableBinaryInputArchive archive{ in };
+    WireInput archive{ payload };
     Message message;
     archive(message);
+    if (!archive.AtEnd()) {
+      return absl::InvalidArgumentError("the message is followed by further bytes");
+    }
     return message;
   } catch (const std::exception& error) {
     return absl::InvalidArgumentError(error.what());
--- a/trefoil/wire/codec.h
+++ b/trefoil/wire/codec.h
@@ -4,7 +4,7 @@
 //   absl::StatusOr<Message> message = Decode(bytes);
 //
 // Layout: one byte of protocol version, eight bytes of checksum (XXH3, little endian), then the
-// message in cereal's portable binary form. Thread-safe.
+// message in the form of internal/archive.h. Thread-safe.
 #pragma once
 
 #include "absl/status/statusor.h"
@@ -16,7 +16,7 @@
 
 namespace trefoil {
 
-inline constexpr unsigned char kProtocolVersion = 1;
+inline constexpr unsigned char kProtocolVersion = 2;
 // The longest encoded message that is decoded.
 inline constexpr std::size_t kMostMessageBytes = std::size_t{ 2 } << 20;
 
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -6,38 +6,32 @@
 #pragma once
 
 #include "trefoil/base/endpoint.h"
-#include "trefoil/base/ids.h"
+#include "trefoil/wire/config_message.h"
+#include "trefoil/wire/gossip_message.h"
+#include "trefoil/wire/health_message.h"
 
-#include <cstdint>
 #include <variant>
+#include <vector>
 
 namespace trefoil {
 
-// Says that an entry host is alive, and what it is doing.
-struct Heartbeat
-{
-  HostId mHost;
-  AvailabilityZoneId mZone;
-  Endpoint mPeerEndpoint;
-  // Where callers connect.
-  Endpoint mListen;
-  // Rises with each start of the process.
-  std::uint64_t mIncarnation = 0;
-  // Rises with each heartbeat of an incarnation.
-  std::uint64_t mSequence = 0;
-  bool mLeaving = false;
-  // The store revision of the newest documents in force on the host.
-  std::uint64_t mConfigRevision = 0;
+// New kinds go to the end: the index of a kind is part of the encoding.
+using Message = std::variant<Heartbeat,
+                             Gossip,
+                             ZoneGossip,
+                             HeartbeatsWanted,
+                             Heartbeats,
+                             ServerReports,
+                             DocumentsWanted,
+                             DocumentsOffered>;
 
-  template<typename Archive>
-  void serialize(Archive& aArchive)
-  {
-    aArchive(
-      mHost, mZone, mPeerEndpoint, mListen, mIncarnation, mSequence, mLeaving, mConfigRevision);
-  }
+// A message and where it goes.
+struct Datagram
+{
+  Endpoint mTo;
+  Message mMessage;
 };
 
-// New kinds go to the end: the index of a kind is part of the encoding.
-using Message = std::variant<Heartbeat>;
+using Datagrams = std::vector<Datagram>;
 
 } // namespace trefoil
