--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -2,7 +2,7 @@
 # Installs every Debian package that the build, the tests and the checks need. Run as root.
 set -euo pipefail
 packages=(
-  build-essential cmake ninja-build ccache clang clang-format clang-tidy curl
+  build-essential cmake ninja-build ccache clang clang-format clang-tidy curl bc
   libpoco-dev libcereal-dev libboost-dev libtomlplusplus-dev libdocopt-dev libspdlog-dev libfmt-dev
   libabsl-dev catch2 libtrompeloeil-cpp-dev librapidcheck-dev libxxhash-dev libbenchmark-dev
 )
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -34,7 +34,8 @@
               .mZone = mSettings.mZone,
               .mSnapshots = &mSnapshots,
               .mInFlight = &mInFlight,
-              .mActive = &mActive }
+              .mActive = &mActive,
+              .mMetrics = &mMetrics }
 {
 }
 
@@ -154,6 +155,7 @@
                            : List(store, kDocumentPrefix, Now() + kStoreLimit);
     if (!listing.ok()) {
       spdlog::warn("the store does not answer: {}", listing.status().ToString());
+      mMetrics.Add(Counter::kStoreFailures, 1);
       mQueue.Push(StoreUnreachable{});
       absl::SleepFor(absl::FromChrono(kStorePause));
       continue;
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -57,6 +57,7 @@
   SnapshotCell mSnapshots;
   StoreWorker mStoreWorker;
   InFlightTable mInFlight;
+  Metrics mMetrics;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
   TrafficContext mTraffic;
--- a/trefoil/node/internal/completion_traffic.cc
+++ b/trefoil/node/internal/completion_traffic.cc
@@ -31,6 +31,9 @@
   // Servers that failed this request.
   std::set<BackendServerId> mFailed;
   std::string mFinishReason;
+  Instant mStartedAt;
+  // When the newest token was passed on.
+  Instant mLastTokenAt;
 };
 
 enum class AttemptResult
@@ -52,6 +55,20 @@
     { .mIndex = aEvent.mIndex, .mText = aEvent.mText, .mFinishReason = aEvent.mFinishReason }));
 }
 
+void
+CountToken(Serving& aServing)
+{
+  const Instant now = Now();
+  Metrics& metrics = *aServing.mContext.mMetrics;
+  metrics.Add(Counter::kTokens, 1);
+  if (aServing.mProgress.mTokens == 1) {
+    metrics.Observe(Summary::kFirstToken, now - aServing.mStartedAt);
+  } else {
+    metrics.Observe(Summary::kTokenGap, now - aServing.mLastTokenAt);
+  }
+  aServing.mLastTokenAt = now;
+}
+
 // Reads an engine's stream to its end or its failure.
 AttemptResult
 Follow(Serving& aServing, EngineStream& aStream)
@@ -80,6 +97,7 @@
       continue;
     }
     aServing.mFinishReason = event->mFinishReason;
+    CountToken(aServing);
     if (!Forward(aServing, *event)) {
       return AttemptResult::kCallerGone;
     }
@@ -91,6 +109,10 @@
 {
   StreamProgress& progress = aServing.mProgress;
   const InFlightGuard inFlight{ *aServing.mContext.mInFlight, aServer.mServer };
+  aServing.mContext.mMetrics->Add(Counter::kAttempts, 1);
+  if (progress.mTokens > 0) {
+    aServing.mContext.mMetrics->Add(Counter::kStreamsResumed, 1);
+  }
   BeginAttempt(
     progress, AttemptId{ fmt::format("{}-{}", progress.mRequest.Value(), progress.mAttempts + 1) });
   auto opened =
@@ -127,6 +149,7 @@
     if (result != AttemptResult::kFailed) {
       return std::nullopt;
     }
+    aServing.mContext.mMetrics->Add(Counter::kAttemptsFailed, 1);
     aServing.mFailed.insert(server->mServer);
     if (AfterFailure(aServing.mProgress, Now()) == NextStep::kGiveUp) {
       return Failure{ .mVerdict = Verdict::kMayHaveRun,
@@ -195,7 +218,8 @@
                    .mExchange = aExchange,
                    .mRequest = *request,
                    .mCaller = *caller,
-                   .mProgress = { .mRequest = id, .mDeadline = caller->mDeadline } };
+                   .mProgress = { .mRequest = id, .mDeadline = caller->mDeadline },
+                   .mStartedAt = Now() };
   if (request->mStream) {
     BeginEventStream(aExchange, id);
   }
--- a/trefoil/node/internal/plain_traffic.cc
+++ b/trefoil/node/internal/plain_traffic.cc
@@ -121,7 +121,9 @@
   request.mTarget = target.mRest;
   request.mHeaders = ForwardedHeaders(aExchange.Request().mHeaders);
   SetHeader(request.mHeaders, kRequestIdHeader, id.Value());
+  const Instant startedAt = Now();
   const HttpResult result = CallService(aContext, *caller, request);
+  aContext.mMetrics->Observe(Summary::kPlainAnswer, Now() - startedAt);
   if (const auto* failure = std::get_if<Failure>(&result)) {
     aExchange.Answer(RenderFailure(id, *failure));
     return;
--- a/trefoil/node/traffic.cc
+++ b/trefoil/node/traffic.cc
@@ -68,6 +68,13 @@
     aExchange.Answer(RenderStatusPage(aContext));
     return;
   }
+  if (path == "/metrics") {
+    aExchange.Answer(
+      { .mHeaders = { { .mName = "Content-Type", .mValue = "text/plain; version=0.0.4" } },
+        .mBody = aContext.mMetrics->Render() });
+    return;
+  }
+  aContext.mMetrics->Add(Counter::kRequests, 1);
   if (const auto form = ValueOf(kCompletionPaths, path)) {
     ServeCompletionPath(aContext, aExchange, *form);
     return;
--- a/trefoil/node/traffic.h
+++ b/trefoil/node/traffic.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "trefoil/http/server.h"
+#include "trefoil/metrics/metrics.h"
 #include "trefoil/node/in_flight.h"
 #include "trefoil/node/snapshot.h"
 
@@ -23,6 +24,7 @@
   InFlightTable* mInFlight = nullptr;
   // Requests that are being served now.
   std::atomic<std::int64_t>* mActive = nullptr;
+  Metrics* mMetrics = nullptr;
 };
 
 // Answers one request of a caller, an operator or the balancer.
