Parse command lines in one place, with exit status 2 for a bad one

Cause: docopt's own entry ends a program with status 1 on a usage error, the pages promise 2, and numbers were not checked.

--- a/bench/load.cc
+++ b/bench/load.cc
@@ -2,16 +2,15 @@
 #include "standin/token_text.h"
 #include "trefoil/backend/engine_client.h"
 #include "trefoil/base/instant.h"
+#include "trefoil/command_line/command_line.h"
 #include "trefoil/http/client.h"
 
 #include <Poco/JSON/Object.h>
 #include <algorithm>
 #include <cstdint>
 #include <cstdio>
-#include <docopt/docopt.h>
 #include <fmt/format.h>
-#include <mutex>
-#include <random>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -39,6 +38,8 @@
 )";
 constexpr Milliseconds kRequestLimit{ 300'000 };
 constexpr double kMillisecondsPerSecond = 1000;
+constexpr double kMedian = 0.5;
+constexpr double kTail = 0.95;
 
 struct LoadOptions
 {
@@ -184,41 +185,67 @@
   return total;
 }
 
-LoadOptions
-OptionsOf(std::map<std::string, docopt::value>& aArguments)
+// Returns nothing and prints the reason if an option is bad.
+std::optional<LoadOptions>
+OptionsOf(const trefoil::CommandLine& aLine)
 {
-  LoadOptions options{ .mService = aArguments["SERVICE"].asString(),
-                       .mCredential = aArguments["--credential"].asString(),
-                       .mStreams = aArguments["--streams"].asLong(),
-                       .mRequests = aArguments["--requests"].asLong(),
-                       .mTokens = aArguments["--tokens"].asLong(),
-                       .mSeed = aArguments["--seed"].asLong() };
-  for (const std::string& address : aArguments["ADDRESS"].asStringList()) {
-    options.mServers.push_back(trefoil::ParseEndpoint(address).value());
+  const auto& arguments = aLine.mArguments;
+  const auto streams = trefoil::NumberOption(aLine, "--streams", 1);
+  const auto requests = trefoil::NumberOption(aLine, "--requests", 1);
+  const auto tokens = trefoil::NumberOption(aLine, "--tokens", 1);
+  const auto seed = trefoil::NumberOption(aLine, "--seed", 0);
+  if (!streams.has_value() || !requests.has_value() || !tokens.has_value() || !seed.has_value()) {
+    return std::nullopt;
+  }
+  LoadOptions options{ .mService = arguments.at("SERVICE").asString(),
+                       .mCredential = arguments.at("--credential").asString(),
+                       .mStreams = *streams,
+                       .mRequests = *requests,
+                       .mTokens = *tokens,
+                       .mSeed = *seed };
+  for (const std::string& address : arguments.at("ADDRESS").asStringList()) {
+    const auto endpoint = trefoil::ParseEndpoint(address);
+    if (!endpoint.ok()) {
+      std::fprintf(stderr, "%s\n", std::string{ endpoint.status().message() }.c_str());
+      return std::nullopt;
+    }
+    options.mServers.push_back(*endpoint);
   }
   return options;
 }
 
+void
+Print(LoadResult& aResult, double aSeconds)
+{
+  const double tokens = static_cast<double>(aResult.mFirstToken.size() + aResult.mGap.size());
+  std::printf("whole %lld broken %lld first_token_ms p50 %.2f p95 %.2f gap_ms p50 %.2f p95 %.2f "
+              "requests_per_s %.1f tokens_per_s %.0f\n",
+              static_cast<long long>(aResult.mWhole),
+              static_cast<long long>(aResult.mBroken),
+              Quantile(aResult.mFirstToken, kMedian),
+              Quantile(aResult.mFirstToken, kTail),
+              Quantile(aResult.mGap, kMedian),
+              Quantile(aResult.mGap, kTail),
+              static_cast<double>(aResult.mWhole + aResult.mBroken) / aSeconds,
+              tokens / aSeconds);
+}
+
 } // namespace
 
 int
 main(int aCount, char** aValues)
 {
-  auto arguments = docopt::docopt(kUsage, { aValues + 1, aValues + aCount });
-  const LoadOptions options = OptionsOf(arguments);
+  const auto line = trefoil::ParseCommandLine(
+    { .mUsage = kUsage, .mVersion = "trefoil-load 0.1.0" }, aCount, aValues);
+  if (line.mExit.has_value()) {
+    return *line.mExit;
+  }
+  const auto options = OptionsOf(line);
+  if (!options.has_value()) {
+    return trefoil::kExitBadInput;
+  }
   const Instant startedAt = trefoil::Now();
-  LoadResult result = RunLoad(options);
-  const double seconds = MillisecondsBetween(startedAt, trefoil::Now()) / kMillisecondsPerSecond;
-  const double tokens = static_cast<double>(result.mFirstToken.size() + result.mGap.size());
-  std::printf("whole %lld broken %lld first_token_ms p50 %.2f p95 %.2f gap_ms p50 %.2f p95 %.2f "
-              "requests_per_s %.1f tokens_per_s %.0f\n",
-              static_cast<long long>(result.mWhole),
-              static_cast<long long>(result.mBroken),
-              Quantile(result.mFirstToken, 0.5),
-              Quantile(result.mFirstToken, 0.95),
-              Quantile(result.mGap, 0.5),
-              Quantile(result.mGap, 0.95),
-              static_cast<double>(result.mWhole + result.mBroken) / seconds,
-              tokens / seconds);
+  LoadResult result = RunLoad(*options);
+  Print(result, MillisecondsBetween(startedAt, trefoil::Now()) / kMillisecondsPerSecond);
   return result.mBroken == 0 ? 0 : 1;
 }
--- a/cmd/trefoilctl.cc
+++ b/cmd/trefoilctl.cc
@@ -1,12 +1,12 @@
 // The operators' and callers' tool.
 #include "trefoil/base/endpoint.h"
+#include "trefoil/command_line/command_line.h"
 #include "trefoil/http/client.h"
 #include "trefoil/platform/store_client.h"
 #include "trefoil/service/service_document.h"
 
 #include <Poco/JSON/Object.h>
 #include <cstdio>
-#include <docopt/docopt.h>
 #include <fmt/format.h>
 #include <fstream>
 #include <map>
@@ -20,6 +20,7 @@
 using trefoil::Failure;
 using trefoil::HttpAnswer;
 using trefoil::HttpRequest;
+using trefoil::kExitBadInput;
 using trefoil::Milliseconds;
 using Arguments = std::map<std::string, docopt::value>;
 
@@ -52,7 +53,6 @@
 )";
 constexpr const char* kVersion = "trefoilctl 0.1.0";
 constexpr int kExitFailed = 1;
-constexpr int kExitBadInput = 2;
 constexpr Milliseconds kStoreLimit{ 5'000 };
 constexpr Milliseconds kCallLimit{ 120'000 };
 
@@ -157,12 +157,12 @@
 }
 
 std::string
-CompletionBody(const Arguments& aArguments)
+CompletionBody(const Arguments& aArguments, std::int64_t aTokens)
 {
   Poco::JSON::Object body;
   body.set("model", Text(aArguments, "SERVICE"));
   body.set("prompt", Text(aArguments, "PROMPT"));
-  body.set("max_tokens", static_cast<int>(aArguments.at("--tokens").asLong()));
+  body.set("max_tokens", aTokens);
   body.set("stream", true);
   std::ostringstream text;
   body.stringify(text);
@@ -189,11 +189,11 @@
 }
 
 int
-Complete(const Arguments& aArguments, const Endpoint& aHost)
+Complete(const Arguments& aArguments, std::int64_t aTokens, const Endpoint& aHost)
 {
   HttpRequest request{ .mMethod = "POST",
                        .mTarget = "/v1/completions",
-                       .mBody = CompletionBody(aArguments) };
+                       .mBody = CompletionBody(aArguments, aTokens) };
   const trefoil::HttpCall call{ .mServer = aHost,
                                 .mRequest = WithCredential(aArguments, request),
                                 .mDeadline = trefoil::Now() + kCallLimit };
@@ -209,24 +209,26 @@
 }
 
 int
-Run(const Arguments& aArguments)
+Run(const trefoil::CommandLine& aLine)
 {
-  const bool usesStore = aArguments.at("put").asBool() || aArguments.at("show").asBool();
-  const auto endpoint = trefoil::ParseEndpoint(Text(aArguments, usesStore ? "--store" : "--host"));
+  const Arguments& arguments = aLine.mArguments;
+  const bool usesStore = arguments.at("put").asBool() || arguments.at("show").asBool();
+  const auto endpoint = trefoil::ParseEndpoint(Text(arguments, usesStore ? "--store" : "--host"));
   if (!endpoint.ok()) {
     return Fail(std::string{ endpoint.status().message() }, kExitBadInput);
   }
-  if (aArguments.at("put").asBool()) {
-    return Put(aArguments, *endpoint);
+  if (arguments.at("put").asBool()) {
+    return Put(arguments, *endpoint);
   }
-  if (aArguments.at("show").asBool()) {
-    return Show(aArguments, *endpoint);
+  if (arguments.at("show").asBool()) {
+    return Show(arguments, *endpoint);
   }
-  if (aArguments.at("complete").asBool()) {
-    return Complete(aArguments, *endpoint);
+  if (arguments.at("complete").asBool()) {
+    const auto tokens = trefoil::NumberOption(aLine, "--tokens", 1);
+    return tokens.has_value() ? Complete(arguments, *tokens, *endpoint) : kExitBadInput;
   }
-  if (aArguments.at("call").asBool()) {
-    return CallPlain(aArguments, *endpoint);
+  if (arguments.at("call").asBool()) {
+    return CallPlain(arguments, *endpoint);
   }
   return PrintAnswer(trefoil::Call({ .mServer = *endpoint,
                                      .mRequest = { .mTarget = "/status" },
@@ -238,6 +240,7 @@
 int
 main(int aCount, char** aValues)
 {
-  const std::vector<std::string> words{ aValues + 1, aValues + aCount };
-  return Run(docopt::docopt(kUsage, words, true, kVersion));
+  const auto line =
+    trefoil::ParseCommandLine({ .mUsage = kUsage, .mVersion = kVersion }, aCount, aValues);
+  return line.mExit.has_value() ? *line.mExit : Run(line);
 }
--- a/cmd/trefoild.cc
+++ b/cmd/trefoild.cc
@@ -1,14 +1,13 @@
 // The daemon of an entry host.
+#include "trefoil/command_line/command_line.h"
 #include "trefoil/node/entry_host.h"
 #include "trefoil/settings/host_settings.h"
 
 #include <csignal>
 #include <cstdio>
-#include <docopt/docopt.h>
 #include <pthread.h>
 #include <spdlog/spdlog.h>
 #include <string>
-#include <vector>
 
 namespace {
 
@@ -29,7 +28,6 @@
 )";
 constexpr const char* kVersion = "trefoild 0.1.0";
 constexpr int kExitFailed = 1;
-constexpr int kExitBadSettings = 2;
 
 spdlog::level::level_enum
 LevelOf(trefoil::LogLevel aLevel)
@@ -83,14 +81,17 @@
 int
 main(int aCount, char** aValues)
 {
-  const std::vector<std::string> words{ aValues + 1, aValues + aCount };
-  auto arguments = docopt::docopt(kUsage, words, true, kVersion);
-  const auto settings = trefoil::ReadHostSettings(arguments["SETTINGS"].asString());
+  const auto line =
+    trefoil::ParseCommandLine({ .mUsage = kUsage, .mVersion = kVersion }, aCount, aValues);
+  if (line.mExit.has_value()) {
+    return *line.mExit;
+  }
+  const auto settings = trefoil::ReadHostSettings(line.mArguments.at("SETTINGS").asString());
   if (!settings.ok()) {
     std::fprintf(stderr, "trefoild: %s\n", std::string{ settings.status().message() }.c_str());
-    return kExitBadSettings;
+    return trefoil::kExitBadInput;
   }
-  if (arguments["--check"].asBool()) {
+  if (line.mArguments.at("--check").asBool()) {
     std::puts("the settings are good");
     return 0;
   }
--- a/standin/engine_main.cc
+++ b/standin/engine_main.cc
@@ -1,8 +1,7 @@
 // The stand-in engine as a program.
 #include "standin/engine.h"
 #include "standin/serve_until_signal.h"
-
-#include <docopt/docopt.h>
+#include "trefoil/command_line/command_line.h"
 
 namespace {
 
@@ -21,13 +20,20 @@
 int
 main(int aCount, char** aValues)
 {
-  auto arguments = docopt::docopt(kUsage, { aValues + 1, aValues + aCount });
-  trefoil::standin::Engine engine{
-    { .mName = arguments["NAME"].asString(),
-      .mFirstTokenMilliseconds = arguments["--first-token-ms"].asLong(),
-      .mTokenEveryMilliseconds = arguments["--token-ms"].asLong() }
-  };
+  const auto line = trefoil::ParseCommandLine(
+    { .mUsage = kUsage, .mVersion = "trefoillb stand-ins 0.1.0" }, aCount, aValues);
+  if (line.mExit.has_value()) {
+    return *line.mExit;
+  }
+  const auto firstToken = trefoil::NumberOption(line, "--first-token-ms", 0);
+  const auto token = trefoil::NumberOption(line, "--token-ms", 0);
+  if (!firstToken.has_value() || !token.has_value()) {
+    return trefoil::kExitBadInput;
+  }
+  trefoil::standin::Engine engine{ { .mName = line.mArguments.at("NAME").asString(),
+                                     .mFirstTokenMilliseconds = *firstToken,
+                                     .mTokenEveryMilliseconds = *token } };
   return trefoil::standin::ServeUntilSignal(
-    arguments["ADDRESS"].asString(),
+    line.mArguments.at("ADDRESS").asString(),
     [&engine](trefoil::HttpExchange& aExchange) { engine.Serve(aExchange); });
 }
--- a/standin/plain_service_main.cc
+++ b/standin/plain_service_main.cc
@@ -1,8 +1,7 @@
 // The stand-in plain service as a program.
 #include "standin/plain_service.h"
 #include "standin/serve_until_signal.h"
-
-#include <docopt/docopt.h>
+#include "trefoil/command_line/command_line.h"
 
 namespace {
 
@@ -17,9 +16,13 @@
 int
 main(int aCount, char** aValues)
 {
-  auto arguments = docopt::docopt(kUsage, { aValues + 1, aValues + aCount });
-  trefoil::standin::PlainService service{ arguments["NAME"].asString() };
+  const auto line = trefoil::ParseCommandLine(
+    { .mUsage = kUsage, .mVersion = "trefoillb stand-ins 0.1.0" }, aCount, aValues);
+  if (line.mExit.has_value()) {
+    return *line.mExit;
+  }
+  trefoil::standin::PlainService service{ line.mArguments.at("NAME").asString() };
   return trefoil::standin::ServeUntilSignal(
-    arguments["ADDRESS"].asString(),
+    line.mArguments.at("ADDRESS").asString(),
     [&service](trefoil::HttpExchange& aExchange) { service.Serve(aExchange); });
 }
--- a/standin/store_main.cc
+++ b/standin/store_main.cc
@@ -1,8 +1,7 @@
 // The stand-in key-value service as a program.
 #include "standin/serve_until_signal.h"
 #include "standin/store.h"
-
-#include <docopt/docopt.h>
+#include "trefoil/command_line/command_line.h"
 
 namespace {
 
@@ -17,9 +16,13 @@
 int
 main(int aCount, char** aValues)
 {
-  auto arguments = docopt::docopt(kUsage, { aValues + 1, aValues + aCount });
+  const auto line = trefoil::ParseCommandLine(
+    { .mUsage = kUsage, .mVersion = "trefoillb stand-ins 0.1.0" }, aCount, aValues);
+  if (line.mExit.has_value()) {
+    return *line.mExit;
+  }
   trefoil::standin::Store store;
   return trefoil::standin::ServeUntilSignal(
-    arguments["ADDRESS"].asString(),
+    line.mArguments.at("ADDRESS").asString(),
     [&store](trefoil::HttpExchange& aExchange) { store.Serve(aExchange); });
 }
