--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -35,7 +35,8 @@
               .mZone = mSettings.mZone,
               .mSnapshots = &mSnapshots,
               .mInFlight = &mInFlight,
-              .mActive = &mActive }
+              .mActive = &mActive,
+              .mMetrics = &mMetrics }
 {
 }
 
@@ -156,6 +157,7 @@
                            : List(store, kDocumentPrefix, Now() + kStoreLimit);
     if (!listing.ok()) {
       spdlog::warn("the store does not answer: {}", listing.status().ToString());
+      mMetrics.Add(Counter::kStoreFailures, 1);
       mQueue.Push(StoreUnreachable{});
       absl::SleepFor(absl::FromChrono(kStorePause));
       continue;
