--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,50 +7,24 @@
 scripts/install_packages.sh
 scripts/build.sh >/dev/null
 
-work=$(mktemp -d)
-pids=()
-stop_all() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-start() { # start NAME PROGRAM ARGUMENTS...
-  local name=$1
-  shift
-  "$@" >"$work/$name.log" 2>&1 &
-  pids+=($!)
-}
-
-wait_for() { # wait_for URL: until it answers 200
-  for _ in $(seq 300); do
-    if curl -fs -o /dev/null "$1"; then return 0; fi
-    sleep 0.1
-  done
-  echo "no answer from $1" >&2
-  cat "$work"/*.log >&2
-  return 1
-}
-
+. scripts/processes.sh
 store=127.0.0.1:19000
 credential=demo-credential
-digest=$(printf %s "$credential" | sha256sum | cut -d' ' -f1)
+digest=$(sha256_of "$credential")
 
 echo "== starting the stand-ins and three entry hosts"
 start store build/standin/standin-store $store
 start engine-1 build/standin/standin-engine engine-1 127.0.0.1:19101 --token-ms=20
-engine_pid=${pids[-1]}
 start engine-2 build/standin/standin-engine engine-2 127.0.0.1:19102 --token-ms=20
 start app-1 build/standin/standin-plain-service app-1 127.0.0.1:19201
-wait_for "http://$store/v1/list?prefix=none"
+wait_for_url "http://$store/v1/list?prefix=none"
 
 sed -e "s/@CREDENTIAL_SHA256@/$digest/" demo/rules.toml >"$work/rules.toml"
 sed -e "s/@CREDENTIAL_SHA256@/$digest/" demo/results.toml >"$work/results.toml"
 build/cmd/trefoilctl put "$work/rules.toml" --store=$store
 build/cmd/trefoilctl put "$work/results.toml" --store=$store
 for host in 1 2 3; do start "host-$host" build/cmd/trefoild "demo/host-$host.toml"; done
-for host in 1 2 3; do wait_for "http://127.0.1.$host:18080/readyz"; done
+for host in 1 2 3; do wait_for_url "http://127.0.1.$host:18080/readyz"; done
 
 answer_of() { sed -n 's/.*"text":"\([^"]*\)".*/\1/p' "$1" | tr -d '\n'; }
 
@@ -74,7 +48,7 @@
   requests+=($!)
 done
 sleep 0.6
-kill -9 "$engine_pid"
+kill -9 "$(pid_of engine-1)"
 for pid in "${requests[@]}"; do wait "$pid"; done
 for i in 1 2 3 4 5 6; do
   [ "$(answer_of "$work/killed-$i")" = "$(answer_of "$work/answer-1")" ]
