Spread documents and backend servers' states by gossip, with few watchers and few pollers

Cause: every host watched the store, none knew of a leaving backend server before it refused work, and a frozen process would have acted on its old view. Change: two hosts of a zone watch the store, chosen by rendezvous hashing; the others fetch documents over TCP from a host whose heartbeat shows a newer revision or another digest. A new host is ready once it has asked the store and other hosts and one has answered; the last good document of a refused one reaches it from a peer. Two hosts of its zone poll each backend server (GET /load); a change of state is sent at once and passed on in eight rounds, to other zones too. Traffic takes no server that is down or leaving, and waits for a fresh view before each dispatch. The status page shows zones, servers that are not up, and whether each revision is in force everywhere. control_state_test: a host with seeds is no longer ready before other hosts had time to answer; the check became two stricter ones.

--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -1,6 +1,7 @@
 #include "standin/engine.h"
 
 #include "standin/token_text.h"
+#include "trefoil/base/instant.h"
 
 #include "absl/time/clock.h"
 #include <Poco/Exception.h>
@@ -89,6 +90,7 @@
 
 Engine::Engine(EngineOptions aOptions)
   : mOptions(std::move(aOptions))
+  , mIncarnation(static_cast<std::uint64_t>(UnixMilliseconds(WallNow())))
 {
 }
 
@@ -100,6 +102,11 @@
     ServeCompletion(aExchange, path == "/v1/chat/completions");
   } else if (path == "/history") {
     ServeHistory(aExchange);
+  } else if (path == "/load") {
+    ServeLoad(aExchange);
+  } else if (path == "/admin/leave") {
+    mLeaving = true;
+    aExchange.Answer({ .mBody = "leaving\n" });
   } else {
     aExchange.Answer({ .mStatus = 404, .mBody = "not found\n" });
   }
@@ -115,7 +122,13 @@
     aExchange.Answer({ .mStatus = kHttpBadRequest, .mBody = error.displayText() + "\n" });
     return;
   }
+  if (mLeaving.load()) {
+    aExchange.Answer({ .mStatus = 503, .mBody = "leaving\n" });
+    return;
+  }
+  ++mRunning;
   Generate(aExchange, work);
+  --mRunning;
 }
 
 void
@@ -138,6 +151,20 @@
   Record(run, sent, complete);
 }
 
+void
+Engine::ServeLoad(HttpExchange& aExchange)
+{
+  Object load;
+  load.set("incarnation", mIncarnation);
+  load.set("sequence", ++mLoadAnswers);
+  load.set("leaving", mLeaving.load());
+  load.set("running", mRunning.load());
+  load.set("version", mOptions.mVersion);
+  std::ostringstream text;
+  load.stringify(text);
+  aExchange.Answer({ .mBody = text.str() });
+}
+
 std::size_t
 Engine::Begin(EngineRun aRun)
 {
--- /dev/null
+++ b/trefoil/backend/server_load.cc
@@ -0,0 +1,50 @@
+#include "trefoil/backend/server_load.h"
+
+#include "trefoil/http/client.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+
+namespace trefoil {
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr std::size_t kMostLoadBytes = std::size_t{ 64 } << 10;
+
+} // namespace
+
+std::optional<ServerLoad>
+ParseServerLoad(const std::string& aBody)
+{
+  try {
+    const auto object = Poco::JSON::Parser{}.parse(aBody).extract<Poco::JSON::Object::Ptr>();
+    return ServerLoad{ .mIncarnation = object->getValue<std::uint64_t>("incarnation"),
+                       .mSequence = object->getValue<std::uint64_t>("sequence"),
+                       .mLeaving = object->getValue<bool>("leaving"),
+                       .mRunning = object->optValue<std::uint32_t>("running", 0),
+                       .mQueued = object->optValue<std::uint32_t>("queued", 0),
+                       .mVersion = VersionId{ object->optValue<std::string>("version", "") } };
+  } catch (const Poco::Exception&) {
+    return std::nullopt;
+  }
+}
+
+absl::StatusOr<std::optional<ServerLoad>>
+AskLoad(const Endpoint& aServer, Instant aDeadline)
+{
+  const HttpResult result = Call({ .mServer = aServer,
+                                   .mRequest = { .mTarget = "/load" },
+                                   .mDeadline = aDeadline,
+                                   .mMostBodyBytes = kMostLoadBytes });
+  if (const auto* failure = std::get_if<Failure>(&result)) {
+    return failure->mStatus;
+  }
+  const auto& answer = std::get<HttpAnswer>(result);
+  if (answer.mStatus != kHttpOk) {
+    return std::optional<ServerLoad>{};
+  }
+  return ParseServerLoad(answer.mBody);
+}
+
+} // namespace trefoil
--- a/trefoil/config/documents_in_force.cc
+++ b/trefoil/config/documents_in_force.cc
@@ -1,5 +1,7 @@
 #include "trefoil/config/documents_in_force.h"
 
+#include "trefoil/base/digest.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -24,26 +26,31 @@
 Apply(DocumentsInForce& aDocuments, const DocumentRevision& aRevision)
 {
   DocumentState& state = aDocuments.mByService[aRevision.mService];
-  if (aRevision.mRevision <= state.mSeenRevision) {
+  if (aRevision.mRevision <= state.mRevision) {
     return DocumentFate::kStale;
   }
-  state.mSeenRevision = aRevision.mRevision;
-  if (aRevision.mDeleted) {
-    state.mRefusal.clear();
-    state.mRevision = aRevision.mRevision;
-    state.mText.clear();
-    state.mDocument = nullptr;
-    return DocumentFate::kInForce;
+  const bool newest = aRevision.mRevision > state.mSeenRevision;
+  absl::StatusOr<ServiceDocument> document = ServiceDocument{};
+  if (!aRevision.mDeleted) {
+    document = ParseFor(aRevision);
+  }
+  if (!document.ok() && !newest) {
+    return DocumentFate::kStale;
   }
-  auto document = ParseFor(aRevision);
+  state.mSeenRevision = std::max(state.mSeenRevision, aRevision.mRevision);
   if (!document.ok()) {
     state.mRefusal = std::string{ document.status().message() };
+    state.mRefusedText = aRevision.mText;
     return DocumentFate::kRefused;
   }
-  state.mRefusal.clear();
+  if (state.mSeenRevision == aRevision.mRevision) {
+    state.mRefusal.clear();
+    state.mRefusedText.clear();
+  }
   state.mRevision = aRevision.mRevision;
   state.mText = aRevision.mText;
-  state.mDocument = std::make_shared<const ServiceDocument>(std::move(*document));
+  state.mDocument =
+    aRevision.mDeleted ? nullptr : std::make_shared<const ServiceDocument>(std::move(*document));
   return DocumentFate::kInForce;
 }
 
@@ -57,4 +64,75 @@
   return newest;
 }
 
+std::uint32_t
+DigestOf(const DocumentsInForce& aDocuments)
+{
+  std::string text;
+  for (const auto& [service, state] : aDocuments.mByService) {
+    text += fmt::format("{} {} {}\n", service.Value(), state.mRevision, state.mSeenRevision);
+  }
+  return static_cast<std::uint32_t>(Digest64(text));
+}
+
+DocumentsWanted
+WantedBy(const DocumentsInForce& aDocuments)
+{
+  DocumentsWanted wanted;
+  for (const auto& [service, state] : aDocuments.mByService) {
+    wanted.mKnown.push_back(
+      { .mService = service, .mInForce = state.mRevision, .mSeen = state.mSeenRevision });
+  }
+  return wanted;
+}
+
+namespace {
+
+// Adds the revisions of a service that the asking host lacks.
+void
+AddOffers(const ServiceId& aService,
+          const DocumentState& aState,
+          const KnownRevision& aKnown,
+          std::vector<DocumentRevision>& aOffers)
+{
+  // A host that has seen the revision without taking it into force has refused it.
+  const bool refusedThere = aKnown.mSeen == aState.mRevision;
+  if (aState.mRevision > aKnown.mInForce && !refusedThere) {
+    aOffers.push_back({ .mService = aService,
+                        .mRevision = aState.mRevision,
+                        .mText = aState.mText,
+                        .mDeleted = aState.mDocument == nullptr });
+  }
+  if (!aState.mRefusal.empty() && aState.mSeenRevision > aKnown.mSeen) {
+    aOffers.push_back(
+      { .mService = aService, .mRevision = aState.mSeenRevision, .mText = aState.mRefusedText });
+  }
+}
+
+} // namespace
+
+DocumentsOffered
+OfferDocuments(const DocumentsInForce& aDocuments, const DocumentsWanted& aWanted, bool aReady)
+{
+  std::map<ServiceId, KnownRevision> known;
+  for (const KnownRevision& revision : aWanted.mKnown) {
+    known[revision.mService] = revision;
+  }
+  std::vector<DocumentRevision> offers;
+  for (const auto& [service, state] : aDocuments.mByService) {
+    AddOffers(service, state, known[service], offers);
+  }
+  std::ranges::sort(offers, {}, &DocumentRevision::mRevision);
+  DocumentsOffered offered{ .mReady = aReady };
+  std::size_t bytes = 0;
+  for (DocumentRevision& offer : offers) {
+    bytes += offer.mText.size();
+    if (!offered.mDocuments.empty() && bytes > kMostOfferedBytes) {
+      offered.mMore = true;
+      break;
+    }
+    offered.mDocuments.push_back(std::move(offer));
+  }
+  return offered;
+}
+
 } // namespace trefoil
--- a/trefoil/config/documents_in_force.h
+++ b/trefoil/config/documents_in_force.h
@@ -14,6 +14,7 @@
 #include "trefoil/service/service_document.h"
 #include "trefoil/wire/config_message.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -42,6 +43,8 @@
   std::uint64_t mSeenRevision = 0;
   // Why the newest one was refused; empty if it is in force.
   std::string mRefusal;
+  // The text of the newest one if it was refused.
+  std::string mRefusedText;
   // The revision in force; 0 for none.
   std::uint64_t mRevision = 0;
   std::string mText;
@@ -54,6 +57,11 @@
   std::map<ServiceId, DocumentState> mByService;
 };
 
+// The most bytes of documents in one answer to another host; one document may be longer.
+inline constexpr std::size_t kMostOfferedBytes = std::size_t{ 1 } << 20;
+
+// Takes in a document unless one of the same or a newer revision is in force. One that is older
+// than a refused one comes into force all the same, so that hosts agree on the last good one.
 DocumentFate
 Apply(DocumentsInForce& aDocuments, const DocumentRevision& aRevision);
 
@@ -61,4 +69,18 @@
 std::uint64_t
 NewestRevision(const DocumentsInForce& aDocuments);
 
+// Returns a hash of all revisions, in force and seen.
+std::uint32_t
+DigestOf(const DocumentsInForce& aDocuments);
+
+// Returns a request for all documents that are newer than these.
+DocumentsWanted
+WantedBy(const DocumentsInForce& aDocuments);
+
+// Returns the documents that the asking host lacks, the oldest revision first, so that a host which
+// received a part has everything up to its newest revision. `aReady` says whether this host has
+// read the store or another host.
+DocumentsOffered
+OfferDocuments(const DocumentsInForce& aDocuments, const DocumentsWanted& aWanted, bool aReady);
+
 } // namespace trefoil
--- a/trefoil/node/control_state.cc
+++ b/trefoil/node/control_state.cc
@@ -2,6 +2,8 @@
 
 #include "trefoil/node/internal/peer_control.h"
 
+#include <algorithm>
+#include <iterator>
 #include <string_view>
 
 namespace trefoil {
@@ -16,13 +18,12 @@
   snapshot->mNumber = ++aState.mSnapshotNumber;
   snapshot->mReady = aState.mReady && !aState.mLeaving;
   snapshot->mStoreReachable = aState.mStoreReachable;
-  snapshot->mMembers = aState.mGossip.mMembers;
-  snapshot->mFreshUntil = aState.mGossip.mFreshUntil;
-  for (const auto& [service, document] : aState.mDocuments.mByService) {
+  for (const auto& [service, document] : aState.mConfig.mDocuments.mByService) {
     snapshot->mServices[service] = { .mDocument = document.mDocument,
                                      .mRevision = document.mRevision,
                                      .mRefusal = document.mRefusal };
   }
+  FillPeerPart(aState, *snapshot);
   return snapshot;
 }
 
@@ -35,44 +36,71 @@
 }
 
 ControlEffects
-On(ControlState& aState, const DocumentsRead& aEvent, Instant)
+On(ControlState& aState, const DocumentsRead& aEvent, Instant aNow)
 {
+  std::vector<DocumentRevision> documents;
   for (const StoreEntry& entry : aEvent.mListing.mEntries) {
-    if (!entry.mKey.starts_with(kDocumentPrefix)) {
-      continue;
+    if (entry.mKey.starts_with(kDocumentPrefix)) {
+      documents.push_back({ .mService = ServiceId{ entry.mKey.substr(kDocumentPrefix.size()) },
+                            .mRevision = entry.mRevision,
+                            .mText = entry.mValue,
+                            .mDeleted = entry.mDeleted });
     }
-    Apply(aState.mDocuments,
-          { .mService = ServiceId{ entry.mKey.substr(kDocumentPrefix.size()) },
-            .mRevision = entry.mRevision,
-            .mText = entry.mValue,
-            .mDeleted = entry.mDeleted });
   }
-  aState.mReady = true;
+  OnListing(aState.mConfig, documents, aNow);
+  OnDocumentsChanged(aState, aNow);
   aState.mStoreReachable = true;
   return Publish(aState);
 }
 
 ControlEffects
-On(ControlState& aState, const StoreUnreachable&, Instant)
+On(ControlState& aState, const StoreUnreachable&, Instant aNow)
 {
   aState.mStoreReachable = false;
+  OnStoreFailed(aState.mConfig);
+  OnDocumentsChanged(aState, aNow);
   return Publish(aState);
 }
 
+ControlEffects
+On(ControlState& aState, const DocumentsFetched& aEvent, Instant aNow)
+{
+  if (aEvent.mOffered.ok()) {
+    OnFetched(aState.mConfig, aEvent.mHost, *aEvent.mOffered, aNow);
+  } else {
+    OnFetchFailed(aState.mConfig, aEvent.mHost, aNow);
+  }
+  OnDocumentsChanged(aState, aNow);
+  ControlEffects effects = Publish(aState);
+  AddFetch(aState, effects, aNow);
+  return effects;
+}
+
+// Publishes a snapshot if the servers' reports changed.
 void
-AddDatagrams(ControlEffects& aEffects, Datagrams aDatagrams)
+AddReports(ControlState& aState, ControlEffects& aEffects, Instant aNow)
 {
-  for (Datagram& datagram : aDatagrams) {
-    aEffects.emplace_back(
-      SendMessage{ .mTo = std::move(datagram.mTo), .mMessage = std::move(datagram.mMessage) });
+  if (PublishReports(aState.mHealth, aNow)) {
+    aEffects.emplace_back(PublishSnapshot{ MakeSnapshot(aState) });
   }
 }
 
+ControlEffects
+On(ControlState& aState, const ServerPolled& aEvent, Instant aNow)
+{
+  ControlEffects effects;
+  AddDatagrams(effects, OnPolled(aState.mHealth, aState.mGossip, aEvent.mResult, aNow));
+  AddReports(aState, effects, aNow);
+  return effects;
+}
+
 ControlEffects
 On(ControlState& aState, const MessageArrived& aEvent, Instant aNow)
 {
   ControlEffects effects;
   AddDatagrams(effects, OnPeerMessage(aState, aEvent.mMessage, aNow));
+  AddReports(aState, effects, aNow);
+  AddFetch(aState, effects, aNow);
   return effects;
 }
 
@@ -88,9 +116,10 @@
 ControlEffects
 On(ControlState& aState, const TimerFired&, Instant aNow)
 {
-  Datagrams datagrams = OnPeerTimer(aState, aNow);
+  ControlEffects peerEffects = OnPeerTimer(aState, aNow);
+  PublishReports(aState.mHealth, aNow);
   ControlEffects effects = Publish(aState);
-  AddDatagrams(effects, std::move(datagrams));
+  std::ranges::move(peerEffects, std::back_inserter(effects));
   return effects;
 }
 
@@ -120,6 +149,8 @@
                                     .mIncarnation = aOptions.mIncarnation,
                                     .mRandomSeed = aOptions.mRandomSeed },
                                   aNow);
+  state.mConfig = MakeConfigState(aNow);
+  state.mSharedDocuments = std::make_shared<const DocumentsInForce>();
   state.mOptions = std::move(aOptions);
   return state;
 }
--- a/trefoil/node/control_state.h
+++ b/trefoil/node/control_state.h
@@ -10,11 +10,13 @@
 #include "trefoil/base/endpoint.h"
 #include "trefoil/base/ids.h"
 #include "trefoil/base/instant.h"
-#include "trefoil/config/documents_in_force.h"
+#include "trefoil/config/config_spread.h"
+#include "trefoil/health/server_health.h"
 #include "trefoil/membership/gossip.h"
 #include "trefoil/node/event.h"
 
 #include <cstdint>
+#include <memory>
 #include <vector>
 
 namespace trefoil {
@@ -34,8 +36,14 @@
 struct ControlState
 {
   ControlOptions mOptions;
-  DocumentsInForce mDocuments;
+  ConfigState mConfig;
   GossipState mGossip;
+  HealthState mHealth;
+  // A copy of the documents for other threads, and its digest.
+  std::shared_ptr<const DocumentsInForce> mSharedDocuments;
+  std::uint32_t mSharedDigest = 0;
+  // A new host asks the store once.
+  bool mWatchesStore = true;
   bool mReady = false;
   bool mStoreReachable = false;
   bool mLeaving = false;
--- a/trefoil/node/control_state_test.cc
+++ b/trefoil/node/control_state_test.cc
@@ -49,9 +49,33 @@
       CHECK(ToText(std::get<SendMessage>(effects.at(1)).mTo) == "127.0.1.2:7000");
     }
   }
-  SECTION("it is ready once it has read them")
+  SECTION("it is not ready either before other hosts have had time to answer")
   {
-    const auto effects = Step(state, ReadOf(kGood, 4), kStart);
+    CHECK_FALSE(PublishedIn(Step(state, ReadOf(kGood, 4), kStart)).mReady);
+  }
+  SECTION("nor when neither the store nor a host has answered")
+  {
+    Step(state, StoreUnreachable{}, kStart);
+    CHECK_FALSE(PublishedIn(Step(state, TimerFired{}, kStart + kOtherHostsWait)).mReady);
+
+    SECTION("but is ready once another host has sent the documents")
+    {
+      const DocumentRevision document{ .mService = ServiceId{ "rules" },
+                                       .mRevision = 4,
+                                       .mText = kGood };
+      const auto effects =
+        Step(state,
+             DocumentsFetched{ .mHost = HostId{ "h2" },
+                               .mOffered =
+                                 DocumentsOffered{ .mReady = true, .mDocuments = { document } } },
+             kStart);
+      CHECK(PublishedIn(effects).mReady);
+    }
+  }
+  SECTION("it is ready once it has read them and has asked other hosts")
+  {
+    Step(state, ReadOf(kGood, 4), kStart);
+    const auto effects = Step(state, TimerFired{}, kStart + kOtherHostsWait);
     CHECK(PublishedIn(effects).mReady);
     CHECK(FindService(PublishedIn(effects), ServiceId{ "rules" }) != nullptr);
     CHECK(FindService(PublishedIn(effects), ServiceId{ "results" }) == nullptr);
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -1,6 +1,7 @@
 #include "trefoil/node/entry_host.h"
 
 #include "trefoil/base/digest.h"
+#include "trefoil/node/internal/peer_requests.h"
 #include "trefoil/platform/store_client.h"
 #include "trefoil/wire/codec.h"
 
@@ -15,8 +16,11 @@
 constexpr Milliseconds kStoreLimit{ 2000 };
 // How long a watch waits for a change.
 constexpr Milliseconds kWatchWait{ 1000 };
-// The pause after a failed call to the store.
-constexpr Milliseconds kStorePause{ 250 };
+// The longest pause after the first failed call to the store in a row, and after many. The pauses
+// are random, so that hosts do not come back together.
+constexpr Milliseconds kFirstStorePause{ 250 };
+constexpr Milliseconds kMostStorePause{ 4'000 };
+constexpr unsigned kMostDoublings = 4;
 // How often the threads that wait on a socket look whether the host stops.
 constexpr Milliseconds kReceiveWait{ 200 };
 // How often a stop looks whether the requests in flight have ended.
@@ -25,12 +29,23 @@
 constexpr Milliseconds kBalancerNotice{ 300 };
 constexpr std::string_view kDocumentPrefix = "services/";
 
+// Returns when the store may be asked again after so many failures in a row.
+Instant
+PauseEnd(unsigned aFailures)
+{
+  const auto most =
+    std::min(kMostStorePause, kFirstStorePause * (1U << std::min(aFailures, kMostDoublings)));
+  const auto part = Digest64(RandomHex()) % static_cast<std::uint64_t>(most.count());
+  return Now() + kFirstStorePause / 2 + Milliseconds{ part };
+}
+
 } // namespace
 
 EntryHost::EntryHost(const HostSettings& aSettings, UdpSocket aSocket)
   : mSettings(aSettings)
   , mSocket(std::move(aSocket))
   , mStoreWorker({ .mStore = { .mEndpoint = mSettings.mStore }, .mQueue = &mQueue })
+  , mPeerWorker({ .mQueue = &mQueue })
   , mTraffic{ .mHost = mSettings.mHost,
               .mZone = mSettings.mZone,
               .mSnapshots = &mSnapshots,
@@ -59,6 +74,14 @@
     return server.status();
   }
   host->mServer = std::move(*server);
+  auto peerServer = PeerServer::Start(
+    { .mListen = aSettings.mPeerListen, .mHandler = [raw](const Message& aRequest) {
+       return AnswerPeer(raw->mSnapshots, aRequest);
+     } });
+  if (!peerServer.ok()) {
+    return peerServer.status();
+  }
+  host->mPeerServer = std::move(*peerServer);
   host->mControlThread = std::thread{ [raw] { raw->RunControl(); } };
   host->mStoreThread = std::thread{ [raw] { raw->RunStoreWatch(); } };
   host->mPeerThread = std::thread{ [raw] { raw->RunPeerReceive(); } };
@@ -69,7 +92,9 @@
 {
   mStopping = true;
   mServer.reset();
+  mPeerServer.reset();
   mQueue.Close();
+  mWatchGate.Close();
   for (std::thread* thread : { &mControlThread, &mStoreThread, &mPeerThread }) {
     if (thread->joinable()) {
       thread->join();
@@ -146,12 +171,31 @@
   mStoreWorker.Submit(aEffect);
 }
 
+void
+EntryHost::CarryOut(const FetchDocuments& aEffect)
+{
+  mPeerWorker.Submit(aEffect);
+}
+
+void
+EntryHost::CarryOut(const PollServer& aEffect)
+{
+  mPeerWorker.Submit(aEffect);
+}
+
+void
+EntryHost::CarryOut(const WatchDocuments& aEffect)
+{
+  mWatchGate.SetWanted(aEffect.mWanted);
+}
+
 void
 EntryHost::RunStoreWatch()
 {
   const StoreClient store{ .mEndpoint = mSettings.mStore };
   std::optional<std::uint64_t> revision;
-  while (!mStopping.load()) {
+  unsigned failures = 0;
+  while (mWatchGate.Wait()) {
     const auto listing = revision.has_value()
                            ? Watch(store, kDocumentPrefix, *revision, Now() + kWatchWait)
                            : List(store, kDocumentPrefix, Now() + kStoreLimit);
@@ -159,9 +203,10 @@
       spdlog::warn("the store does not answer: {}", listing.status().ToString());
       mMetrics.Add(Counter::kStoreFailures, 1);
       mQueue.Push(StoreUnreachable{});
-      absl::SleepFor(absl::FromChrono(kStorePause));
+      mWatchGate.Pause(PauseEnd(++failures));
       continue;
     }
+    failures = 0;
     revision = std::max(revision.value_or(0), listing->mRevision);
     mQueue.Push(DocumentsRead{ .mListing = *listing });
   }
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -4,7 +4,8 @@
 //   (*host)->Stop();
 //
 // Threads: one control thread owns all control state and blocks on one queue. One thread watches
-// the store, one receives datagrams, and each connection of a caller has a thread.
+// the store, one receives datagrams, a few carry out calls to other hosts and polls of backend
+// servers, and each connection of a caller has a thread.
 #pragma once
 
 #include "absl/status/statusor.h"
@@ -12,10 +13,13 @@
 #include "trefoil/node/control_state.h"
 #include "trefoil/node/event_queue.h"
 #include "trefoil/node/in_flight.h"
+#include "trefoil/node/internal/peer_worker.h"
+#include "trefoil/node/internal/watch_gate.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/node/store_worker.h"
 #include "trefoil/node/traffic.h"
 #include "trefoil/settings/host_settings.h"
+#include "trefoil/wire/peer_link.h"
 #include "trefoil/wire/udp_socket.h"
 
 #include <atomic>
@@ -50,18 +54,24 @@
   void CarryOut(const SendMessage& aEffect);
   void CarryOut(const StoreReadWanted& aEffect);
   void CarryOut(const StoreWriteWanted& aEffect);
+  void CarryOut(const FetchDocuments& aEffect);
+  void CarryOut(const PollServer& aEffect);
+  void CarryOut(const WatchDocuments& aEffect);
 
   HostSettings mSettings;
   UdpSocket mSocket;
   EventQueue mQueue;
   SnapshotCell mSnapshots;
   StoreWorker mStoreWorker;
+  PeerWorker mPeerWorker;
+  WatchGate mWatchGate;
   InFlightTable mInFlight;
   Metrics mMetrics;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
   TrafficContext mTraffic;
   std::optional<HttpServer> mServer;
+  std::optional<PeerServer> mPeerServer;
   std::thread mControlThread;
   std::thread mStoreThread;
   std::thread mPeerThread;
--- a/trefoil/node/event.h
+++ b/trefoil/node/event.h
@@ -5,6 +5,8 @@
 #include "trefoil/base/endpoint.h"
 #include "trefoil/base/instant.h"
 #include "trefoil/base/name_table.h"
+#include "trefoil/config/config_spread.h"
+#include "trefoil/health/server_health.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/platform/store_client.h"
 #include "trefoil/wire/message.h"
@@ -75,13 +77,28 @@
   StoreWrite mWrite;
 };
 
+// A fetch that was asked for by FetchDocuments has ended.
+struct DocumentsFetched
+{
+  HostId mHost;
+  absl::StatusOr<DocumentsOffered> mOffered;
+};
+
+// A poll that was asked for by PollServer has ended.
+struct ServerPolled
+{
+  PollResult mResult;
+};
+
 using ControlEvent = std::variant<DocumentsRead,
                                   StoreUnreachable,
                                   MessageArrived,
                                   StopAnnounced,
                                   TimerFired,
                                   StoreReadDone,
-                                  StoreWriteDone>;
+                                  StoreWriteDone,
+                                  DocumentsFetched,
+                                  ServerPolled>;
 
 // Show this snapshot to the traffic threads.
 struct PublishSnapshot
@@ -114,7 +131,31 @@
   Instant mDeadline;
 };
 
-using ControlEffect = std::variant<PublishSnapshot, SendMessage, StoreReadWanted, StoreWriteWanted>;
+// Ask another host for documents, and answer with DocumentsFetched.
+struct FetchDocuments
+{
+  ConfigFetch mFetch;
+};
+
+// Ask a backend server for its load, and answer with ServerPolled.
+struct PollServer
+{
+  ServerPoll mPoll;
+};
+
+// Watch the store for changed documents, or do so no longer.
+struct WatchDocuments
+{
+  bool mWanted = false;
+};
+
+using ControlEffect = std::variant<PublishSnapshot,
+                                   SendMessage,
+                                   StoreReadWanted,
+                                   StoreWriteWanted,
+                                   FetchDocuments,
+                                   PollServer,
+                                   WatchDocuments>;
 using ControlEffects = std::vector<ControlEffect>;
 
 } // namespace trefoil
--- /dev/null
+++ b/trefoil/node/internal/peer_requests.cc
@@ -0,0 +1,15 @@
+#include "trefoil/node/internal/peer_requests.h"
+
+namespace trefoil {
+
+std::optional<Message>
+AnswerPeer(const SnapshotCell& aSnapshots, const Message& aRequest)
+{
+  if (const auto* wanted = std::get_if<DocumentsWanted>(&aRequest)) {
+    const auto snapshot = aSnapshots.Read();
+    return OfferDocuments(*snapshot->mDocuments, *wanted, snapshot->mHasDocuments);
+  }
+  return std::nullopt;
+}
+
+} // namespace trefoil
--- a/trefoil/node/internal/pick_server.cc
+++ b/trefoil/node/internal/pick_server.cc
@@ -6,6 +6,9 @@
 namespace trefoil {
 namespace {
 
+// How long a request waits for a view that effects may rest on.
+constexpr Milliseconds kFreshViewWait{ 3'000 };
+
 std::uint64_t
 RandomNumber()
 {
@@ -29,10 +32,16 @@
           const ServiceDocument& aDocument,
           const std::set<BackendServerId>& aExcluded)
 {
+  // No work is sent on a view from before this process was frozen.
+  const auto snapshot = aContext.mSnapshots->ReadFresh(Now() + kFreshViewWait);
+  if (!IsFresh(*snapshot, Now())) {
+    return std::nullopt;
+  }
   std::vector<Candidate> candidates;
   std::vector<const BackendServerSpec*> servers;
   for (const BackendServerSpec& server : aDocument.mServers) {
-    if (aExcluded.contains(server.mServer) || ShareOf(aDocument, server.mVersion) == 0) {
+    if (aExcluded.contains(server.mServer) || ShareOf(aDocument, server.mVersion) == 0 ||
+        !TakesNewWork(*snapshot->mServers, server.mServer)) {
       continue;
     }
     candidates.push_back(
--- a/trefoil/node/internal/status_page.cc
+++ b/trefoil/node/internal/status_page.cc
@@ -9,6 +9,21 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
+// Shows whether the revision in force is in force on every host, and how long that took from when
+// this host first had it.
+void
+SetSpread(Object& aService, const ServiceView& aView)
+{
+  const SpreadOfRevision& spread = aView.mSpread;
+  const bool everywhere = spread.mRevision == aView.mRevision && spread.mEverywhereAt.has_value();
+  aService.set("in_force_everywhere", everywhere);
+  if (everywhere) {
+    const auto took =
+      std::chrono::duration_cast<Milliseconds>(*spread.mEverywhereAt - spread.mSeenAt);
+    aService.set("accepted_to_everywhere_ms", took.count());
+  }
+}
+
 Array::Ptr
 ServicesOf(const Snapshot& aSnapshot)
 {
@@ -18,6 +33,7 @@
     service->set("service", id.Value());
     service->set("revision_in_force", view.mRevision);
     service->set("refused", view.mRefusal);
+    SetSpread(*service, view);
     services->add(service);
   }
   return services;
@@ -38,6 +54,39 @@
   return hosts;
 }
 
+Array::Ptr
+ZonesOf(const Snapshot& aSnapshot)
+{
+  Array::Ptr zones = new Array;
+  for (const auto& [id, view] : aSnapshot.mZones) {
+    Object::Ptr zone = new Object;
+    zone->set("availability_zone", id.Value());
+    zone->set("heard_of_in_time", !HasPassed(view.mStaleAt, Now()));
+    zone->set("live_hosts", view.mDigest.mLiveHosts);
+    zone->set("lowest_revision", view.mDigest.mLowestRevision);
+    zone->set("lowest_host", view.mDigest.mLowestHost.Value());
+    zones->add(zone);
+  }
+  return zones;
+}
+
+// Shows the backend servers that receive no new work.
+Array::Ptr
+ServersNotUp(const Snapshot& aSnapshot)
+{
+  Array::Ptr servers = new Array;
+  for (const auto& [id, report] : *aSnapshot.mServers) {
+    if (report.mState == ServerState::kUp) {
+      continue;
+    }
+    Object::Ptr server = new Object;
+    server->set("server", id.Value());
+    server->set("state", std::string{ NameOf(kServerStateNames, report.mState) });
+    servers->add(server);
+  }
+  return servers;
+}
+
 } // namespace
 
 HttpAnswer
@@ -52,6 +101,10 @@
   page.set("active_requests", aContext.mActive->load());
   page.set("services", ServicesOf(*snapshot));
   page.set("entry_hosts", HostsOf(*snapshot));
+  page.set("other_zones", ZonesOf(*snapshot));
+  page.set("servers_not_up", ServersNotUp(*snapshot));
+  page.set("watches_store", snapshot->mWatchesStore);
+  page.set("view_fresh", IsFresh(*snapshot, Now()));
   std::ostringstream text;
   page.stringify(text, 2);
   HttpAnswer answer{ .mBody = text.str() + "\n" };
--- a/trefoil/node/snapshot.cc
+++ b/trefoil/node/snapshot.cc
@@ -1,5 +1,7 @@
 #include "trefoil/node/snapshot.h"
 
+#include "absl/time/time.h"
+
 namespace trefoil {
 
 const ServiceView*
@@ -26,4 +28,14 @@
   return mSnapshot;
 }
 
+std::shared_ptr<const Snapshot>
+SnapshotCell::ReadFresh(Instant aDeadline) const
+{
+  const auto fresh = [this]()
+                       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex) { return IsFresh(*mSnapshot, Now()); };
+  const absl::MutexLock lock{ &mMutex };
+  mMutex.AwaitWithTimeout(absl::Condition(&fresh), absl::FromChrono(aDeadline - Now()));
+  return mSnapshot;
+}
+
 } // namespace trefoil
--- a/trefoil/node/snapshot.h
+++ b/trefoil/node/snapshot.h
@@ -9,7 +9,10 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "trefoil/base/ids.h"
-#include "trefoil/membership/members.h"
+#include "trefoil/base/instant.h"
+#include "trefoil/config/config_spread.h"
+#include "trefoil/health/server_health.h"
+#include "trefoil/membership/gossip.h"
 #include "trefoil/service/service_document.h"
 
 #include <cstdint>
@@ -26,6 +29,8 @@
   std::uint64_t mRevision = 0;
   // Why a newer document was refused; empty if none was.
   std::string mRefusal;
+  // When the revision in force came to this host and when it was known to be on every host.
+  SpreadOfRevision mSpread;
 };
 
 struct Snapshot
@@ -36,11 +41,24 @@
   bool mReady = false;
   bool mStoreReachable = false;
   // Until when effects on others may rest on the snapshot. A process that was frozen finds it past.
-  Instant mFreshUntil;
+  Instant mFreshUntil = Instant::max();
+  bool mWatchesStore = false;
+  // Whether the store or another host has sent documents, also on a host that is leaving.
+  bool mHasDocuments = false;
   std::map<ServiceId, ServiceView> mServices;
   Members mMembers;
+  std::map<AvailabilityZoneId, ZoneView> mZones;
+  // What is known of backend servers. Those without a report count as up.
+  std::shared_ptr<const ServerReportMap> mServers = std::make_shared<const ServerReportMap>();
+  std::shared_ptr<const DocumentsInForce> mDocuments = std::make_shared<const DocumentsInForce>();
 };
 
+inline bool
+IsFresh(const Snapshot& aSnapshot, Instant aNow)
+{
+  return !HasPassed(aSnapshot.mFreshUntil, aNow);
+}
+
 // Returns the view of a service with a document in force, null if there is none.
 const ServiceView*
 FindService(const Snapshot& aSnapshot, const ServiceId& aService);
@@ -52,6 +70,9 @@
   void Publish(std::shared_ptr<const Snapshot> aSnapshot);
   std::shared_ptr<const Snapshot> Read() const;
 
+  // Waits for a snapshot that effects may rest on, `aDeadline` at most, and returns the newest one.
+  std::shared_ptr<const Snapshot> ReadFresh(Instant aDeadline) const;
+
 private:
   mutable absl::Mutex mMutex;
   std::shared_ptr<const Snapshot> mSnapshot ABSL_GUARDED_BY(mMutex) =
