--- a/trefoil/health/server_health.cc
+++ b/trefoil/health/server_health.cc
@@ -16,6 +16,7 @@
 constexpr Milliseconds kLeastLoadsEvery{ 1'000 };
 constexpr Milliseconds kPublishLoadsEvery{ 500 };
 constexpr int kRoundsOfChange = 8;
+constexpr int kRoundsOfCorrection = 3;
 constexpr std::size_t kSpreadInZone = 3;
 constexpr std::size_t kFirstSpreadInZone = 8;
 constexpr std::size_t kSpreadElsewhere = 1;
@@ -101,7 +102,8 @@
   if (reports.size() > kReportsInDatagram) {
     const auto turn = static_cast<std::size_t>(aNow.time_since_epoch() / kRepeatEvery);
     const std::size_t first = turn * kReportsInDatagram % reports.size();
-    std::ranges::rotate(reports, reports.begin() + static_cast<std::ptrdiff_t>(first));
+    std::rotate(
+      reports.begin(), reports.begin() + static_cast<std::ptrdiff_t>(first), reports.end());
     reports.resize(kReportsInDatagram);
   }
   return reports;
@@ -210,6 +212,24 @@
   return report;
 }
 
+// Takes in another host's report, or sees to it that the other host learns of a newer one.
+void
+OnReport(HealthState& aHealth, ServerHealth& aServer, const ServerReport& aReport, Instant aNow)
+{
+  const ServerReport before = aServer.mReport.value_or(ServerReport{ .mServer = aReport.mServer });
+  const bool changed = TakeReport(aHealth, aServer, aReport);
+  const ServerReport& now = *aServer.mReport;
+  if (now.mIncarnation > before.mIncarnation || now.mSequence > before.mSequence) {
+    aServer.mFailures = 0;
+  }
+  if (!changed && now.mState != aReport.mState) {
+    aServer.mRoundsLeft = std::max(aServer.mRoundsLeft, kRoundsOfCorrection);
+  }
+  if (aServer.mRoundsLeft > 0) {
+    aHealth.mNextSpreadAt = std::min(aHealth.mNextSpreadAt, aNow + kSpreadEvery);
+  }
+}
+
 } // namespace
 
 void
@@ -275,16 +295,8 @@
 {
   for (const ServerReport& report : aReports.mReports) {
     const auto found = aHealth.mByServer.find(report.mServer);
-    if (found == aHealth.mByServer.end() || report.mState > ServerState::kLeaving) {
-      continue;
-    }
-    ServerHealth& server = found->second;
-    const std::uint64_t before = server.mReport.has_value() ? server.mReport->mSequence : 0;
-    if (TakeReport(aHealth, server, report)) {
-      aHealth.mNextSpreadAt = std::min(aHealth.mNextSpreadAt, aNow + kSpreadEvery);
-    }
-    if (server.mReport->mSequence > before) {
-      server.mFailures = 0;
+    if (found != aHealth.mByServer.end() && report.mState <= ServerState::kLeaving) {
+      OnReport(aHealth, found->second, report, aNow);
     }
   }
 }
