Route by expected cost beside the three baselines

Cause: a choice by the requests in flight of this host alone knows neither the prefix caches nor the queues of the backend servers, nor distance, price and reclaim risk.

Change: trefoil/routing has the policy "scored". Versions are drawn by weight. trefoil/node has RoutingTables in place of InFlightTable.

--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -33,7 +33,7 @@
   , mTraffic{ .mHost = mSettings.mHost,
               .mZone = mSettings.mZone,
               .mSnapshots = &mSnapshots,
-              .mInFlight = &mInFlight,
+              .mRouting = &mRouting,
               .mActive = &mActive,
               .mMetrics = &mMetrics }
 {
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -11,7 +11,7 @@
 #include "trefoil/http/server.h"
 #include "trefoil/node/control_state.h"
 #include "trefoil/node/event_queue.h"
-#include "trefoil/node/in_flight.h"
+#include "trefoil/node/routing_tables.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/node/store_worker.h"
 #include "trefoil/node/traffic.h"
@@ -56,7 +56,7 @@
   EventQueue mQueue;
   SnapshotCell mSnapshots;
   StoreWorker mStoreWorker;
-  InFlightTable mInFlight;
+  RoutingTables mRouting;
   Metrics mMetrics;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
--- a/trefoil/node/internal/completion_traffic.cc
+++ b/trefoil/node/internal/completion_traffic.cc
@@ -108,7 +108,7 @@
 RunAttempt(Serving& aServing, const BackendServerSpec& aServer)
 {
   StreamProgress& progress = aServing.mProgress;
-  const InFlightGuard inFlight{ *aServing.mContext.mInFlight, aServer.mServer };
+  const InFlightGuard inFlight{ *aServing.mContext.mRouting, aServer.mServer };
   aServing.mContext.mMetrics->Add(Counter::kAttempts, 1);
   if (progress.mTokens > 0) {
     aServing.mContext.mMetrics->Add(Counter::kStreamsResumed, 1);
@@ -138,8 +138,10 @@
 RunAttempts(Serving& aServing)
 {
   while (true) {
-    const auto server =
-      PickServer(aServing.mContext, *aServing.mCaller.mDocument, aServing.mFailed);
+    const auto server = PickServer(aServing.mContext,
+                                   *aServing.mCaller.mDocument,
+                                   aServing.mFailed,
+                                   { .mPrompt = aServing.mRequest.mPrompt });
     if (!server.has_value()) {
       return Failure{ .mVerdict =
                         aServing.mProgress.mAttempts == 0 ? Verdict::kNotRun : Verdict::kMayHaveRun,
--- a/trefoil/node/internal/pick_server.cc
+++ b/trefoil/node/internal/pick_server.cc
@@ -1,11 +1,18 @@
 #include "trefoil/node/internal/pick_server.h"
 
+#include <algorithm>
 #include <random>
-#include <vector>
 
 namespace trefoil {
 namespace {
 
+// Round trip to another availability zone of the region.
+constexpr double kOtherZoneMs = 3;
+// Price of an on-demand host relative to a reclaimable one.
+constexpr double kOnDemandPrice = 2.5;
+constexpr double kReclaimsPerHour = 0.05;
+constexpr std::int64_t kBytesPerToken = kPrefixBlockBytes / kPrefixBlockTokens;
+
 std::uint64_t
 RandomNumber()
 {
@@ -13,51 +20,82 @@
   return engine();
 }
 
-int
-ShareOf(const ServiceDocument& aDocument, const VersionId& aVersion)
+const BackendServerSpec*
+FindServer(const ServiceDocument& aDocument, const BackendServerId& aServer)
 {
+  const auto found = std::ranges::find(aDocument.mServers, aServer, &BackendServerSpec::mServer);
+  return found == aDocument.mServers.end() ? nullptr : &*found;
+}
+
+// Shows the routing tables the servers of the newest snapshot.
+void
+RefreshServers(const TrafficContext& aContext, const ServiceId& aService)
+{
+  const auto snapshot = aContext.mSnapshots->Read();
+  const ServiceView* view = FindService(*snapshot, aService);
+  if (view != nullptr && aContext.mRouting->IsOlder(aService, view->mRevision)) {
+    aContext.mRouting->SetServers(
+      aService, view->mRevision, RoutableServers(*view->mDocument, aContext.mZone));
+  }
+}
+
+} // namespace
+
+std::vector<VersionWeight>
+VersionWeights(const ServiceDocument& aDocument)
+{
+  std::vector<VersionWeight> weights;
   for (const VersionSpec& version : aDocument.mVersions) {
-    if (version.mVersion == aVersion) {
-      return version.mSharePercent;
-    }
+    weights.push_back(
+      { .mVersion = version.mVersion, .mWeight = static_cast<double>(version.mSharePercent) });
   }
-  return 0;
+  return weights;
 }
 
-std::optional<BackendServerSpec>
-PickAmong(const TrafficContext& aContext,
-          const ServiceDocument& aDocument,
-          const std::set<BackendServerId>& aExcluded)
+std::vector<RoutableServer>
+RoutableServers(const ServiceDocument& aDocument, const AvailabilityZoneId& aZone)
 {
-  std::vector<Candidate> candidates;
-  std::vector<const BackendServerSpec*> servers;
+  std::vector<RoutableServer> servers;
   for (const BackendServerSpec& server : aDocument.mServers) {
-    if (aExcluded.contains(server.mServer) || ShareOf(aDocument, server.mVersion) == 0) {
-      continue;
-    }
-    candidates.push_back(
-      { .mServer = server.mServer, .mInFlight = aContext.mInFlight->Count(server.mServer) });
-    servers.push_back(&server);
-  }
-  const auto index = Choose(RoutingPolicy::kPowerOfTwo, candidates, RandomNumber());
-  if (!index.has_value()) {
-    return std::nullopt;
+    const bool near = server.mZone == aZone;
+    const bool reclaimable = server.mPriceClass == PriceClass::kReclaimable;
+    servers.push_back({ .mServer = server.mServer,
+                        .mVersion = server.mVersion,
+                        .mNear = near,
+                        .mDistanceMs = near ? 0 : kOtherZoneMs,
+                        .mPrice = reclaimable ? 1 : kOnDemandPrice,
+                        .mReclaimsPerHour = reclaimable ? kReclaimsPerHour : 0 });
   }
-  return *servers[*index];
+  return servers;
 }
 
-} // namespace
-
 std::optional<BackendServerSpec>
 PickServer(const TrafficContext& aContext,
            const ServiceDocument& aDocument,
-           const std::set<BackendServerId>& aExcluded)
+           const std::set<BackendServerId>& aExcluded,
+           const WorkHint& aHint)
 {
-  auto server = PickAmong(aContext, aDocument, aExcluded);
-  if (!server.has_value() && !aExcluded.empty()) {
-    server = PickAmong(aContext, aDocument, {});
+  RefreshServers(aContext, aDocument.mService);
+  PlacementRequest request{ .mMarks = MarkPrefixes(aHint.mPrompt),
+                            .mPromptTokens =
+                              static_cast<std::int64_t>(aHint.mPrompt.size()) / kBytesPerToken,
+                            .mExpectedTokens = aHint.mExpectedTokens,
+                            .mExcluded = aExcluded,
+                            .mVersions = VersionWeights(aDocument),
+                            .mRandom = RandomNumber() };
+  auto chosen = aContext.mRouting->Choose(aDocument.mService, request, Now());
+  if (!chosen.has_value() && !aExcluded.empty()) {
+    request.mExcluded.clear();
+    chosen = aContext.mRouting->Choose(aDocument.mService, request, Now());
+  }
+  if (!chosen.has_value()) {
+    return std::nullopt;
   }
-  return server;
+  const auto snapshot = aContext.mSnapshots->Read();
+  const ServiceView* view = FindService(*snapshot, aDocument.mService);
+  const BackendServerSpec* server =
+    FindServer(view == nullptr ? aDocument : *view->mDocument, *chosen);
+  return server == nullptr ? std::nullopt : std::optional{ *server };
 }
 
 } // namespace trefoil
--- a/trefoil/node/internal/plain_traffic.cc
+++ b/trefoil/node/internal/plain_traffic.cc
@@ -81,7 +81,7 @@
     if (!server.has_value()) {
       return last;
     }
-    const InFlightGuard inFlight{ *aContext.mInFlight, server->mServer };
+    const InFlightGuard inFlight{ *aContext.mRouting, server->mServer };
     HttpResult result =
       Call({ .mServer = server->mEndpoint, .mRequest = aRequest, .mDeadline = aCaller.mDeadline });
     const auto* failure = std::get_if<Failure>(&result);
--- /dev/null
+++ b/trefoil/node/routing_tables.cc
@@ -0,0 +1,150 @@
+#include "trefoil/node/routing_tables.h"
+
+#include <utility>
+#include <vector>
+
+namespace trefoil {
+namespace {
+
+std::vector<ServerSlot>
+SlotsOf(const RoutingState& aState, const std::set<BackendServerId>& aServers)
+{
+  std::vector<ServerSlot> slots;
+  for (const BackendServerId& server : aServers) {
+    if (const auto slot = FindSlot(aState, server)) {
+      slots.push_back(*slot);
+    }
+  }
+  return slots;
+}
+
+} // namespace
+
+bool
+RoutingTables::IsOlder(const ServiceId& aService, std::uint64_t aNumber) const
+{
+  const absl::MutexLock lock{ &mMutex };
+  const auto table = mTables.find(aService);
+  return table == mTables.end() || table->second.mNumber < aNumber;
+}
+
+void
+RoutingTables::SetServers(const ServiceId& aService,
+                          std::uint64_t aNumber,
+                          std::span<const RoutableServer> aServers)
+{
+  const absl::MutexLock lock{ &mMutex };
+  const auto [entry, added] = mTables.try_emplace(aService);
+  Table& table = entry->second;
+  if (added) {
+    table.mState = MakeRoutingState({});
+  } else if (table.mNumber >= aNumber) {
+    return;
+  }
+  table.mNumber = aNumber;
+  trefoil::SetServers(table.mState, aServers);
+}
+
+std::optional<BackendServerId>
+RoutingTables::Choose(const ServiceId& aService, const PlacementRequest& aRequest, Instant aNow)
+{
+  const absl::MutexLock lock{ &mMutex };
+  const auto table = mTables.find(aService);
+  if (table == mTables.end()) {
+    return std::nullopt;
+  }
+  RoutingState& state = table->second.mState;
+  const std::vector<ServerSlot> excluded = SlotsOf(state, aRequest.mExcluded);
+  const RoutingRequest request{ .mMarks = aRequest.mMarks.empty() ? nullptr : &aRequest.mMarks,
+                                .mPromptTokens = aRequest.mPromptTokens,
+                                .mExpectedTokens = aRequest.mExpectedTokens,
+                                .mExcluded = excluded,
+                                .mVersions = aRequest.mVersions };
+  const auto slot = ChooseServer(state, aRequest.mPolicy, request, aRequest.mRandom, aNow);
+  if (!slot.has_value()) {
+    return std::nullopt;
+  }
+  RecordPlacement(state, *slot, request, aNow);
+  return state.mServers[*slot].mSpec.mServer;
+}
+
+template<typename Function>
+void
+RoutingTables::ForServer(const BackendServerId& aServer, Function aFunction)
+{
+  for (auto& [service, table] : mTables) {
+    if (const auto slot = FindSlot(table.mState, aServer)) {
+      aFunction(table.mState, *slot);
+    }
+  }
+}
+
+void
+RoutingTables::Start(const BackendServerId& aServer, Instant aNow)
+{
+  const absl::MutexLock lock{ &mMutex };
+  ForServer(aServer, [aNow](RoutingState& aState, ServerSlot aSlot) {
+    RecordOwnStart(aState.mServers[aSlot].mLoad, aNow);
+  });
+}
+
+void
+RoutingTables::End(const BackendServerId& aServer, Instant aNow)
+{
+  const absl::MutexLock lock{ &mMutex };
+  ForServer(aServer, [aNow](RoutingState& aState, ServerSlot aSlot) {
+    RecordOwnEnd(aState.mServers[aSlot].mLoad, aNow);
+  });
+}
+
+void
+RoutingTables::Apply(const BackendServerId& aServer, const LoadReport& aReport, Instant aMeasuredAt)
+{
+  const absl::MutexLock lock{ &mMutex };
+  ForServer(aServer, [&aReport, aMeasuredAt](RoutingState& aState, ServerSlot aSlot) {
+    ApplyReport(aState.mServers[aSlot].mLoad, aReport, aMeasuredAt);
+  });
+}
+
+void
+RoutingTables::Apply(const BackendServerId& aServer,
+                     CacheChange aChange,
+                     const PrefixMarks& aMarks,
+                     Instant aNow)
+{
+  const absl::MutexLock lock{ &mMutex };
+  ForServer(aServer, [&](RoutingState& aState, ServerSlot aSlot) {
+    if (aChange == CacheChange::kStored) {
+      Hold(aState.mPrefixes, aMarks, { .mSlot = aSlot }, aNow);
+    } else {
+      Drop(aState.mPrefixes, aMarks, aSlot);
+    }
+  });
+}
+
+std::int64_t
+RoutingTables::InFlight(const BackendServerId& aServer) const
+{
+  const absl::MutexLock lock{ &mMutex };
+  std::int64_t most = 0;
+  for (const auto& [service, table] : mTables) {
+    if (const auto slot = FindSlot(table.mState, aServer)) {
+      most = std::max(most, table.mState.mServers[*slot].mLoad.mOwnInFlight);
+    }
+  }
+  return most;
+}
+
+InFlightGuard::InFlightGuard(RoutingTables& aTables, BackendServerId aServer)
+  : mTables(aTables)
+  , mServer(std::move(aServer))
+{
+  mTables.Start(mServer, Now());
+}
+
+InFlightGuard::~InFlightGuard()
+{
+  mTables.End(mServer, Now());
+}
+
+} // namespace trefoil
--- a/trefoil/node/traffic.h
+++ b/trefoil/node/traffic.h
@@ -1,6 +1,6 @@
 // Serves callers' requests on the traffic threads.
 //
-//   TrafficContext context{ .mSnapshots = &cell, .mInFlight = &table };
+//   TrafficContext context{ .mSnapshots = &cell, .mRouting = &tables };
 //   Serve(context, exchange);
 //
 // Runs on many threads at once; each request belongs to one.
@@ -8,7 +8,7 @@
 
 #include "trefoil/http/server.h"
 #include "trefoil/metrics/metrics.h"
-#include "trefoil/node/in_flight.h"
+#include "trefoil/node/routing_tables.h"
 #include "trefoil/node/snapshot.h"
 
 #include <atomic>
@@ -21,7 +21,7 @@
   HostId mHost;
   AvailabilityZoneId mZone;
   SnapshotCell* mSnapshots = nullptr;
-  InFlightTable* mInFlight = nullptr;
+  RoutingTables* mRouting = nullptr;
   // Requests that are being served now.
   std::atomic<std::int64_t>* mActive = nullptr;
   Metrics* mMetrics = nullptr;
--- a/trefoil/routing/choose.cc
+++ b/trefoil/routing/choose.cc
@@ -7,21 +7,35 @@
 
 constexpr unsigned kHalfBits = 32;
 
+// Returns the candidate that comes first by `aLess`. The search starts at a random place, so that
+// equal candidates share the work.
+template<typename Less>
 std::size_t
-LeastInFlight(std::span<const Candidate> aCandidates, std::uint64_t aRandom)
+FirstBy(std::span<const Candidate> aCandidates, std::uint64_t aRandom, Less aLess)
 {
-  // The search starts at a random place, so that equal candidates share the work.
   const std::size_t start = aRandom % aCandidates.size();
   std::size_t best = start;
   for (std::size_t step = 1; step < aCandidates.size(); ++step) {
     const std::size_t index = (start + step) % aCandidates.size();
-    if (aCandidates[index].mInFlight < aCandidates[best].mInFlight) {
+    if (aLess(aCandidates[index], aCandidates[best])) {
       best = index;
     }
   }
   return best;
 }
 
+bool
+HasFewerInFlight(const Candidate& aLeft, const Candidate& aRight)
+{
+  return aLeft.mInFlight < aRight.mInFlight;
+}
+
+bool
+HasLowerScore(const Candidate& aLeft, const Candidate& aRight)
+{
+  return aLeft.mScore < aRight.mScore;
+}
+
 std::size_t
 LessLoadedOfTwo(std::span<const Candidate> aCandidates, std::uint64_t aRandom)
 {
@@ -42,9 +56,11 @@
     case RoutingPolicy::kRandom:
       return aRandom % aCandidates.size();
     case RoutingPolicy::kLeastInFlight:
-      return LeastInFlight(aCandidates, aRandom);
+      return FirstBy(aCandidates, aRandom, HasFewerInFlight);
     case RoutingPolicy::kPowerOfTwo:
       return LessLoadedOfTwo(aCandidates, aRandom);
+    case RoutingPolicy::kScored:
+      return FirstBy(aCandidates, aRandom, HasLowerScore);
   }
   return std::nullopt;
 }
--- a/trefoil/routing/choose_test.cc
+++ b/trefoil/routing/choose_test.cc
@@ -2,7 +2,6 @@
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
-#include <string>
 #include <vector>
 
 namespace trefoil {
@@ -14,7 +13,7 @@
   std::vector<Candidate> candidates;
   for (const std::int64_t load : aLoads) {
     candidates.push_back(
-      { .mServer = BackendServerId{ std::to_string(candidates.size()) }, .mInFlight = load });
+      { .mSlot = static_cast<ServerSlot>(candidates.size()), .mInFlight = load });
   }
   return candidates;
 }
@@ -45,6 +44,12 @@
       CHECK(Choose(RoutingPolicy::kLeastInFlight, candidates, random) == 1U);
     }
   }
+  SECTION("to the one of the least score under scored")
+  {
+    const std::vector<Candidate> candidates{ { .mScore = 7.5 }, { .mScore = 7.0 } };
+    CHECK(Choose(RoutingPolicy::kScored, candidates, 0) == 1U);
+    CHECK(Choose(RoutingPolicy::kScored, candidates, 1) == 1U);
+  }
   SECTION("never to the busiest of many under power_of_two, unless it is drawn twice")
   {
     const auto candidates = CandidatesOf({ 9, 1 });
--- /dev/null
+++ b/trefoil/routing/server_load.cc
@@ -0,0 +1,85 @@
+#include "trefoil/routing/server_load.h"
+
+#include <algorithm>
+
+namespace trefoil {
+namespace {
+
+constexpr std::size_t kMostOwnChanges = 32;
+// A report that is older does not count.
+constexpr Milliseconds kReportLifetime{ 10'000 };
+
+void
+Record(ServerLoad& aLoad, const OwnChange& aChange)
+{
+  if (aLoad.mOwnChanges.size() == kMostOwnChanges) {
+    aLoad.mOwnChanges.pop_front();
+  }
+  aLoad.mOwnChanges.push_back(aChange);
+}
+
+double
+MillisecondsBetween(Instant aFrom, Instant aTo)
+{
+  return std::max(0.0, std::chrono::duration<double, std::milli>(aTo - aFrom).count());
+}
+
+} // namespace
+
+void
+ApplyReport(ServerLoad& aLoad, const LoadReport& aReport, Instant aMeasuredAt)
+{
+  if (aMeasuredAt < aLoad.mMeasuredAt) {
+    return;
+  }
+  aLoad.mMeasuredAt = aMeasuredAt;
+  aLoad.mReportExpiresAt = aMeasuredAt + kReportLifetime;
+  aLoad.mReport = aReport;
+  while (!aLoad.mOwnChanges.empty() && aLoad.mOwnChanges.front().mAt <= aMeasuredAt) {
+    aLoad.mOwnChanges.pop_front();
+  }
+}
+
+void
+RecordOwnStart(ServerLoad& aLoad, Instant aNow)
+{
+  ++aLoad.mOwnInFlight;
+  Record(aLoad, { .mAt = aNow, .mRunning = 1 });
+}
+
+void
+RecordOwnQueued(ServerLoad& aLoad, std::int64_t aTokens, Instant aNow)
+{
+  Record(aLoad, { .mAt = aNow, .mQueuedTokens = aTokens });
+}
+
+void
+RecordOwnEnd(ServerLoad& aLoad, Instant aNow)
+{
+  --aLoad.mOwnInFlight;
+  Record(aLoad, { .mAt = aNow, .mRunning = -1 });
+}
+
+LoadEstimate
+EstimateLoad(const ServerLoad& aLoad, double aPrefillTokensPerMs, Instant aNow)
+{
+  LoadEstimate estimate;
+  if (!HasPassed(aLoad.mReportExpiresAt, aNow)) {
+    estimate.mRunning = static_cast<double>(aLoad.mReport.mRunning);
+    estimate.mQueuedTokens = static_cast<double>(aLoad.mReport.mQueuedTokens);
+  }
+  Instant from = aLoad.mMeasuredAt;
+  for (const OwnChange& change : aLoad.mOwnChanges) {
+    const double processed = MillisecondsBetween(from, change.mAt) * aPrefillTokensPerMs;
+    estimate.mQueuedTokens = std::max(0.0, estimate.mQueuedTokens - processed);
+    estimate.mRunning += static_cast<double>(change.mRunning);
+    estimate.mQueuedTokens += static_cast<double>(change.mQueuedTokens);
+    from = change.mAt;
+  }
+  const double processed = MillisecondsBetween(from, aNow) * aPrefillTokensPerMs;
+  estimate.mQueuedTokens = std::max(0.0, estimate.mQueuedTokens - processed);
+  estimate.mRunning = std::max(estimate.mRunning, static_cast<double>(aLoad.mOwnInFlight));
+  return estimate;
+}
+
+} // namespace trefoil
