Lease keys in the stand-in store, and a client for leases

Cause: duties need keys that end with their holder. Change: POST /v1/lease, renew and delete in the stand-in (standin/leases), PUT honours lease=N and answers 410 once it has ended; platform/lease_client. standin/leases_test covers renewal, end, the watch that tells it, the higher revision of the next claim.

--- /dev/null
+++ b/standin/leases_test.cc
@@ -0,0 +1,73 @@
+#include "standin/store.h"
+#include "trefoil/platform/lease_client.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+namespace trefoil::standin {
+namespace {
+
+constexpr Milliseconds kGenerousLimit{ 20'000 };
+
+TEST_CASE("Keys written with a lease end with it")
+{
+  Store store;
+  auto server =
+    HttpServer::Start({ .mListen = { .mAddress = "127.0.0.1", .mPort = 0 },
+                        .mHandler = [&store](HttpExchange& aExchange) { store.Serve(aExchange); },
+                        .mMostConnections = 8 });
+  REQUIRE(server.ok());
+  const StoreClient client{ .mEndpoint = { .mAddress = "127.0.0.1", .mPort = server->Port() } };
+  const Instant deadline = Now() + kGenerousLimit;
+  const auto lease = AskForLease(client, kGenerousLimit, deadline);
+  REQUIRE(lease.ok());
+  const auto write =
+    CompareAndSwap(client, { .mKey = "duties/rules", .mValue = "h1", .mLease = *lease }, deadline);
+  REQUIRE(write.mState == StoreWriteState::kWritten);
+
+  SECTION("while the lease is renewed they stay")
+  {
+    CHECK(AskToRenew(client, *lease, deadline) == LeaseAnswer::kLive);
+    CHECK(Read(client, "duties/rules", deadline)->mValue == "h1");
+  }
+  SECTION("once it is ended they are gone")
+  {
+    AskToEnd(client, *lease, deadline);
+    CHECK(Read(client, "duties/rules", deadline)->mRevision == 0);
+    CHECK(AskToRenew(client, *lease, deadline) == LeaseAnswer::kLost);
+
+    SECTION("and a watch tells so")
+    {
+      const auto changes = Watch(client, "duties/", write.mCurrent.mRevision, deadline);
+      REQUIRE(changes.ok());
+      REQUIRE(changes->mEntries.size() == 1);
+      CHECK(changes->mEntries.front().mDeleted);
+    }
+    SECTION("and the next claim has a higher revision")
+    {
+      const auto next =
+        CompareAndSwap(client, { .mKey = "duties/rules", .mValue = "h2" }, deadline);
+      CHECK(next.mCurrent.mRevision > write.mCurrent.mRevision);
+    }
+    SECTION("and nothing more is written with it")
+    {
+      const auto late = CompareAndSwap(
+        client, { .mKey = "duties/results", .mValue = "h1", .mLease = *lease }, deadline);
+      CHECK(late.mState != StoreWriteState::kWritten);
+      CHECK(Read(client, "duties/results", deadline)->mRevision == 0);
+    }
+  }
+  SECTION("a lease that nobody renews ends by itself")
+  {
+    const auto brief = AskForLease(client, Milliseconds{ 50 }, deadline);
+    REQUIRE(brief.ok());
+    CompareAndSwap(client, { .mKey = "brief", .mValue = "x", .mLease = *brief }, deadline);
+    while (Read(client, "brief", deadline)->mRevision != 0 && !HasPassed(deadline, Now())) {
+      std::this_thread::sleep_for(Milliseconds{ 10 });
+    }
+    CHECK(Read(client, "brief", deadline)->mRevision == 0);
+  }
+}
+
+} // namespace
+} // namespace trefoil::standin
--- a/standin/store.cc
+++ b/standin/store.cc
@@ -15,6 +15,7 @@
 
 constexpr std::string_view kKeyPrefix = "/v1/kv/";
 constexpr std::uint64_t kLongestWaitMilliseconds = 60'000;
+constexpr int kHttpGone = 410;
 constexpr std::size_t kMostValueBytes = std::size_t{ 1 } << 20;
 
 std::uint64_t
@@ -55,6 +56,8 @@
     ServeList(aExchange);
   } else if (path == "/v1/watch") {
     ServeWatch(aExchange);
+  } else if (path.starts_with("/v1/lease")) {
+    ServeLeaseCall(aExchange);
   } else {
     aExchange.Answer({ .mStatus = 404, .mBody = "not found\n" });
   }
@@ -79,6 +82,7 @@
   StoredValue value;
   {
     const absl::MutexLock lock{ &mMutex };
+    ExpireKeys();
     const auto found = mValues.find(aKey);
     if (found != mValues.end()) {
       value = found->second;
@@ -103,16 +107,21 @@
   HttpAnswer answer;
   {
     const absl::MutexLock lock{ &mMutex };
+    ExpireKeys();
     StoredValue& value = mValues[aKey];
     const std::uint64_t current = value.mDeleted ? 0 : value.mRevision;
-    if (current != expected) {
+    const std::uint64_t lease = NumberInQuery(request, "lease");
+    if (lease != 0 && !mLeases.mLive.contains(lease)) {
+      answer = { .mStatus = kHttpGone, .mBody = "no such lease\n" };
+    } else if (current != expected) {
       StoredValue shown = value;
       shown.mRevision = current;
       answer = { .mStatus = 409, .mBody = TextOf(*ObjectOf(aKey, shown)) };
     } else {
       value = { .mValue = request.mBody,
                 .mRevision = ++mRevision,
-                .mDeleted = request.mMethod == "DELETE" };
+                .mDeleted = request.mMethod == "DELETE",
+                .mLease = lease };
       Object written;
       written.set("revision", mRevision);
       answer.mBody = TextOf(written);
@@ -121,6 +130,30 @@
   aExchange.Answer(answer);
 }
 
+void
+Store::ServeLeaseCall(HttpExchange& aExchange)
+{
+  HttpAnswer answer;
+  {
+    const absl::MutexLock lock{ &mMutex };
+    answer = ServeLease(mLeases, aExchange.Request(), Now());
+    ExpireKeys();
+  }
+  aExchange.Answer(answer);
+}
+
+void
+Store::ExpireKeys()
+{
+  for (const std::uint64_t lease : TakeEnded(mLeases, Now())) {
+    for (auto& [key, value] : mValues) {
+      if (value.mLease == lease && !value.mDeleted) {
+        value = { .mRevision = ++mRevision, .mDeleted = true };
+      }
+    }
+  }
+}
+
 std::string
 Store::Listing(std::string_view aPrefix, std::uint64_t aAfter, bool aWithDeleted)
 {
@@ -151,6 +184,7 @@
   HttpAnswer answer;
   {
     const absl::MutexLock lock{ &mMutex };
+    ExpireKeys();
     answer.mBody = Listing(QueryValue(aExchange.Request().mTarget, "prefix"), 0, false);
   }
   aExchange.Answer(answer);
@@ -166,11 +200,13 @@
   HttpAnswer answer;
   {
     const absl::MutexLock lock{ &mMutex };
+    ExpireKeys();
     const auto changed = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex) {
       return HasChange(prefix, after);
     };
     mMutex.AwaitWithTimeout(absl::Condition(&changed),
                             absl::Milliseconds(static_cast<std::int64_t>(wait)));
+    ExpireKeys();
     answer.mBody = Listing(prefix, after, true);
   }
   aExchange.Answer(answer);
--- a/standin/store.h
+++ b/standin/store.h
@@ -8,6 +8,8 @@
 // docs/PROTOCOLS.md gives the interface. Thread-safe.
 #pragma once
 
+#include "standin/leases.h"
+
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "trefoil/http/server.h"
@@ -25,6 +27,8 @@
   std::string mValue;
   std::uint64_t mRevision = 0;
   bool mDeleted = false;
+  // The lease that the key ends with; 0 for none.
+  std::uint64_t mLease = 0;
 };
 
 class Store
@@ -38,6 +42,9 @@
   void ServeWrite(HttpExchange& aExchange, const std::string& aKey);
   void ServeList(HttpExchange& aExchange);
   void ServeWatch(HttpExchange& aExchange);
+  void ServeLeaseCall(HttpExchange& aExchange);
+  // Deletes the keys of leases that have ended.
+  void ExpireKeys() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
   // Returns the entries under a prefix whose revision is over `aAfter`, as JSON.
   std::string Listing(std::string_view aPrefix, std::uint64_t aAfter, bool aWithDeleted)
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
@@ -45,6 +52,7 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
 
   absl::Mutex mMutex;
+  Leases mLeases ABSL_GUARDED_BY(mMutex);
   std::uint64_t mRevision ABSL_GUARDED_BY(mMutex) = 0;
   std::map<std::string, StoredValue> mValues ABSL_GUARDED_BY(mMutex);
 };
--- /dev/null
+++ b/trefoil/platform/lease_client.cc
@@ -0,0 +1,67 @@
+#include "trefoil/platform/lease_client.h"
+
+#include "trefoil/http/client.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <fmt/format.h>
+
+namespace trefoil {
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpNotFound = 404;
+
+HttpResult
+Ask(const StoreClient& aStore, std::string aMethod, std::string aTarget, Instant aDeadline)
+{
+  return Call({ .mServer = aStore.mEndpoint,
+                .mRequest = { .mMethod = std::move(aMethod), .mTarget = std::move(aTarget) },
+                .mDeadline = aDeadline });
+}
+
+} // namespace
+
+absl::StatusOr<std::uint64_t>
+AskForLease(const StoreClient& aStore, Milliseconds aTimeToLive, Instant aDeadline)
+{
+  const HttpResult result =
+    Ask(aStore, "POST", fmt::format("/v1/lease?ttl_ms={}", aTimeToLive.count()), aDeadline);
+  if (const auto* failure = std::get_if<Failure>(&result)) {
+    return failure->mStatus;
+  }
+  const auto& answer = std::get<HttpAnswer>(result);
+  if (answer.mStatus != kHttpOk) {
+    return absl::UnavailableError(fmt::format("the store answered {}", answer.mStatus));
+  }
+  try {
+    const auto object = Poco::JSON::Parser{}.parse(answer.mBody).extract<Poco::JSON::Object::Ptr>();
+    return object->getValue<std::uint64_t>("lease");
+  } catch (const Poco::Exception& error) {
+    return absl::DataLossError(error.displayText());
+  }
+}
+
+LeaseAnswer
+AskToRenew(const StoreClient& aStore, std::uint64_t aLease, Instant aDeadline)
+{
+  const HttpResult result =
+    Ask(aStore, "POST", fmt::format("/v1/lease/{}/renew", aLease), aDeadline);
+  const auto* answer = std::get_if<HttpAnswer>(&result);
+  if (answer == nullptr) {
+    return LeaseAnswer::kUnknown;
+  }
+  if (answer->mStatus == kHttpNotFound) {
+    return LeaseAnswer::kLost;
+  }
+  return answer->mStatus == kHttpOk ? LeaseAnswer::kLive : LeaseAnswer::kUnknown;
+}
+
+void
+AskToEnd(const StoreClient& aStore, std::uint64_t aLease, Instant aDeadline)
+{
+  Ask(aStore, "DELETE", fmt::format("/v1/lease/{}", aLease), aDeadline);
+}
+
+} // namespace trefoil
