--- a/trefoil/health/server_health.cc
+++ b/trefoil/health/server_health.cc
@@ -349,23 +349,21 @@
     return false;
   }
   auto reports = std::make_shared<ServerReportMap>();
+  auto notUp = std::make_shared<ServerSet>();
   for (const auto& [id, server] : aHealth.mByServer) {
     if (server.mReport.has_value()) {
       reports->emplace_hint(reports->end(), id, *server.mReport);
     }
+    if (StateOf(server) != ServerState::kUp) {
+      notUp->emplace_hint(notUp->end(), id);
+    }
   }
   aHealth.mPublished = std::move(reports);
+  aHealth.mNotUp = std::move(notUp);
   aHealth.mStateChanged = false;
   aHealth.mLoadChanged = false;
   aHealth.mNextPublishAt = aNow + kPublishLoadsEvery;
   return true;
 }
 
-bool
-TakesNewWork(const ServerReportMap& aReports, const BackendServerId& aServer)
-{
-  const auto found = aReports.find(aServer);
-  return found == aReports.end() || found->second.mState == ServerState::kUp;
-}
-
 } // namespace trefoil
--- a/trefoil/health/server_health.h
+++ b/trefoil/health/server_health.h
@@ -26,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace trefoil {
@@ -63,6 +64,7 @@
 };
 
 using ServerReportMap = std::map<BackendServerId, ServerReport>;
+using ServerSet = std::set<BackendServerId>;
 
 struct HealthState
 {
@@ -73,6 +75,8 @@
   bool mStateChanged = false;
   bool mLoadChanged = false;
   std::shared_ptr<const ServerReportMap> mPublished = std::make_shared<const ServerReportMap>();
+  // The servers that are down or leaving.
+  std::shared_ptr<const ServerSet> mNotUp = std::make_shared<const ServerSet>();
   Instant mNextPublishAt;
   // Far off while no change has rounds left.
   Instant mNextSpreadAt;
@@ -126,8 +130,4 @@
 bool
 PublishReports(HealthState& aHealth, Instant aNow);
 
-// Returns whether a server may receive new work.
-bool
-TakesNewWork(const ServerReportMap& aReports, const BackendServerId& aServer);
-
 } // namespace trefoil
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -12,9 +12,9 @@
 #include "trefoil/http/server.h"
 #include "trefoil/node/control_state.h"
 #include "trefoil/node/event_queue.h"
-#include "trefoil/node/in_flight.h"
 #include "trefoil/node/internal/peer_worker.h"
 #include "trefoil/node/internal/watch_gate.h"
+#include "trefoil/node/routing_tables.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/node/store_worker.h"
 #include "trefoil/node/traffic.h"
@@ -65,7 +65,7 @@
   StoreWorker mStoreWorker;
   PeerWorker mPeerWorker;
   WatchGate mWatchGate;
-  InFlightTable mInFlight;
+  RoutingTables mRouting;
   Metrics mMetrics;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
--- a/trefoil/node/internal/peer_control.cc
+++ b/trefoil/node/internal/peer_control.cc
@@ -123,6 +123,7 @@
   aSnapshot.mMembers = aState.mGossip.mMembers;
   aSnapshot.mZones = aState.mGossip.mZones;
   aSnapshot.mServers = aState.mHealth.mPublished;
+  aSnapshot.mNotUp = aState.mHealth.mNotUp;
   aSnapshot.mDocuments = aState.mSharedDocuments;
   for (const auto& [service, spread] : aState.mConfig.mSpread) {
     aSnapshot.mServices[service].mSpread = spread;
--- a/trefoil/node/snapshot.h
+++ b/trefoil/node/snapshot.h
@@ -50,6 +50,8 @@
   std::map<AvailabilityZoneId, ZoneView> mZones;
   // What is known of backend servers. Those without a report count as up.
   std::shared_ptr<const ServerReportMap> mServers = std::make_shared<const ServerReportMap>();
+  // Those that are down or leaving: they receive no new work.
+  std::shared_ptr<const ServerSet> mNotUp = std::make_shared<const ServerSet>();
   std::shared_ptr<const DocumentsInForce> mDocuments = std::make_shared<const DocumentsInForce>();
 };
 
--- a/trefoil/simulation/control_network_test.cc
+++ b/trefoil/simulation/control_network_test.cc
@@ -63,7 +63,7 @@
 AllAvoid(ControlNetwork& aNetwork, const BackendServerId& aServer)
 {
   for (std::size_t i = 0; i < aNetwork.HostCount(); ++i) {
-    if (Runs(aNetwork, i) && TakesNewWork(*aNetwork.Host(i).mSnapshot->mServers, aServer)) {
+    if (Runs(aNetwork, i) && !aNetwork.Host(i).mSnapshot->mNotUp->contains(aServer)) {
       return false;
     }
   }
@@ -75,7 +75,7 @@
 NoneAvoids(ControlNetwork& aNetwork, const BackendServerId& aServer)
 {
   for (std::size_t i = 0; i < aNetwork.HostCount(); ++i) {
-    if (Runs(aNetwork, i) && !TakesNewWork(*aNetwork.Host(i).mSnapshot->mServers, aServer)) {
+    if (Runs(aNetwork, i) && aNetwork.Host(i).mSnapshot->mNotUp->contains(aServer)) {
       return false;
     }
   }
@@ -255,7 +255,7 @@
   const SimulatedHost& host = aNetwork.Host(aHost);
   const std::uint64_t revision = aNetwork.RevisionOn(aHost);
   const SimulatedServer& server = aNetwork.Server(0);
-  const bool avoids = !TakesNewWork(*host.mSnapshot->mServers, server.mServer);
+  const bool avoids = host.mSnapshot->mNotUp->contains(server.mServer);
   if (host.mStarts == aWatcher.mStarts[aHost]) {
     const bool wentDown = revision < aWatcher.mHighest[aHost];
     const bool usedAgain = server.mLeaving && aWatcher.mAvoided[aHost] && !avoids;
