Admit requests by priority, account weight and deadline

Cause: entry hosts took every request at once: no limit by account, no order, no refusal before the deadline had passed, and nothing to hold the busiest minute down.

Change: trefoil/admission, one state for each service on each host, `(state, event, now) -> effects`. Self-clocked fair queueing over (priority, account) with the priority as a factor of the weight, earliest latest start first inside a flow, push-out from the largest flow when the queue is full. Limits by account and the budget of the busiest minute are shared by the number of hosts heard of; a host that hears half of them or fewer keeps its last share.

A try with start tags (start-time fair queueing) let a fresh deferrable flow of any size go before waiting normal work; finish tags mend that.

--- /dev/null
+++ b/trefoil/admission/admission_property_test.cc
@@ -0,0 +1,283 @@
+#include "trefoil/admission/admission.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <string>
+
+namespace trefoil {
+namespace {
+
+const Instant kStart{ Milliseconds{ 1'000'000 } };
+
+// Drives one admission state through random arrivals and endings, and keeps what became of each
+// request.
+struct Run
+{
+  AdmissionState mState;
+  Instant mNow = kStart;
+  std::map<Ticket, RequestArrived> mWaiting;
+  std::vector<Ticket> mRunning;
+  std::map<FlowKey, double> mWorkDone;
+  double mHeldWork = 0;
+  double mLargestWork = 0;
+
+  void Take(const AdmissionEffects& aEffects)
+  {
+    for (const AdmissionEffect& effect : aEffects) {
+      const auto* admit = std::get_if<AdmitRequest>(&effect);
+      const Ticket ticket =
+        admit == nullptr ? std::get<RefuseRequest>(effect).mTicket : admit->mTicket;
+      // Each request is answered once, by its deadline.
+      RC_ASSERT(mWaiting.contains(ticket));
+      RC_ASSERT(mNow <= mWaiting.at(ticket).mDeadline);
+      if (admit != nullptr) {
+        Admitted(mWaiting.at(ticket));
+      }
+      mWaiting.erase(ticket);
+    }
+    for (const auto& [ticket, arrival] : mWaiting) {
+      RC_ASSERT(mNow < arrival.mDeadline);
+    }
+  }
+
+  void Admitted(const RequestArrived& aArrival)
+  {
+    mRunning.push_back(aArrival.mTicket);
+    mWorkDone[{ .mPriority = aArrival.mPriority, .mAccount = aArrival.mAccount }] += aArrival.mWork;
+  }
+
+  void Arrive(const RequestArrived& aArrival)
+  {
+    mWaiting[aArrival.mTicket] = aArrival;
+    mLargestWork = std::max(mLargestWork, aArrival.mWork);
+    Take(Step(mState, aArrival, mNow));
+  }
+
+  void EndOne()
+  {
+    if (!mRunning.empty()) {
+      const Ticket ticket = mRunning.front();
+      mRunning.erase(mRunning.begin());
+      Take(Step(mState, RequestEnded{ .mTicket = ticket }, mNow));
+    }
+  }
+
+  // Lets time pass and fires the timers on the way.
+  void Wait(int aMs)
+  {
+    const Instant end = mNow + Milliseconds{ aMs };
+    while (mNow < end) {
+      mNow = std::min(end, std::max(NextTimer(mState, mNow), mNow + Milliseconds{ 1 }));
+      Take(Step(mState, AdmissionTimer{}, mNow));
+    }
+  }
+};
+
+RequestArrived
+RandomArrival(Ticket aTicket, Instant aNow)
+{
+  return { .mTicket = aTicket,
+           .mAccount = ClientAccountId{ std::to_string(*rc::gen::inRange(0, 4)) },
+           .mPriority =
+             *rc::gen::element(Priority::kUrgent, Priority::kNormal, Priority::kDeferrable),
+           .mDeadline = aNow + Milliseconds{ *rc::gen::inRange(1, 3000) },
+           .mWork = static_cast<double>(*rc::gen::inRange(1, 200)) };
+}
+
+void
+CheckDeadlines()
+{
+  Run run{ .mState = MakeAdmissionState(
+             { .mSelf = HostId{ "h1" },
+               .mSlots = *rc::gen::inRange(1, 4),
+               .mMostQueued = 8,
+               .mPeakWorkPerMinute = static_cast<double>(*rc::gen::inRange(0, 5000)) },
+             kStart) };
+  const int steps = *rc::gen::inRange(1, 120);
+  for (int step = 0; step < steps; ++step) {
+    switch (*rc::gen::inRange(0, 4)) {
+      case 0:
+        run.EndOne();
+        break;
+      case 1:
+        run.Wait(*rc::gen::inRange(1, 400));
+        break;
+      default:
+        run.Arrive(RandomArrival(static_cast<Ticket>(step), run.mNow));
+    }
+  }
+  run.Wait(4000);
+  RC_ASSERT(run.mWaiting.empty());
+  RC_ASSERT(run.mState.mQueue.mPlaces.empty());
+}
+
+// Flows that always have work waiting share what one slot does.
+void
+CheckFairness()
+{
+  AdmissionState state = MakeAdmissionState({ .mSelf = HostId{ "h1" }, .mSlots = 1 }, kStart);
+  Run run{ .mState = std::move(state) };
+  const auto weights = *rc::gen::container<std::vector<int>>(4, rc::gen::inRange(1, 10));
+  Ticket ticket = 0;
+  const auto arrive = [&](std::size_t aAccount) {
+    run.Arrive({ .mTicket = ++ticket,
+                 .mAccount = ClientAccountId{ std::to_string(aAccount) },
+                 .mAccountWeight = weights[aAccount],
+                 .mDeadline = kStart + Milliseconds{ 86'400'000 },
+                 .mWork = static_cast<double>(*rc::gen::inRange(1, 20)) });
+  };
+  // The first account asks for far more than its share.
+  const int rounds = 300;
+  for (std::size_t account = 0; account < weights.size(); ++account) {
+    arrive(account);
+    arrive(account);
+  }
+  for (int round = 0; round < rounds; ++round) {
+    const std::map<FlowKey, double> before = run.mWorkDone;
+    run.EndOne();
+    arrive(0);
+    for (std::size_t account = 0; account < weights.size(); ++account) {
+      const FlowKey key{ .mAccount = ClientAccountId{ std::to_string(account) } };
+      const bool served = run.mWorkDone[key] != (before.contains(key) ? before.at(key) : 0);
+      if (served) {
+        arrive(account);
+      }
+    }
+  }
+  double total = 0;
+  double weight = 0;
+  for (std::size_t account = 0; account < weights.size(); ++account) {
+    total += run.mWorkDone[{ .mAccount = ClientAccountId{ std::to_string(account) } }];
+    weight += weights[account];
+  }
+  for (std::size_t account = 0; account < weights.size(); ++account) {
+    const double done = run.mWorkDone[{ .mAccount = ClientAccountId{ std::to_string(account) } }];
+    // Self-clocked fair queueing: behind its share by one request of each flow at most.
+    const double slack = run.mLargestWork * static_cast<double>(weights.size() + 1);
+    RC_ASSERT(done >= total * weights[account] / weight - slack);
+  }
+}
+
+void
+CheckPeakBudget()
+{
+  const double perMinute = *rc::gen::inRange(600, 60'000);
+  PeakBudget budget{ .mWorkPerMinute = perMinute, .mHeadroom = { .mRefilledAt = kStart } };
+  Instant now = kStart;
+  double granted = 0;
+  double taken = 0;
+  double largest = 0;
+  const int steps = *rc::gen::inRange(1, 200);
+  for (int step = 0; step < steps; ++step) {
+    const int ms = *rc::gen::inRange(1, 3000);
+    now += Milliseconds{ ms };
+    granted += budget.mGrantedPerSecond * ms / 1000;
+    ApplyDemand(budget,
+                { .mHost = HostId{ std::to_string(*rc::gen::inRange(2, 5)) },
+                  .mSequence = *rc::gen::arbitrary<std::uint8_t>(),
+                  .mUnheldPerMinute = static_cast<double>(*rc::gen::inRange(0, 20'000)) });
+    Refresh(budget, { HostId{ "2" }, HostId{ "3" } }, 1.0 / 3, now);
+    RC_ASSERT(budget.mGrantedPerSecond <= perMinute / 60 / 3 + 1e-9);
+    while (HasHeadroom(budget)) {
+      const double work = *rc::gen::inRange(1, 500);
+      largest = std::max(largest, work);
+      TakeHeadroom(budget, work);
+      taken += work;
+    }
+    RC_ASSERT(taken <= granted + largest + 1e-6);
+  }
+}
+
+constexpr int kHosts = 9;
+constexpr double kLimit = 90;
+
+HostId
+HostNumber(int aNumber)
+{
+  return HostId{ std::to_string(aNumber) };
+}
+
+// Returns how many requests the hosts let through together in a second of greedy arrivals.
+double
+Admitted(std::vector<AdmissionState>& aHosts, Instant aNow, Ticket& aTicket)
+{
+  double admitted = 0;
+  for (AdmissionState& host : aHosts) {
+    for (double i = 0; i < kLimit; ++i) {
+      const auto effects = Step(host,
+                                RequestArrived{ .mTicket = ++aTicket,
+                                                .mAccount = ClientAccountId{ "a" },
+                                                .mAccountLimit = kLimit,
+                                                .mDeadline = aNow + Milliseconds{ 60'000 } },
+                                aNow);
+      for (const AdmissionEffect& effect : effects) {
+        admitted += std::holds_alternative<AdmitRequest>(effect) ? 1 : 0;
+        Step(host, RequestEnded{ .mTicket = aTicket }, aNow);
+      }
+    }
+  }
+  return admitted;
+}
+
+// Gossip is lost at random and the hosts are cut in two at a random place.
+void
+CheckLimitOverHosts()
+{
+  std::vector<AdmissionState> hosts;
+  std::set<HostId> all;
+  for (int i = 0; i < kHosts; ++i) {
+    all.insert(HostNumber(i));
+  }
+  for (int i = 0; i < kHosts; ++i) {
+    hosts.push_back(MakeAdmissionState(
+      { .mSelf = HostNumber(i), .mHostsAtStart = kHosts, .mSlots = 100'000 }, kStart));
+    Step(hosts.back(), HostsSeen{ .mAlive = all }, kStart);
+  }
+  const int cut = *rc::gen::inRange(0, kHosts);
+  Ticket ticket = 0;
+  double admitted = 0;
+  const int seconds = *rc::gen::inRange(1, 12);
+  for (int second = 0; second < seconds; ++second) {
+    const Instant now = kStart + Milliseconds{ 10'000 + second * 1000 };
+    for (int i = 0; i < kHosts; ++i) {
+      std::set<HostId> heard;
+      for (int j = 0; j < kHosts; ++j) {
+        const bool sameSide = (i < cut) == (j < cut);
+        // A host that is not heard of for one second stays in the view: membership forgets later.
+        if (sameSide || second < 2) {
+          heard.insert(HostNumber(j));
+        }
+      }
+      if (*rc::gen::inRange(0, 3) != 0) {
+        Step(hosts[static_cast<std::size_t>(i)], HostsSeen{ .mAlive = heard }, now);
+      }
+    }
+    admitted += Admitted(hosts, now, ticket);
+  }
+  // 1.5 times the limit, and a burst of one second for each host.
+  RC_ASSERT(admitted <= 1.5 * kLimit * seconds + 1.5 * kLimit + kHosts);
+}
+
+TEST_CASE("What admission promises holds whatever arrives")
+{
+  SECTION("no request passes its deadline without an answer, and none is answered twice")
+  {
+    CHECK(rc::check(CheckDeadlines));
+  }
+  SECTION("no account gets less than its weight's share while it has work waiting")
+  {
+    CHECK(rc::check(CheckFairness));
+  }
+  SECTION("deferrable work takes no more than was granted, but for one request")
+  {
+    CHECK(rc::check(CheckPeakBudget));
+  }
+  SECTION("the hosts together stay under 1.5 times a limit, though gossip is lost")
+  {
+    CHECK(rc::check(CheckLimitOverHosts));
+  }
+}
+
+} // namespace
+} // namespace trefoil
