--- a/trefoil/admission/admission.cc
+++ b/trefoil/admission/admission.cc
@@ -97,7 +97,7 @@
 void
 RefreshPeak(AdmissionState& aState, Instant aNow)
 {
-  Refresh(aState.mPeak, aState.mShare.mHosts, ShareOf(aState.mShare, aNow), aNow);
+  Refresh(aState.mPeak, ShareOf(aState.mShare, aNow), aNow);
 }
 
 // Notes that a request runs, against the budget of the busiest minute.
@@ -261,17 +261,19 @@
 AdmissionEffects
 On(AdmissionState& aState, const HostsSeen& aEvent, Instant aNow)
 {
-  ApplyView(aState.mShare, aEvent.mAlive, aEvent.mLeaving);
+  if (ApplyView(aState.mShare, aEvent.mView)) {
+    ForgetSilent(aState.mPeak, aNow);
+  }
   AdmissionEffects effects;
   Admit(aState, effects, aNow);
   return effects;
 }
 
 AdmissionEffects
-On(AdmissionState& aState, const DemandHeard& aEvent, Instant)
+On(AdmissionState& aState, const DemandHeard& aEvent, Instant aNow)
 {
   if (aEvent.mDemand.mHost != aState.mOptions.mSelf) {
-    ApplyDemand(aState.mPeak, aEvent.mDemand);
+    ApplyDemand(aState.mPeak, aEvent.mDemand, aNow);
   }
   return {};
 }
--- a/trefoil/admission/admission.h
+++ b/trefoil/admission/admission.h
@@ -14,7 +14,7 @@
 #include "trefoil/admission/fair_queue.h"
 #include "trefoil/admission/host_share.h"
 #include "trefoil/admission/peak_budget.h"
-#include "trefoil/admission/retry_budget.h"
+#include "trefoil/admission/retry_allowance.h"
 #include "trefoil/admission/token_bucket.h"
 
 #include <cstddef>
@@ -65,11 +65,10 @@
   double mPeakWorkPerMinute = 0;
 };
 
-// Which other entry hosts are heard of, and which of them say that they leave.
+// Which other entry hosts are heard of now.
 struct HostsSeen
 {
-  std::set<HostId> mAlive;
-  std::set<HostId> mLeaving;
+  HostView mView;
 };
 
 // What another host does, by gossip.
@@ -148,7 +147,7 @@
   // Work that one slot does in a millisecond.
   double mWorkPerSlotMs = 0.05;
   PeakBudget mPeak;
-  RetryBudget mRetries;
+  RetryAllowance mRetries;
 };
 
 AdmissionState
--- a/trefoil/admission/admission_property_test.cc
+++ b/trefoil/admission/admission_property_test.cc
@@ -176,8 +176,9 @@
     ApplyDemand(budget,
                 { .mHost = HostId{ std::to_string(*rc::gen::inRange(2, 5)) },
                   .mSequence = *rc::gen::arbitrary<std::uint8_t>(),
-                  .mUnheldPerMinute = static_cast<double>(*rc::gen::inRange(0, 20'000)) });
-    Refresh(budget, { HostId{ "2" }, HostId{ "3" } }, 1.0 / 3, now);
+                  .mUnheldPerMinute = static_cast<double>(*rc::gen::inRange(0, 20'000)) },
+                now);
+    Refresh(budget, 1.0 / 3, now);
     RC_ASSERT(budget.mGrantedPerSecond <= perMinute / 60 / 3 + 1e-9);
     while (HasHeadroom(budget)) {
       const double work = *rc::gen::inRange(1, 500);
@@ -232,7 +233,7 @@
   for (int i = 0; i < kHosts; ++i) {
     hosts.push_back(MakeAdmissionState(
       { .mSelf = HostNumber(i), .mHostsAtStart = kHosts, .mSlots = 100'000 }, kStart));
-    Step(hosts.back(), HostsSeen{ .mAlive = all }, kStart);
+    Step(hosts.back(), HostsSeen{ { .mAlive = all } }, kStart);
   }
   const int cut = *rc::gen::inRange(0, kHosts);
   Ticket ticket = 0;
@@ -250,7 +251,7 @@
         }
       }
       if (*rc::gen::inRange(0, 3) != 0) {
-        Step(hosts[static_cast<std::size_t>(i)], HostsSeen{ .mAlive = heard }, now);
+        Step(hosts[static_cast<std::size_t>(i)], HostsSeen{ { .mAlive = heard } }, now);
       }
     }
     admitted += Admitted(hosts, now, ticket);
--- a/trefoil/admission/admission_test.cc
+++ b/trefoil/admission/admission_test.cc
@@ -152,7 +152,7 @@
 TEST_CASE("An account has a limit over all hosts")
 {
   AdmissionState state = StateWith({ .mSlots = 1000 });
-  Step(state, HostsSeen{ .mAlive = Hosts(2, 9) }, kStart);
+  Step(state, HostsSeen{ { .mAlive = Hosts(2, 9) } }, kStart);
   RequestArrived arrival = Arrival(1, Priority::kNormal, 60'000);
   arrival.mAccountLimit = 18;
   // Two a second are this host's share of 18.
@@ -169,16 +169,22 @@
   }
   SECTION("the share grows when a few hosts are gone")
   {
-    Step(state, HostsSeen{ .mAlive = Hosts(2, 6) }, kStart);
+    Step(state, HostsSeen{ { .mAlive = Hosts(2, 6) } }, kStart);
     CHECK(ShareOf(state.mShare, kStart) == Approx(1.0 / 6));
   }
   SECTION("a host that is cut off from most others keeps its last share")
   {
-    Step(state, HostsSeen{ .mAlive = Hosts(2, 3) }, kStart);
+    Step(state, HostsSeen{ { .mAlive = Hosts(2, 3) } }, kStart);
     CHECK(ShareOf(state.mShare, kStart) == Approx(1.0 / 9));
+    SECTION("also if whole zones are missing")
+    {
+      state.mShare.mOtherZones[AvailabilityZoneId{ "zone-b" }] = 9;
+      Step(state, HostsSeen{ { .mAlive = Hosts(2, 9) } }, kStart);
+      CHECK(ShareOf(state.mShare, kStart) == Approx(1.0 / 18));
+    }
     SECTION("and takes part again when it hears them")
     {
-      Step(state, HostsSeen{ .mAlive = Hosts(2, 8), .mLeaving = Hosts(9, 9) }, kStart);
+      Step(state, HostsSeen{ { .mAlive = Hosts(2, 8), .mLeaving = Hosts(9, 9) } }, kStart);
       CHECK(ShareOf(state.mShare, kStart) == Approx(1.0 / 8));
     }
   }
@@ -203,7 +209,7 @@
   }
   SECTION("while the other hosts use the whole budget, it waits")
   {
-    Step(state, HostsSeen{ .mAlive = Hosts(2, 2) }, kStart);
+    Step(state, HostsSeen{ { .mAlive = Hosts(2, 2) } }, kStart);
     Step(state,
          DemandHeard{ .mDemand = { .mHost = HostNumber(2), .mUnheldPerMinute = 7000 } },
          kStart);
@@ -218,15 +224,15 @@
 
 TEST_CASE("Retries are a fraction of live traffic")
 {
-  RetryBudget budget;
+  RetryAllowance allowance;
   int retries = 0;
-  while (TakeRetry(budget)) {
+  while (TakeRetry(allowance)) {
     ++retries;
   }
   CHECK(retries == 50);
   for (int i = 0; i < 100; ++i) {
-    NoteRequest(budget);
-    retries += TakeRetry(budget) ? 1 : 0;
+    NoteRequest(allowance);
+    retries += TakeRetry(allowance) ? 1 : 0;
   }
   CHECK(retries >= 69);
   CHECK(retries <= 70);
--- a/trefoil/admission/host_share.cc
+++ b/trefoil/admission/host_share.cc
@@ -7,6 +7,21 @@
 
 constexpr Milliseconds kStartPeriod{ 5000 };
 
+// Returns how many of the hosts that were known the view names.
+std::size_t
+HeardOf(const HostShare& aShare, const HostView& aView)
+{
+  std::size_t heard = 0;
+  for (const HostId& host : aShare.mHosts) {
+    heard += aView.mAlive.contains(host) ? 1 : 0;
+  }
+  for (const auto& [zone, known] : aShare.mOtherZones) {
+    const auto found = aView.mOtherZones.find(zone);
+    heard += found == aView.mOtherZones.end() ? 0 : std::min(known, found->second);
+  }
+  return heard;
+}
+
 } // namespace
 
 HostShare
@@ -17,28 +32,41 @@
   return share;
 }
 
-void
-ApplyView(HostShare& aShare, std::set<HostId> aAlive, const std::set<HostId>& aLeaving)
+bool
+ApplyView(HostShare& aShare, HostView aView)
 {
-  aAlive.insert(aShare.mOptions.mSelf);
-  for (const HostId& host : aLeaving) {
-    aAlive.erase(host);
+  aView.mAlive.insert(aShare.mOptions.mSelf);
+  for (const HostId& host : aView.mLeaving) {
+    aView.mAlive.erase(host);
     aShare.mHosts.erase(host);
   }
-  const auto heard = std::ranges::count_if(
-    aShare.mHosts, [&aAlive](const HostId& aHost) { return aAlive.contains(aHost); });
-  const bool hearsMost = 2 * static_cast<std::size_t>(heard) > aShare.mHosts.size();
-  if (hearsMost) {
-    aShare.mHosts = std::move(aAlive);
-    return;
+  if (2 * HeardOf(aShare, aView) > HostCount(aShare)) {
+    aShare.mHosts = std::move(aView.mAlive);
+    aShare.mOtherZones = std::move(aView.mOtherZones);
+    return true;
+  }
+  aShare.mHosts.insert(aView.mAlive.begin(), aView.mAlive.end());
+  for (const auto& [zone, hosts] : aView.mOtherZones) {
+    std::size_t& known = aShare.mOtherZones[zone];
+    known = std::max(known, hosts);
+  }
+  return false;
+}
+
+std::size_t
+HostCount(const HostShare& aShare)
+{
+  std::size_t hosts = aShare.mHosts.size();
+  for (const auto& [zone, count] : aShare.mOtherZones) {
+    hosts += count;
   }
-  aShare.mHosts.insert(aAlive.begin(), aAlive.end());
+  return hosts;
 }
 
 double
 ShareOf(const HostShare& aShare, Instant aNow)
 {
-  const std::size_t known = std::max<std::size_t>(1, aShare.mHosts.size());
+  const std::size_t known = std::max<std::size_t>(1, HostCount(aShare));
   const std::size_t hosts =
     HasPassed(aShare.mStartedBy, aNow) ? known : std::max(known, aShare.mOptions.mHostsAtStart);
   return 1.0 / static_cast<double>(hosts);
--- a/trefoil/admission/peak_budget.cc
+++ b/trefoil/admission/peak_budget.cc
@@ -11,6 +11,7 @@
 // The most seconds of its grant that a host saves up.
 constexpr double kMostSavedSeconds = 5;
 constexpr Milliseconds kLongestWait{ 1000 };
+constexpr Milliseconds kSilentAfter{ 60'000 };
 
 } // namespace
 
@@ -30,7 +31,7 @@
 }
 
 void
-ApplyDemand(PeakBudget& aBudget, const HostDemand& aDemand)
+ApplyDemand(PeakBudget& aBudget, const HostDemand& aDemand, Instant aNow)
 {
   HostDemand& known = aBudget.mPeers[aDemand.mHost];
   const auto ageOf = [](const HostDemand& aOf) {
@@ -38,14 +39,20 @@
   };
   if (known.mHost.Empty() || ageOf(known) < ageOf(aDemand)) {
     known = aDemand;
+    known.mSilentAt = aNow + kSilentAfter;
   }
 }
 
 void
-Refresh(PeakBudget& aBudget, const std::set<HostId>& aHosts, double aShare, Instant aNow)
+ForgetSilent(PeakBudget& aBudget, Instant aNow)
 {
   std::erase_if(aBudget.mPeers,
-                [&aHosts](const auto& aEntry) { return !aHosts.contains(aEntry.first); });
+                [aNow](const auto& aEntry) { return HasPassed(aEntry.second.mSilentAt, aNow); });
+}
+
+void
+Refresh(PeakBudget& aBudget, double aShare, Instant aNow)
+{
   Refill(aBudget.mHeadroom,
          { .mPerSecond = aBudget.mGrantedPerSecond,
            .mMost = aBudget.mGrantedPerSecond * kMostSavedSeconds },
--- a/trefoil/admission/peak_budget.h
+++ b/trefoil/admission/peak_budget.h
@@ -2,8 +2,8 @@
 //
 //   PeakBudget budget{ .mWorkPerMinute = 600'000 };
 //   NoteAdmitted(budget, work, aNow);                     // work that is not held back
-//   ApplyDemand(budget, { .mHost = peer, .mUnheldPerMinute = 20'000 });
-//   Refresh(budget, hosts, share, aNow);
+//   ApplyDemand(budget, { .mHost = peer, .mUnheldPerMinute = 20'000 }, aNow);
+//   Refresh(budget, share, aNow);
 //   if (HasHeadroom(budget)) { TakeHeadroom(budget, work); }
 //
 // The headroom is the budget less the work of all hosts that is not held back, by what they last
@@ -16,7 +16,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 
 namespace trefoil {
 
@@ -27,6 +26,8 @@
   std::uint64_t mIncarnation = 0;
   std::uint64_t mSequence = 0;
   double mUnheldPerMinute = 0;
+  // When the host is taken for gone unless it says more.
+  Instant mSilentAt;
 };
 
 struct PeakBudget
@@ -52,12 +53,17 @@
 
 // Takes in what another host says, unless it is older than what is known.
 void
-ApplyDemand(PeakBudget& aBudget, const HostDemand& aDemand);
+ApplyDemand(PeakBudget& aBudget, const HostDemand& aDemand, Instant aNow);
 
-// Forgets hosts that are not in `aHosts`, works out the grant of this host, which has the share
-// `aShare`, and adds what has been granted since the last call.
+// Forgets the demands of hosts that have been silent for long. Not called while this host is cut
+// off, so that it keeps what it last heard.
 void
-Refresh(PeakBudget& aBudget, const std::set<HostId>& aHosts, double aShare, Instant aNow);
+ForgetSilent(PeakBudget& aBudget, Instant aNow);
+
+// Adds what has been granted since the last call, and works out the grant of this host from now on;
+// it has the share `aShare` of the headroom.
+void
+Refresh(PeakBudget& aBudget, double aShare, Instant aNow);
 
 // Returns whether a deferrable request may go now. What it takes beyond the headroom is repaid
 // before the next one goes.
--- a/trefoil/admission/retry_budget.h
+++ b/trefoil/admission/retry_allowance.h
@@ -1,8 +1,8 @@
 // Bounds retries to a fraction of live traffic, so that a failure does not multiply load.
 //
-//   RetryBudget budget;
-//   NoteRequest(budget);
-//   if (TakeRetry(budget)) { ... try again ... }
+//   RetryAllowance allowance;
+//   NoteRequest(allowance);
+//   if (TakeRetry(allowance)) { ... try again ... }
 //
 // Plain data and pure functions.
 #pragma once
@@ -11,30 +11,30 @@
 
 namespace trefoil {
 
-// Retries that each request adds to the budget.
+// Retries that each request adds to the allowance.
 inline constexpr double kRetriesPerRequest = 0.2;
 // What a host that serves few requests may retry at once.
 inline constexpr double kMostSavedRetries = 50;
 
-struct RetryBudget
+struct RetryAllowance
 {
   double mRetries = kMostSavedRetries;
 };
 
 inline void
-NoteRequest(RetryBudget& aBudget)
+NoteRequest(RetryAllowance& aAllowance)
 {
-  aBudget.mRetries = std::min(kMostSavedRetries, aBudget.mRetries + kRetriesPerRequest);
+  aAllowance.mRetries = std::min(kMostSavedRetries, aAllowance.mRetries + kRetriesPerRequest);
 }
 
-// Takes one retry. Returns whether the budget had one.
+// Takes one retry. Returns whether there was one.
 inline bool
-TakeRetry(RetryBudget& aBudget)
+TakeRetry(RetryAllowance& aAllowance)
 {
-  if (aBudget.mRetries < 1) {
+  if (aAllowance.mRetries < 1) {
     return false;
   }
-  aBudget.mRetries -= 1;
+  aAllowance.mRetries -= 1;
   return true;
 }
 
