Put admission in front of completions and plain requests

Cause: the admission decisions were a library that trefoild did not use.

Change: AdmissionGate holds one admission state a service; a traffic thread waits on a condition until its request is answered or must have started. Priority, weight and limit come from the account; X-Trefoil-Priority lowers the priority only. A refusal is 429 or 503 "not run" with the seconds to wait in Retry-After (carried by the status, base/retry_after). The control thread ticks the gate at each of its timers and sends this host's demand to two hosts of its zone and one elsewhere; demands heard go to the gate from the receiving thread. Host shares count the own zone by name and other zones by the live hosts of their digests. New document keys: slots_per_server (32) and peak_tokens_per_minute (0).

--- a/trefoil/frontend/answer.cc
+++ b/trefoil/frontend/answer.cc
@@ -1,5 +1,7 @@
 #include "trefoil/frontend/answer.h"
 
+#include "trefoil/base/retry_after.h"
+
 #include <Poco/JSON/Object.h>
 #include <sstream>
 
@@ -13,7 +15,7 @@
 constexpr int kHttpTooManyRequests = 429;
 constexpr int kHttpUnavailable = 503;
 constexpr int kHttpGatewayTimeout = 504;
-constexpr std::string_view kRetryAfterSeconds = "1";
+constexpr std::int64_t kRetryAfterSeconds = 1;
 
 } // namespace
 
@@ -61,7 +63,9 @@
                      .mBody = FailureBody(aId, aFailure) + "\n" };
   SetHeader(answer.mHeaders, "Content-Type", "application/json");
   if (answer.mStatus == kHttpTooManyRequests || answer.mStatus == kHttpUnavailable) {
-    SetHeader(answer.mHeaders, "Retry-After", kRetryAfterSeconds);
+    SetHeader(answer.mHeaders,
+              "Retry-After",
+              std::to_string(RetryAfterSeconds(aFailure.mStatus).value_or(kRetryAfterSeconds)));
   }
   AddVerdict(answer, aId, aFailure.mVerdict);
   return answer;
--- a/trefoil/node/control_state.cc
+++ b/trefoil/node/control_state.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr std::string_view kDocumentPrefix = "services/";
+// Hosts that are told of this host's work at a time.
+constexpr std::size_t kDemandsInZone = 2;
+constexpr std::size_t kDemandsElsewhere = 1;
 
 std::shared_ptr<const Snapshot>
 MakeSnapshot(ControlState& aState)
@@ -17,6 +20,7 @@
   snapshot->mReady = aState.mReady && !aState.mLeaving;
   snapshot->mStoreReachable = aState.mStoreReachable;
   snapshot->mMembers = aState.mGossip.mMembers;
+  snapshot->mZones = aState.mGossip.mZones;
   snapshot->mFreshUntil = aState.mGossip.mFreshUntil;
   for (const auto& [service, document] : aState.mDocuments.mByService) {
     snapshot->mServices[service] = { .mDocument = document.mDocument,
@@ -94,6 +98,16 @@
   return effects;
 }
 
+ControlEffects
+On(ControlState& aState, const DemandsSampled& aEvent, Instant)
+{
+  ControlEffects effects;
+  for (Endpoint& target : SpreadTargets(aState.mGossip, kDemandsInZone, kDemandsElsewhere)) {
+    effects.emplace_back(SendMessage{ .mTo = std::move(target), .mMessage = aEvent.mDemands });
+  }
+  return effects;
+}
+
 ControlEffects
 On(ControlState&, const StoreReadDone&, Instant)
 {
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -1,6 +1,7 @@
 #include "trefoil/node/entry_host.h"
 
 #include "trefoil/base/digest.h"
+#include "trefoil/node/internal/admission_request.h"
 #include "trefoil/platform/store_client.h"
 #include "trefoil/wire/codec.h"
 
@@ -31,10 +32,14 @@
   : mSettings(aSettings)
   , mSocket(std::move(aSocket))
   , mStoreWorker({ .mStore = { .mEndpoint = mSettings.mStore }, .mQueue = &mQueue })
+  , mAdmission({ .mHost = mSettings.mHost,
+                 .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())),
+                 .mHostsAtStart = mSettings.mSeeds.size() + 1 })
   , mTraffic{ .mHost = mSettings.mHost,
               .mZone = mSettings.mZone,
               .mSnapshots = &mSnapshots,
               .mRouting = &mRouting,
+              .mAdmission = &mAdmission,
               .mActive = &mActive,
               .mMetrics = &mMetrics }
 {
@@ -109,10 +114,22 @@
     }
     if (HasPassed(NextTimer(state), Now())) {
       CarryOut(Step(state, TimerFired{}, Now()));
+      TickAdmission(state);
     }
   }
 }
 
+void
+EntryHost::TickAdmission(ControlState& aState)
+{
+  const Instant now = Now();
+  AdmissionDemands demands =
+    mAdmission.Tick(ViewOfHosts(*mSnapshots.Read(), mSettings.mZone, now), now);
+  if (!demands.mDemands.empty()) {
+    CarryOut(Step(aState, DemandsSampled{ .mDemands = std::move(demands) }, now));
+  }
+}
+
 void
 EntryHost::CarryOut(const ControlEffects& aEffects)
 {
@@ -176,7 +193,12 @@
       continue;
     }
     auto message = Decode(*bytes);
-    if (message.ok()) {
+    if (!message.ok()) {
+      continue;
+    }
+    if (const auto* demands = std::get_if<AdmissionDemands>(&*message)) {
+      mAdmission.Hear(*demands, Now());
+    } else {
       mQueue.Push(MessageArrived{ .mMessage = std::move(*message) });
     }
   }
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -9,6 +9,7 @@
 
 #include "absl/status/statusor.h"
 #include "trefoil/http/server.h"
+#include "trefoil/node/admission_gate.h"
 #include "trefoil/node/control_state.h"
 #include "trefoil/node/event_queue.h"
 #include "trefoil/node/routing_tables.h"
@@ -45,6 +46,7 @@
   void RunControl();
   void RunStoreWatch();
   void RunPeerReceive();
+  void TickAdmission(ControlState& aState);
   void CarryOut(const ControlEffects& aEffects);
   void CarryOut(const PublishSnapshot& aEffect);
   void CarryOut(const SendMessage& aEffect);
@@ -57,6 +59,7 @@
   SnapshotCell mSnapshots;
   StoreWorker mStoreWorker;
   RoutingTables mRouting;
+  AdmissionGate mAdmission;
   Metrics mMetrics;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
--- a/trefoil/node/event.h
+++ b/trefoil/node/event.h
@@ -75,13 +75,20 @@
   StoreWrite mWrite;
 };
 
+// The work of this host that admission does not hold back was measured.
+struct DemandsSampled
+{
+  AdmissionDemands mDemands;
+};
+
 using ControlEvent = std::variant<DocumentsRead,
                                   StoreUnreachable,
                                   MessageArrived,
                                   StopAnnounced,
                                   TimerFired,
                                   StoreReadDone,
-                                  StoreWriteDone>;
+                                  StoreWriteDone,
+                                  DemandsSampled>;
 
 // Show this snapshot to the traffic threads.
 struct PublishSnapshot
--- /dev/null
+++ b/trefoil/node/internal/admission_request.cc
@@ -0,0 +1,93 @@
+#include "trefoil/node/internal/admission_request.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace trefoil {
+namespace {
+
+constexpr double kBytesPerToken = 4;
+// What processing a prompt token costs relative to generating one.
+constexpr double kPromptTokenWork = 0.05;
+constexpr double kExpectedTokens = 256;
+
+// Returns the priority that a request asks for, `aOwn` at most.
+absl::StatusOr<Priority>
+PriorityOf(const HttpRequest& aRequest, Priority aOwn)
+{
+  const std::string_view text = HeaderValue(aRequest.mHeaders, kPriorityHeader);
+  if (text.empty()) {
+    return aOwn;
+  }
+  const auto asked = ValueOf(kPriorityNames, text);
+  if (!asked.has_value()) {
+    return absl::InvalidArgumentError(
+      fmt::format("{} must be urgent, normal or deferrable", kPriorityHeader));
+  }
+  // Lower priorities come later in the enumeration.
+  return std::max(aOwn, *asked);
+}
+
+} // namespace
+
+absl::StatusOr<RequestArrived>
+MakeArrival(const Caller& aCaller, const HttpRequest& aRequest, double aWork)
+{
+  const auto& accounts = aCaller.mDocument->mAccounts;
+  const auto account = std::ranges::find(accounts, aCaller.mAccount, &AccountSpec::mAccount);
+  const AccountSpec spec = account == accounts.end() ? AccountSpec{} : *account;
+  const auto priority = PriorityOf(aRequest, spec.mPriority);
+  if (!priority.ok()) {
+    return priority.status();
+  }
+  return RequestArrived{ .mAccount = aCaller.mAccount,
+                         .mAccountWeight = spec.mWeight,
+                         .mAccountLimit = static_cast<double>(spec.mRequestsPerSecond),
+                         .mPriority = *priority,
+                         .mDeadline = aCaller.mDeadline,
+                         .mWork = aWork };
+}
+
+double
+ExpectedWork(const CompletionRequest& aRequest)
+{
+  const double prompt = static_cast<double>(aRequest.mPrompt.size()) / kBytesPerToken;
+  return prompt * kPromptTokenWork + kExpectedTokens;
+}
+
+absl::StatusOr<AdmissionPass>
+Admit(const TrafficContext& aContext,
+      const Caller& aCaller,
+      const HttpRequest& aRequest,
+      double aWork)
+{
+  const auto arrival = MakeArrival(aCaller, aRequest, aWork);
+  if (!arrival.ok()) {
+    return arrival.status();
+  }
+  return aContext.mAdmission->Enter(*aCaller.mDocument, *arrival);
+}
+
+HostView
+ViewOfHosts(const Snapshot& aSnapshot, const AvailabilityZoneId& aZone, Instant aNow)
+{
+  HostView view;
+  for (const auto& [host, member] : aSnapshot.mMembers.mByHost) {
+    if (member.mLast.mZone != aZone) {
+      continue;
+    }
+    if (member.mState == MemberState::kLeaving) {
+      view.mLeaving.insert(host);
+    } else if (member.mState == MemberState::kAlive) {
+      view.mAlive.insert(host);
+    }
+  }
+  for (const auto& [zone, known] : aSnapshot.mZones) {
+    if (!HasPassed(known.mStaleAt, aNow)) {
+      view.mOtherZones[zone] = known.mDigest.mLiveHosts;
+    }
+  }
+  return view;
+}
+
+} // namespace trefoil
--- a/trefoil/node/internal/completion_traffic.cc
+++ b/trefoil/node/internal/completion_traffic.cc
@@ -3,6 +3,7 @@
 #include "trefoil/base/digest.h"
 #include "trefoil/frontend/answer.h"
 #include "trefoil/frontend/completion.h"
+#include "trefoil/node/internal/admission_request.h"
 #include "trefoil/node/internal/caller.h"
 #include "trefoil/node/internal/pick_server.h"
 #include "trefoil/request/stream_progress.h"
@@ -216,6 +217,11 @@
     refuse(absl::InvalidArgumentError("the service is no model service"));
     return;
   }
+  const auto pass = Admit(aContext, *caller, aExchange.Request(), ExpectedWork(*request));
+  if (!pass.ok()) {
+    refuse(pass.status());
+    return;
+  }
   Serving serving{ .mContext = aContext,
                    .mExchange = aExchange,
                    .mRequest = *request,
--- a/trefoil/node/internal/plain_traffic.cc
+++ b/trefoil/node/internal/plain_traffic.cc
@@ -2,6 +2,7 @@
 
 #include "trefoil/frontend/answer.h"
 #include "trefoil/http/client.h"
+#include "trefoil/node/internal/admission_request.h"
 #include "trefoil/node/internal/caller.h"
 #include "trefoil/node/internal/pick_server.h"
 
@@ -117,6 +118,11 @@
     refuse(absl::InvalidArgumentError("the service is no plain service"));
     return;
   }
+  const auto pass = Admit(aContext, *caller, aExchange.Request(), 1);
+  if (!pass.ok()) {
+    refuse(pass.status());
+    return;
+  }
   HttpRequest request = aExchange.Request();
   request.mTarget = target.mRest;
   request.mHeaders = ForwardedHeaders(aExchange.Request().mHeaders);
--- a/trefoil/node/snapshot.h
+++ b/trefoil/node/snapshot.h
@@ -9,6 +9,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "trefoil/base/ids.h"
+#include "trefoil/membership/gossip.h"
 #include "trefoil/membership/members.h"
 #include "trefoil/service/service_document.h"
 
@@ -39,6 +40,8 @@
   Instant mFreshUntil;
   std::map<ServiceId, ServiceView> mServices;
   Members mMembers;
+  // The other availability zones.
+  std::map<AvailabilityZoneId, ZoneView> mZones;
 };
 
 // Returns the view of a service with a document in force, null if there is none.
--- a/trefoil/node/traffic.h
+++ b/trefoil/node/traffic.h
@@ -8,6 +8,7 @@
 
 #include "trefoil/http/server.h"
 #include "trefoil/metrics/metrics.h"
+#include "trefoil/node/admission_gate.h"
 #include "trefoil/node/routing_tables.h"
 #include "trefoil/node/snapshot.h"
 
@@ -22,6 +23,7 @@
   AvailabilityZoneId mZone;
   SnapshotCell* mSnapshots = nullptr;
   RoutingTables* mRouting = nullptr;
+  AdmissionGate* mAdmission = nullptr;
   // Requests that are being served now.
   std::atomic<std::int64_t>* mActive = nullptr;
   Metrics* mMetrics = nullptr;
--- a/trefoil/service/service_document.cc
+++ b/trefoil/service/service_document.cc
@@ -13,6 +13,9 @@
 constexpr std::int64_t kDefaultDeadlineMilliseconds = 120'000;
 constexpr std::int64_t kLongestDeadlineMilliseconds = 24LL * 3'600'000;
 constexpr int kWholeShare = 100;
+constexpr std::int64_t kDefaultSlotsPerServer = 32;
+constexpr std::int64_t kMostSlotsPerServer = 10'000;
+constexpr std::int64_t kMostPeakTokens = 1'000'000'000'000;
 constexpr std::size_t kSha256HexDigits = 64;
 
 std::string
@@ -165,6 +168,10 @@
     reader.OptionalInt("default_deadline_ms",
                        kDefaultDeadlineMilliseconds,
                        { .mLeast = 1, .mMost = kLongestDeadlineMilliseconds });
+  document.mSlotsPerServer = reader.OptionalInt(
+    "slots_per_server", kDefaultSlotsPerServer, { .mLeast = 1, .mMost = kMostSlotsPerServer });
+  document.mPeakTokensPerMinute =
+    reader.OptionalInt("peak_tokens_per_minute", 0, { .mLeast = 0, .mMost = kMostPeakTokens });
   document.mVersions = ReadTables(reader, "version", status, ReadVersion);
   document.mAccounts = ReadTables(reader, "account", status, ReadAccount);
   document.mServers = ReadTables(reader, "backend_server", status, ReadServer);
--- a/trefoil/service/service_document.h
+++ b/trefoil/service/service_document.h
@@ -115,6 +115,10 @@
   std::vector<AccountSpec> mAccounts;
   std::vector<BackendServerSpec> mServers;
   std::vector<RouteSpec> mRoutes;
+  // Requests that a backend server runs at once; further ones wait at the entry hosts.
+  std::int64_t mSlotsPerServer = 0;
+  // The budget for the busiest minute over all hosts, in expected tokens; 0 for none.
+  std::int64_t mPeakTokensPerMinute = 0;
   // Default deadline of a request that states none.
   std::int64_t mDefaultDeadlineMilliseconds = 0;
 };
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "trefoil/base/endpoint.h"
+#include "trefoil/wire/admission_message.h"
 #include "trefoil/wire/config_message.h"
 #include "trefoil/wire/gossip_message.h"
 #include "trefoil/wire/health_message.h"
@@ -23,7 +24,8 @@
                              Heartbeats,
                              ServerReports,
                              DocumentsWanted,
-                             DocumentsOffered>;
+                             DocumentsOffered,
+                             AdmissionDemands>;
 
 // A message and where it goes.
 struct Datagram
