--- /dev/null
+++ b/trefoil/idempotency/ticket_codec.cc
@@ -0,0 +1,120 @@
+#include "trefoil/idempotency/ticket_codec.h"
+
+#include "absl/strings/escaping.h"
+#include "trefoil/base/digest.h"
+
+#include <Poco/HMACEngine.h>
+#include <Poco/SHA2Engine.h>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cstddef>
+#include <exception>
+#include <sstream>
+
+namespace trefoil {
+namespace {
+
+constexpr std::string_view kPrefix = "ticket1.";
+constexpr std::size_t kMostTicketBytes = 1024;
+
+// The sizes that the library's HMAC asks its digest for.
+class Sha256Engine : public Poco::SHA2Engine
+{
+public:
+  enum : unsigned
+  {
+    BLOCK_SIZE = 64,
+    DIGEST_SIZE = 32,
+  };
+};
+
+std::string
+MacOf(std::string_view aPayload, const std::string& aSecret)
+{
+  Poco::HMACEngine<Sha256Engine> engine{ aSecret };
+  engine.update(aPayload.data(), static_cast<unsigned>(aPayload.size()));
+  return Poco::DigestEngine::digestToHex(engine.digest());
+}
+
+// A ticket with its calendar times as numbers.
+struct TicketForm
+{
+  Ticket mTicket;
+
+  template<typename Archive>
+  void save(Archive& aArchive) const
+  {
+    Fields(aArchive, mTicket);
+    aArchive(UnixMilliseconds(mTicket.mIssuedAt), UnixMilliseconds(mTicket.mExpiresAt));
+  }
+  template<typename Archive>
+  void load(Archive& aArchive)
+  {
+    std::int64_t issuedAt = 0;
+    std::int64_t expiresAt = 0;
+    Fields(aArchive, mTicket);
+    aArchive(issuedAt, expiresAt);
+    mTicket.mIssuedAt = FromUnixMilliseconds(issuedAt);
+    mTicket.mExpiresAt = FromUnixMilliseconds(expiresAt);
+  }
+
+private:
+  template<typename Archive, typename AnyTicket>
+  static void Fields(Archive& aArchive, AnyTicket& aTicket)
+  {
+    aArchive(aTicket.mZone,
+             aTicket.mHost,
+             aTicket.mEndpoint,
+             aTicket.mIncarnation,
+             aTicket.mSerial,
+             aTicket.mAccount,
+             aTicket.mService);
+  }
+};
+
+} // namespace
+
+bool
+LooksLikeTicket(std::string_view aKey)
+{
+  return aKey.starts_with(kPrefix);
+}
+
+std::string
+EncodeTicket(const Ticket& aTicket, const std::string& aSecret)
+{
+  std::ostringstream out;
+  cereal::PortableBinaryOutputArchive archive{ out };
+  archive(TicketForm{ aTicket });
+  const std::string payload = std::string{ kPrefix } + absl::WebSafeBase64Escape(out.str());
+  return payload + "." + MacOf(payload, aSecret);
+}
+
+absl::StatusOr<Ticket>
+DecodeTicket(std::string_view aText, const std::string& aSecret)
+{
+  const std::size_t end = aText.rfind('.');
+  if (!LooksLikeTicket(aText) || aText.size() > kMostTicketBytes || end < kPrefix.size()) {
+    return absl::PermissionDeniedError("the key is no ticket");
+  }
+  const std::string_view payload = aText.substr(0, end);
+  if (!ConstantTimeEqual(aText.substr(end + 1), MacOf(payload, aSecret))) {
+    return absl::PermissionDeniedError("the ticket was not minted by this system");
+  }
+  const std::string_view encoded = payload.substr(kPrefix.size());
+  std::string bytes;
+  if (!absl::WebSafeBase64Unescape({ encoded.data(), encoded.size() }, &bytes)) {
+    return absl::PermissionDeniedError("the ticket cannot be read");
+  }
+  try {
+    std::istringstream in{ bytes };
+    cereal::PortableBinaryInputArchive archive{ in };
+    TicketForm form;
+    archive(form);
+    return form.mTicket;
+  } catch (const std::exception& error) {
+    return absl::PermissionDeniedError(error.what());
+  }
+}
+
+} // namespace trefoil
