--- a/trefoil/admission/admission.cc
+++ b/trefoil/admission/admission.cc
@@ -77,7 +77,7 @@
 }
 
 RefuseRequest
-Refuse(const AdmissionState& aState, Ticket aTicket, RefusalReason aReason, Instant aNow)
+Refuse(const AdmissionState& aState, QueueTicket aTicket, RefusalReason aReason, Instant aNow)
 {
   double work = 0;
   for (const auto& [key, flow] : aState.mQueue.mFlows) {
@@ -124,7 +124,7 @@
 {
   auto& byStart = aState.mQueue.mByLatestStart;
   while (!byStart.empty() && HasPassed(byStart.begin()->first, aNow)) {
-    const Ticket ticket = byStart.begin()->second;
+    const QueueTicket ticket = byStart.begin()->second;
     Remove(aState.mQueue, ticket);
     aEffects.emplace_back(Refuse(aState, ticket, RefusalReason::kDeadline, aNow));
   }
@@ -166,7 +166,7 @@
   if (ownWork / aWeight >= flow.mQueuedWork / flow.mWeight) {
     return false;
   }
-  const Ticket last = std::prev(flow.mRequests.end())->second.mTicket;
+  const QueueTicket last = std::prev(flow.mRequests.end())->second.mTicket;
   Remove(aState.mQueue, last);
   aEffects.emplace_back(Refuse(aState, last, RefusalReason::kQueueFull, aNow));
   return true;
--- a/trefoil/admission/admission.h
+++ b/trefoil/admission/admission.h
@@ -41,7 +41,7 @@
 // A request of a caller.
 struct RequestArrived
 {
-  Ticket mTicket = 0;
+  QueueTicket mTicket = 0;
   ClientAccountId mAccount;
   int mAccountWeight = 1;
   // Requests a second of the account over all hosts; 0 for no limit.
@@ -55,7 +55,7 @@
 // A request that was admitted has ended, or one that waits is no longer wanted.
 struct RequestEnded
 {
-  Ticket mTicket = 0;
+  QueueTicket mTicket = 0;
 };
 
 // The operators' document changed.
@@ -105,13 +105,13 @@
 
 struct AdmitRequest
 {
-  Ticket mTicket = 0;
+  QueueTicket mTicket = 0;
 };
 
 // The request was not run.
 struct RefuseRequest
 {
-  Ticket mTicket = 0;
+  QueueTicket mTicket = 0;
   RefusalReason mReason = RefusalReason::kDeadline;
   // When the caller should try again.
   Instant mRetryAt;
@@ -143,7 +143,7 @@
   FairQueue mQueue;
   std::map<ClientAccountId, TokenBucket> mLimits;
   std::map<FlowKey, DurationEstimate> mDurations;
-  absl::flat_hash_map<Ticket, RunningRequest> mRunning;
+  absl::flat_hash_map<QueueTicket, RunningRequest> mRunning;
   // Work that one slot does in a millisecond.
   double mWorkPerSlotMs = 0.05;
   PeakBudget mPeak;
--- a/trefoil/admission/admission_test.cc
+++ b/trefoil/admission/admission_test.cc
@@ -38,7 +38,7 @@
 }
 
 RequestArrived
-Arrival(Ticket aTicket, Priority aPriority, std::int64_t aDeadlineMs)
+Arrival(QueueTicket aTicket, Priority aPriority, std::int64_t aDeadlineMs)
 {
   return { .mTicket = aTicket,
            .mAccount = ClientAccountId{ "directors" },
@@ -47,10 +47,10 @@
            .mWork = 100 };
 }
 
-std::vector<Ticket>
+std::vector<QueueTicket>
 AdmittedIn(const AdmissionEffects& aEffects)
 {
-  std::vector<Ticket> tickets;
+  std::vector<QueueTicket> tickets;
   for (const AdmissionEffect& effect : aEffects) {
     if (const auto* admit = std::get_if<AdmitRequest>(&effect)) {
       tickets.push_back(admit->mTicket);
@@ -75,7 +75,7 @@
 {
   AdmissionState state = StateWith({ .mSlots = 1 });
   REQUIRE(AdmittedIn(Step(state, Arrival(1, Priority::kNormal, 60'000), kStart)) ==
-          std::vector<Ticket>{ 1 });
+          std::vector<QueueTicket>{ 1 });
 
   SECTION("further requests wait")
   {
@@ -86,13 +86,13 @@
 
     SECTION("the urgent one goes first, then the earliest deadline, the deferrable one last")
     {
-      std::vector<Ticket> order;
-      for (Ticket ended = 1; order.size() < 4; ended = order.back()) {
+      std::vector<QueueTicket> order;
+      for (QueueTicket ended = 1; order.size() < 4; ended = order.back()) {
         const auto admitted = AdmittedIn(Step(state, RequestEnded{ .mTicket = ended }, At(10)));
         REQUIRE(admitted.size() == 1);
         order.push_back(admitted.front());
       }
-      CHECK(order == std::vector<Ticket>{ 5, 4, 3, 2 });
+      CHECK(order == std::vector<QueueTicket>{ 5, 4, 3, 2 });
     }
     SECTION("one that cannot start in time is refused then, and not run")
     {
@@ -107,12 +107,12 @@
     {
       CHECK(Step(state, RequestEnded{ .mTicket = 5 }, At(1)).empty());
       CHECK(AdmittedIn(Step(state, RequestEnded{ .mTicket = 1 }, At(10))) ==
-            std::vector<Ticket>{ 4 });
+            std::vector<QueueTicket>{ 4 });
     }
   }
   SECTION("a request whose wait would outlast its deadline is refused at once")
   {
-    for (Ticket ticket = 2; ticket < 12; ++ticket) {
+    for (QueueTicket ticket = 2; ticket < 12; ++ticket) {
       REQUIRE(Step(state, Arrival(ticket, Priority::kNormal, 60'000), kStart).empty());
     }
     // Ten requests of 100 tokens at 50 tokens a second take 20 s.
@@ -128,7 +128,7 @@
 TEST_CASE("The queue is full")
 {
   AdmissionState state = StateWith({ .mSlots = 1, .mMostQueued = 4 });
-  for (Ticket ticket = 1; ticket <= 5; ++ticket) {
+  for (QueueTicket ticket = 1; ticket <= 5; ++ticket) {
     Step(state, Arrival(ticket, Priority::kNormal, 60'000), kStart);
   }
   SECTION("the account that filled it is refused")
@@ -198,14 +198,14 @@
 
   SECTION("deferrable work waits for headroom, urgent work does not")
   {
-    REQUIRE(AdmittedIn(Step(state, AdmissionTimer{}, At(10))) == std::vector<Ticket>{ 2 });
+    REQUIRE(AdmittedIn(Step(state, AdmissionTimer{}, At(10))) == std::vector<QueueTicket>{ 2 });
     REQUIRE(Step(state, Arrival(3, Priority::kDeferrable, 60'000), At(10)).empty());
     CHECK(AdmittedIn(Step(state, Arrival(4, Priority::kUrgent, 60'000), At(10))) ==
-          std::vector<Ticket>{ 4 });
+          std::vector<QueueTicket>{ 4 });
     CHECK(NextTimer(state, At(10)) < At(2000));
     // About 90 tokens a second are left of the budget, and request 2 took 100.
     CHECK(AdmittedIn(Step(state, AdmissionTimer{}, At(500))).empty());
-    CHECK(AdmittedIn(Step(state, AdmissionTimer{}, At(2000))) == std::vector<Ticket>{ 3 });
+    CHECK(AdmittedIn(Step(state, AdmissionTimer{}, At(2000))) == std::vector<QueueTicket>{ 3 });
   }
   SECTION("while the other hosts use the whole budget, it waits")
   {
@@ -217,7 +217,7 @@
     CHECK(AdmittedIn(Step(state, AdmissionTimer{}, At(30'000))).empty());
     SECTION("until its deadline asks for it")
     {
-      CHECK(AdmittedIn(Step(state, AdmissionTimer{}, At(36'500))) == std::vector<Ticket>{ 2 });
+      CHECK(AdmittedIn(Step(state, AdmissionTimer{}, At(36'500))) == std::vector<QueueTicket>{ 2 });
     }
   }
 }
--- a/trefoil/admission/fair_queue.h
+++ b/trefoil/admission/fair_queue.h
@@ -26,7 +26,7 @@
 namespace trefoil {
 
 // One request in front of admission, unique on its entry host.
-using Ticket = std::uint64_t;
+using QueueTicket = std::uint64_t;
 
 // The requests that share one queue.
 struct FlowKey
@@ -39,7 +39,7 @@
 
 struct QueuedRequest
 {
-  Ticket mTicket = 0;
+  QueueTicket mTicket = 0;
   // When it must start to meet its deadline.
   Instant mLatestStart;
   // Until when a deferrable request may be held back.
@@ -48,7 +48,7 @@
   double mWork = 1;
 };
 
-using QueueOrder = std::pair<Instant, Ticket>;
+using QueueOrder = std::pair<Instant, QueueTicket>;
 
 struct Flow
 {
@@ -65,7 +65,7 @@
   std::map<FlowKey, Flow> mFlows;
   double mVirtualTime = 0;
   // Where each request waits.
-  absl::flat_hash_map<Ticket, std::pair<FlowKey, Instant>> mPlaces;
+  absl::flat_hash_map<QueueTicket, std::pair<FlowKey, Instant>> mPlaces;
   // All requests, by when they must start.
   std::set<QueueOrder> mByLatestStart;
 };
@@ -102,7 +102,7 @@
 
 // Takes out one request. Returns whether it waited.
 bool
-Remove(FairQueue& aQueue, Ticket aTicket);
+Remove(FairQueue& aQueue, QueueTicket aTicket);
 
 // Returns the flow that has the most queued work for its weight, null if nothing waits.
 const FlowKey*
--- a/trefoil/node/admission_gate.cc
+++ b/trefoil/node/admission_gate.cc
@@ -47,7 +47,7 @@
   return absl::UnavailableError("refused");
 }
 
-Ticket
+QueueTicket
 TicketOf(const AdmissionEffect& aEffect)
 {
   return std::visit([](const auto& aKind) { return aKind.mTicket; }, aEffect);
@@ -75,7 +75,7 @@
 
 } // namespace
 
-AdmissionPass::AdmissionPass(AdmissionGate& aGate, ServiceId aService, Ticket aTicket)
+AdmissionPass::AdmissionPass(AdmissionGate& aGate, ServiceId aService, QueueTicket aTicket)
   : mGate(&aGate)
   , mService(std::move(aService))
   , mTicket(aTicket)
@@ -133,7 +133,7 @@
 }
 
 AdmissionEffect
-AdmissionGate::WaitFor(AdmissionState& aState, Ticket aTicket, Waiter& aWaiter)
+AdmissionGate::WaitFor(AdmissionState& aState, QueueTicket aTicket, Waiter& aWaiter)
 {
   while (!aWaiter.mAnswer.has_value()) {
     const auto place = aState.mQueue.mPlaces.find(aTicket);
@@ -167,7 +167,7 @@
 }
 
 void
-AdmissionGate::Leave(const ServiceId& aService, Ticket aTicket)
+AdmissionGate::Leave(const ServiceId& aService, QueueTicket aTicket)
 {
   const absl::MutexLock lock{ &mMutex };
   const auto state = mStates.find(aService);
--- a/trefoil/node/admission_gate.h
+++ b/trefoil/node/admission_gate.h
@@ -37,7 +37,7 @@
 class AdmissionPass
 {
 public:
-  AdmissionPass(AdmissionGate& aGate, ServiceId aService, Ticket aTicket);
+  AdmissionPass(AdmissionGate& aGate, ServiceId aService, QueueTicket aTicket);
   AdmissionPass(AdmissionPass&& aOther) noexcept;
   AdmissionPass& operator=(AdmissionPass&&) = delete;
   ~AdmissionPass();
@@ -45,7 +45,7 @@
 private:
   AdmissionGate* mGate;
   ServiceId mService;
-  Ticket mTicket;
+  QueueTicket mTicket;
 };
 
 // How many requests of a service wait and run on this host.
@@ -89,16 +89,16 @@
   AdmissionState& StateOf(const ServiceDocument& aDocument) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
   void Apply(AdmissionState& aState, const AdmissionEvent& aEvent, Instant aNow)
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
-  AdmissionEffect WaitFor(AdmissionState& aState, Ticket aTicket, Waiter& aWaiter)
+  AdmissionEffect WaitFor(AdmissionState& aState, QueueTicket aTicket, Waiter& aWaiter)
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
-  void Leave(const ServiceId& aService, Ticket aTicket);
+  void Leave(const ServiceId& aService, QueueTicket aTicket);
 
   const AdmissionGateOptions mOptions;
   mutable absl::Mutex mMutex;
-  Ticket mLastTicket ABSL_GUARDED_BY(mMutex) = 0;
+  QueueTicket mLastTicket ABSL_GUARDED_BY(mMutex) = 0;
   std::uint64_t mSequence ABSL_GUARDED_BY(mMutex) = 0;
   std::map<ServiceId, AdmissionState> mStates ABSL_GUARDED_BY(mMutex);
-  std::map<Ticket, Waiter*> mWaiters ABSL_GUARDED_BY(mMutex);
+  std::map<QueueTicket, Waiter*> mWaiters ABSL_GUARDED_BY(mMutex);
 };
 
 } // namespace trefoil
--- a/trefoil/node/event.h
+++ b/trefoil/node/event.h
@@ -7,7 +7,9 @@
 #include "trefoil/base/name_table.h"
 #include "trefoil/config/config_spread.h"
 #include "trefoil/health/server_health.h"
+#include "trefoil/idempotency/claims.h"
 #include "trefoil/node/snapshot.h"
+#include "trefoil/node/ticket_event.h"
 #include "trefoil/platform/store_client.h"
 #include "trefoil/wire/message.h"
 
@@ -105,7 +107,12 @@
                                   StoreWriteDone,
                                   DocumentsFetched,
                                   ServerPolled,
-                                  DemandsSampled>;
+                                  DemandsSampled,
+                                  ClaimWanted,
+                                  OutcomeKnown,
+                                  TicketWanted,
+                                  TicketUsed,
+                                  TicketEnded>;
 
 // Show this snapshot to the traffic threads.
 struct PublishSnapshot
@@ -162,7 +169,10 @@
                                    StoreWriteWanted,
                                    FetchDocuments,
                                    PollServer,
-                                   WatchDocuments>;
+                                   WatchDocuments,
+                                   ClaimDecided,
+                                   TicketMinted,
+                                   TicketDecided>;
 using ControlEffects = std::vector<ControlEffect>;
 
 } // namespace trefoil
--- /dev/null
+++ b/trefoil/node/internal/keyed_traffic.cc
@@ -0,0 +1,339 @@
+#include "trefoil/node/internal/keyed_traffic.h"
+
+#include "trefoil/base/digest.h"
+#include "trefoil/frontend/answer.h"
+#include "trefoil/idempotency/key_date.h"
+#include "trefoil/idempotency/ticket_codec.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <optional>
+#include <utility>
+
+namespace trefoil {
+namespace {
+
+// How long a claim may wait for the store.
+constexpr Milliseconds kClaimLimit{ 2'500 };
+// What the control thread may take on top of a claim's deadline.
+constexpr Milliseconds kControlGrace{ 500 };
+constexpr std::string_view kForwardedHeader = "X-Trefoil-Forwarded";
+constexpr std::string_view kRecordedHeader = "X-Trefoil-Recorded";
+constexpr std::string_view kFirstAttempt = "1";
+constexpr std::string_view kRetryAfterSeconds = "1";
+constexpr int kHttpCreated = 201;
+constexpr std::size_t kKeyDigestDigits = 32;
+const ClaimOptions kClaimOptions;
+
+std::string
+DigestOfKey(const KeyedRequest& aRequest)
+{
+  const std::string_view key = HeaderValue(aRequest.mRequest.mHeaders, kIdempotencyKeyHeader);
+  return Sha256Hex(fmt::format("{}\n{}\n{}",
+                               aRequest.mCaller.mDocument->mService.Value(),
+                               aRequest.mCaller.mAccount.Value(),
+                               key))
+    .substr(0, kKeyDigestDigits);
+}
+
+std::string
+DigestOfRequest(const HttpRequest& aRequest)
+{
+  return Sha256Hex(fmt::format("{}\n{}\n{}", aRequest.mMethod, aRequest.mTarget, aRequest.mBody));
+}
+
+// Returns the verdict where this sending was not dispatched but an earlier one may have been.
+Verdict
+VerdictUnlessFirst(const HttpRequest& aRequest)
+{
+  const bool first = HeaderValue(aRequest.mHeaders, kAttemptHeader) == kFirstAttempt;
+  return first ? Verdict::kNotRun : Verdict::kMayHaveRun;
+}
+
+HttpAnswer
+Refuse(const RequestId& aId, Verdict aVerdict, absl::Status aStatus)
+{
+  HttpAnswer answer = RenderFailure(aId, { .mVerdict = aVerdict, .mStatus = std::move(aStatus) });
+  SetHeader(answer.mHeaders, "Retry-After", kRetryAfterSeconds);
+  return answer;
+}
+
+ClaimOutcome
+OutcomeOf(const HttpResult& aResult)
+{
+  if (const auto* failure = std::get_if<Failure>(&aResult)) {
+    const bool notRun = failure->mVerdict == Verdict::kNotRun;
+    return { .mStage = notRun ? ClaimStage::kNotRun : ClaimStage::kMayHaveRun };
+  }
+  const auto& answer = std::get<HttpAnswer>(aResult);
+  ClaimOutcome outcome{ .mStage = ClaimStage::kRan,
+                        .mHttpStatus = answer.mStatus,
+                        .mBodySha256 = Sha256Hex(answer.mBody) };
+  if (answer.mBody.size() <= kMostRecordedBodyBytes) {
+    outcome.mBody = answer.mBody;
+  }
+  return outcome;
+}
+
+HttpAnswer
+Render(const RequestId& aId, const HttpResult& aResult)
+{
+  if (const auto* failure = std::get_if<Failure>(&aResult)) {
+    return RenderFailure(aId, *failure);
+  }
+  HttpAnswer answer = std::get<HttpAnswer>(aResult);
+  AddVerdict(answer, aId, Verdict::kRan);
+  return answer;
+}
+
+// Answers with the outcome of an earlier request of the same key.
+HttpAnswer
+RenderRecorded(const RequestId& aId, const ClaimOutcome& aOutcome)
+{
+  if (aOutcome.mStage != ClaimStage::kRan) {
+    return Refuse(aId,
+                  Verdict::kMayHaveRun,
+                  absl::UnavailableError("the earlier request with this key got no answer"));
+  }
+  HttpAnswer answer{ .mStatus = aOutcome.mHttpStatus, .mBody = aOutcome.mBody };
+  SetHeader(answer.mHeaders, kRecordedHeader, aOutcome.mBodySha256);
+  AddVerdict(answer, aId, Verdict::kRan);
+  return answer;
+}
+
+HttpAnswer
+RefuseUnclaimed(const KeyedRequest& aRequest, ClaimAnswer aAnswer)
+{
+  const RequestId& id = aRequest.mId;
+  switch (aAnswer) {
+    case ClaimAnswer::kInProgress:
+      return Refuse(id,
+                    Verdict::kMayHaveRun,
+                    absl::AbortedError("an earlier request with this key is running"));
+    case ClaimAnswer::kOtherRequest:
+      return Refuse(
+        id, Verdict::kNotRun, absl::InvalidArgumentError("the key was used with another request"));
+    case ClaimAnswer::kExpired:
+      return Refuse(
+        id, Verdict::kMayHaveRun, absl::FailedPreconditionError("the key is past its retention"));
+    case ClaimAnswer::kFull:
+      return Refuse(
+        id, Verdict::kNotRun, absl::ResourceExhaustedError("too many keys of this time"));
+    default:
+      return Refuse(id,
+                    VerdictUnlessFirst(aRequest.mRequest),
+                    absl::UnavailableError("the store does not answer; a ticket needs none"));
+  }
+}
+
+HttpAnswer
+RefuseKeyDate(const KeyedRequest& aRequest, std::optional<WallTime> aDate)
+{
+  if (!aDate.has_value()) {
+    return Refuse(aRequest.mId,
+                  Verdict::kNotRun,
+                  absl::InvalidArgumentError("the idempotency key must be a UUID of version 7 or "
+                                             "'SECONDS-TEXT', seconds since 1970"));
+  }
+  return Refuse(aRequest.mId,
+                Verdict::kMayHaveRun,
+                absl::FailedPreconditionError(
+                  fmt::format("the key's date is over {} s old or ahead of the calendar",
+                              kClaimOptions.mRetentionMilliseconds / 1000)));
+}
+
+// Claims the key. Returns nothing if the control thread did not answer; the claim then never leads
+// to a dispatch.
+std::optional<ClaimDecided>
+Claim(const TrafficContext& aContext,
+      const SlotId& aSlot,
+      const ClaimRecord& aRecord,
+      Instant aDeadline)
+{
+  auto decided =
+    aContext.mDesk->Ask<ClaimDecided>(aDeadline + kControlGrace, [&](std::uint64_t aWaiter) {
+      return ClaimWanted{
+        .mWaiter = aWaiter, .mSlot = aSlot, .mRecord = aRecord, .mDeadline = aDeadline
+      };
+    });
+  if (!decided.has_value()) {
+    ClaimRecord record = aRecord;
+    record.mOutcome.mStage = ClaimStage::kNotRun;
+    aContext.mDesk->Tell(OutcomeKnown{ .mSlot = aSlot, .mRecord = record });
+  }
+  return decided;
+}
+
+HttpAnswer
+ServeClaimed(const TrafficContext& aContext,
+             const KeyedRequest& aRequest,
+             const Dispatch& aDispatch)
+{
+  const std::string_view key = HeaderValue(aRequest.mRequest.mHeaders, kIdempotencyKeyHeader);
+  const auto date = DateOfKey(key);
+  if (!date.has_value() || AgeOfKey(kClaimOptions, *date, WallNow()) != KeyAge::kValid) {
+    return RefuseKeyDate(aRequest, date);
+  }
+  ClaimRecord record{ .mKey = DigestOfKey(aRequest),
+                      .mNonce = RandomHex(),
+                      .mClaimant = aContext.mHost,
+                      .mRequestSha256 = DigestOfRequest(aRequest.mRequest) };
+  const SlotId slot = SlotOf(kClaimOptions, record.mKey, *date);
+  const Instant deadline = std::min(aRequest.mCaller.mDeadline, Now() + kClaimLimit);
+  const auto decided = Claim(aContext, slot, record, deadline);
+  if (!decided.has_value()) {
+    return RefuseUnclaimed(aRequest, ClaimAnswer::kNoStore);
+  }
+  if (decided->mAnswer == ClaimAnswer::kRecorded) {
+    return RenderRecorded(aRequest.mId, decided->mRecord.mOutcome);
+  }
+  if (decided->mAnswer != ClaimAnswer::kDispatch) {
+    return RefuseUnclaimed(aRequest, decided->mAnswer);
+  }
+  const HttpResult result = aDispatch();
+  record.mOutcome = OutcomeOf(result);
+  aContext.mDesk->Tell(OutcomeKnown{ .mSlot = slot, .mRecord = record });
+  return Render(aRequest.mId, result);
+}
+
+// Passes a request on to the host that minted its ticket.
+HttpAnswer
+Forward(const KeyedRequest& aRequest, const Ticket& aTicket)
+{
+  const bool again = !HeaderValue(aRequest.mRequest.mHeaders, kForwardedHeader).empty();
+  HttpResult result = Failure{ .mVerdict = Verdict::kNotRun };
+  if (!again) {
+    HttpRequest request = aRequest.mRequest;
+    SetHeader(request.mHeaders, kForwardedHeader, "1");
+    result = Call({ .mServer = aTicket.mEndpoint,
+                    .mRequest = std::move(request),
+                    .mDeadline = aRequest.mCaller.mDeadline });
+  }
+  if (const auto* failure = std::get_if<Failure>(&result)) {
+    const Verdict verdict = failure->mVerdict == Verdict::kNotRun
+                              ? VerdictUnlessFirst(aRequest.mRequest)
+                              : failure->mVerdict;
+    return Refuse(
+      aRequest.mId, verdict, absl::UnavailableError("the ticket's host does not answer"));
+  }
+  return std::get<HttpAnswer>(std::move(result));
+}
+
+HttpAnswer
+RefuseTicket(const RequestId& aId, TicketAction aAction)
+{
+  switch (aAction) {
+    case TicketAction::kInProgress:
+      return Refuse(
+        aId, Verdict::kMayHaveRun, absl::AbortedError("the ticket's request is running"));
+    case TicketAction::kOtherRequest:
+      return Refuse(aId,
+                    Verdict::kNotRun,
+                    absl::InvalidArgumentError("the ticket was used with another request"));
+    case TicketAction::kFull:
+      return Refuse(
+        aId, Verdict::kNotRun, absl::ResourceExhaustedError("too many tickets are in use"));
+    case TicketAction::kExpired:
+      return Refuse(
+        aId, Verdict::kMayHaveRun, absl::FailedPreconditionError("the ticket has expired"));
+    default:
+      return Refuse(aId,
+                    Verdict::kMayHaveRun,
+                    absl::UnavailableError("the host that minted the ticket has ended"));
+  }
+}
+
+HttpAnswer
+ServeOwnTicket(const TrafficContext& aContext,
+               const KeyedRequest& aRequest,
+               const Ticket& aTicket,
+               const Dispatch& aDispatch)
+{
+  const auto decided =
+    aContext.mDesk->Ask<TicketDecided>(aRequest.mCaller.mDeadline, [&](std::uint64_t aWaiter) {
+      return TicketUsed{ .mWaiter = aWaiter,
+                         .mTicket = aTicket,
+                         .mRequestSha256 = DigestOfRequest(aRequest.mRequest),
+                         .mNow = WallNow() };
+    });
+  if (!decided.has_value()) {
+    return RefuseTicket(aRequest.mId, TicketAction::kInProgress);
+  }
+  switch (decided->mAnswer.mAction) {
+    case TicketAction::kDispatch:
+      break;
+    case TicketAction::kRecorded:
+      return RenderRecorded(aRequest.mId, decided->mAnswer.mOutcome);
+    default:
+      return RefuseTicket(aRequest.mId, decided->mAnswer.mAction);
+  }
+  const HttpResult result = aDispatch();
+  aContext.mDesk->Tell(TicketEnded{ .mSerial = aTicket.mSerial, .mOutcome = OutcomeOf(result) });
+  return Render(aRequest.mId, result);
+}
+
+HttpAnswer
+ServeTicket(const TrafficContext& aContext, const KeyedRequest& aRequest, const Dispatch& aDispatch)
+{
+  const std::string_view key = HeaderValue(aRequest.mRequest.mHeaders, kIdempotencyKeyHeader);
+  const auto ticket = DecodeTicket(key, aContext.mClusterSecret);
+  if (aContext.mClusterSecret.empty() || !ticket.ok()) {
+    return Refuse(aRequest.mId,
+                  Verdict::kNotRun,
+                  absl::PermissionDeniedError("the ticket was not minted by this system"));
+  }
+  if (ticket->mAccount != aRequest.mCaller.mAccount ||
+      ticket->mService != aRequest.mCaller.mDocument->mService) {
+    return RefuseTicket(aRequest.mId, TicketAction::kOtherRequest);
+  }
+  if (ticket->mHost != aContext.mHost) {
+    return Forward(aRequest, *ticket);
+  }
+  return ServeOwnTicket(aContext, aRequest, *ticket, aDispatch);
+}
+
+} // namespace
+
+bool
+HasIdempotencyKey(const HttpRequest& aRequest)
+{
+  return !HeaderValue(aRequest.mHeaders, kIdempotencyKeyHeader).empty();
+}
+
+HttpAnswer
+ServeKeyed(const TrafficContext& aContext, const KeyedRequest& aRequest, const Dispatch& aDispatch)
+{
+  const std::string_view key = HeaderValue(aRequest.mRequest.mHeaders, kIdempotencyKeyHeader);
+  return LooksLikeTicket(key) ? ServeTicket(aContext, aRequest, aDispatch)
+                              : ServeClaimed(aContext, aRequest, aDispatch);
+}
+
+HttpAnswer
+MintTicket(const TrafficContext& aContext, const HttpRequest& aRequest)
+{
+  const RequestId id = NewRequestId();
+  const ServiceId service{ QueryValue(aRequest.mTarget, "service") };
+  const auto caller = Identify(*aContext.mSnapshots->Read(), service, aRequest, Now());
+  if (!caller.ok()) {
+    return RenderFailure(id, { .mVerdict = Verdict::kNotRun, .mStatus = caller.status() });
+  }
+  std::optional<TicketMinted> minted;
+  if (!aContext.mClusterSecret.empty()) {
+    minted = aContext.mDesk->Ask<TicketMinted>(caller->mDeadline, [&](std::uint64_t aWaiter) {
+      return TicketWanted{
+        .mWaiter = aWaiter, .mAccount = caller->mAccount, .mService = service, .mNow = WallNow()
+      };
+    });
+  }
+  if (!minted.has_value()) {
+    return Refuse(id, Verdict::kNotRun, absl::UnavailableError("this host mints no tickets"));
+  }
+  const std::string text = EncodeTicket(minted->mTicket, aContext.mClusterSecret);
+  return { .mStatus = kHttpCreated,
+           .mHeaders = { { .mName = "Content-Type", .mValue = "application/json" } },
+           .mBody = fmt::format("{{\"ticket\":\"{}\",\"expires_at_unix_ms\":{}}}\n",
+                                text,
+                                UnixMilliseconds(minted->mTicket.mExpiresAt)) };
+}
+
+} // namespace trefoil
--- a/trefoil/node/traffic.cc
+++ b/trefoil/node/traffic.cc
@@ -3,6 +3,7 @@
 #include "trefoil/frontend/completion.h"
 #include "trefoil/node/internal/caller.h"
 #include "trefoil/node/internal/completion_traffic.h"
+#include "trefoil/node/internal/keyed_traffic.h"
 #include "trefoil/node/internal/plain_traffic.h"
 #include "trefoil/node/internal/status_page.h"
 
@@ -75,6 +76,10 @@
     return;
   }
   aContext.mMetrics->Add(Counter::kRequests, 1);
+  if (path == "/v1/tickets" && aExchange.Request().mMethod == "POST") {
+    aExchange.Answer(MintTicket(aContext, aExchange.Request()));
+    return;
+  }
   if (const auto form = ValueOf(kCompletionPaths, path)) {
     ServeCompletionPath(aContext, aExchange, *form);
     return;
--- a/trefoil/node/traffic.h
+++ b/trefoil/node/traffic.h
@@ -9,11 +9,13 @@
 #include "trefoil/http/server.h"
 #include "trefoil/metrics/metrics.h"
 #include "trefoil/node/admission_gate.h"
+#include "trefoil/node/control_desk.h"
 #include "trefoil/node/routing_tables.h"
 #include "trefoil/node/snapshot.h"
 
 #include <atomic>
 #include <cstdint>
+#include <string>
 
 namespace trefoil {
 
@@ -27,6 +29,9 @@
   // Requests that are being served now.
   std::atomic<std::int64_t>* mActive = nullptr;
   Metrics* mMetrics = nullptr;
+  ControlDesk* mDesk = nullptr;
+  // Authenticates tickets. Empty if the host mints and takes none.
+  std::string mClusterSecret;
 };
 
 // Answers one request of a caller, an operator or the balancer.
