--- a/trefoil/membership/gossip.cc
+++ b/trefoil/membership/gossip.cc
@@ -13,6 +13,7 @@
 // Every so many rounds a host greets a seed and a dead member, to find the other part of a zone
 // that was cut in two.
 constexpr std::uint64_t kGreetRounds = 10;
+constexpr std::uint64_t kOneHost = 1;
 constexpr Milliseconds kSoon{ 50 };
 
 // Adds the hosts that could be part of this zone without this host's knowledge.
@@ -24,7 +25,9 @@
     aTargets.insert(aTargets.end(), seeds.begin(), seeds.end());
     return;
   }
-  if (aState.mRounds % kGreetRounds != 0) {
+  // One host of a zone at a time, so that what a seed receives does not grow with the fleet.
+  const std::uint64_t hosts = DigestOfOwnZone(aState).mLiveHosts;
+  if (aState.mRounds % kGreetRounds != 0 || NextRandom(aState) % std::max(hosts, kOneHost) != 0) {
     return;
   }
   if (!seeds.empty()) {
@@ -311,9 +314,20 @@
 std::size_t
 RankInZone(const GossipState& aState, std::string_view aKey, std::size_t aCount)
 {
-  const auto owners = OwnersInZone(aState, aKey, aCount);
-  const auto found = std::find(owners.begin(), owners.end(), aState.mOptions.mHost);
-  return found == owners.end() ? aCount : static_cast<std::size_t>(found - owners.begin());
+  if (aState.mSelf.mLeaving) {
+    return aCount;
+  }
+  const HostId& self = aState.mOptions.mHost;
+  const std::pair own{ RendezvousScore(self.Value(), aKey), std::string_view{ self.Value() } };
+  std::size_t rank = 0;
+  for (const auto& [host, member] : aState.mMembers.mByHost) {
+    if (rank < aCount && IsOfOwnZone(aState, member) && IsAlive(member)) {
+      const std::pair other{ RendezvousScore(host.Value(), aKey),
+                             std::string_view{ host.Value() } };
+      rank += other > own ? 1 : 0;
+    }
+  }
+  return rank;
 }
 
 std::vector<Endpoint>
--- a/trefoil/simulation/control_network.cc
+++ b/trefoil/simulation/control_network.cc
@@ -36,9 +36,11 @@
   , mCutZones(aOptions.mZones)
   , mCutStores(aOptions.mZones)
 {
-  for (std::size_t i = 0; i < aOptions.mZones * aOptions.mServersOfZone; ++i) {
+  const std::size_t servers = aOptions.mZones * aOptions.mServersOfZone + aOptions.mFurtherServers;
+  for (std::size_t i = 0; i < servers; ++i) {
     mServers.push_back({ .mServer = BackendServerId{ fmt::format("engine-{}", i) },
-                         .mZone = i / aOptions.mServersOfZone });
+                         .mZone = std::min(i / aOptions.mServersOfZone, aOptions.mZones - 1) });
+    mServerIndex[mServers.back().mServer] = i;
   }
   for (std::size_t host = 0; host < mHosts.size(); ++host) {
     mByEndpoint[EndpointOf(host)] = host;
@@ -232,12 +234,10 @@
   ++count.mPolls;
   count.mSentBytes += kPollRequestBytes;
   PollResult result{ .mServer = aEffect.mPoll.mServer };
-  for (SimulatedServer& server : mServers) {
-    const bool cut =
-      server.mZone != ZoneOf(aHost) && (mCutZones[server.mZone] || mCutZones[ZoneOf(aHost)]);
-    if (server.mServer != aEffect.mPoll.mServer || !server.mUp || cut) {
-      continue;
-    }
+  SimulatedServer& server = mServers[mServerIndex.at(aEffect.mPoll.mServer)];
+  const bool cut =
+    server.mZone != ZoneOf(aHost) && (mCutZones[server.mZone] || mCutZones[ZoneOf(aHost)]);
+  if (server.mUp && !cut) {
     count.mReceivedBytes += kPollAnswerBytes;
     result.mAnswered = true;
     result.mReport =
--- a/trefoil/simulation/control_network.h
+++ b/trefoil/simulation/control_network.h
@@ -29,6 +29,8 @@
   std::size_t mZones = 1;
   std::size_t mHostsOfZone = 1;
   std::size_t mServersOfZone = 0;
+  // Further servers of the last zone, to have many of them with few hosts.
+  std::size_t mFurtherServers = 0;
   // Of 100 datagrams, how many are lost and how many arrive twice.
   unsigned mLostPercent = 0;
   unsigned mRepeatedPercent = 0;
@@ -148,6 +150,7 @@
   Instant mNow;
   std::vector<SimulatedHost> mHosts;
   std::vector<SimulatedServer> mServers;
+  std::map<BackendServerId, std::size_t> mServerIndex;
   std::map<Endpoint, std::size_t> mByEndpoint;
   std::multimap<Instant, Underway> mUnderway;
   std::vector<bool> mCutZones;
