--- /dev/null
+++ b/tests/hosts_together.sh
@@ -0,0 +1,79 @@
+#!/usr/bin/env bash
+# Story: nine entry hosts in four availability zones. A document reaches all of them, and a backend server with a
+# reclaim notice gets no new work from any; again for a zone that is cut off from the store; a host that was
+# frozen comes back and takes over what it missed. Prints how long each took.
+set -euo pipefail
+. scripts/processes.sh
+store=127.0.11.1:19000
+cut_store=127.0.11.2:19000 # nobody listens there
+zones=(a a a b b c c d d)
+
+document() { # document ACCOUNT: the document with another account's name, so that it differs
+  printf 'service = "rules"\n[[version]]\nversion = "v1"\nshare_percent = 100\n'
+  printf '[[account]]\naccount = "%s"\ncredential_sha256 = "%s"\n' "$1" "$(sha256_of secret)"
+  for i in 1 2 3 4; do
+    printf '[[backend_server]]\nserver = "engine-%s"\nendpoint = "127.0.11.3:1910%s"\n' $i $i
+    printf 'availability_zone = "zone-a"\nversion = "v1"\n'
+  done
+}
+
+start_host() { # start_host INDEX STORE
+  host_settings "host-$1" "zone-${zones[$1]}" "127.0.11.1$1" "$2" 127.0.11.10:17000 127.0.11.13:17000
+  start "host-$1" build/cmd/trefoild "$work/host-$1.toml"
+}
+
+status_of() { curl -fs "http://127.0.11.1$1:18080/status"; }
+
+all_show() { # all_show TEXT: whether every host's status page has a line with the text
+  local i
+  for i in 0 1 2 3 4 5 6 7 8; do status_of $i | grep -q -- "$1" || return 1; done
+}
+
+milliseconds() { echo $(($(date +%s%N) / 1000000)); }
+
+measure() { # measure WHAT TEXT: waits until all hosts show the text and prints how long that took
+  local begin
+  begin=$(milliseconds)
+  wait_until all_show "$2"
+  echo "$1: $(($(milliseconds) - begin)) ms"
+}
+
+put() { # put ACCOUNT: puts a document and sets `revision`
+  document "$1" >"$work/rules.toml"
+  revision=$(build/cmd/trefoilctl put "$work/rules.toml" --store=$store | grep -o '[0-9]*$')
+}
+
+start store build/standin/standin-store $store
+for i in 1 2 3 4; do start "engine-$i" build/standin/standin-engine "engine-$i" "127.0.11.3:1910$i"; done
+wait_for_url "http://$store/v1/list?prefix=none"
+put first
+for i in 0 1 2 3 4 5 6 7 8; do start_host $i $store; done
+for i in 0 1 2 3 4 5 6 7 8; do wait_for_url "http://127.0.11.1$i:18080/readyz"; done
+wait_until all_show '"in_force_everywhere": true'
+
+put second
+measure "accepted to in force on nine hosts" "\"revision_in_force\": $revision"
+measure "then known to be in force everywhere by all" '"in_force_everywhere": true'
+curl -fs -X POST http://127.0.11.3:19101/admin/leave >/dev/null
+measure "reclaim notice to no new work from nine hosts" '"server": "engine-1"'
+
+echo "zone d is cut off from the store"
+for i in 7 8; do
+  kill "$(pid_of "host-$i")"
+  end_of "host-$i"
+  start_host $i $cut_store
+done
+for i in 7 8; do wait_for_url "http://127.0.11.1$i:18080/readyz"; done
+put third
+measure "accepted to in force on nine hosts" "\"revision_in_force\": $revision"
+curl -fs -X POST http://127.0.11.3:19102/admin/leave >/dev/null
+measure "reclaim notice to no new work from nine hosts" '"server": "engine-2"'
+
+echo "host 1 is frozen for ten seconds"
+kill -STOP "$(pid_of host-1)"
+put fourth
+sleep 10
+kill -CONT "$(pid_of host-1)"
+measure "thawed to the document in force" "\"revision_in_force\": $revision"
+wait_until all_show '"view_fresh": true'
+wait_until all_show '"in_force_everywhere": true'
