--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -10,6 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "trefoil/http/server.h"
+#include "trefoil/node/admission_gate.h"
 #include "trefoil/node/control_state.h"
 #include "trefoil/node/event_queue.h"
 #include "trefoil/node/internal/peer_worker.h"
@@ -49,6 +50,7 @@
   void RunControl();
   void RunStoreWatch();
   void RunPeerReceive();
+  void TickAdmission(ControlState& aState);
   void CarryOut(const ControlEffects& aEffects);
   void CarryOut(const PublishSnapshot& aEffect);
   void CarryOut(const SendMessage& aEffect);
@@ -66,6 +68,7 @@
   PeerWorker mPeerWorker;
   WatchGate mWatchGate;
   RoutingTables mRouting;
+  AdmissionGate mAdmission;
   Metrics mMetrics;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
--- a/trefoil/node/event.h
+++ b/trefoil/node/event.h
@@ -90,6 +90,12 @@
   PollResult mResult;
 };
 
+// The work of this host that admission does not hold back was measured.
+struct DemandsSampled
+{
+  AdmissionDemands mDemands;
+};
+
 using ControlEvent = std::variant<DocumentsRead,
                                   StoreUnreachable,
                                   MessageArrived,
@@ -98,7 +104,8 @@
                                   StoreReadDone,
                                   StoreWriteDone,
                                   DocumentsFetched,
-                                  ServerPolled>;
+                                  ServerPolled,
+                                  DemandsSampled>;
 
 // Show this snapshot to the traffic threads.
 struct PublishSnapshot
