--- a/trefoil/backend/server_load.cc
+++ b/trefoil/backend/load_answer.cc
@@ -1,4 +1,4 @@
-#include "trefoil/backend/server_load.h"
+#include "trefoil/backend/load_answer.h"
 
 #include "trefoil/http/client.h"
 
@@ -14,12 +14,12 @@
 
 } // namespace
 
-std::optional<ServerLoad>
-ParseServerLoad(const std::string& aBody)
+std::optional<LoadAnswer>
+ParseLoadAnswer(const std::string& aBody)
 {
   try {
     const auto object = Poco::JSON::Parser{}.parse(aBody).extract<Poco::JSON::Object::Ptr>();
-    return ServerLoad{ .mIncarnation = object->getValue<std::uint64_t>("incarnation"),
+    return LoadAnswer{ .mIncarnation = object->getValue<std::uint64_t>("incarnation"),
                        .mSequence = object->getValue<std::uint64_t>("sequence"),
                        .mLeaving = object->getValue<bool>("leaving"),
                        .mRunning = object->optValue<std::uint32_t>("running", 0),
@@ -30,7 +30,7 @@
   }
 }
 
-absl::StatusOr<std::optional<ServerLoad>>
+absl::StatusOr<std::optional<LoadAnswer>>
 AskLoad(const Endpoint& aServer, Instant aDeadline)
 {
   const HttpResult result = Call({ .mServer = aServer,
@@ -42,9 +42,9 @@
   }
   const auto& answer = std::get<HttpAnswer>(result);
   if (answer.mStatus != kHttpOk) {
-    return std::optional<ServerLoad>{};
+    return std::optional<LoadAnswer>{};
   }
-  return ParseServerLoad(answer.mBody);
+  return ParseLoadAnswer(answer.mBody);
 }
 
 } // namespace trefoil
--- a/trefoil/backend/server_load.h
+++ b/trefoil/backend/load_answer.h
@@ -1,6 +1,6 @@
 // What a backend server tells of itself.
 //
-//   absl::StatusOr<std::optional<ServerLoad>> load = AskLoad(server, Now() + kPollLimit);
+//   absl::StatusOr<std::optional<LoadAnswer>> load = AskLoad(server, Now() + kPollLimit);
 //
 // Model engines answer GET /load with JSON; a server that answers anything else is alive and tells
 // nothing. Thread-safe.
@@ -17,7 +17,7 @@
 
 namespace trefoil {
 
-struct ServerLoad
+struct LoadAnswer
 {
   // Rises with each start of the server.
   std::uint64_t mIncarnation = 0;
@@ -31,12 +31,12 @@
 };
 
 // Parses the body of an answer. Returns nothing if it tells no load.
-std::optional<ServerLoad>
-ParseServerLoad(const std::string& aBody);
+std::optional<LoadAnswer>
+ParseLoadAnswer(const std::string& aBody);
 
 // Asks a server. Returns an error if it does not answer before the deadline, nothing if it answers
 // without a load.
-absl::StatusOr<std::optional<ServerLoad>>
+absl::StatusOr<std::optional<LoadAnswer>>
 AskLoad(const Endpoint& aServer, Instant aDeadline);
 
 } // namespace trefoil
--- a/trefoil/node/internal/peer_worker.cc
+++ b/trefoil/node/internal/peer_worker.cc
@@ -1,6 +1,6 @@
 #include "trefoil/node/internal/peer_worker.h"
 
-#include "trefoil/backend/server_load.h"
+#include "trefoil/backend/load_answer.h"
 #include "trefoil/wire/peer_link.h"
 
 namespace trefoil {
@@ -36,7 +36,7 @@
   const auto load = AskLoad(poll.mEndpoint, deadline);
   result.mAnswered = load.ok();
   if (load.ok() && load->has_value()) {
-    const ServerLoad& told = **load;
+    const LoadAnswer& told = **load;
     result.mReport =
       ServerReport{ .mServer = poll.mServer,
                     .mIncarnation = told.mIncarnation,
