Move versions in the entry hosts: outcomes, permits, leases and status

Cause: the decisions of trefoil/duty and trefoil/rollout have to reach traffic. The record keeps the last eight moves; it stands in for audit records until that package is there.

--- a/cmd/trefoilctl.cc
+++ b/cmd/trefoilctl.cc
@@ -6,6 +6,7 @@
 #include "trefoil/service/service_document.h"
 
 #include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
 #include <cstdio>
 #include <fmt/format.h>
 #include <fstream>
@@ -29,6 +30,7 @@
 Usage:
   trefoilctl put FILE --store=ADDRESS
   trefoilctl show SERVICE --store=ADDRESS
+  trefoilctl moves SERVICE --store=ADDRESS
   trefoilctl status --host=ADDRESS
   trefoilctl complete SERVICE PROMPT --host=ADDRESS --credential=TEXT [--tokens=N]
   trefoilctl call METHOD TARGET [BODY] --host=ADDRESS --credential=TEXT
@@ -39,6 +41,7 @@
   put       Check a service document and put it into the store. Another operator's change in between is
             told, not overwritten.
   show      Print the document of a service.
+  moves     Print the version moves of a service: phase, shares, reason and figures, the last ones too.
   status    Print what an entry host sees.
   complete  Send a completion and print the answer as it streams.
   call      Send a request to a plain service and print status, verdict and body.
@@ -121,6 +124,23 @@
   return 0;
 }
 
+int
+ShowMoves(const Arguments& aArguments, const Endpoint& aStore)
+{
+  const auto entry = trefoil::Read(
+    { .mEndpoint = aStore }, "moves/" + Text(aArguments, "SERVICE"), trefoil::Now() + kStoreLimit);
+  if (!entry.ok()) {
+    return Fail(std::string{ entry.status().message() });
+  }
+  if (entry->mRevision == 0) {
+    return Fail("the service has no moves yet");
+  }
+  std::ostringstream text;
+  Poco::JSON::Parser{}.parse(entry->mValue).extract<Poco::JSON::Object::Ptr>()->stringify(text, 2);
+  std::printf("%s\n", text.str().c_str());
+  return 0;
+}
+
 HttpRequest
 WithCredential(const Arguments& aArguments, HttpRequest aRequest)
 {
@@ -212,7 +232,8 @@
 Run(const trefoil::CommandLine& aLine)
 {
   const Arguments& arguments = aLine.mArguments;
-  const bool usesStore = arguments.at("put").asBool() || arguments.at("show").asBool();
+  const bool usesStore =
+    arguments.at("put").asBool() || arguments.at("show").asBool() || arguments.at("moves").asBool();
   const auto endpoint = trefoil::ParseEndpoint(Text(arguments, usesStore ? "--store" : "--host"));
   if (!endpoint.ok()) {
     return Fail(std::string{ endpoint.status().message() }, kExitBadInput);
@@ -223,6 +244,9 @@
   if (arguments.at("show").asBool()) {
     return Show(arguments, *endpoint);
   }
+  if (arguments.at("moves").asBool()) {
+    return ShowMoves(arguments, *endpoint);
+  }
   if (arguments.at("complete").asBool()) {
     const auto tokens = trefoil::NumberOption(aLine, "--tokens", 1);
     return tokens.has_value() ? Complete(arguments, *tokens, *endpoint) : kExitBadInput;
--- a/trefoil/node/control_state.cc
+++ b/trefoil/node/control_state.cc
@@ -1,7 +1,10 @@
 #include "trefoil/node/control_state.h"
 
+#include "trefoil/node/internal/moves.h"
 #include "trefoil/node/internal/peer_control.h"
 
+#include <algorithm>
+#include <iterator>
 #include <string_view>
 
 namespace trefoil {
@@ -22,6 +25,7 @@
     snapshot->mServices[service] = { .mDocument = document.mDocument,
                                      .mRevision = document.mRevision,
                                      .mRefusal = document.mRefusal };
+    AddMoveShares(aState, service, snapshot->mServices[service]);
   }
   return snapshot;
 }
@@ -34,6 +38,17 @@
   return effects;
 }
 
+// Adds the effects of moves, and a snapshot if they changed a share.
+void
+AddMoves(ControlState& aState, ControlEffects& aEffects, ControlEffects aMoves)
+{
+  if (aState.mMoves.mChanged) {
+    aState.mMoves.mChanged = false;
+    aEffects.emplace_back(PublishSnapshot{ MakeSnapshot(aState) });
+  }
+  std::move(aMoves.begin(), aMoves.end(), std::back_inserter(aEffects));
+}
+
 ControlEffects
 On(ControlState& aState, const DocumentsRead& aEvent, Instant)
 {
@@ -73,6 +88,14 @@
 {
   ControlEffects effects;
   AddDatagrams(effects, OnPeerMessage(aState, aEvent.mMessage, aNow));
+  const auto onMoves = [&aState, aNow](const auto& aKind) -> ControlEffects {
+    if constexpr (requires { OnMoveMessage(aState, aKind, aNow); }) {
+      return OnMoveMessage(aState, aKind, aNow);
+    } else {
+      return {};
+    }
+  };
+  AddMoves(aState, effects, std::visit(onMoves, aEvent.mMessage));
   return effects;
 }
 
@@ -82,6 +105,7 @@
   aState.mLeaving = true;
   ControlEffects effects = Publish(aState);
   AddDatagrams(effects, AnnounceLeaving(aState.mGossip, aNow));
+  AddMoves(aState, effects, OnMovesStop(aState, aNow));
   return effects;
 }
 
@@ -89,21 +113,43 @@
 On(ControlState& aState, const TimerFired&, Instant aNow)
 {
   Datagrams datagrams = OnPeerTimer(aState, aNow);
+  ControlEffects moves = OnMovesTimer(aState, aNow);
   ControlEffects effects = Publish(aState);
   AddDatagrams(effects, std::move(datagrams));
+  AddMoves(aState, effects, std::move(moves));
+  return effects;
+}
+
+ControlEffects
+On(ControlState& aState, const StoreReadDone& aEvent, Instant aNow)
+{
+  ControlEffects effects;
+  AddMoves(aState, effects, OnMovesRead(aState, aEvent, aNow));
   return effects;
 }
 
 ControlEffects
-On(ControlState&, const StoreReadDone&, Instant)
+On(ControlState& aState, const StoreWriteDone& aEvent, Instant aNow)
 {
-  return {};
+  ControlEffects effects;
+  AddMoves(aState, effects, OnMovesWrite(aState, aEvent, aNow));
+  return effects;
 }
 
 ControlEffects
-On(ControlState&, const StoreWriteDone&, Instant)
+On(ControlState& aState, const LeaseCallDone& aEvent, Instant aNow)
 {
-  return {};
+  ControlEffects effects;
+  AddMoves(aState, effects, OnLeaseCall(aState, aEvent, aNow));
+  return effects;
+}
+
+ControlEffects
+On(ControlState& aState, const OutcomesSeen& aEvent, Instant aNow)
+{
+  ControlEffects effects;
+  AddMoves(aState, effects, OnOutcomes(aState, aEvent, aNow));
+  return effects;
 }
 
 } // namespace
@@ -120,6 +166,9 @@
                                     .mIncarnation = aOptions.mIncarnation,
                                     .mRandomSeed = aOptions.mRandomSeed },
                                   aNow);
+  // The incarnation is the time of the start in milliseconds.
+  state.mMoves = MakeMovesState(
+    aOptions, aNow, FromUnixMilliseconds(static_cast<std::int64_t>(aOptions.mIncarnation)));
   state.mOptions = std::move(aOptions);
   return state;
 }
@@ -133,7 +182,7 @@
 Instant
 NextTimer(const ControlState& aState)
 {
-  return NextPeerTimer(aState);
+  return std::min(NextPeerTimer(aState), NextMovesTimer(aState));
 }
 
 } // namespace trefoil
--- a/trefoil/node/control_state.h
+++ b/trefoil/node/control_state.h
@@ -13,6 +13,7 @@
 #include "trefoil/config/documents_in_force.h"
 #include "trefoil/membership/gossip.h"
 #include "trefoil/node/event.h"
+#include "trefoil/node/moves_state.h"
 
 #include <cstdint>
 #include <vector>
@@ -36,6 +37,7 @@
   ControlOptions mOptions;
   DocumentsInForce mDocuments;
   GossipState mGossip;
+  MovesState mMoves;
   bool mReady = false;
   bool mStoreReachable = false;
   bool mLeaving = false;
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -36,7 +36,8 @@
               .mSnapshots = &mSnapshots,
               .mRouting = &mRouting,
               .mActive = &mActive,
-              .mMetrics = &mMetrics }
+              .mMetrics = &mMetrics,
+              .mOutcomes = &mOutcomes }
 {
 }
 
@@ -108,6 +109,7 @@
       CarryOut(Step(state, *event, Now()));
     }
     if (HasPassed(NextTimer(state), Now())) {
+      mOutcomes.Flush();
       CarryOut(Step(state, TimerFired{}, Now()));
     }
   }
@@ -146,6 +148,12 @@
   mStoreWorker.Submit(aEffect);
 }
 
+void
+EntryHost::CarryOut(const LeaseCallWanted& aEffect)
+{
+  mStoreWorker.Submit(aEffect);
+}
+
 void
 EntryHost::RunStoreWatch()
 {
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -11,6 +11,7 @@
 #include "trefoil/http/server.h"
 #include "trefoil/node/control_state.h"
 #include "trefoil/node/event_queue.h"
+#include "trefoil/node/outcome_buffer.h"
 #include "trefoil/node/routing_tables.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/node/store_worker.h"
@@ -50,10 +51,12 @@
   void CarryOut(const SendMessage& aEffect);
   void CarryOut(const StoreReadWanted& aEffect);
   void CarryOut(const StoreWriteWanted& aEffect);
+  void CarryOut(const LeaseCallWanted& aEffect);
 
   HostSettings mSettings;
   UdpSocket mSocket;
   EventQueue mQueue;
+  OutcomeBuffer mOutcomes{ mQueue };
   SnapshotCell mSnapshots;
   StoreWorker mStoreWorker;
   RoutingTables mRouting;
--- a/trefoil/node/event.h
+++ b/trefoil/node/event.h
@@ -5,8 +5,10 @@
 #include "trefoil/base/endpoint.h"
 #include "trefoil/base/instant.h"
 #include "trefoil/base/name_table.h"
+#include "trefoil/node/lease_event.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/platform/store_client.h"
+#include "trefoil/rollout/evidence.h"
 #include "trefoil/wire/message.h"
 
 #include <cstdint>
@@ -75,13 +77,21 @@
   StoreWrite mWrite;
 };
 
+// Attempts have ended.
+struct OutcomesSeen
+{
+  std::vector<AttemptOutcome> mOutcomes;
+};
+
 using ControlEvent = std::variant<DocumentsRead,
                                   StoreUnreachable,
                                   MessageArrived,
                                   StopAnnounced,
                                   TimerFired,
                                   StoreReadDone,
-                                  StoreWriteDone>;
+                                  StoreWriteDone,
+                                  LeaseCallDone,
+                                  OutcomesSeen>;
 
 // Show this snapshot to the traffic threads.
 struct PublishSnapshot
@@ -114,7 +124,8 @@
   Instant mDeadline;
 };
 
-using ControlEffect = std::variant<PublishSnapshot, SendMessage, StoreReadWanted, StoreWriteWanted>;
+using ControlEffect =
+  std::variant<PublishSnapshot, SendMessage, StoreReadWanted, StoreWriteWanted, LeaseCallWanted>;
 using ControlEffects = std::vector<ControlEffect>;
 
 } // namespace trefoil
--- /dev/null
+++ b/trefoil/node/internal/attempt_meter.cc
@@ -0,0 +1,99 @@
+#include "trefoil/node/internal/attempt_meter.h"
+
+#include "trefoil/base/digest.h"
+#include "trefoil/node/outcome_buffer.h"
+
+#include <algorithm>
+
+namespace trefoil {
+namespace {
+
+constexpr std::size_t kMostGaps = 4096;
+constexpr double kGapQuantile = 0.95;
+
+double
+MillisecondsOf(Instant::duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+} // namespace
+
+AttemptMeter::AttemptMeter(const TrafficContext& aContext, const AttemptMeterOptions& aOptions)
+  : mContext(aContext)
+  , mOutcome{ .mService = aOptions.mService,
+              .mVersion = aOptions.mServer->mVersion,
+              .mZone = aOptions.mServer->mZone,
+              .mServer = aOptions.mServer->mServer,
+              .mRoute = aOptions.mRoute,
+              .mRequestDigest = Digest64(aOptions.mIdentity) }
+  , mStartedAt(Now())
+  , mLastTokenAt(mStartedAt)
+{
+}
+
+void
+AttemptMeter::Token()
+{
+  const Instant now = Now();
+  if (mOutcome.mFirstToken < 0) {
+    mOutcome.mFirstToken = MillisecondsOf(now - mStartedAt);
+  } else if (mGaps.size() < kMostGaps) {
+    mGaps.push_back(MillisecondsOf(now - mLastTokenAt));
+  }
+  mLastTokenAt = now;
+}
+
+void
+AttemptMeter::End(OutcomeKind aKind)
+{
+  if (mContext.mOutcomes == nullptr) {
+    return;
+  }
+  mOutcome.mKind = aKind;
+  if (aKind == OutcomeKind::kGood && mOutcome.mFirstToken < 0) {
+    mOutcome.mFirstToken = MillisecondsOf(Now() - mStartedAt);
+  }
+  if (!mGaps.empty()) {
+    const auto place =
+      static_cast<std::size_t>(kGapQuantile * static_cast<double>(mGaps.size() - 1));
+    std::nth_element(
+      mGaps.begin(), mGaps.begin() + static_cast<std::ptrdiff_t>(place), mGaps.end());
+    mOutcome.mTokenGap = mGaps[place];
+  }
+  mContext.mOutcomes->Add(mOutcome);
+}
+
+OutcomeKind
+OutcomeOf(const Failure& aFailure)
+{
+  if (aFailure.mVerdict == Verdict::kNotRun) {
+    return OutcomeKind::kNotCounted;
+  }
+  return absl::IsUnavailable(aFailure.mStatus) ? OutcomeKind::kLost : OutcomeKind::kError;
+}
+
+OutcomeKind
+OutcomeOfBreak(const absl::Status& aStatus, Instant aDeadline)
+{
+  if (HasPassed(aDeadline, Now())) {
+    return OutcomeKind::kNotCounted;
+  }
+  return absl::IsUnavailable(aStatus) ? OutcomeKind::kLost : OutcomeKind::kError;
+}
+
+OutcomeKind
+OutcomeOf(const HttpAnswer& aAnswer)
+{
+  constexpr int kHttpServerError = 500;
+  return aAnswer.mStatus >= kHttpServerError ? OutcomeKind::kError : OutcomeKind::kGood;
+}
+
+std::string
+MeterRoute(const HttpRequest& aRequest)
+{
+  const std::string_view path = PathOf(aRequest.mTarget);
+  return aRequest.mMethod + " " + std::string{ path.substr(0, path.find('/', 1)) };
+}
+
+} // namespace trefoil
--- a/trefoil/node/internal/completion_traffic.cc
+++ b/trefoil/node/internal/completion_traffic.cc
@@ -3,12 +3,14 @@
 #include "trefoil/base/digest.h"
 #include "trefoil/frontend/answer.h"
 #include "trefoil/frontend/completion.h"
+#include "trefoil/node/internal/attempt_meter.h"
 #include "trefoil/node/internal/caller.h"
 #include "trefoil/node/internal/pick_server.h"
 #include "trefoil/request/stream_progress.h"
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <optional>
 #include <set>
 #include <spdlog/spdlog.h>
 
@@ -34,6 +36,9 @@
   Instant mStartedAt;
   // When the newest token was passed on.
   Instant mLastTokenAt;
+  // Measures the present attempt.
+  std::optional<AttemptMeter> mMeter;
+  OutcomeKind mOutcome = OutcomeKind::kError;
 };
 
 enum class AttemptResult
@@ -61,6 +66,7 @@
   const Instant now = Now();
   Metrics& metrics = *aServing.mContext.mMetrics;
   metrics.Add(Counter::kTokens, 1);
+  aServing.mMeter->Token();
   if (aServing.mProgress.mTokens == 1) {
     metrics.Observe(Summary::kFirstToken, now - aServing.mStartedAt);
   } else {
@@ -78,6 +84,7 @@
   while (true) {
     const auto event = aStream.Next(std::min(Now() + limit, progress.mDeadline));
     if (!event.ok()) {
+      aServing.mOutcome = OutcomeOfBreak(event.status(), progress.mDeadline);
       spdlog::info("attempt {} failed after {} tokens: {}",
                    progress.mAttempt.Value(),
                    progress.mTokens,
@@ -124,6 +131,7 @@
                          .mFirstIndex = progress.mTokens,
                          .mDeadline = std::min(progress.mDeadline, Now() + kFirstTokenLimit) });
   if (const auto* failure = std::get_if<Failure>(&opened)) {
+    aServing.mOutcome = OutcomeOf(*failure);
     spdlog::info("attempt {} on {} did not start: {}",
                  progress.mAttempt.Value(),
                  aServer.mServer.Value(),
@@ -133,6 +141,35 @@
   return Follow(aServing, std::get<EngineStream>(opened));
 }
 
+void
+BeginMeter(Serving& aServing, const BackendServerSpec& aServer)
+{
+  aServing.mOutcome = OutcomeKind::kError;
+  aServing.mMeter.emplace(
+    aServing.mContext,
+    AttemptMeterOptions{ .mService = aServing.mRequest.mService,
+                         .mServer = &aServer,
+                         .mRoute = std::string{ NameOf(kCompletionPaths, aServing.mRequest.mForm) },
+                         .mIdentity =
+                           aServing.mCaller.mAccount.Value() + aServing.mRequest.mBody });
+}
+
+void
+EndMeter(Serving& aServing, AttemptResult aResult)
+{
+  switch (aResult) {
+    case AttemptResult::kComplete:
+      aServing.mMeter->End(OutcomeKind::kGood);
+      break;
+    case AttemptResult::kFailed:
+      aServing.mMeter->End(aServing.mOutcome);
+      break;
+    case AttemptResult::kCallerGone:
+      aServing.mMeter->End(OutcomeKind::kNotCounted);
+      break;
+  }
+}
+
 // Runs attempts until the answer is complete. Returns why it cannot be completed.
 std::optional<Failure>
 RunAttempts(Serving& aServing)
@@ -147,7 +184,9 @@
                         aServing.mProgress.mAttempts == 0 ? Verdict::kNotRun : Verdict::kMayHaveRun,
                       .mStatus = absl::UnavailableError("the service has no backend server") };
     }
+    BeginMeter(aServing, *server);
     const AttemptResult result = RunAttempt(aServing, *server);
+    EndMeter(aServing, result);
     if (result != AttemptResult::kFailed) {
       return std::nullopt;
     }
--- a/trefoil/node/internal/pick_server.cc
+++ b/trefoil/node/internal/pick_server.cc
@@ -41,6 +41,21 @@
 
 } // namespace
 
+std::vector<VersionWeight>
+VersionWeights(const Snapshot& aSnapshot, const ServiceDocument& aDocument)
+{
+  const ServiceView* view = FindService(aSnapshot, aDocument.mService);
+  if (view == nullptr || view->mMove.mShares.empty()) {
+    return VersionWeights(aDocument);
+  }
+  std::vector<VersionWeight> weights;
+  for (const VersionShare& share : view->mMove.mShares) {
+    weights.push_back(
+      { .mVersion = share.mVersion, .mWeight = static_cast<double>(share.mPermille) });
+  }
+  return weights;
+}
+
 std::vector<VersionWeight>
 VersionWeights(const ServiceDocument& aDocument)
 {
@@ -81,7 +96,7 @@
                               static_cast<std::int64_t>(aHint.mPrompt.size()) / kBytesPerToken,
                             .mExpectedTokens = aHint.mExpectedTokens,
                             .mExcluded = aExcluded,
-                            .mVersions = VersionWeights(aDocument),
+                            .mVersions = VersionWeights(*aContext.mSnapshots->Read(), aDocument),
                             .mRandom = RandomNumber() };
   auto chosen = aContext.mRouting->Choose(aDocument.mService, request, Now());
   if (!chosen.has_value() && !aExcluded.empty()) {
--- a/trefoil/node/internal/pick_server.h
+++ b/trefoil/node/internal/pick_server.h
@@ -24,6 +24,10 @@
 std::vector<VersionWeight>
 VersionWeights(const ServiceDocument& aDocument);
 
+// Returns the weights as the move of the service has them now, the document's if none is known.
+std::vector<VersionWeight>
+VersionWeights(const Snapshot& aSnapshot, const ServiceDocument& aDocument);
+
 // Returns the servers of a document as routing sees them from the zone `aZone`.
 std::vector<RoutableServer>
 RoutableServers(const ServiceDocument& aDocument, const AvailabilityZoneId& aZone);
--- a/trefoil/node/internal/plain_traffic.cc
+++ b/trefoil/node/internal/plain_traffic.cc
@@ -2,6 +2,7 @@
 
 #include "trefoil/frontend/answer.h"
 #include "trefoil/http/client.h"
+#include "trefoil/node/internal/attempt_meter.h"
 #include "trefoil/node/internal/caller.h"
 #include "trefoil/node/internal/pick_server.h"
 
@@ -82,9 +83,15 @@
       return last;
     }
     const InFlightGuard inFlight{ *aContext.mRouting, server->mServer };
+    AttemptMeter meter{ aContext,
+                        { .mService = aCaller.mDocument->mService,
+                          .mServer = &*server,
+                          .mRoute = MeterRoute(aRequest),
+                          .mIdentity = aCaller.mAccount.Value() + aRequest.mBody } };
     HttpResult result =
       Call({ .mServer = server->mEndpoint, .mRequest = aRequest, .mDeadline = aCaller.mDeadline });
     const auto* failure = std::get_if<Failure>(&result);
+    meter.End(failure == nullptr ? OutcomeOf(std::get<HttpAnswer>(result)) : OutcomeOf(*failure));
     if (failure == nullptr) {
       return result;
     }
--- a/trefoil/node/internal/status_page.cc
+++ b/trefoil/node/internal/status_page.cc
@@ -9,6 +9,23 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
+Object::Ptr
+MoveOf(const MoveView& aMove)
+{
+  Object::Ptr shares = new Object;
+  for (const VersionShare& share : aMove.mShares) {
+    shares->set(share.mVersion.Value(), share.mPermille);
+  }
+  Object::Ptr move = new Object;
+  move->set("phase", std::string{ NameOf(kMovePhaseNames, aMove.mPhase) });
+  move->set("version", aMove.mVersion.Value());
+  move->set("record", aMove.mRecord);
+  move->set("stopped_here", aMove.mStopped);
+  move->set("held_here", aMove.mHeldHere);
+  move->set("shares", shares);
+  return move;
+}
+
 Array::Ptr
 ServicesOf(const Snapshot& aSnapshot)
 {
@@ -18,6 +35,7 @@
     service->set("service", id.Value());
     service->set("revision_in_force", view.mRevision);
     service->set("refused", view.mRefusal);
+    service->set("move", MoveOf(view.mMove));
     services->add(service);
   }
   return services;
--- a/trefoil/node/snapshot.h
+++ b/trefoil/node/snapshot.h
@@ -10,15 +10,32 @@
 #include "absl/synchronization/mutex.h"
 #include "trefoil/base/ids.h"
 #include "trefoil/membership/members.h"
+#include "trefoil/rollout/move_record.h"
 #include "trefoil/service/service_document.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace trefoil {
 
+// How far a service's versions have moved, as this host knows.
+struct MoveView
+{
+  // The shares that attempts are drawn from.
+  std::vector<VersionShare> mShares;
+  MovePhase mPhase = MovePhase::kSteady;
+  VersionId mVersion;
+  // The record in the store that the shares stem from; 0 for none.
+  std::uint64_t mRecord = 0;
+  // Whether this host has stopped sending to the version by itself.
+  bool mStopped = false;
+  // Whether this host holds the duty of the move.
+  bool mHeldHere = false;
+};
+
 // A service as traffic sees it.
 struct ServiceView
 {
@@ -26,6 +43,7 @@
   std::uint64_t mRevision = 0;
   // Why a newer document was refused; empty if none was.
   std::string mRefusal;
+  MoveView mMove;
 };
 
 struct Snapshot
--- a/trefoil/node/store_worker.cc
+++ b/trefoil/node/store_worker.cc
@@ -22,6 +22,12 @@
                                      .mReason = kNotSent } };
 }
 
+ControlEvent
+NotSent(const LeaseCallWanted& aCall)
+{
+  return LeaseCallDone{ .mCallNumber = aCall.mCallNumber, .mLease = aCall.mLease };
+}
+
 ControlEvent
 Send(const StoreClient& aStore, const StoreReadWanted& aCall)
 {
@@ -94,7 +100,7 @@
   while (const auto call = Take()) {
     const auto carryOut = [this](const auto& aKind) {
       const bool late = HasPassed(aKind.mDeadline, Now());
-      mOptions.mQueue->Push(late ? NotSent(aKind) : Send(mOptions.mStore, aKind));
+      mOptions.mQueue->Push(late ? NotSent(aKind) : ControlEvent{ Send(mOptions.mStore, aKind) });
     };
     std::visit(carryOut, *call);
   }
--- a/trefoil/node/store_worker.h
+++ b/trefoil/node/store_worker.h
@@ -37,7 +37,7 @@
 class StoreWorker
 {
 public:
-  using StoreCall = std::variant<StoreReadWanted, StoreWriteWanted>;
+  using StoreCall = std::variant<StoreReadWanted, StoreWriteWanted, LeaseCallWanted>;
 
   explicit StoreWorker(const StoreWorkerOptions& aOptions);
   ~StoreWorker();
--- a/trefoil/node/traffic.h
+++ b/trefoil/node/traffic.h
@@ -16,6 +16,8 @@
 
 namespace trefoil {
 
+class OutcomeBuffer;
+
 struct TrafficContext
 {
   HostId mHost;
@@ -25,6 +27,8 @@
   // Requests that are being served now.
   std::atomic<std::int64_t>* mActive = nullptr;
   Metrics* mMetrics = nullptr;
+  // Receives the outcomes of attempts; null if nobody counts them.
+  OutcomeBuffer* mOutcomes = nullptr;
 };
 
 // Answers one request of a caller, an operator or the balancer.
--- a/trefoil/rollout/latency_histogram.h
+++ b/trefoil/rollout/latency_histogram.h
@@ -20,11 +20,35 @@
   // Bucket 0 holds what is below a millisecond, the last one all that is too long for the others.
   std::array<std::uint32_t, kLatencyBuckets> mCounts{};
 
+  // Only buckets that are not empty are encoded.
   template<typename Archive>
-  void serialize(Archive& aArchive)
+  void save(Archive& aArchive) const
   {
-    for (std::uint32_t& count : mCounts) {
-      aArchive(count);
+    std::uint8_t used = 0;
+    for (const std::uint32_t count : mCounts) {
+      used += count > 0 ? 1 : 0;
+    }
+    aArchive(used);
+    for (std::uint8_t i = 0; i < kLatencyBuckets; ++i) {
+      if (mCounts[i] > 0) {
+        aArchive(i, mCounts[i]);
+      }
+    }
+  }
+
+  // Buckets that do not exist are dropped.
+  template<typename Archive>
+  void load(Archive& aArchive)
+  {
+    std::uint8_t used = 0;
+    aArchive(used);
+    for (std::uint8_t i = 0; i < used; ++i) {
+      std::uint8_t bucket = 0;
+      std::uint32_t count = 0;
+      aArchive(bucket, count);
+      if (bucket < kLatencyBuckets) {
+        mCounts[bucket] = count;
+      }
     }
   }
 };
--- a/trefoil/rollout/move_duty.cc
+++ b/trefoil/rollout/move_duty.cc
@@ -11,6 +11,9 @@
 void
 AdoptRecord(MoveDuty& aDuty, const MoveRecord& aRecord, std::uint64_t aRevision, Instant aNow)
 {
+  if (aDuty.mKnown && aRevision < aDuty.mRevision) {
+    return;
+  }
   aDuty.mCallUntil.reset();
   const bool isNew = !aDuty.mKnown || aRevision != aDuty.mRevision;
   if (isNew && aRecord.mVersion != aDuty.mRecord.mVersion) {
--- a/trefoil/rollout/move_plan.cc
+++ b/trefoil/rollout/move_plan.cc
@@ -90,8 +90,23 @@
   return next;
 }
 
+void
+KeepEnded(MoveRecord& aRecord, WallTime aNow)
+{
+  aRecord.mEnded.push_back({ .mVersion = aRecord.mVersion,
+                             .mPhase = aRecord.mPhase,
+                             .mReason = aRecord.mReason,
+                             .mDocumentRevision = aRecord.mDocumentRevision,
+                             .mStartedAt = aRecord.mStartedAt,
+                             .mEndedAt = aNow,
+                             .mFigures = aRecord.mFigures });
+  if (aRecord.mEnded.size() > kMostEndedMoves) {
+    aRecord.mEnded.erase(aRecord.mEnded.begin());
+  }
+}
+
 MoveRecord
-Withdraw(const MoveRecord& aRecord, MoveReason aReason, const MoveFigures& aFigures)
+Withdraw(const MoveRecord& aRecord, MoveReason aReason, const MoveFigures& aFigures, WallTime aNow)
 {
   MoveRecord next = aRecord;
   next.mPhase = MovePhase::kWithdrawn;
@@ -99,11 +114,12 @@
   next.mFigures = aFigures;
   next.mSharePermille = 0;
   next.mWithdrawn.push_back({ .mVersion = aRecord.mVersion, .mSpecDigest = aRecord.mSpecDigest });
+  KeepEnded(next, aNow);
   return next;
 }
 
 MoveRecord
-Finish(const MoveRecord& aRecord, const MoveFigures& aFigures)
+Finish(const MoveRecord& aRecord, const MoveFigures& aFigures, WallTime aNow)
 {
   MoveRecord next = aRecord;
   next.mPhase = MovePhase::kDone;
@@ -111,6 +127,7 @@
   next.mSharePermille = aRecord.mTargetPermille;
   next.mSettled = SharesOf(aRecord.mSettled, aRecord.mVersion, aRecord.mTargetPermille);
   std::erase_if(next.mSettled, [](const VersionShare& aShare) { return aShare.mPermille == 0; });
+  KeepEnded(next, aNow);
   return next;
 }
 
@@ -171,12 +188,12 @@
 }
 
 std::optional<MoveRecord>
-AfterStop(const MoveRecord& aRecord, const MoveFigures& aFigures)
+AfterStop(const MoveRecord& aRecord, const MoveFigures& aFigures, WallTime aNow)
 {
   MoveRecord next = EnterStep(aRecord, 0, aFigures);
   next.mStops = aRecord.mStops + 1;
   if (next.mStops >= kMostStops) {
-    return Withdraw(next, MoveReason::kStoppedByHosts, aFigures);
+    return Withdraw(next, MoveReason::kStoppedByHosts, aFigures, aNow);
   }
   return next;
 }
@@ -204,7 +221,7 @@
     if (spec != nullptr && SpecDigest(*spec) == aRecord.mSpecDigest) {
       return std::nullopt;
     }
-    return Withdraw(aRecord, MoveReason::kNotWanted, aRecord.mFigures);
+    return Withdraw(aRecord, MoveReason::kNotWanted, aRecord.mFigures, aNow);
   }
   MoveRecord next = aRecord;
   next.mDocumentRevision = aDocumentRevision;
@@ -243,17 +260,18 @@
   }
   const MoveFigures figures = FiguresOf(aView.mAssessment);
   if (aView.mAssessment.mWorst.mFault != VersionFault::kNone) {
-    return Withdraw(aRecord, ReasonOf(aView.mAssessment.mWorst.mFault), figures);
+    return Withdraw(aRecord, ReasonOf(aView.mAssessment.mWorst.mFault), figures, aView.mWallNow);
   }
   if (aView.mStopped) {
-    return AfterStop(aRecord, figures);
+    return AfterStop(aRecord, figures, aView.mWallNow);
   }
   const bool isLast = aRecord.mStep + 1 == static_cast<int>(kStepPermille.size());
   if (HasEnough(aRecord, aView)) {
-    return isLast ? Finish(aRecord, figures) : EnterStep(aRecord, aRecord.mStep + 1, figures);
+    return isLast ? Finish(aRecord, figures, aView.mWallNow)
+                  : EnterStep(aRecord, aRecord.mStep + 1, figures);
   }
   if (aView.mWallNow + kDecisionMargin >= aRecord.mEndsAt) {
-    return Withdraw(aRecord, MoveReason::kTimeUp, figures);
+    return Withdraw(aRecord, MoveReason::kTimeUp, figures, aView.mWallNow);
   }
   return std::nullopt;
 }
--- a/trefoil/rollout/move_property_test.cc
+++ b/trefoil/rollout/move_property_test.cc
@@ -369,7 +369,9 @@
                      .mEndsAt = FromUnixMilliseconds(kMoveMilliseconds),
                      .mReason = MoveReason::kErrors,
                      .mSettled = { { .mVersion = kOldVersion, .mPermille = 1000 } },
-                     .mWithdrawn = { { .mVersion = kNewVersion, .mSpecDigest = 9 } } };
+                     .mWithdrawn = { { .mVersion = kNewVersion, .mSpecDigest = 9 } },
+                     .mEnded = {
+                       { .mVersion = kOldVersion, .mEndedAt = FromUnixMilliseconds(7) } } };
   const auto parsed = ParseMoveRecord(RenderMoveRecord(record));
   REQUIRE(parsed.ok());
   CHECK(parsed->mPhase == record.mPhase);
@@ -378,6 +380,7 @@
   CHECK(parsed->mReason == record.mReason);
   CHECK(parsed->mSettled == record.mSettled);
   CHECK(parsed->mWithdrawn.front().mSpecDigest == 9);
+  CHECK(parsed->mEnded.front().mEndedAt == FromUnixMilliseconds(7));
   CHECK_FALSE(ParseMoveRecord("{}").ok());
 }
 
--- a/trefoil/rollout/move_record.cc
+++ b/trefoil/rollout/move_record.cc
@@ -63,6 +63,40 @@
   return withdrawn;
 }
 
+Array::Ptr
+EndedArray(const MoveRecord& aRecord)
+{
+  Array::Ptr ended = new Array;
+  for (const EndedMove& move : aRecord.mEnded) {
+    Object::Ptr object = new Object;
+    object->set("version", move.mVersion.Value());
+    object->set("phase", std::string{ NameOf(kMovePhaseNames, move.mPhase) });
+    object->set("reason", std::string{ NameOf(kMoveReasonNames, move.mReason) });
+    object->set("document_revision", move.mDocumentRevision);
+    object->set("started_at_ms", UnixMilliseconds(move.mStartedAt));
+    object->set("ended_at_ms", UnixMilliseconds(move.mEndedAt));
+    object->set("figures", FiguresObject(move.mFigures));
+    ended->add(object);
+  }
+  return ended;
+}
+
+EndedMove
+ParseEnded(const Object& aObject)
+{
+  return {
+    .mVersion = VersionId{ aObject.getValue<std::string>("version") },
+    .mPhase =
+      ValueOf(kMovePhaseNames, aObject.getValue<std::string>("phase")).value_or(MovePhase::kDone),
+    .mReason = ValueOf(kMoveReasonNames, aObject.getValue<std::string>("reason"))
+                 .value_or(MoveReason::kNone),
+    .mDocumentRevision = aObject.getValue<std::uint64_t>("document_revision"),
+    .mStartedAt = FromUnixMilliseconds(aObject.getValue<std::int64_t>("started_at_ms")),
+    .mEndedAt = FromUnixMilliseconds(aObject.getValue<std::int64_t>("ended_at_ms")),
+    .mFigures = ParseFigures(*aObject.getObject("figures"))
+  };
+}
+
 void
 ParseLists(const Object& aObject, MoveRecord& aRecord)
 {
@@ -77,6 +111,9 @@
       { .mVersion = VersionId{ version->getValue<std::string>("version") },
         .mSpecDigest = version->getValue<std::uint64_t>("spec_digest") });
   }
+  for (const auto& item : *aObject.getArray("ended")) {
+    aRecord.mEnded.push_back(ParseEnded(*item.extract<Object::Ptr>()));
+  }
 }
 
 MoveRecord
@@ -128,6 +165,7 @@
   object.set("figures", FiguresObject(aRecord.mFigures));
   object.set("settled", SettledArray(aRecord));
   object.set("withdrawn", WithdrawnArray(aRecord));
+  object.set("ended", EndedArray(aRecord));
   std::ostringstream text;
   object.stringify(text);
   return text.str();
@@ -138,8 +176,10 @@
 {
   try {
     const auto object = Poco::JSON::Parser{}.parse(aText).extract<Object::Ptr>();
-    if (object->isNull("figures") || object->isNull("settled") || object->isNull("withdrawn")) {
-      return absl::DataLossError("the record of the move lacks a field");
+    for (const char* field : { "figures", "settled", "withdrawn", "ended" }) {
+      if (object->isNull(field)) {
+        return absl::DataLossError("the record of the move lacks a field");
+      }
     }
     return ParseFields(*object);
   } catch (const Poco::Exception& error) {
--- a/trefoil/rollout/move_record.h
+++ b/trefoil/rollout/move_record.h
@@ -11,6 +11,7 @@
 #include "trefoil/base/instant.h"
 #include "trefoil/base/name_table.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -95,6 +96,21 @@
   double mEffect = 0;
 };
 
+// A move that is over.
+struct EndedMove
+{
+  VersionId mVersion;
+  MovePhase mPhase = MovePhase::kDone;
+  MoveReason mReason = MoveReason::kNone;
+  std::uint64_t mDocumentRevision = 0;
+  WallTime mStartedAt;
+  WallTime mEndedAt;
+  MoveFigures mFigures;
+};
+
+// How many moves that are over a record keeps, the newest last.
+inline constexpr std::size_t kMostEndedMoves = 8;
+
 struct MoveRecord
 {
   MovePhase mPhase = MovePhase::kSteady;
@@ -116,6 +132,7 @@
   // The shares of the versions that have proved themselves.
   std::vector<VersionShare> mSettled;
   std::vector<WithdrawnVersion> mWithdrawn;
+  std::vector<EndedMove> mEnded;
 };
 
 // Returns the store's key of a service's moves.
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -9,6 +9,7 @@
 #include "trefoil/wire/config_message.h"
 #include "trefoil/wire/gossip_message.h"
 #include "trefoil/wire/health_message.h"
+#include "trefoil/wire/move_message.h"
 
 #include <variant>
 #include <vector>
@@ -23,7 +24,11 @@
                              Heartbeats,
                              ServerReports,
                              DocumentsWanted,
-                             DocumentsOffered>;
+                             DocumentsOffered,
+                             DutiesHeld,
+                             VersionReport,
+                             PermitGranted,
+                             VersionStopped>;
 
 // A message and where it goes.
 struct Datagram
