Let a step rise for want of requests, within what it may harm

Change: after a quarter of a step's time without half the requests it needs, and without doubt, the share rises up to 20 in 100 of the target in the same step.

--- a/trefoil/rollout/move_plan.cc
+++ b/trefoil/rollout/move_plan.cc
@@ -14,6 +14,11 @@
 constexpr Milliseconds kLongestStep{ 600'000 };
 constexpr std::int64_t kStepTimeTenths = 6;
 constexpr std::int64_t kTenths = 10;
+// A step of a service with few requests may rise to this share of the target, after this part of
+// its time, by this factor at a time.
+constexpr int kMostEarlyPermille = 200;
+constexpr int kEarlyLook = 4;
+constexpr std::uint64_t kMostRise = 10;
 
 const VersionSpec*
 FindVersion(const ServiceDocument& aDocument, const VersionId& aVersion)
@@ -137,8 +142,11 @@
   MoveRecord next = aRecord;
   next.mStep = aStep;
   next.mFigures = aFigures;
-  next.mSharePermille = std::max(
-    1, aRecord.mTargetPermille * kStepPermille[static_cast<std::size_t>(aStep)] / kWholePermille);
+  const int share =
+    aRecord.mTargetPermille * kStepPermille[static_cast<std::size_t>(aStep)] / kWholePermille;
+  // A share that rose for want of requests does not fall with the next step.
+  const int least = aStep > aRecord.mStep ? aRecord.mSharePermille : 1;
+  next.mSharePermille = std::max(least, share);
   return next;
 }
 
@@ -187,6 +195,31 @@
   return waited && assessment.mNewRequests >= kFewRequests && assessment.mNewErrors == 0;
 }
 
+// Returns the record with a larger share in the same step, where too few requests come for the
+// step's time. What a faulty version could harm stays bounded by the requests that the step needs.
+std::optional<MoveRecord>
+AfterFewRequests(const MoveRecord& aRecord, const StepView& aView)
+{
+  const Instant ends = StepEndsAt(aRecord, aView.mStepAt);
+  const Assessment& assessment = aView.mAssessment;
+  const int most = aRecord.mTargetPermille * kMostEarlyPermille / kWholePermille;
+  const bool early = HasPassed(aView.mStepAt + (ends - aView.mStepAt) / kEarlyLook, aView.mNow);
+  if (!early || assessment.mDoubtful || assessment.mOldRequests == 0 ||
+      aRecord.mSharePermille >= most) {
+    return std::nullopt;
+  }
+  const auto needed = kStepRequests[static_cast<std::size_t>(aRecord.mStep)];
+  const std::uint64_t likely = (assessment.mNewRequests + 1) * kEarlyLook;
+  if (likely * 2 > needed) {
+    return std::nullopt;
+  }
+  const std::uint64_t factor = std::clamp<std::uint64_t>(needed / likely, 2, kMostRise);
+  MoveRecord next = aRecord;
+  next.mSharePermille = std::min(most, aRecord.mSharePermille * static_cast<int>(factor));
+  next.mFigures = FiguresOf(assessment);
+  return next;
+}
+
 std::optional<MoveRecord>
 AfterStop(const MoveRecord& aRecord, const MoveFigures& aFigures, WallTime aNow)
 {
@@ -270,6 +303,9 @@
     return isLast ? Finish(aRecord, figures, aView.mWallNow)
                   : EnterStep(aRecord, aRecord.mStep + 1, figures);
   }
+  if (auto next = AfterFewRequests(aRecord, aView)) {
+    return next;
+  }
   if (aView.mWallNow + kDecisionMargin >= aRecord.mEndsAt) {
     return Withdraw(aRecord, MoveReason::kTimeUp, figures, aView.mWallNow);
   }
