--- a/trefoil/node/event.h
+++ b/trefoil/node/event.h
@@ -5,6 +5,8 @@
 #include "trefoil/base/endpoint.h"
 #include "trefoil/base/instant.h"
 #include "trefoil/base/name_table.h"
+#include "trefoil/config/config_spread.h"
+#include "trefoil/health/server_health.h"
 #include "trefoil/node/lease_event.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/platform/store_client.h"
@@ -83,6 +85,19 @@
   std::vector<AttemptOutcome> mOutcomes;
 };
 
+// A fetch that was asked for by FetchDocuments has ended.
+struct DocumentsFetched
+{
+  HostId mHost;
+  absl::StatusOr<DocumentsOffered> mOffered;
+};
+
+// A poll that was asked for by PollServer has ended.
+struct ServerPolled
+{
+  PollResult mResult;
+};
+
 using ControlEvent = std::variant<DocumentsRead,
                                   StoreUnreachable,
                                   MessageArrived,
@@ -90,6 +105,8 @@
                                   TimerFired,
                                   StoreReadDone,
                                   StoreWriteDone,
+                                  DocumentsFetched,
+                                  ServerPolled,
                                   LeaseCallDone,
                                   OutcomesSeen>;
 
@@ -124,8 +141,32 @@
   Instant mDeadline;
 };
 
-using ControlEffect =
-  std::variant<PublishSnapshot, SendMessage, StoreReadWanted, StoreWriteWanted, LeaseCallWanted>;
+// Ask another host for documents, and answer with DocumentsFetched.
+struct FetchDocuments
+{
+  ConfigFetch mFetch;
+};
+
+// Ask a backend server for its load, and answer with ServerPolled.
+struct PollServer
+{
+  ServerPoll mPoll;
+};
+
+// Watch the store for changed documents, or do so no longer.
+struct WatchDocuments
+{
+  bool mWanted = false;
+};
+
+using ControlEffect = std::variant<PublishSnapshot,
+                                   SendMessage,
+                                   StoreReadWanted,
+                                   StoreWriteWanted,
+                                   FetchDocuments,
+                                   PollServer,
+                                   WatchDocuments,
+                                   LeaseCallWanted>;
 using ControlEffects = std::vector<ControlEffect>;
 
 } // namespace trefoil
--- a/trefoil/node/internal/moves.cc
+++ b/trefoil/node/internal/moves.cc
@@ -73,7 +73,7 @@
 void
 WantDuties(ControlState& aState, ControlEffects& aEffects, Instant aNow)
 {
-  for (const auto& [service, document] : aState.mDocuments.mByService) {
+  for (const auto& [service, document] : aState.mConfig.mDocuments.mByService) {
     const std::size_t rank = RankInZone(aState.mGossip, DutyKey(service), kCandidatesOfZone);
     const bool wanted =
       document.mDocument != nullptr && rank < kCandidatesOfZone && !aState.mLeaving;
@@ -132,7 +132,7 @@
 {
   aState.mMoves.mNextTickAt = aNow + kTickEvery;
   WantDuties(aState, aEffects, aNow);
-  for (const auto& [service, document] : aState.mDocuments.mByService) {
+  for (const auto& [service, document] : aState.mConfig.mDocuments.mByService) {
     if (document.mDocument != nullptr) {
       TickDuty(aState, service, document, aEffects, aNow);
     }
--- a/trefoil/node/internal/pick_server.cc
+++ b/trefoil/node/internal/pick_server.cc
@@ -6,6 +6,8 @@
 namespace trefoil {
 namespace {
 
+// How long a request waits for a view that effects may rest on.
+constexpr Milliseconds kFreshViewWait{ 3'000 };
 // Round trip to another availability zone of the region.
 constexpr double kOtherZoneMs = 3;
 // Price of an on-demand host relative to a reclaimable one.
@@ -90,6 +92,11 @@
            const std::set<BackendServerId>& aExcluded,
            const WorkHint& aHint)
 {
+  // No work is sent on a view from before this process was frozen.
+  const auto fresh = aContext.mSnapshots->ReadFresh(Now() + kFreshViewWait);
+  if (!IsFresh(*fresh, Now())) {
+    return std::nullopt;
+  }
   RefreshServers(aContext, aDocument.mService);
   PlacementRequest request{ .mMarks = MarkPrefixes(aHint.mPrompt),
                             .mPromptTokens =
@@ -98,9 +105,10 @@
                             .mExcluded = aExcluded,
                             .mVersions = VersionWeights(*aContext.mSnapshots->Read(), aDocument),
                             .mRandom = RandomNumber() };
+  request.mExcluded.insert(fresh->mNotUp->begin(), fresh->mNotUp->end());
   auto chosen = aContext.mRouting->Choose(aDocument.mService, request, Now());
   if (!chosen.has_value() && !aExcluded.empty()) {
-    request.mExcluded.clear();
+    request.mExcluded = *fresh->mNotUp;
     chosen = aContext.mRouting->Choose(aDocument.mService, request, Now());
   }
   if (!chosen.has_value()) {
