--- a/trefoil/duty/duty.h
+++ b/trefoil/duty/duty.h
@@ -39,7 +39,7 @@
 };
 
 // What a host writes to claim a duty.
-struct ClaimRecord
+struct HolderRecord
 {
   HostId mHost;
   // Distinguishes two claims of one host.
@@ -168,7 +168,7 @@
   std::uint64_t mCallNumber = 0;
   ClaimResult mResult = ClaimResult::kUnknown;
   // What stands in the store, for kWritten and kTaken.
-  ClaimRecord mRecord;
+  HolderRecord mRecord;
   std::uint64_t mRevision = 0;
 };
 
@@ -207,7 +207,7 @@
 {
   ServiceId mService;
   std::uint64_t mCallNumber = 0;
-  ClaimRecord mRecord;
+  HolderRecord mRecord;
   std::uint64_t mLease = 0;
 };
 
--- a/trefoil/node/control_state.cc
+++ b/trefoil/node/control_state.cc
@@ -1,5 +1,6 @@
 #include "trefoil/node/control_state.h"
 
+#include "trefoil/node/internal/moves.h"
 #include "trefoil/node/internal/peer_control.h"
 
 #include <algorithm>
@@ -25,6 +26,7 @@
     snapshot->mServices[service] = { .mDocument = document.mDocument,
                                      .mRevision = document.mRevision,
                                      .mRefusal = document.mRefusal };
+    AddMoveShares(aState, service, snapshot->mServices[service]);
   }
   FillPeerPart(aState, *snapshot);
   return snapshot;
@@ -38,6 +40,17 @@
   return effects;
 }
 
+// Adds the effects of moves, and a snapshot if they changed a share.
+void
+AddMoves(ControlState& aState, ControlEffects& aEffects, ControlEffects aMoves)
+{
+  if (aState.mMoves.mChanged) {
+    aState.mMoves.mChanged = false;
+    aEffects.emplace_back(PublishSnapshot{ MakeSnapshot(aState) });
+  }
+  std::move(aMoves.begin(), aMoves.end(), std::back_inserter(aEffects));
+}
+
 ControlEffects
 On(ControlState& aState, const DocumentsRead& aEvent, Instant aNow)
 {
@@ -102,6 +115,14 @@
 {
   ControlEffects effects;
   AddDatagrams(effects, OnPeerMessage(aState, aEvent.mMessage, aNow));
+  const auto onMoves = [&aState, aNow](const auto& aKind) -> ControlEffects {
+    if constexpr (requires { OnMoveMessage(aState, aKind, aNow); }) {
+      return OnMoveMessage(aState, aKind, aNow);
+    } else {
+      return {};
+    }
+  };
+  AddMoves(aState, effects, std::visit(onMoves, aEvent.mMessage));
   AddReports(aState, effects, aNow);
   AddFetch(aState, effects, aNow);
   return effects;
@@ -113,6 +134,7 @@
   aState.mLeaving = true;
   ControlEffects effects = Publish(aState);
   AddDatagrams(effects, AnnounceLeaving(aState.mGossip, aNow));
+  AddMoves(aState, effects, OnMovesStop(aState, aNow));
   return effects;
 }
 
@@ -121,7 +143,7 @@
 {
   ControlEffects effects = OnIdempotencyTimer(aState.mIdempotency, aNow);
   std::ranges::move(OnAuditTimer(aState.mAudit, aNow), std::back_inserter(effects));
-  if (!HasPassed(NextPeerTimer(aState), aNow)) {
+  if (!HasPassed(std::min(NextPeerTimer(aState), NextMovesTimer(aState)), aNow)) {
     return effects;
   }
   NoteConfiguration(
@@ -130,8 +152,10 @@
     aNow);
   ControlEffects peerEffects = OnPeerTimer(aState, aNow);
   PublishReports(aState.mHealth, aNow);
+  ControlEffects moves = OnMovesTimer(aState, aNow);
   effects.emplace_back(PublishSnapshot{ MakeSnapshot(aState) });
   std::ranges::move(peerEffects, std::back_inserter(effects));
+  AddMoves(aState, effects, std::move(moves));
   return effects;
 }
 
@@ -154,7 +178,9 @@
   if (aEvent.mTopic == StoreTopic::kAudit) {
     return OnAudit(aState.mAudit, aEvent, aNow);
   }
-  return {};
+  ControlEffects effects;
+  AddMoves(aState, effects, OnMovesRead(aState, aEvent, aNow));
+  return effects;
 }
 
 ControlEffects
@@ -166,7 +192,25 @@
   if (aEvent.mTopic == StoreTopic::kAudit) {
     return OnAudit(aState.mAudit, aEvent, aNow);
   }
-  return {};
+  ControlEffects effects;
+  AddMoves(aState, effects, OnMovesWrite(aState, aEvent, aNow));
+  return effects;
+}
+
+ControlEffects
+On(ControlState& aState, const LeaseCallDone& aEvent, Instant aNow)
+{
+  ControlEffects effects;
+  AddMoves(aState, effects, OnLeaseCall(aState, aEvent, aNow));
+  return effects;
+}
+
+ControlEffects
+On(ControlState& aState, const OutcomesSeen& aEvent, Instant aNow)
+{
+  ControlEffects effects;
+  AddMoves(aState, effects, OnOutcomes(aState, aEvent, aNow));
+  return effects;
 }
 
 // The events of traffic threads.
@@ -191,6 +235,9 @@
                                     .mIncarnation = aOptions.mIncarnation,
                                     .mRandomSeed = aOptions.mRandomSeed },
                                   aNow);
+  // The incarnation is the time of the start in milliseconds.
+  state.mMoves = MakeMovesState(
+    aOptions, aNow, FromUnixMilliseconds(static_cast<std::int64_t>(aOptions.mIncarnation)));
   state.mConfig = MakeConfigState(aNow);
   state.mSharedDocuments = std::make_shared<const DocumentsInForce>();
   state.mIdempotency.mTickets.mIssuer = { .mZone = aOptions.mZone,
@@ -215,7 +262,7 @@
 NextTimer(const ControlState& aState)
 {
   const Instant next = NextTimer(aState.mAudit.mRecorder, NextPeerTimer(aState));
-  return NextTimer(aState.mIdempotency.mClaims, next);
+  return std::min(NextTimer(aState.mIdempotency.mClaims, next), NextMovesTimer(aState));
 }
 
 } // namespace trefoil
--- a/trefoil/node/control_state.h
+++ b/trefoil/node/control_state.h
@@ -16,6 +16,7 @@
 #include "trefoil/node/event.h"
 #include "trefoil/node/internal/audit_control.h"
 #include "trefoil/node/internal/idempotency_control.h"
+#include "trefoil/node/moves_state.h"
 
 #include <cstdint>
 #include <memory>
@@ -42,6 +43,7 @@
   ControlOptions mOptions;
   ConfigState mConfig;
   GossipState mGossip;
+  MovesState mMoves;
   HealthState mHealth;
   // A copy of the documents for other threads, and its digest.
   std::shared_ptr<const DocumentsInForce> mSharedDocuments;
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -59,7 +59,8 @@
               .mActive = &mActive,
               .mMetrics = &mMetrics,
               .mDesk = &mDesk,
-              .mClusterSecret = mSettings.mClusterSecret }
+              .mClusterSecret = mSettings.mClusterSecret,
+              .mOutcomes = &mOutcomes }
 {
 }
 
@@ -142,6 +143,7 @@
       CarryOut(Step(state, *event, Now()));
     }
     if (HasPassed(NextTimer(state), Now())) {
+      mOutcomes.Flush();
       CarryOut(Step(state, TimerFired{}, Now()));
       TickAdmission(state);
     }
@@ -192,6 +194,12 @@
   mStoreWorker.Submit(aEffect);
 }
 
+void
+EntryHost::CarryOut(const LeaseCallWanted& aEffect)
+{
+  mStoreWorker.Submit(aEffect);
+}
+
 void
 EntryHost::CarryOut(const FetchDocuments& aEffect)
 {
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -16,6 +16,7 @@
 #include "trefoil/node/event_queue.h"
 #include "trefoil/node/internal/peer_worker.h"
 #include "trefoil/node/internal/watch_gate.h"
+#include "trefoil/node/outcome_buffer.h"
 #include "trefoil/node/routing_tables.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/node/store_worker.h"
@@ -57,6 +58,7 @@
   void CarryOut(const SendMessage& aEffect);
   void CarryOut(const StoreReadWanted& aEffect);
   void CarryOut(const StoreWriteWanted& aEffect);
+  void CarryOut(const LeaseCallWanted& aEffect);
   void CarryOut(const FetchDocuments& aEffect);
   void CarryOut(const PollServer& aEffect);
   void CarryOut(const WatchDocuments& aEffect);
@@ -67,6 +69,7 @@
   HostSettings mSettings;
   UdpSocket mSocket;
   EventQueue mQueue;
+  OutcomeBuffer mOutcomes{ mQueue };
   SnapshotCell mSnapshots;
   StoreWorker mStoreWorker;
   PeerWorker mPeerWorker;
--- a/trefoil/node/event.h
+++ b/trefoil/node/event.h
@@ -8,9 +8,11 @@
 #include "trefoil/config/config_spread.h"
 #include "trefoil/health/server_health.h"
 #include "trefoil/idempotency/claims.h"
+#include "trefoil/node/lease_event.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/node/ticket_event.h"
 #include "trefoil/platform/store_client.h"
+#include "trefoil/rollout/evidence.h"
 #include "trefoil/wire/message.h"
 
 #include <cstdint>
@@ -79,6 +81,12 @@
   StoreWrite mWrite;
 };
 
+// Attempts have ended.
+struct OutcomesSeen
+{
+  std::vector<AttemptOutcome> mOutcomes;
+};
+
 // A fetch that was asked for by FetchDocuments has ended.
 struct DocumentsFetched
 {
@@ -112,7 +120,9 @@
                                   OutcomeKnown,
                                   TicketWanted,
                                   TicketUsed,
-                                  TicketEnded>;
+                                  TicketEnded,
+                                  LeaseCallDone,
+                                  OutcomesSeen>;
 
 // Show this snapshot to the traffic threads.
 struct PublishSnapshot
@@ -172,7 +182,8 @@
                                    WatchDocuments,
                                    ClaimDecided,
                                    TicketMinted,
-                                   TicketDecided>;
+                                   TicketDecided,
+                                   LeaseCallWanted>;
 using ControlEffects = std::vector<ControlEffect>;
 
 } // namespace trefoil
--- a/trefoil/node/internal/status_page.cc
+++ b/trefoil/node/internal/status_page.cc
@@ -9,6 +9,23 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
+Object::Ptr
+MoveOf(const MoveView& aMove)
+{
+  Object::Ptr shares = new Object;
+  for (const VersionShare& share : aMove.mShares) {
+    shares->set(share.mVersion.Value(), share.mPermille);
+  }
+  Object::Ptr move = new Object;
+  move->set("phase", std::string{ NameOf(kMovePhaseNames, aMove.mPhase) });
+  move->set("version", aMove.mVersion.Value());
+  move->set("record", aMove.mRecord);
+  move->set("stopped_here", aMove.mStopped);
+  move->set("held_here", aMove.mHeldHere);
+  move->set("shares", shares);
+  return move;
+}
+
 // Shows whether the revision in force is in force on every host, and how long that took from when
 // this host first had it.
 void
@@ -33,6 +50,7 @@
     service->set("service", id.Value());
     service->set("revision_in_force", view.mRevision);
     service->set("refused", view.mRefusal);
+    service->set("move", MoveOf(view.mMove));
     SetSpread(*service, view);
     services->add(service);
   }
--- a/trefoil/node/snapshot.h
+++ b/trefoil/node/snapshot.h
@@ -13,15 +13,33 @@
 #include "trefoil/config/config_spread.h"
 #include "trefoil/health/server_health.h"
 #include "trefoil/membership/gossip.h"
+#include "trefoil/membership/members.h"
+#include "trefoil/rollout/move_record.h"
 #include "trefoil/service/service_document.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace trefoil {
 
+// How far a service's versions have moved, as this host knows.
+struct MoveView
+{
+  // The shares that attempts are drawn from.
+  std::vector<VersionShare> mShares;
+  MovePhase mPhase = MovePhase::kSteady;
+  VersionId mVersion;
+  // The record in the store that the shares stem from; 0 for none.
+  std::uint64_t mRecord = 0;
+  // Whether this host has stopped sending to the version by itself.
+  bool mStopped = false;
+  // Whether this host holds the duty of the move.
+  bool mHeldHere = false;
+};
+
 // A service as traffic sees it.
 struct ServiceView
 {
@@ -29,6 +47,7 @@
   std::uint64_t mRevision = 0;
   // Why a newer document was refused; empty if none was.
   std::string mRefusal;
+  MoveView mMove;
   // When the revision in force came to this host and when it was known to be on every host.
   SpreadOfRevision mSpread;
 };
--- a/trefoil/node/traffic.h
+++ b/trefoil/node/traffic.h
@@ -19,6 +19,8 @@
 
 namespace trefoil {
 
+class OutcomeBuffer;
+
 struct TrafficContext
 {
   HostId mHost;
@@ -32,6 +34,8 @@
   ControlDesk* mDesk = nullptr;
   // Authenticates tickets. Empty if the host mints and takes none.
   std::string mClusterSecret;
+  // Receives the outcomes of attempts; null if nobody counts them.
+  OutcomeBuffer* mOutcomes = nullptr;
 };
 
 // Answers one request of a caller, an operator or the balancer.
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -10,6 +10,7 @@
 #include "trefoil/wire/config_message.h"
 #include "trefoil/wire/gossip_message.h"
 #include "trefoil/wire/health_message.h"
+#include "trefoil/wire/move_message.h"
 
 #include <variant>
 #include <vector>
@@ -25,7 +26,11 @@
                              ServerReports,
                              DocumentsWanted,
                              DocumentsOffered,
-                             AdmissionDemands>;
+                             AdmissionDemands,
+                             DutiesHeld,
+                             VersionReport,
+                             PermitGranted,
+                             VersionStopped>;
 
 // A message and where it goes.
 struct Datagram
