Compare routing policies and smoothing on a simulated clock

Cause: no measurement told whether the scored policy and the budget of the busiest minute are worth it.

--- /dev/null
+++ b/bench/policy_bench.cc
@@ -0,0 +1,175 @@
+// Compares routing policies, and smoothing of the busiest minute on and off, on a simulated clock.
+#include "bench/policy_run.h"
+
+#include <algorithm>
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+#include <vector>
+
+namespace trefoil::bench {
+namespace {
+
+constexpr char kUsage[] = R"(Compares routing policies and smoothing on a simulated clock.
+
+Usage:
+  policy-bench [--engines=N] [--seeds=N] [--peak-budget=X]
+  policy-bench target [--seeds=N] [--peak-budget=X]
+  policy-bench --help
+
+Options:
+  --engines=N      Model engines [default: 20].
+  --seeds=N        Runs of each case, with the seeds from 1 to N [default: 5].
+  --peak-budget=X  Budget of the busiest minute, relative to the mean minute [default: 1.15].
+  target           Finds the fewest engines that meet the latency target.
+)";
+
+constexpr double kFirstTokenTargetMs = 400;
+constexpr double kBetweenTokensTargetMs = 25;
+
+// One number over several seeds.
+struct Spread
+{
+  double mLeast = 0;
+  double mMean = 0;
+  double mMost = 0;
+};
+
+Spread
+SpreadOf(const std::vector<RunResult>& aResults, double RunResult::*aMember)
+{
+  Spread spread{ .mLeast = aResults.front().*aMember, .mMost = aResults.front().*aMember };
+  for (const RunResult& result : aResults) {
+    const double value = result.*aMember;
+    spread.mLeast = std::min(spread.mLeast, value);
+    spread.mMost = std::max(spread.mMost, value);
+    spread.mMean += value / static_cast<double>(aResults.size());
+  }
+  return spread;
+}
+
+std::string
+Render(const std::vector<RunResult>& aResults, double RunResult::*aMember)
+{
+  const Spread spread = SpreadOf(aResults, aMember);
+  return fmt::format("{:.1f} ({:.1f}-{:.1f})", spread.mMean, spread.mLeast, spread.mMost);
+}
+
+std::vector<RunResult>
+RunSeeds(RunOptions aOptions, long aSeeds)
+{
+  std::vector<RunResult> results;
+  for (long seed = 1; seed <= aSeeds; ++seed) {
+    aOptions.mSeed = static_cast<std::uint64_t>(seed);
+    results.push_back(RunPolicy(aOptions));
+  }
+  return results;
+}
+
+void
+PrintHead()
+{
+  fmt::print(
+    "| load | policy | smoothing | recomputed tokens, millions | first token p50, ms | p95, ms "
+    "| between tokens p95, ms | busiest minute, engines | its cost | whole cost | refused | "
+    "late |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+}
+
+void
+PrintRow(const RunOptions& aOptions, const std::vector<RunResult>& aResults)
+{
+  fmt::print("| {} | {} | {} ",
+             NameOf(kLoadKindNames, aOptions.mLoad),
+             NameOf(kRoutingPolicyNames, aOptions.mPolicy),
+             aOptions.mPeakBudget > 0 ? "on" : "off");
+  for (const auto member : { &RunResult::mRecomputedMillions,
+                             &RunResult::mFirstTokenP50Ms,
+                             &RunResult::mFirstTokenP95Ms,
+                             &RunResult::mBetweenTokensP95Ms,
+                             &RunResult::mPeakEngines,
+                             &RunResult::mPeakCost,
+                             &RunResult::mTotalCost,
+                             &RunResult::mRefused,
+                             &RunResult::mLate }) {
+    fmt::print("| {} ", Render(aResults, member));
+  }
+  fmt::print("|\n");
+  std::fflush(stdout);
+}
+
+void
+Compare(std::size_t aEngines, long aSeeds, double aPeakBudget)
+{
+  PrintHead();
+  for (const auto& load : kLoadKindNames) {
+    for (const auto& policy : kRoutingPolicyNames) {
+      const RunOptions options{ .mPolicy = policy.mValue,
+                                .mLoad = load.mValue,
+                                .mEngines = aEngines };
+      PrintRow(options, RunSeeds(options, aSeeds));
+    }
+    for (const RoutingPolicy policy : { RoutingPolicy::kPowerOfTwo, RoutingPolicy::kScored }) {
+      const RunOptions options{
+        .mPolicy = policy, .mLoad = load.mValue, .mEngines = aEngines, .mPeakBudget = aPeakBudget
+      };
+      PrintRow(options, RunSeeds(options, aSeeds));
+    }
+  }
+}
+
+bool
+MeetsTarget(const std::vector<RunResult>& aResults)
+{
+  return std::ranges::all_of(aResults, [](const RunResult& aResult) {
+    return aResult.mFirstTokenP95Ms <= kFirstTokenTargetMs &&
+           aResult.mBetweenTokensP95Ms <= kBetweenTokensTargetMs && aResult.mRefused == 0 &&
+           aResult.mLate == 0;
+  });
+}
+
+// Prints the fewest engines with which every seed meets the target, and what they cost.
+void
+FindTarget(long aSeeds, double aPeakBudget)
+{
+  constexpr std::size_t kFewest = 8;
+  constexpr std::size_t kMost = 64;
+  fmt::print("| load | policy | smoothing | fewest engines | cost of the busiest minute |\n"
+             "|---|---|---|---|---|\n");
+  for (const auto& load : kLoadKindNames) {
+    for (const RoutingPolicy policy : { RoutingPolicy::kPowerOfTwo, RoutingPolicy::kScored }) {
+      for (const double budget : { 0.0, aPeakBudget }) {
+        RunOptions options{ .mPolicy = policy, .mLoad = load.mValue, .mPeakBudget = budget };
+        std::vector<RunResult> results;
+        for (options.mEngines = kFewest; options.mEngines <= kMost; ++options.mEngines) {
+          results = RunSeeds(options, aSeeds);
+          if (MeetsTarget(results)) {
+            break;
+          }
+        }
+        fmt::print("| {} | {} | {} | {} | {} |\n",
+                   load.mName,
+                   NameOf(kRoutingPolicyNames, policy),
+                   budget > 0 ? "on" : "off",
+                   options.mEngines > kMost ? "over 64" : std::to_string(options.mEngines),
+                   Render(results, &RunResult::mPeakCost));
+        std::fflush(stdout);
+      }
+    }
+  }
+}
+
+} // namespace
+} // namespace trefoil::bench
+
+int
+main(int aCount, char** aArguments)
+{
+  auto options = docopt::docopt(trefoil::bench::kUsage, { aArguments + 1, aArguments + aCount });
+  const long seeds = options["--seeds"].asLong();
+  const double budget = std::stod(options["--peak-budget"].asString());
+  if (options["target"].asBool()) {
+    trefoil::bench::FindTarget(seeds, budget);
+  } else {
+    trefoil::bench::Compare(static_cast<std::size_t>(options["--engines"].asLong()), seeds, budget);
+  }
+  return 0;
+}
