--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -13,6 +13,7 @@
 
 Usage:
   policy-bench [--engines=N] [--seeds=N] [--peak-budget=X]
+  policy-bench ablate [--engines=N] [--seeds=N]
   policy-bench target [--seeds=N] [--peak-budget=X]
   policy-bench --help
 
@@ -20,6 +21,7 @@
   --engines=N      Model engines [default: 20].
   --seeds=N        Runs of each case, with the seeds from 1 to N [default: 5].
   --peak-budget=X  Budget of the busiest minute, relative to the mean minute [default: 1.15].
+  ablate           Runs the scored policy without each of the things that hosts are told.
   target           Finds the fewest engines that meet the latency target.
 )";
 
@@ -116,6 +118,21 @@
   }
 }
 
+void
+Ablate(std::size_t aEngines, long aSeeds)
+{
+  for (const auto& without : kAblationNames) {
+    fmt::print("\nWithout: {}\n\n", without.mName);
+    PrintHead();
+    for (const auto& load : kLoadKindNames) {
+      const RunOptions options{ .mLoad = load.mValue,
+                                .mEngines = aEngines,
+                                .mWithout = without.mValue };
+      PrintRow(options, RunSeeds(options, aSeeds));
+    }
+  }
+}
+
 bool
 MeetsTarget(const std::vector<RunResult>& aResults)
 {
@@ -166,7 +183,9 @@
   auto options = docopt::docopt(trefoil::bench::kUsage, { aArguments + 1, aArguments + aCount });
   const long seeds = options["--seeds"].asLong();
   const double budget = std::stod(options["--peak-budget"].asString());
-  if (options["target"].asBool()) {
+  if (options["ablate"].asBool()) {
+    trefoil::bench::Ablate(static_cast<std::size_t>(options["--engines"].asLong()), seeds);
+  } else if (options["target"].asBool()) {
     trefoil::bench::FindTarget(seeds, budget);
   } else {
     trefoil::bench::Compare(static_cast<std::size_t>(options["--engines"].asLong()), seeds, budget);
--- a/bench/policy_run.cc
+++ b/bench/policy_run.cc
@@ -108,7 +108,8 @@
 void
 PublishCache(Simulation& aSim, std::size_t aEngine, const CachedDocument& aDocument, bool aStored)
 {
-  if (aSim.Uniform(0, 1) < kCacheEventLoss) {
+  const bool lost = aSim.Uniform(0, 1) < kCacheEventLoss;
+  if (lost || aSim.mOptions.mWithout == Ablation::kCacheEvents) {
     return;
   }
   aSim.At(aSim.mNowMs + aSim.Uniform(500, 2000), [&aSim, aEngine, aDocument, aStored] {
@@ -228,7 +229,9 @@
             [&aSim, aHost, &aRequest] { SendTo(aSim, aHost, aRequest); });
     return;
   }
-  RecordPlacement(host.mRouting, *slot, request, aSim.Clock());
+  if (aSim.mOptions.mWithout != Ablation::kOwnPlacements) {
+    RecordPlacement(host.mRouting, *slot, request, aSim.Clock());
+  }
   RecordOwnStart(host.mRouting.mServers[*slot].mLoad, aSim.Clock());
   const double distance = aSim.mEngines[*slot].mZone == aHost % kZones ? 0 : kOtherZoneMs;
   aSim.At(aSim.mNowMs + distance, [&aSim, aHost, &aRequest, engine = std::size_t{ *slot }] {
@@ -287,6 +290,9 @@
 void
 ReportLoad(Simulation& aSim, std::size_t aEngine)
 {
+  if (aSim.mOptions.mWithout == Ablation::kLoadReports) {
+    return;
+  }
   const ModelEngine& engine = aSim.mEngines[aEngine];
   const LoadReport report{ .mRunning = static_cast<std::int64_t>(engine.mRunning.size() +
                                                                  engine.mWaiting.size()),
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -10,6 +10,22 @@
 
 namespace trefoil::bench {
 
+// What the entry hosts are not told, to see what it is worth.
+enum class Ablation
+{
+  kNone,
+  kCacheEvents,
+  kOwnPlacements,
+  kLoadReports,
+};
+
+inline constexpr NameTable<Ablation, 4> kAblationNames{ {
+  { Ablation::kNone, "none" },
+  { Ablation::kCacheEvents, "cache_events" },
+  { Ablation::kOwnPlacements, "own_placements" },
+  { Ablation::kLoadReports, "load_reports" },
+} };
+
 struct RunOptions
 {
   RoutingPolicy mPolicy = RoutingPolicy::kScored;
@@ -17,6 +33,7 @@
   std::size_t mEngines = 20;
   std::uint64_t mSeed = 1;
   ScoreWeights mWeights;
+  Ablation mWithout = Ablation::kNone;
   // The budget of the busiest minute relative to the mean minute of the load; 0 for none.
   double mPeakBudget = 0;
 };
--- a/trefoil/routing/routing_state.cc
+++ b/trefoil/routing/routing_state.cc
@@ -1,6 +1,7 @@
 #include "trefoil/routing/routing_state.h"
 
 #include "absl/container/inlined_vector.h"
+#include "trefoil/base/digest.h"
 
 #include <algorithm>
 
@@ -141,12 +142,31 @@
                   tokens - ExpectedCachedTokens(aState.mPrefixes, *aRequest.mMarks, aSlot, aNow));
 }
 
+// Returns the part of a score by which hosts without news agree on a server for a prefix.
+double
+AgreementMs(const ScoreWeights& aWeights,
+            const RoutingRequest& aRequest,
+            const RoutedServer& aServer)
+{
+  if (aRequest.mMarks == nullptr || aRequest.mMarks->empty()) {
+    return 0;
+  }
+  // A mark in the middle is less likely to contain what is particular to the request.
+  const std::uint64_t digest = (*aRequest.mMarks)[aRequest.mMarks->size() / 2].mDigest;
+  RandomSequence sequence{ .mState = digest ^ aServer.mDigest };
+  const double place = static_cast<double>(sequence.Next()) / static_cast<double>(UINT64_MAX);
+  const double prefillMs =
+    static_cast<double>(aRequest.mPromptTokens) / aWeights.mPrefillTokensPerMs;
+  return aWeights.mAgreementWeight * place * prefillMs;
+}
+
 double
 ScoreOf(const RoutingState& aState, const RoutingRequest& aRequest, ServerSlot aSlot, Instant aNow)
 {
   const ScoreWeights& weights = aState.mOptions.mWeights;
   const RoutedServer& server = aState.mServers[aSlot];
-  return Score(weights,
+  return AgreementMs(weights, aRequest, server) +
+         Score(weights,
                { .mUncachedTokens = UncachedTokens(aState, aRequest, aSlot, aNow),
                  .mExpectedTokens = static_cast<double>(aRequest.mExpectedTokens) },
                { .mLoad = EstimateLoad(server.mLoad, weights.mPrefillTokensPerMs, aNow),
@@ -287,6 +307,7 @@
   for (const RoutableServer& server : aServers) {
     const ServerSlot slot = SlotFor(aState, server.mServer);
     aState.mServers[slot].mSpec = server;
+    aState.mServers[slot].mDigest = Digest64(server.mServer.Value());
     listed[slot] = true;
     AddToVersion(aState, server, slot);
   }
--- a/trefoil/routing/routing_state.h
+++ b/trefoil/routing/routing_state.h
@@ -49,6 +49,8 @@
 {
   RoutableServer mSpec;
   ServerLoad mLoad;
+  // The digest of the server's name, the same on every host.
+  std::uint64_t mDigest = 0;
 };
 
 // The servers of one version.
--- a/trefoil/routing/score.h
+++ b/trefoil/routing/score.h
@@ -21,10 +21,13 @@
   // By how much each further stream slows a token down.
   double mTokenMsPerStream = 0.3;
   // Weight of the slower tokens; the caller feels them less than the wait for the first.
-  double mBatchWeight = 0.15;
+  double mBatchWeight = 0.05;
   // Milliseconds that one millisecond of work at the price of 1 above the cheapest is worth.
   double mPriceWeight = 0.05;
   double mRiskWeight = 1;
+  // The part of the prompt's processing time by which hosts that know no holder of a prefix prefer
+  // the same server (rendezvous hashing), so that they do not process it on several at once.
+  double mAgreementWeight = 0.5;
 };
 
 struct RequestCost
