--- a/trefoil/node/admission_gate_test.cc
+++ b/trefoil/node/admission_gate_test.cc
@@ -98,6 +98,19 @@
   tables.SetServers(service, 1, servers);
   CHECK_FALSE(tables.IsOlder(service, 1));
   CHECK(tables.Choose(service, {}, Now()) == server);
+
+  SECTION("none starts on a server that is down or leaving")
+  {
+    const auto reports = std::make_shared<const ServerReportMap>();
+    tables.TakeReports(
+      service,
+      { .mReports = reports, .mNotUp = std::make_shared<const ServerSet>(ServerSet{ server }) },
+      Now());
+    CHECK_FALSE(tables.Choose(service, {}, Now()).has_value());
+    tables.TakeReports(
+      service, { .mReports = reports, .mNotUp = std::make_shared<const ServerSet>() }, Now());
+    CHECK(tables.Choose(service, {}, Now()) == server);
+  }
   {
     const InFlightGuard guard{ tables, server };
     CHECK(tables.InFlight(server) == 1);
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -1,8 +1,8 @@
 #include "trefoil/node/entry_host.h"
 
 #include "trefoil/base/digest.h"
-#include "trefoil/node/internal/peer_requests.h"
 #include "trefoil/node/internal/admission_request.h"
+#include "trefoil/node/internal/peer_requests.h"
 #include "trefoil/platform/store_client.h"
 #include "trefoil/wire/codec.h"
 
--- a/trefoil/node/internal/pick_server.cc
+++ b/trefoil/node/internal/pick_server.cc
@@ -35,10 +35,15 @@
 {
   const auto snapshot = aContext.mSnapshots->Read();
   const ServiceView* view = FindService(*snapshot, aService);
-  if (view != nullptr && aContext.mRouting->IsOlder(aService, view->mRevision)) {
+  if (view == nullptr) {
+    return;
+  }
+  if (aContext.mRouting->IsOlder(aService, view->mRevision)) {
     aContext.mRouting->SetServers(
       aService, view->mRevision, RoutableServers(*view->mDocument, aContext.mZone));
   }
+  aContext.mRouting->TakeReports(
+    aService, { .mReports = snapshot->mServers, .mNotUp = snapshot->mNotUp }, Now());
 }
 
 } // namespace
@@ -90,10 +95,9 @@
                             .mExcluded = aExcluded,
                             .mVersions = VersionWeights(aDocument),
                             .mRandom = RandomNumber() };
-  request.mExcluded.insert(fresh->mNotUp->begin(), fresh->mNotUp->end());
   auto chosen = aContext.mRouting->Choose(aDocument.mService, request, Now());
   if (!chosen.has_value() && !aExcluded.empty()) {
-    request.mExcluded = *fresh->mNotUp;
+    request.mExcluded.clear();
     chosen = aContext.mRouting->Choose(aDocument.mService, request, Now());
   }
   if (!chosen.has_value()) {
--- a/trefoil/node/routing_tables.cc
+++ b/trefoil/node/routing_tables.cc
@@ -6,6 +6,11 @@
 namespace trefoil {
 namespace {
 
+// How old a report is on average when it arrives.
+constexpr Milliseconds kReportLag{ 500 };
+// Prompt tokens of a request that waits at a server.
+constexpr std::int64_t kTokensPerQueued = 1000;
+
 std::vector<ServerSlot>
 SlotsOf(const RoutingState& aState, const std::set<BackendServerId>& aServers)
 {
@@ -18,6 +23,30 @@
   return slots;
 }
 
+// Returns the load that the reports tell of a server, nothing if it is no news.
+std::optional<LoadReport>
+NewLoad(const ServerReportMap* aKnown,
+        const ServerReportMap& aReports,
+        const BackendServerId& aServer)
+{
+  const auto report = aReports.find(aServer);
+  if (report == aReports.end()) {
+    return std::nullopt;
+  }
+  if (aKnown != nullptr) {
+    const auto known = aKnown->find(aServer);
+    const bool same = known != aKnown->end() &&
+                      known->second.mSequence == report->second.mSequence &&
+                      known->second.mIncarnation == report->second.mIncarnation;
+    if (same) {
+      return std::nullopt;
+    }
+  }
+  const auto& load = report->second;
+  return LoadReport{ .mRunning = std::int64_t{ load.mRunning } + load.mQueued,
+                     .mQueuedTokens = load.mQueued * kTokensPerQueued };
+}
+
 } // namespace
 
 bool
@@ -42,9 +71,31 @@
     return;
   }
   table.mNumber = aNumber;
+  // The new list says nothing of who is up: the next reports do.
+  table.mNews = {};
   trefoil::SetServers(table.mState, aServers);
 }
 
+void
+RoutingTables::TakeReports(const ServiceId& aService, const ServerNews& aNews, Instant aNow)
+{
+  const absl::MutexLock lock{ &mMutex };
+  const auto table = mTables.find(aService);
+  if (table == mTables.end() || (table->second.mNews.mReports == aNews.mReports &&
+                                 table->second.mNews.mNotUp == aNews.mNotUp)) {
+    return;
+  }
+  RoutingState& state = table->second.mState;
+  for (const auto& [server, slot] : state.mSlots) {
+    RoutedServer& routed = state.mServers[slot];
+    routed.mSpec.mAvailable = !aNews.mNotUp->contains(server);
+    if (const auto load = NewLoad(table->second.mNews.mReports.get(), *aNews.mReports, server)) {
+      ApplyReport(routed.mLoad, *load, aNow - kReportLag);
+    }
+  }
+  table->second.mNews = aNews;
+}
+
 std::optional<BackendServerId>
 RoutingTables::Choose(const ServiceId& aService, const PlacementRequest& aRequest, Instant aNow)
 {
--- a/trefoil/node/routing_tables.h
+++ b/trefoil/node/routing_tables.h
@@ -11,10 +11,12 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "trefoil/base/ids.h"
+#include "trefoil/health/server_health.h"
 #include "trefoil/routing/routing_state.h"
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <span>
@@ -45,6 +47,14 @@
   { CacheChange::kDropped, "dropped" },
 } };
 
+// What the hosts found at the backend servers, as a snapshot shows it.
+struct ServerNews
+{
+  std::shared_ptr<const ServerReportMap> mReports;
+  // Those that are down or leaving.
+  std::shared_ptr<const ServerSet> mNotUp;
+};
+
 class RoutingTables
 {
 public:
@@ -56,6 +66,10 @@
                   std::uint64_t aNumber,
                   std::span<const RoutableServer> aServers);
 
+  // Takes in what the hosts found at the servers: the loads that are news, and the servers that
+  // receive no new work. Costs nothing if both are those of the last call.
+  void TakeReports(const ServiceId& aService, const ServerNews& aNews, Instant aNow);
+
   // Returns the server for an attempt, nothing if there is none, and notes that the prompt goes
   // there.
   std::optional<BackendServerId> Choose(const ServiceId& aService,
@@ -81,6 +95,7 @@
   {
     std::uint64_t mNumber = 0;
     RoutingState mState;
+    ServerNews mNews;
   };
   // Calls `aFunction(state, slot)` for each service that the server belongs to.
   template<typename Function>
--- a/trefoil/routing/routing_state.h
+++ b/trefoil/routing/routing_state.h
@@ -48,7 +48,7 @@
 struct RoutedServer
 {
   RoutableServer mSpec;
-  ServerLoad mLoad;
+  TrackedLoad mLoad;
   // The digest of the server's name, the same on every host.
   std::uint64_t mDigest = 0;
 };
--- a/trefoil/routing/server_load.cc
+++ b/trefoil/routing/server_load.cc
@@ -10,7 +10,7 @@
 constexpr Milliseconds kReportLifetime{ 10'000 };
 
 void
-Record(ServerLoad& aLoad, const OwnChange& aChange)
+Record(TrackedLoad& aLoad, const OwnChange& aChange)
 {
   if (aLoad.mOwnChanges.size() == kMostOwnChanges) {
     aLoad.mOwnChanges.pop_front();
@@ -27,7 +27,7 @@
 } // namespace
 
 void
-ApplyReport(ServerLoad& aLoad, const LoadReport& aReport, Instant aMeasuredAt)
+ApplyReport(TrackedLoad& aLoad, const LoadReport& aReport, Instant aMeasuredAt)
 {
   if (aMeasuredAt < aLoad.mMeasuredAt) {
     return;
@@ -41,27 +41,27 @@
 }
 
 void
-RecordOwnStart(ServerLoad& aLoad, Instant aNow)
+RecordOwnStart(TrackedLoad& aLoad, Instant aNow)
 {
   ++aLoad.mOwnInFlight;
   Record(aLoad, { .mAt = aNow, .mRunning = 1 });
 }
 
 void
-RecordOwnQueued(ServerLoad& aLoad, std::int64_t aTokens, Instant aNow)
+RecordOwnQueued(TrackedLoad& aLoad, std::int64_t aTokens, Instant aNow)
 {
   Record(aLoad, { .mAt = aNow, .mQueuedTokens = aTokens });
 }
 
 void
-RecordOwnEnd(ServerLoad& aLoad, Instant aNow)
+RecordOwnEnd(TrackedLoad& aLoad, Instant aNow)
 {
   --aLoad.mOwnInFlight;
   Record(aLoad, { .mAt = aNow, .mRunning = -1 });
 }
 
 LoadEstimate
-EstimateLoad(const ServerLoad& aLoad, double aPrefillTokensPerMs, Instant aNow)
+EstimateLoad(const TrackedLoad& aLoad, double aPrefillTokensPerMs, Instant aNow)
 {
   LoadEstimate estimate;
   if (!HasPassed(aLoad.mReportExpiresAt, aNow)) {
--- a/trefoil/routing/server_load.h
+++ b/trefoil/routing/server_load.h
@@ -31,7 +31,7 @@
   std::int64_t mQueuedTokens = 0;
 };
 
-struct ServerLoad
+struct TrackedLoad
 {
   // When the last report was measured, and until when it counts.
   Instant mMeasuredAt;
@@ -51,22 +51,22 @@
 
 // Takes in a report, unless a newer one is known.
 void
-ApplyReport(ServerLoad& aLoad, const LoadReport& aReport, Instant aMeasuredAt);
+ApplyReport(TrackedLoad& aLoad, const LoadReport& aReport, Instant aMeasuredAt);
 
 // Notes that a request was sent to the server.
 void
-RecordOwnStart(ServerLoad& aLoad, Instant aNow);
+RecordOwnStart(TrackedLoad& aLoad, Instant aNow);
 
 // Notes that the server must process `aTokens` of a prompt of this entry host.
 void
-RecordOwnQueued(ServerLoad& aLoad, std::int64_t aTokens, Instant aNow);
+RecordOwnQueued(TrackedLoad& aLoad, std::int64_t aTokens, Instant aNow);
 
 // Notes that a request sent to the server ended.
 void
-RecordOwnEnd(ServerLoad& aLoad, Instant aNow);
+RecordOwnEnd(TrackedLoad& aLoad, Instant aNow);
 
 // Estimates the load now. Queued tokens shrink by `aPrefillTokensPerMs` since they were measured.
 LoadEstimate
-EstimateLoad(const ServerLoad& aLoad, double aPrefillTokensPerMs, Instant aNow);
+EstimateLoad(const TrackedLoad& aLoad, double aPrefillTokensPerMs, Instant aNow);
 
 } // namespace trefoil
