--- a/cmd/trefoilctl.cc
+++ b/cmd/trefoilctl.cc
@@ -1,12 +1,16 @@
 // The operators' and callers' tool.
+#include "absl/strings/numbers.h"
+#include "trefoil/audit/trail_codec.h"
 #include "trefoil/base/endpoint.h"
 #include "trefoil/command_line/command_line.h"
 #include "trefoil/http/client.h"
+#include "trefoil/operations/document.h"
 #include "trefoil/platform/store_client.h"
-#include "trefoil/service/service_document.h"
 
 #include <Poco/JSON/Object.h>
+#include <cstdint>
 #include <cstdio>
+#include <cstdlib>
 #include <fmt/format.h>
 #include <fstream>
 #include <map>
@@ -27,8 +31,9 @@
 constexpr const char* kUsage = R"(trefoilctl, the tool of trefoillb's operators and callers.
 
 Usage:
-  trefoilctl put FILE --store=ADDRESS
+  trefoilctl put FILE --store=ADDRESS [--author=NAME] [--expect=REVISION]
   trefoilctl show SERVICE --store=ADDRESS
+  trefoilctl audit SERVICE --store=ADDRESS
   trefoilctl status --host=ADDRESS
   trefoilctl complete SERVICE PROMPT --host=ADDRESS --credential=TEXT [--tokens=N]
   trefoilctl call METHOD TARGET [BODY] --host=ADDRESS --credential=TEXT
@@ -38,6 +43,7 @@
 Commands:
   put       Check a service document and put it into the store. Another operator's change in between is
             told, not overwritten.
+  audit     Print who changed the document of a service, and when it was in force where.
   show      Print the document of a service.
   status    Print what an entry host sees.
   complete  Send a completion and print the answer as it streams.
@@ -45,6 +51,8 @@
 
 Options:
   --store=ADDRESS    The key-value service, as IP:PORT.
+  --author=NAME      Who makes the change; the login's name if it is left out.
+  --expect=REVISION  Put only if the document still has this revision; 0 for a new one.
   --host=ADDRESS     An entry host, as IP:PORT.
   --credential=TEXT  The client account's credential.
   --tokens=N         The most tokens to generate [default: 16].
@@ -69,6 +77,39 @@
   return aArguments.at(aKey).asString();
 }
 
+// Returns who makes the change: as told, else the name of the login.
+std::string
+AuthorName(const Arguments& aArguments)
+{
+  if (aArguments.at("--author").isString()) {
+    return Text(aArguments, "--author");
+  }
+  const char* login = std::getenv("USER");
+  return login == nullptr ? "unknown" : login;
+}
+
+int
+ReportPut(const trefoil::PutResult& aResult)
+{
+  switch (aResult.mState) {
+    case trefoil::PutState::kAccepted:
+      fmt::print("accepted as revision {}\n", aResult.mRevision);
+      return 0;
+    case trefoil::PutState::kInvalid:
+      return Fail(aResult.mReason, kExitBadInput);
+    case trefoil::PutState::kConflict:
+      return Fail(fmt::format("{}: it stands at revision {}, put by {}; see 'trefoilctl show'",
+                              aResult.mReason,
+                              aResult.mRevision,
+                              aResult.mStanding.has_value() ? aResult.mStanding->mName
+                                                            : "an unknown author"));
+    default:
+      return Fail(fmt::format("the document was not accepted: {} {}",
+                              NameOf(trefoil::kPutStateNames, aResult.mState),
+                              aResult.mReason));
+  }
+}
+
 int
 Put(const Arguments& aArguments, const Endpoint& aStore)
 {
@@ -79,27 +120,32 @@
   }
   std::ostringstream text;
   text << file.rdbuf();
-  const auto document = trefoil::ParseServiceDocument(text.str(), path);
-  if (!document.ok()) {
-    return Fail(std::string{ document.status().message() }, kExitBadInput);
-  }
-  const trefoil::StoreClient store{ .mEndpoint = aStore };
-  const std::string key = "services/" + document->mService.Value();
-  const auto current = trefoil::Read(store, key, trefoil::Now() + kStoreLimit);
-  if (!current.ok()) {
-    return Fail(std::string{ current.status().message() });
-  }
-  const auto write =
-    trefoil::CompareAndSwap(store,
-                            { .mKey = key, .mValue = text.str(), .mExpected = current->mRevision },
-                            trefoil::Now() + kStoreLimit);
-  if (write.mState != trefoil::StoreWriteState::kWritten) {
-    return Fail(fmt::format("the document was not accepted: {} {}",
-                            NameOf(trefoil::kStoreWriteStateNames, write.mState),
-                            write.mReason));
-  }
-  std::printf("accepted as revision %llu\n",
-              static_cast<unsigned long long>(write.mCurrent.mRevision));
+  trefoil::PutOptions options{ .mText = text.str(),
+                               .mFile = path,
+                               .mAuthor = AuthorName(aArguments) };
+  if (aArguments.at("--expect").isString()) {
+    std::uint64_t expected = 0;
+    if (!absl::SimpleAtoi(Text(aArguments, "--expect"), &expected)) {
+      return Fail("--expect must be a revision", kExitBadInput);
+    }
+    options.mExpected = expected;
+  }
+  return ReportPut(
+    trefoil::PutDocument({ .mEndpoint = aStore }, options, trefoil::Now() + kStoreLimit));
+}
+
+int
+Audit(const Arguments& aArguments, const Endpoint& aStore)
+{
+  const auto records = trefoil::ReadTrail({ .mEndpoint = aStore },
+                                          trefoil::ServiceId{ Text(aArguments, "SERVICE") },
+                                          trefoil::Now() + kStoreLimit);
+  if (!records.ok()) {
+    return Fail(std::string{ records.status().message() });
+  }
+  for (const trefoil::AuditRecord& record : *records) {
+    fmt::print("{}\n", trefoil::RenderRecord(record));
+  }
   return 0;
 }
 
@@ -212,7 +258,8 @@
 Run(const trefoil::CommandLine& aLine)
 {
   const Arguments& arguments = aLine.mArguments;
-  const bool usesStore = arguments.at("put").asBool() || arguments.at("show").asBool();
+  const bool usesStore =
+    arguments.at("put").asBool() || arguments.at("show").asBool() || arguments.at("audit").asBool();
   const auto endpoint = trefoil::ParseEndpoint(Text(arguments, usesStore ? "--store" : "--host"));
   if (!endpoint.ok()) {
     return Fail(std::string{ endpoint.status().message() }, kExitBadInput);
@@ -220,6 +267,9 @@
   if (arguments.at("put").asBool()) {
     return Put(arguments, *endpoint);
   }
+  if (arguments.at("audit").asBool()) {
+    return Audit(arguments, *endpoint);
+  }
   if (arguments.at("show").asBool()) {
     return Show(arguments, *endpoint);
   }
--- a/standin/plain_service.h
+++ b/standin/plain_service.h
@@ -1,6 +1,6 @@
 // A stand-in for a plain service that records what it is sent.
 //
-//   PlainService service{ "app-1" };
+//   PlainService service{ { .mName = "app-1", .mDelayMilliseconds = 20 } };
 //   HttpServer::Start({ .mListen = endpoint, .mHandler = [&](HttpExchange& aExchange) {
 //   service.Serve(aExchange); } });
 //
@@ -10,27 +10,46 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
+#include "trefoil/base/instant.h"
 #include "trefoil/http/server.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace trefoil::standin {
 
+struct PlainServiceOptions
+{
+  std::string mName;
+  // The pause between the effect of a POST and its answer.
+  std::int64_t mDelayMilliseconds = 0;
+};
+
+// A POST that took effect.
+struct PlainRecord
+{
+  std::string mBody;
+  std::string mAnswer;
+  Instant mAt;
+};
+
 class PlainService
 {
 public:
-  explicit PlainService(std::string aName);
+  explicit PlainService(PlainServiceOptions aOptions);
 
   void Serve(HttpExchange& aExchange);
 
+  std::vector<PlainRecord> Records();
+
 private:
   void ServeRecord(HttpExchange& aExchange);
   void ServeHistory(HttpExchange& aExchange);
 
-  const std::string mName;
+  const PlainServiceOptions mOptions;
   absl::Mutex mMutex;
-  std::vector<std::string> mRecords ABSL_GUARDED_BY(mMutex);
+  std::vector<PlainRecord> mRecords ABSL_GUARDED_BY(mMutex);
 };
 
 } // namespace trefoil::standin
--- a/standin/plain_service_main.cc
+++ b/standin/plain_service_main.cc
@@ -8,7 +8,10 @@
 constexpr const char* kUsage = R"(standin-plain-service, a stand-in for an application engine.
 
 Usage:
-  standin-plain-service NAME ADDRESS
+  standin-plain-service NAME ADDRESS [--delay-ms=N]
+
+Options:
+  --delay-ms=N  The pause between the effect of a POST and its answer [default: 0].
 )";
 
 } // namespace
@@ -21,7 +24,12 @@
   if (line.mExit.has_value()) {
     return *line.mExit;
   }
-  trefoil::standin::PlainService service{ line.mArguments.at("NAME").asString() };
+  const auto delay = trefoil::NumberOption(line, "--delay-ms", 0);
+  if (!delay.has_value()) {
+    return trefoil::kExitBadInput;
+  }
+  trefoil::standin::PlainService service{ { .mName = line.mArguments.at("NAME").asString(),
+                                            .mDelayMilliseconds = *delay } };
   return trefoil::standin::ServeUntilSignal(
     line.mArguments.at("ADDRESS").asString(),
     [&service](trefoil::HttpExchange& aExchange) { service.Serve(aExchange); });
--- a/trefoil/admission/admission_benchmark.cc
+++ b/trefoil/admission/admission_benchmark.cc
@@ -12,7 +12,7 @@
 constexpr int kAccounts = 5;
 
 RequestArrived
-Arrival(Ticket aTicket)
+Arrival(QueueTicket aTicket)
 {
   constexpr std::int64_t kDeadlineMs = 3'600'000;
   return { .mTicket = aTicket,
@@ -27,12 +27,12 @@
 void
 BenchmarkArriveAndEnd(benchmark::State& aBenchmark)
 {
-  const auto queued = static_cast<Ticket>(aBenchmark.range(0));
+  const auto queued = static_cast<QueueTicket>(aBenchmark.range(0));
   AdmissionState state = MakeAdmissionState(
     { .mSelf = HostId{ "h1" }, .mSlots = 100, .mMostQueued = 1'000'000 }, kStart);
   state.mWorkPerSlotMs = 1000;
-  std::vector<Ticket> running;
-  Ticket ticket = 0;
+  std::vector<QueueTicket> running;
+  QueueTicket ticket = 0;
   const auto take = [&running](const AdmissionEffects& aEffects) {
     for (const AdmissionEffect& effect : aEffects) {
       if (const auto* admit = std::get_if<AdmitRequest>(&effect)) {
@@ -62,7 +62,7 @@
       { .mSelf = HostId{ "h1" }, .mSlots = 1, .mMostQueued = 1'000'000 }, kStart);
     state.mWorkPerSlotMs = 1000;
     const std::size_t before = mallinfo2().uordblks;
-    for (Ticket ticket = 0; ticket <= kQueued; ++ticket) {
+    for (QueueTicket ticket = 0; ticket <= kQueued; ++ticket) {
       Step(state, Arrival(ticket), kStart);
     }
     bytes = static_cast<double>(mallinfo2().uordblks - before) / kQueued;
--- a/trefoil/admission/admission_property_test.cc
+++ b/trefoil/admission/admission_property_test.cc
@@ -16,8 +16,8 @@
 {
   AdmissionState mState;
   Instant mNow = kStart;
-  std::map<Ticket, RequestArrived> mWaiting;
-  std::vector<Ticket> mRunning;
+  std::map<QueueTicket, RequestArrived> mWaiting;
+  std::vector<QueueTicket> mRunning;
   std::map<FlowKey, double> mWorkDone;
   double mHeldWork = 0;
   double mLargestWork = 0;
@@ -26,7 +26,7 @@
   {
     for (const AdmissionEffect& effect : aEffects) {
       const auto* admit = std::get_if<AdmitRequest>(&effect);
-      const Ticket ticket =
+      const QueueTicket ticket =
         admit == nullptr ? std::get<RefuseRequest>(effect).mTicket : admit->mTicket;
       // Each request is answered once, by its deadline.
       RC_ASSERT(mWaiting.contains(ticket));
@@ -57,7 +57,7 @@
   void EndOne()
   {
     if (!mRunning.empty()) {
-      const Ticket ticket = mRunning.front();
+      const QueueTicket ticket = mRunning.front();
       mRunning.erase(mRunning.begin());
       Take(Step(mState, RequestEnded{ .mTicket = ticket }, mNow));
     }
@@ -75,7 +75,7 @@
 };
 
 RequestArrived
-RandomArrival(Ticket aTicket, Instant aNow)
+RandomArrival(QueueTicket aTicket, Instant aNow)
 {
   return { .mTicket = aTicket,
            .mAccount = ClientAccountId{ std::to_string(*rc::gen::inRange(0, 4)) },
@@ -104,7 +104,7 @@
         run.Wait(*rc::gen::inRange(1, 400));
         break;
       default:
-        run.Arrive(RandomArrival(static_cast<Ticket>(step), run.mNow));
+        run.Arrive(RandomArrival(static_cast<QueueTicket>(step), run.mNow));
     }
   }
   run.Wait(4000);
@@ -119,7 +119,7 @@
   AdmissionState state = MakeAdmissionState({ .mSelf = HostId{ "h1" }, .mSlots = 1 }, kStart);
   Run run{ .mState = std::move(state) };
   const auto weights = *rc::gen::container<std::vector<int>>(4, rc::gen::inRange(1, 10));
-  Ticket ticket = 0;
+  QueueTicket ticket = 0;
   const auto arrive = [&](std::size_t aAccount) {
     run.Arrive({ .mTicket = ++ticket,
                  .mAccount = ClientAccountId{ std::to_string(aAccount) },
@@ -201,7 +201,7 @@
 
 // Returns how many requests the hosts let through together in a second of greedy arrivals.
 double
-Admitted(std::vector<AdmissionState>& aHosts, Instant aNow, Ticket& aTicket)
+Admitted(std::vector<AdmissionState>& aHosts, Instant aNow, QueueTicket& aTicket)
 {
   double admitted = 0;
   for (AdmissionState& host : aHosts) {
@@ -236,7 +236,7 @@
     Step(hosts.back(), HostsSeen{ { .mAlive = all } }, kStart);
   }
   const int cut = *rc::gen::inRange(0, kHosts);
-  Ticket ticket = 0;
+  QueueTicket ticket = 0;
   double admitted = 0;
   const int seconds = *rc::gen::inRange(1, 12);
   for (int second = 0; second < seconds; ++second) {
--- a/trefoil/admission/fair_queue.cc
+++ b/trefoil/admission/fair_queue.cc
@@ -91,7 +91,7 @@
 }
 
 bool
-Remove(FairQueue& aQueue, Ticket aTicket)
+Remove(FairQueue& aQueue, QueueTicket aTicket)
 {
   const auto place = aQueue.mPlaces.find(aTicket);
   if (place == aQueue.mPlaces.end()) {
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -47,6 +47,7 @@
   , mSocket(std::move(aSocket))
   , mStoreWorker({ .mStore = { .mEndpoint = mSettings.mStore }, .mQueue = &mQueue })
   , mPeerWorker({ .mQueue = &mQueue })
+  , mDesk(mQueue)
   , mAdmission({ .mHost = mSettings.mHost,
                  .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())),
                  .mHostsAtStart = mSettings.mSeeds.size() + 1 })
@@ -56,7 +57,9 @@
               .mRouting = &mRouting,
               .mAdmission = &mAdmission,
               .mActive = &mActive,
-              .mMetrics = &mMetrics }
+              .mMetrics = &mMetrics,
+              .mDesk = &mDesk,
+              .mClusterSecret = mSettings.mClusterSecret }
 {
 }
 
@@ -130,6 +133,7 @@
                        .mListen = mSettings.mListen,
                        .mSeeds = mSettings.mSeeds,
                        .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())),
+                       .mStartedAt = WallNow(),
                        .mRandomSeed = Digest64(RandomHex()) },
                      Now());
   while (!mQueue.Closed()) {
@@ -206,6 +210,24 @@
   mWatchGate.SetWanted(aEffect.mWanted);
 }
 
+void
+EntryHost::CarryOut(const ClaimDecided& aEffect)
+{
+  mDesk.Answer(aEffect.mWaiter, aEffect);
+}
+
+void
+EntryHost::CarryOut(const TicketMinted& aEffect)
+{
+  mDesk.Answer(aEffect.mWaiter, aEffect);
+}
+
+void
+EntryHost::CarryOut(const TicketDecided& aEffect)
+{
+  mDesk.Answer(aEffect.mWaiter, aEffect);
+}
+
 void
 EntryHost::RunStoreWatch()
 {
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -11,6 +11,7 @@
 #include "absl/status/statusor.h"
 #include "trefoil/http/server.h"
 #include "trefoil/node/admission_gate.h"
+#include "trefoil/node/control_desk.h"
 #include "trefoil/node/control_state.h"
 #include "trefoil/node/event_queue.h"
 #include "trefoil/node/internal/peer_worker.h"
@@ -59,6 +60,9 @@
   void CarryOut(const FetchDocuments& aEffect);
   void CarryOut(const PollServer& aEffect);
   void CarryOut(const WatchDocuments& aEffect);
+  void CarryOut(const ClaimDecided& aEffect);
+  void CarryOut(const TicketMinted& aEffect);
+  void CarryOut(const TicketDecided& aEffect);
 
   HostSettings mSettings;
   UdpSocket mSocket;
@@ -67,6 +71,7 @@
   StoreWorker mStoreWorker;
   PeerWorker mPeerWorker;
   WatchGate mWatchGate;
+  ControlDesk mDesk;
   RoutingTables mRouting;
   AdmissionGate mAdmission;
   Metrics mMetrics;
--- a/trefoil/settings/host_settings.cc
+++ b/trefoil/settings/host_settings.cc
@@ -14,6 +14,7 @@
 constexpr std::int64_t kMostBodyBytesLimit = 64 << 20;
 constexpr std::int64_t kDefaultIdleConnectionMilliseconds = 15'000;
 constexpr std::int64_t kDefaultStopNoticeMilliseconds = 25'000;
+constexpr std::size_t kLeastSecretBytes = 16;
 constexpr std::int64_t kLongestMilliseconds = 3'600'000;
 
 Endpoint
@@ -64,6 +65,16 @@
   return *level;
 }
 
+std::string
+ReadClusterSecret(TomlReader& aReader)
+{
+  std::string secret = aReader.OptionalString("cluster_secret", "");
+  if (!secret.empty() && secret.size() < kLeastSecretBytes) {
+    aReader.Fault("cluster_secret", "must have 16 bytes at least");
+  }
+  return secret;
+}
+
 } // namespace
 
 absl::StatusOr<HostSettings>
@@ -93,6 +104,7 @@
     reader.OptionalInt("stop_notice_ms",
                        kDefaultStopNoticeMilliseconds,
                        { .mLeast = 0, .mMost = kLongestMilliseconds });
+  settings.mClusterSecret = ReadClusterSecret(reader);
   settings.mLogLevel = ReadLogLevel(reader);
   const absl::Status status = reader.Finish();
   if (!status.ok()) {
