--- a/trefoil/node/internal/audit_control.cc
+++ b/trefoil/node/internal/audit_control.cc
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr Milliseconds kStoreLimit{ 2'000 };
-// A document that was accepted longer ago was noted by an earlier process.
+// A document that was accepted longer ago, or before there were authors, is not noted anew by each
+// host that starts.
 constexpr Milliseconds kNoteWithin{ 600'000 };
 
 ControlEffect
@@ -110,7 +111,8 @@
   const bool refused = !aDocument.mRefusal.empty();
   const auto author = refused ? std::nullopt : AuthorOf(aDocument.mText);
   const WallTime at = WallTimeOf(aState, aNow);
-  if (author.has_value() && at - author->mAt > kNoteWithin) {
+  const bool isOld = !refused && (!author.has_value() || at - author->mAt > kNoteWithin);
+  if (isOld) {
     return;
   }
   if (author.has_value()) {
