--- a/trefoil/rollout/assessment.cc
+++ b/trefoil/rollout/assessment.cc
@@ -85,9 +85,11 @@
   if (aResult.mEffect < aLeastEffect || aResult.mPValue > kLikely) {
     return;
   }
-  aAssessment.mDoubtful = true;
   aFinding.mPValue = aResult.mPValue;
   aFinding.mEffect = aResult.mEffect;
+  if (aResult.mPValue < aAssessment.mLikely.mPValue) {
+    aAssessment.mLikely = aFinding;
+  }
   if (aResult.mPValue < kSure && aResult.mPValue < aAssessment.mWorst.mPValue) {
     aAssessment.mWorst = aFinding;
   }
--- a/trefoil/rollout/assessment.h
+++ b/trefoil/rollout/assessment.h
@@ -64,8 +64,8 @@
   std::uint64_t mOldErrors = 0;
   // The surest fault, kNone if none is sure.
   Finding mWorst;
-  // Whether a fault is likely enough to wait for more samples.
-  bool mDoubtful = false;
+  // The likeliest fault, kNone if none is likely enough to wait for more samples.
+  Finding mLikely;
 };
 
 Assessment
--- a/trefoil/rollout/comparison.cc
+++ b/trefoil/rollout/comparison.cc
@@ -7,6 +7,8 @@
 
 // Below this variance the normal distribution is no fit for a count.
 constexpr double kLeastNormalVariance = 5;
+// The rank sum of fewer requests is far from the normal distribution.
+constexpr std::uint64_t kLeastLatencies = 12;
 
 double
 NormalTail(double aZ)
@@ -113,18 +115,20 @@
   double variance = 0;
   double slower = 0;
   double pairs = 0;
+  std::uint64_t samples = 0;
   for (const HistogramPair& pair : aStrata) {
     const RankSum sum = RankSumOf(pair);
     if (sum.mPairs == 0) {
       continue;
     }
+    samples += Total(*pair.mNew);
     const double weight = 1 / (sum.mSize + 1);
     difference += weight * (sum.mU - sum.mPairs / 2);
     variance += weight * weight * sum.mVariance;
     slower += weight * sum.mU;
     pairs += weight * sum.mPairs;
   }
-  if (variance <= 0) {
+  if (variance <= 0 || samples < kLeastLatencies) {
     return {};
   }
   return { .mPValue = NormalTail(difference / std::sqrt(variance)),
--- a/trefoil/rollout/move_duty.cc
+++ b/trefoil/rollout/move_duty.cc
@@ -5,7 +5,7 @@
 
 constexpr Milliseconds kCallLimit{ 3'000 };
 // How often the evidence is tested.
-constexpr Milliseconds kLookEvery{ 2'000 };
+constexpr Milliseconds kLookEvery{ 1'000 };
 
 // Takes in what stands in the store. A record of another revision begins a step anew.
 void
--- a/trefoil/rollout/move_plan.cc
+++ b/trefoil/rollout/move_plan.cc
@@ -153,13 +153,14 @@
 MoveFigures
 FiguresOf(const Assessment& aAssessment)
 {
+  const Finding& finding = aAssessment.mLikely;
   return { .mNewRequests = aAssessment.mNewRequests,
            .mNewErrors = aAssessment.mNewErrors,
            .mOldRequests = aAssessment.mOldRequests,
            .mOldErrors = aAssessment.mOldErrors,
-           .mRoute = aAssessment.mWorst.mRoute,
-           .mPValue = aAssessment.mWorst.mPValue,
-           .mEffect = aAssessment.mWorst.mEffect };
+           .mRoute = finding.mRoute,
+           .mPValue = finding.mPValue,
+           .mEffect = finding.mEffect };
 }
 
 MoveReason
@@ -180,12 +181,18 @@
   return MoveReason::kNone;
 }
 
+bool
+IsDoubtful(const Assessment& aAssessment)
+{
+  return aAssessment.mLikely.mFault != VersionFault::kNone;
+}
+
 bool
 HasEnough(const MoveRecord& aRecord, const StepView& aView)
 {
   const Instant ends = StepEndsAt(aRecord, aView.mStepAt);
   const Assessment& assessment = aView.mAssessment;
-  if (!HasPassed(ends, aView.mNow) || assessment.mDoubtful) {
+  if (!HasPassed(ends, aView.mNow) || IsDoubtful(assessment)) {
     return false;
   }
   if (assessment.mNewRequests >= kStepRequests[static_cast<std::size_t>(aRecord.mStep)]) {
@@ -204,7 +211,7 @@
   const Assessment& assessment = aView.mAssessment;
   const int most = aRecord.mTargetPermille * kMostEarlyPermille / kWholePermille;
   const bool early = HasPassed(aView.mStepAt + (ends - aView.mStepAt) / kEarlyLook, aView.mNow);
-  if (!early || assessment.mDoubtful || assessment.mOldRequests == 0 ||
+  if (!early || IsDoubtful(assessment) || assessment.mOldRequests == 0 ||
       aRecord.mSharePermille >= most) {
     return std::nullopt;
   }
@@ -295,6 +302,10 @@
   if (aView.mAssessment.mWorst.mFault != VersionFault::kNone) {
     return Withdraw(aRecord, ReasonOf(aView.mAssessment.mWorst.mFault), figures, aView.mWallNow);
   }
+  // A host's alarm and a likely fault in the evidence of all hosts are two independent signs.
+  if (aView.mStopped && IsDoubtful(aView.mAssessment)) {
+    return Withdraw(aRecord, ReasonOf(aView.mAssessment.mLikely.mFault), figures, aView.mWallNow);
+  }
   if (aView.mStopped) {
     return AfterStop(aRecord, figures, aView.mWallNow);
   }
