--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -1,11 +1,10 @@
 #include "standin/engine.h"
 
-#include "standin/token_text.h"
-
-#include "absl/time/clock.h"
+#include "absl/strings/numbers.h"
+#include "absl/time/time.h"
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/JSON/Parser.h>
+#include <algorithm>
 #include <fmt/format.h>
 #include <sstream>
 
@@ -14,75 +13,38 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
-// What a request asks the engine to generate.
-struct EngineWork
+struct Engine::Generation
 {
-  bool mChat = false;
-  std::string mPrompt;
-  std::int64_t mMostTokens = 0;
-  std::string mAttempt;
-  std::int64_t mFirstIndex = 0;
+  EngineWork mWork;
+  std::size_t mRun = 0;
+  std::uint64_t mLife = 0;
+  std::int64_t mSent = 0;
+  bool mToldLeaving = false;
 };
 
 namespace {
 
-constexpr std::int64_t kDefaultMostTokens = 16;
 constexpr int kHttpBadRequest = 400;
+constexpr int kHttpNotFound = 404;
+constexpr int kHttpUnavailable = 503;
+constexpr std::int64_t kMillisecondsPerSecond = 1000;
 
-std::string
-PromptOf(const Object& aBody, bool aChat)
+std::int64_t
+NumberOf(const HttpExchange& aExchange, std::string_view aKey)
 {
-  if (!aChat) {
-    return aBody.getValue<std::string>("prompt");
-  }
-  std::string prompt;
-  for (const auto& item : *aBody.getArray("messages")) {
-    const auto& message = item.extract<Object::Ptr>();
-    prompt += message->getValue<std::string>("role") + ": ";
-    prompt += message->getValue<std::string>("content") + "\n";
+  std::int64_t number = 0;
+  if (!absl::SimpleAtoi(QueryValue(aExchange.Request().mTarget, aKey), &number)) {
+    return 0;
   }
-  return prompt;
+  return number;
 }
 
-EngineWork
-ParseWork(const std::string& aText, bool aChat)
-{
-  const auto body = Poco::JSON::Parser{}.parse(aText).extract<Object::Ptr>();
-  EngineWork work{ .mChat = aChat,
-                   .mPrompt = PromptOf(*body, aChat),
-                   .mMostTokens = body->optValue<std::int64_t>("max_tokens", kDefaultMostTokens) };
-  if (body->isObject("resume")) {
-    const auto resume = body->getObject("resume");
-    work.mAttempt = resume->getValue<std::string>("attempt");
-    work.mFirstIndex = resume->getValue<std::int64_t>("first_index");
-  }
-  return work;
-}
-
-std::string
-TokenEvent(const EngineWork& aWork, std::int64_t aIndex)
+void
+AnswerJson(HttpExchange& aExchange, const Object& aObject)
 {
-  Object::Ptr choice = new Object;
-  choice->set("index", 0);
-  if (aWork.mChat) {
-    Object::Ptr delta = new Object;
-    delta->set("content", TokenText(aWork.mPrompt, aIndex));
-    choice->set("delta", delta);
-  } else {
-    choice->set("text", TokenText(aWork.mPrompt, aIndex));
-  }
-  const bool last = aIndex + 1 == aWork.mMostTokens;
-  choice->set("finish_reason",
-              last ? Poco::Dynamic::Var{ std::string{ "length" } } : Poco::Dynamic::Var{});
-  Array::Ptr choices = new Array;
-  choices->add(choice);
-  Object event;
-  event.set("id", aWork.mAttempt);
-  event.set("token_index", aIndex);
-  event.set("choices", choices);
   std::ostringstream text;
-  event.stringify(text);
-  return fmt::format("data: {}\n\n", text.str());
+  aObject.stringify(text);
+  aExchange.Answer({ .mBody = text.str() + "\n" });
 }
 
 } // namespace
@@ -92,66 +54,220 @@
 {
 }
 
+void
+Engine::SetState(EngineState aState)
+{
+  {
+    const absl::MutexLock lock{ &mMutex };
+    mLife += aState == EngineState::kDead ? 1 : 0;
+    mState = aState;
+    mLeaving = false;
+    mDiesAt = Instant::max();
+  }
+  if (aState == EngineState::kDead && mOptions.mOnDeath) {
+    mOptions.mOnDeath();
+  }
+}
+
+void
+Engine::Leave(Milliseconds aNotice)
+{
+  const absl::MutexLock lock{ &mMutex };
+  mLeaving = true;
+  mDiesAt = Now() + aNotice;
+}
+
+std::int64_t
+Engine::RecomputedTokens() const
+{
+  const absl::MutexLock lock{ &mMutex };
+  return mRecomputedTokens;
+}
+
+std::int64_t
+Engine::Crashes() const
+{
+  const absl::MutexLock lock{ &mMutex };
+  return mCrashes;
+}
+
+EngineState
+Engine::CurrentState()
+{
+  if (mState != EngineState::kDead && HasPassed(mDiesAt, Now())) {
+    mState = EngineState::kDead;
+    ++mLife;
+  }
+  return mState;
+}
+
+std::uint64_t
+Engine::CurrentLife() const
+{
+  const absl::MutexLock lock{ &mMutex };
+  return mLife;
+}
+
+bool
+Engine::Pause(std::uint64_t aLife, Instant aUntil)
+{
+  EngineState seen = EngineState::kServing;
+  const auto changed = [this, &seen, aLife]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex) {
+    return mState != seen || mLife != aLife;
+  };
+  const absl::MutexLock lock{ &mMutex };
+  while (true) {
+    seen = CurrentState();
+    if (seen == EngineState::kDead || mLife != aLife) {
+      return false;
+    }
+    if (seen == EngineState::kServing && HasPassed(aUntil, Now())) {
+      return true;
+    }
+    const Instant wakeAt = seen == EngineState::kFrozen ? mDiesAt : std::min(aUntil, mDiesAt);
+    const auto limit =
+      wakeAt == Instant::max() ? absl::InfiniteDuration() : absl::FromChrono(wakeAt - Now());
+    mMutex.AwaitWithTimeout(absl::Condition(&changed), limit);
+  }
+}
+
 void
 Engine::Serve(HttpExchange& aExchange)
+{
+  if (PathOf(aExchange.Request().mTarget) == "/admin/state") {
+    ServeState(aExchange);
+    return;
+  }
+  const std::uint64_t life = CurrentLife();
+  if (!Pause(life, Now())) {
+    // A dead process refuses connections: nothing runs.
+    aExchange.Answer({ .mStatus = kHttpUnavailable, .mBody = "dead\n" });
+    return;
+  }
+  Route(aExchange);
+}
+
+void
+Engine::Route(HttpExchange& aExchange)
 {
   const std::string_view path = PathOf(aExchange.Request().mTarget);
   if (path == "/v1/completions" || path == "/v1/chat/completions") {
     ServeCompletion(aExchange, path == "/v1/chat/completions");
   } else if (path == "/history") {
     ServeHistory(aExchange);
+  } else if (path == "/load") {
+    ServeLoad(aExchange);
+  } else if (path == "/admin/leave") {
+    ServeLeave(aExchange);
+  } else if (path == "/v1/kv/export") {
+    ServeExport(aExchange);
   } else {
-    aExchange.Answer({ .mStatus = 404, .mBody = "not found\n" });
+    aExchange.Answer({ .mStatus = kHttpNotFound, .mBody = "not found\n" });
   }
 }
 
 void
 Engine::ServeCompletion(HttpExchange& aExchange, bool aChat)
 {
-  EngineWork work;
+  Generation generation;
   try {
-    work = ParseWork(aExchange.Request().mBody, aChat);
+    generation.mWork = ParseWork(aExchange.Request().mBody, aChat);
   } catch (const Poco::Exception& error) {
     aExchange.Answer({ .mStatus = kHttpBadRequest, .mBody = error.displayText() + "\n" });
     return;
   }
-  Generate(aExchange, work);
+  if (!Begin(generation)) {
+    aExchange.Answer({ .mStatus = kHttpUnavailable, .mBody = "leaving\n" });
+    return;
+  }
+  if (generation.mWork.mPrompt.find(kCrashMarker) != std::string::npos) {
+    {
+      const absl::MutexLock lock{ &mMutex };
+      ++mCrashes;
+    }
+    SetState(EngineState::kDead);
+  }
+  Generate(aExchange, generation);
 }
 
 void
-Engine::Generate(HttpExchange& aExchange, const EngineWork& aWork)
-{
-  const std::size_t run = Begin({ .mAttempt = aWork.mAttempt, .mFirstIndex = aWork.mFirstIndex });
-  aExchange.BeginStream(
-    { .mHeaders = { { .mName = "Content-Type", .mValue = "text/event-stream" } } });
-  absl::SleepFor(absl::Milliseconds(mOptions.mFirstTokenMilliseconds));
-  std::int64_t sent = 0;
-  for (std::int64_t index = aWork.mFirstIndex; index < aWork.mMostTokens; ++index) {
-    if (!aExchange.Write(TokenEvent(aWork, index))) {
-      Record(run, sent, false);
+Engine::Generate(HttpExchange& aExchange, Generation& aGeneration)
+{
+  const EngineWork& work = aGeneration.mWork;
+  bool alive = Pause(aGeneration.mLife, Now() + Milliseconds{ mOptions.mFirstTokenMilliseconds });
+  if (alive) {
+    aExchange.BeginStream(
+      { .mHeaders = { { .mName = "Content-Type", .mValue = "text/event-stream" } } });
+  }
+  for (std::int64_t index = work.mFirstIndex; alive && index < work.mMostTokens; ++index) {
+    if (!SendToken(aExchange, aGeneration, index)) {
+      Record(aGeneration, false);
       return;
     }
-    ++sent;
-    absl::SleepFor(absl::Milliseconds(mOptions.mTokenEveryMilliseconds));
+    alive = Pause(aGeneration.mLife, Now() + Milliseconds{ mOptions.mTokenEveryMilliseconds });
+  }
+  const bool complete = alive && aExchange.Write("data: [DONE]\n\n");
+  Record(aGeneration, complete);
+  if (!alive) {
+    aExchange.Abort();
   }
-  const bool complete = aExchange.Write("data: [DONE]\n\n");
-  Record(run, sent, complete);
 }
 
-std::size_t
-Engine::Begin(EngineRun aRun)
+bool
+Engine::SendToken(HttpExchange& aExchange, Generation& aGeneration, std::int64_t aIndex)
 {
+  std::int64_t noticeLeft = -1;
+  {
+    const absl::MutexLock lock{ &mMutex };
+    const auto cache = mCaches.find(aGeneration.mWork.mAttempt);
+    if (cache == mCaches.end()) {
+      // The cache was exported: another engine goes on.
+      return false;
+    }
+    ++cache->second;
+    if (mLeaving && !aGeneration.mToldLeaving) {
+      aGeneration.mToldLeaving = true;
+      noticeLeft = Remaining(mDiesAt, Now()).count();
+    }
+  }
+  if (noticeLeft >= 0) {
+    aExchange.Write(RenderLeaving(aGeneration.mWork, noticeLeft));
+  }
+  if (!aExchange.Write(RenderToken(aGeneration.mWork, aIndex))) {
+    return false;
+  }
+  ++aGeneration.mSent;
+  return true;
+}
+
+bool
+Engine::Begin(Generation& aGeneration)
+{
+  const EngineWork& work = aGeneration.mWork;
+  const std::int64_t context = PromptTokens(work) + work.mFirstIndex;
   const absl::MutexLock lock{ &mMutex };
-  mRuns.push_back(std::move(aRun));
-  return mRuns.size() - 1;
+  if (mLeaving) {
+    return false;
+  }
+  if (work.mFirstIndex > 0) {
+    mRecomputedTokens += std::max<std::int64_t>(context - work.mCachedTokens, 0);
+  }
+  mCaches[work.mAttempt] = context;
+  ++mInFlight;
+  mRuns.push_back({ .mAttempt = work.mAttempt, .mFirstIndex = work.mFirstIndex });
+  aGeneration.mRun = mRuns.size() - 1;
+  aGeneration.mLife = mLife;
+  return true;
 }
 
 void
-Engine::Record(std::size_t aRun, std::int64_t aSent, bool aComplete)
+Engine::Record(const Generation& aGeneration, bool aComplete)
 {
   const absl::MutexLock lock{ &mMutex };
-  mRuns[aRun].mSent = aSent;
-  mRuns[aRun].mComplete = aComplete;
+  mRuns[aGeneration.mRun].mSent = aGeneration.mSent;
+  mRuns[aGeneration.mRun].mComplete = aComplete;
+  mCaches.erase(aGeneration.mWork.mAttempt);
+  --mInFlight;
 }
 
 void
@@ -174,4 +290,66 @@
   aExchange.Answer({ .mBody = text.str() + "\n" });
 }
 
+void
+Engine::ServeLoad(HttpExchange& aExchange)
+{
+  Object load;
+  {
+    const absl::MutexLock lock{ &mMutex };
+    load.set("in_flight", mInFlight);
+    load.set("leaving", mLeaving);
+    load.set("notice_ms", mLeaving ? Remaining(mDiesAt, Now()).count() : 0);
+    load.set("version", mOptions.mVersion);
+    load.set("recomputed_tokens", mRecomputedTokens);
+  }
+  AnswerJson(aExchange, load);
+}
+
+void
+Engine::ServeLeave(HttpExchange& aExchange)
+{
+  Leave(Milliseconds{ NumberOf(aExchange, "notice_ms") });
+  aExchange.Answer({ .mBody = "leaving\n" });
+}
+
+void
+Engine::ServeState(HttpExchange& aExchange)
+{
+  const std::string name = QueryValue(aExchange.Request().mTarget, "state");
+  const bool frozen = name == "frozen";
+  aExchange.Answer({ .mBody = name + "\n" });
+  SetState(frozen           ? EngineState::kFrozen
+           : name == "dead" ? EngineState::kDead
+                            : EngineState::kServing);
+}
+
+void
+Engine::ServeExport(HttpExchange& aExchange)
+{
+  const std::string attempt = QueryValue(aExchange.Request().mTarget, "attempt");
+  const std::uint64_t life = CurrentLife();
+  std::int64_t tokens = 0;
+  {
+    const absl::MutexLock lock{ &mMutex };
+    const auto cache = mCaches.find(attempt);
+    if (cache != mCaches.end()) {
+      tokens = cache->second;
+      mCaches.erase(cache);
+    }
+  }
+  if (tokens == 0 || mOptions.mExportTokensPerSecond == 0) {
+    aExchange.Answer({ .mStatus = kHttpNotFound, .mBody = "no cache of this attempt\n" });
+    return;
+  }
+  const auto wait = tokens * kMillisecondsPerSecond / mOptions.mExportTokensPerSecond;
+  if (!Pause(life, Now() + Milliseconds{ wait })) {
+    aExchange.Abort();
+    return;
+  }
+  Object answer;
+  answer.set("cache", RenderCache(tokens));
+  answer.set("tokens", tokens);
+  AnswerJson(aExchange, answer);
+}
+
 } // namespace trefoil::standin
--- /dev/null
+++ b/standin/engine_work.cc
@@ -0,0 +1,120 @@
+#include "standin/engine_work.h"
+
+#include "standin/token_text.h"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace trefoil::standin {
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+constexpr std::int64_t kDefaultMostTokens = 16;
+
+std::string
+PromptOf(const Object& aBody, bool aChat)
+{
+  if (!aChat) {
+    return aBody.getValue<std::string>("prompt");
+  }
+  std::string prompt;
+  for (const auto& item : *aBody.getArray("messages")) {
+    const auto& message = item.extract<Object::Ptr>();
+    prompt += message->getValue<std::string>("role") + ": ";
+    prompt += message->getValue<std::string>("content") + "\n";
+  }
+  return prompt;
+}
+
+Object::Ptr
+ChoiceOf(const EngineWork& aWork, std::int64_t aIndex)
+{
+  const std::string text = TokenText(aWork.mPrompt, aIndex);
+  Object::Ptr choice = new Object;
+  choice->set("index", 0);
+  if (aWork.mChat) {
+    Object::Ptr delta = new Object;
+    delta->set("content", text);
+    choice->set("delta", delta);
+  } else {
+    choice->set("text", text);
+  }
+  const bool last = aIndex + 1 == aWork.mMostTokens;
+  choice->set("finish_reason",
+              last ? Poco::Dynamic::Var{ std::string{ "length" } } : Poco::Dynamic::Var{});
+  return choice;
+}
+
+std::string
+RenderEvent(const Object& aEvent)
+{
+  std::ostringstream text;
+  aEvent.stringify(text);
+  return fmt::format("data: {}\n\n", text.str());
+}
+
+} // namespace
+
+EngineWork
+ParseWork(const std::string& aBody, bool aChat)
+{
+  const auto body = Poco::JSON::Parser{}.parse(aBody).extract<Object::Ptr>();
+  EngineWork work{ .mChat = aChat,
+                   .mPrompt = PromptOf(*body, aChat),
+                   .mMostTokens = body->optValue<std::int64_t>("max_tokens", kDefaultMostTokens) };
+  if (body->isObject("resume")) {
+    const auto resume = body->getObject("resume");
+    work.mAttempt = resume->getValue<std::string>("attempt");
+    work.mFirstIndex = resume->getValue<std::int64_t>("first_index");
+    const auto cache = resume->optValue<std::string>("cache", "");
+    if (!cache.empty()) {
+      work.mCachedTokens = std::stoll(cache.substr(cache.find(':') + 1));
+    }
+  }
+  return work;
+}
+
+std::int64_t
+PromptTokens(const EngineWork& aWork)
+{
+  std::istringstream words{ aWork.mPrompt };
+  std::string word;
+  std::int64_t count = 0;
+  while (words >> word) {
+    ++count;
+  }
+  return count;
+}
+
+std::string
+RenderToken(const EngineWork& aWork, std::int64_t aIndex)
+{
+  Array::Ptr choices = new Array;
+  choices->add(ChoiceOf(aWork, aIndex));
+  Object event;
+  event.set("id", aWork.mAttempt);
+  event.set("token_index", aIndex);
+  event.set("choices", choices);
+  return RenderEvent(event);
+}
+
+std::string
+RenderLeaving(const EngineWork& aWork, std::int64_t aNoticeMilliseconds)
+{
+  Object event;
+  event.set("id", aWork.mAttempt);
+  event.set("leaving_ms", aNoticeMilliseconds);
+  return RenderEvent(event);
+}
+
+std::string
+RenderCache(std::int64_t aTokens)
+{
+  return fmt::format("cache:{}", aTokens);
+}
+
+} // namespace trefoil::standin
--- a/trefoil/backend/engine_client.cc
+++ b/trefoil/backend/engine_client.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int kHttpOk = 200;
+constexpr int kHttpBadRequest = 400;
+constexpr int kHttpServerError = 500;
 constexpr int kHttpUnavailable = 503;
 constexpr std::string_view kDataPrefix = "data: ";
 constexpr std::string_view kEndMark = "[DONE]";
@@ -32,8 +34,38 @@
   return aChoice.optValue<std::string>("finish_reason", "");
 }
 
+absl::StatusOr<ExportedCache>
+ParseExportedCache(const std::string& aBody)
+{
+  try {
+    const auto object = Poco::JSON::Parser{}.parse(aBody).extract<Poco::JSON::Object::Ptr>();
+    return ExportedCache{ .mCache = object->getValue<std::string>("cache"),
+                          .mTokens = object->getValue<std::int64_t>("tokens") };
+  } catch (const Poco::Exception& error) {
+    return absl::UnavailableError(error.displayText());
+  }
+}
+
 } // namespace
 
+absl::StatusOr<ExportedCache>
+ExportCache(const Endpoint& aServer, const AttemptId& aAttempt, Instant aDeadline)
+{
+  const HttpResult result =
+    Call({ .mServer = aServer,
+           .mRequest = { .mMethod = "POST",
+                         .mTarget = "/v1/kv/export?attempt=" + UrlEncode(aAttempt.Value()) },
+           .mDeadline = aDeadline });
+  if (const auto* failure = std::get_if<Failure>(&result)) {
+    return failure->mStatus;
+  }
+  const auto& answer = std::get<HttpAnswer>(result);
+  if (answer.mStatus != kHttpOk) {
+    return absl::UnavailableError(fmt::format("the engine answered {}", answer.mStatus));
+  }
+  return ParseExportedCache(answer.mBody);
+}
+
 absl::StatusOr<std::string>
 RenderEngineBody(const EngineCall& aCall)
 {
@@ -43,6 +75,9 @@
     resume->set("attempt", aCall.mAttempt.Value());
     resume->set("first_index", aCall.mFirstIndex);
     resume->set("generated", aCall.mGenerated);
+    if (!aCall.mCache.empty()) {
+      resume->set("cache", aCall.mCache);
+    }
     body->set("stream", true);
     body->set("resume", resume);
     std::ostringstream text;
@@ -62,6 +97,13 @@
   try {
     const auto object =
       Poco::JSON::Parser{}.parse(std::string{ aData }).extract<Poco::JSON::Object::Ptr>();
+    if (object->has("leaving_ms")) {
+      return EngineEvent{ .mKind = EngineEventKind::kLeaving,
+                          .mNoticeMilliseconds = object->getValue<std::int64_t>("leaving_ms") };
+    }
+    if (!object->isArray("choices") || !object->getArray("choices")->isObject(0)) {
+      return absl::DataLossError("an event has no choice");
+    }
     const auto choice = object->getArray("choices")->getObject(0);
     return EngineEvent{ .mKind = EngineEventKind::kToken,
                         .mAttempt = AttemptId{ object->getValue<std::string>("id") },
@@ -91,6 +133,11 @@
     return std::move(*failure);
   }
   auto& stream = std::get<HttpStream>(opened);
+  if (stream.Status() >= kHttpBadRequest && stream.Status() < kHttpServerError) {
+    return Failure{ .mVerdict = Verdict::kNotRun,
+                    .mStatus = absl::InvalidArgumentError(
+                      fmt::format("the engine refused the request with {}", stream.Status())) };
+  }
   if (stream.Status() != kHttpOk) {
     const bool refused = stream.Status() == kHttpUnavailable;
     return Failure{ .mVerdict = refused ? Verdict::kNotRun : Verdict::kRan,
--- a/trefoil/backend/engine_client.h
+++ b/trefoil/backend/engine_client.h
@@ -45,6 +45,8 @@
   // What earlier attempts generated, and how many tokens that is.
   std::string mGenerated;
   std::int64_t mFirstIndex = 0;
+  // The KV cache that another engine exported; empty for none.
+  std::string mCache;
   // When the engine must have begun to answer.
   Instant mDeadline;
 };
@@ -54,6 +56,8 @@
   kToken,
   // The stream is complete.
   kEnd,
+  // The engine leaves after a notice. The stream goes on.
+  kLeaving,
 };
 
 struct EngineEvent
@@ -65,6 +69,15 @@
   std::string mText;
   // Set on the last token.
   std::string mFinishReason;
+  // How long the engine stays, if it leaves.
+  std::int64_t mNoticeMilliseconds = 0;
+};
+
+// A KV cache that an engine gave out, for another one to import.
+struct ExportedCache
+{
+  std::string mCache;
+  std::int64_t mTokens = 0;
 };
 
 class EngineStream
@@ -73,7 +86,7 @@
   using OpenResult = std::variant<EngineStream, Failure>;
 
   // Sends the request. A failure is "not run" if no connection came up or the engine refused it
-  // with 503.
+  // with 503, or with 4xx; then its status is InvalidArgument.
   static OpenResult Open(const EngineCall& aCall);
 
   // Returns the next event. Returns DeadlineExceeded if none came in time, Unavailable if the
@@ -89,6 +102,10 @@
   HttpStream mStream;
 };
 
+// Asks an engine for the KV cache of an attempt that it runs. Returns Unavailable if it gives none.
+absl::StatusOr<ExportedCache>
+ExportCache(const Endpoint& aServer, const AttemptId& aAttempt, Instant aDeadline);
+
 // Returns the JSON body for the engine: the caller's, always streamed, with the place to resume at.
 absl::StatusOr<std::string>
 RenderEngineBody(const EngineCall& aCall);
--- a/trefoil/backend/engine_client_test.cc
+++ b/trefoil/backend/engine_client_test.cc
@@ -29,6 +29,13 @@
   {
     CHECK(ParseEngineEvent("[DONE]").value().mKind == EngineEventKind::kEnd);
   }
+  SECTION("an engine that leaves says so inside the stream")
+  {
+    const auto event = ParseEngineEvent(R"({"id":"a1","leaving_ms":1500})");
+    REQUIRE(event.ok());
+    CHECK(event->mKind == EngineEventKind::kLeaving);
+    CHECK(event->mNoticeMilliseconds == 1500);
+  }
   SECTION("anything else is an error")
   {
     for (const char* data : { "", "x", "{}", "[]", R"({"id":"a","token_index":1,"choices":[]})" }) {
--- a/trefoil/frontend/answer.cc
+++ b/trefoil/frontend/answer.cc
@@ -10,6 +10,7 @@
 constexpr int kHttpUnauthorized = 401;
 constexpr int kHttpForbidden = 403;
 constexpr int kHttpNotFound = 404;
+constexpr int kHttpUnprocessable = 422;
 constexpr int kHttpTooManyRequests = 429;
 constexpr int kHttpUnavailable = 503;
 constexpr int kHttpGatewayTimeout = 504;
@@ -32,6 +33,8 @@
       return kHttpForbidden;
     case absl::StatusCode::kNotFound:
       return kHttpNotFound;
+    case absl::StatusCode::kFailedPrecondition:
+      return kHttpUnprocessable;
     case absl::StatusCode::kResourceExhausted:
       return kHttpTooManyRequests;
     default:
--- a/trefoil/frontend/completion.cc
+++ b/trefoil/frontend/completion.cc
@@ -13,6 +13,11 @@
 
 using Poco::JSON::Object;
 
+constexpr std::int64_t kDefaultMostTokens = 16;
+constexpr std::int64_t kLongestAnswerTokens = 1'000'000;
+// Deeper JSON is refused.
+constexpr std::size_t kMostDepth = 64;
+
 std::string
 Stringify(const Object& aObject)
 {
@@ -37,27 +42,91 @@
 }
 
 absl::Status
-CheckMembers(const Object& aBody, CompletionForm aForm)
+CheckMessages(const Object& aBody)
 {
-  if (!aBody.has("model") || !aBody.get("model").isString()) {
-    return absl::InvalidArgumentError("'model' must be a string that names a service");
+  if (!aBody.isArray("messages") || aBody.getArray("messages")->empty()) {
+    return absl::InvalidArgumentError("'messages' must be an array with at least one message");
   }
-  if (aForm == CompletionForm::kText && !(aBody.has("prompt") && aBody.get("prompt").isString())) {
-    return absl::InvalidArgumentError("'prompt' must be a string");
+  for (const auto& item : *aBody.getArray("messages")) {
+    if (item.type() != typeid(Object::Ptr)) {
+      return absl::InvalidArgumentError("each message must be an object");
+    }
+    const auto& message = item.extract<Object::Ptr>();
+    for (const char* key : { "role", "content" }) {
+      if (!message->has(key) || !message->get(key).isString()) {
+        return absl::InvalidArgumentError(fmt::format("'{}' of a message must be a string", key));
+      }
+    }
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+CheckPrompt(const Object& aBody, CompletionForm aForm)
+{
+  if (aForm == CompletionForm::kChat) {
+    return CheckMessages(aBody);
   }
-  if (aForm == CompletionForm::kChat && !aBody.isArray("messages")) {
-    return absl::InvalidArgumentError("'messages' must be an array");
+  if (!aBody.has("prompt") || !aBody.get("prompt").isString()) {
+    return absl::InvalidArgumentError("'prompt' must be a string");
   }
+  return absl::OkStatus();
+}
+
+// Checks the members that say how the answer is sent.
+absl::Status
+CheckOptions(const Object& aBody)
+{
   if (aBody.has("stream") && !aBody.get("stream").isBoolean()) {
     return absl::InvalidArgumentError("'stream' must be true or false");
   }
-  const auto most = aBody.get("max_tokens");
-  if (aBody.has("max_tokens") && !(most.isInteger() && most.convert<std::int64_t>() > 0)) {
-    return absl::InvalidArgumentError("'max_tokens' must be a whole number above 0");
+  if (aBody.has("stream_options") && !aBody.isNull("stream_options")) {
+    const auto options = aBody.getObject("stream_options");
+    if (options.isNull() ||
+        (options->has("include_usage") && !options->get("include_usage").isBoolean())) {
+      return absl::InvalidArgumentError(
+        "'stream_options' must be an object whose 'include_usage' is true or false");
+    }
   }
   return absl::OkStatus();
 }
 
+// Returns the longest answer that the request allows.
+absl::StatusOr<std::int64_t>
+MostTokensOf(const Object& aBody)
+{
+  for (const char* key : { "max_completion_tokens", "max_tokens" }) {
+    if (!aBody.has(key) || aBody.isNull(key)) {
+      continue;
+    }
+    const auto most = aBody.get(key);
+    if (!most.isInteger() || most.convert<std::int64_t>() < 1 ||
+        most.convert<std::int64_t>() > kLongestAnswerTokens) {
+      return absl::InvalidArgumentError(
+        fmt::format("'{}' must be a whole number from 1 to {}", key, kLongestAnswerTokens));
+    }
+    return most.convert<std::int64_t>();
+  }
+  return kDefaultMostTokens;
+}
+
+absl::Status
+CheckMembers(const Object& aBody, CompletionForm aForm)
+{
+  if (!aBody.has("model") || !aBody.get("model").isString()) {
+    return absl::InvalidArgumentError("'model' must be a string that names a service");
+  }
+  const absl::Status prompt = CheckPrompt(aBody, aForm);
+  return prompt.ok() ? CheckOptions(aBody) : prompt;
+}
+
+bool
+WantsUsage(const Object& aBody)
+{
+  return aBody.isObject("stream_options") &&
+         aBody.getObject("stream_options")->optValue<bool>("include_usage", false);
+}
+
 Object::Ptr
 ChoiceOf(const CompletionRequest& aRequest, const TokenEvent& aToken)
 {
@@ -65,6 +134,9 @@
   choice->set("index", 0);
   if (aRequest.mForm == CompletionForm::kChat) {
     Object::Ptr delta = new Object;
+    if (aToken.mIndex == 0) {
+      delta->set("role", "assistant");
+    }
     delta->set("content", std::string{ aToken.mText });
     choice->set("delta", delta);
   } else {
@@ -94,37 +166,87 @@
   return object;
 }
 
+std::string_view
+ChunkKind(const CompletionRequest& aRequest)
+{
+  return aRequest.mForm == CompletionForm::kChat ? "chat.completion.chunk" : "text_completion";
+}
+
+Object::Ptr
+UsageObject(const Usage& aUsage)
+{
+  Object::Ptr usage = new Object;
+  usage->set("prompt_tokens", aUsage.mPromptTokens);
+  usage->set("completion_tokens", aUsage.mCompletionTokens);
+  usage->set("total_tokens", aUsage.mPromptTokens + aUsage.mCompletionTokens);
+  return usage;
+}
+
 } // namespace
 
 absl::StatusOr<CompletionRequest>
 ParseCompletion(CompletionForm aForm, std::string_view aBody)
 {
   try {
-    const auto body = Poco::JSON::Parser{}.parse(std::string{ aBody }).extract<Object::Ptr>();
+    Poco::JSON::Parser parser;
+    parser.setDepth(kMostDepth);
+    const auto parsed = parser.parse(std::string{ aBody });
+    if (parsed.type() != typeid(Object::Ptr)) {
+      return absl::InvalidArgumentError("the body must be a JSON object");
+    }
+    const auto& body = parsed.extract<Object::Ptr>();
     const absl::Status status = CheckMembers(*body, aForm);
     if (!status.ok()) {
       return status;
     }
+    const auto most = MostTokensOf(*body);
+    if (!most.ok()) {
+      return most.status();
+    }
     return CompletionRequest{ .mForm = aForm,
                               .mService = ServiceId{ body->getValue<std::string>("model") },
                               .mPrompt = PromptOf(*body, aForm),
                               .mStream = body->optValue<bool>("stream", false),
+                              .mIncludeUsage = WantsUsage(*body),
+                              .mMostTokens = *most,
                               .mBody = std::string{ aBody } };
-  } catch (const Poco::Exception& error) {
+  } catch (const std::exception& error) {
+    const auto* known = dynamic_cast<const Poco::Exception*>(&error);
     return absl::InvalidArgumentError(
-      fmt::format("the body is no such request: {}", error.displayText()));
+      fmt::format("the body is no such request: {}",
+                  known != nullptr ? known->displayText() : std::string{ error.what() }));
   }
 }
 
 std::string
 RenderTokenEvent(const CompletionRequest& aRequest, const RequestId& aId, const TokenEvent& aToken)
 {
-  const bool chat = aRequest.mForm == CompletionForm::kChat;
-  const auto object = AnswerObject(
-    aRequest, aId, chat ? "chat.completion.chunk" : "text_completion", ChoiceOf(aRequest, aToken));
+  const auto object = AnswerObject(aRequest, aId, ChunkKind(aRequest), ChoiceOf(aRequest, aToken));
   return fmt::format("id: {}\ndata: {}\n\n", aToken.mIndex, Stringify(object));
 }
 
+std::string
+RenderUsageEvent(const CompletionRequest& aRequest, const RequestId& aId, const Usage& aUsage)
+{
+  Object object;
+  object.set("id", aId.Value());
+  object.set("object", std::string{ ChunkKind(aRequest) });
+  object.set("model", aRequest.mService.Value());
+  object.set("choices", Poco::JSON::Array::Ptr{ new Poco::JSON::Array });
+  object.set("usage", UsageObject(aUsage));
+  return fmt::format("data: {}\n\n", Stringify(object));
+}
+
+std::string
+RenderMovedEvent(const RequestId& aId, std::string_view aPath, std::int64_t aLastEventId)
+{
+  Object object;
+  object.set("request_id", aId.Value());
+  object.set("resume", std::string{ aPath });
+  object.set("last_event_id", aLastEventId);
+  return fmt::format("event: moved\ndata: {}\n\n", Stringify(object));
+}
+
 std::string
 RenderEndEvent()
 {
@@ -142,7 +264,7 @@
                   const RequestId& aId,
                   std::string_view aText,
                   std::string_view aFinishReason,
-                  std::int64_t aTokens)
+                  const Usage& aUsage)
 {
   const bool chat = aRequest.mForm == CompletionForm::kChat;
   Object::Ptr choice = new Object;
@@ -157,9 +279,7 @@
     choice->set("text", std::string{ aText });
   }
   Object object = AnswerObject(aRequest, aId, chat ? "chat.completion" : "text_completion", choice);
-  Object::Ptr usage = new Object;
-  usage->set("completion_tokens", aTokens);
-  object.set("usage", usage);
+  object.set("usage", UsageObject(aUsage));
   HttpAnswer answer{ .mBody = Stringify(object) + "\n" };
   SetHeader(answer.mHeaders, "Content-Type", "application/json");
   AddVerdict(answer, aId, Verdict::kRan);
--- a/trefoil/frontend/completion.h
+++ b/trefoil/frontend/completion.h
@@ -27,6 +27,10 @@
   // The prompt, or the messages of a chat one after the other.
   std::string mPrompt;
   bool mStream = false;
+  // Whether a streamed answer ends with its usage ("stream_options").
+  bool mIncludeUsage = false;
+  // The longest answer, in tokens.
+  std::int64_t mMostTokens = 0;
   // The caller's JSON, for the engine.
   std::string mBody;
 };
@@ -48,6 +52,22 @@
 std::string
 RenderTokenEvent(const CompletionRequest& aRequest, const RequestId& aId, const TokenEvent& aToken);
 
+// How many tokens a request took.
+struct Usage
+{
+  std::int64_t mPromptTokens = 0;
+  std::int64_t mCompletionTokens = 0;
+};
+
+// Renders the event before the end of a stream whose caller asked for its usage.
+std::string
+RenderUsageEvent(const CompletionRequest& aRequest, const RequestId& aId, const Usage& aUsage);
+
+// Renders the event that ends a stream which goes on on another entry host: the caller takes it up
+// by GET `aPath` with the Last-Event-ID.
+std::string
+RenderMovedEvent(const RequestId& aId, std::string_view aPath, std::int64_t aLastEventId);
+
 // Renders the event that ends a stream.
 std::string
 RenderEndEvent();
@@ -62,6 +82,6 @@
                   const RequestId& aId,
                   std::string_view aText,
                   std::string_view aFinishReason,
-                  std::int64_t aTokens);
+                  const Usage& aUsage);
 
 } // namespace trefoil
--- a/trefoil/http/server.cc
+++ b/trefoil/http/server.cc
@@ -1,16 +1,14 @@
 #include "trefoil/http/server.h"
 
+#include "trefoil/http/check_head.h"
+#include "trefoil/net/listener.h"
+
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/HTTPServerSession.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/ThreadPool.h>
+#include <Poco/Net/NetException.h>
 #include <array>
 #include <optional>
 #include <ostream>
@@ -19,23 +17,24 @@
 
 struct HttpExchange::Connection
 {
-  Poco::Net::HTTPServerRequest& mRequest;
+  Poco::Net::HTTPServerRequestImpl& mRequest;
   Poco::Net::HTTPServerResponse& mResponse;
   std::ostream* mBody = nullptr;
 };
 
 namespace {
 
-using Poco::Net::HTTPRequestHandler;
 using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerParams;
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
+using Poco::Net::HTTPServerSession;
 
-constexpr int kThreadStackBytes = 192 * 1024;
-constexpr int kThreadIdleSeconds = 60;
-constexpr int kMostWaitingConnections = 1024;
-constexpr int kListenBacklog = 1024;
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
+// How long what a refused caller still sends is taken in.
+constexpr Milliseconds kLingerLimit{ 500 };
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 
 // Reads a request's body. Returns nothing if it is longer than allowed.
@@ -79,51 +78,143 @@
   }
 }
 
-class FunctionHandler : public HTTPRequestHandler
+// Answers a request that is not served, and takes in what the caller still sends for a while:
+// closing a connection with unread bytes would take the answer away from the caller.
+void
+Reject(HTTPServerSession& aSession, HTTPServerResponse& aResponse, const HttpAnswer& aAnswer)
+{
+  try {
+    aResponse.setKeepAlive(false);
+    aSession.setKeepAlive(false);
+    SetHead(aResponse, aAnswer);
+    aResponse.setContentType("text/plain");
+    aResponse.setContentLength64(static_cast<Poco::Int64>(aAnswer.mBody.size()));
+    std::ostream& body = aResponse.send();
+    body.write(aAnswer.mBody.data(), static_cast<std::streamsize>(aAnswer.mBody.size()));
+    body.flush();
+    Poco::Net::StreamSocket& socket = aSession.socket();
+    socket.shutdownSend();
+    const Instant until = Now() + kLingerLimit;
+    std::array<char, kReadBytes> buffer{};
+    while (!HasPassed(until, Now())) {
+      socket.setReceiveTimeout(Poco::Timespan{ std::chrono::microseconds{ kLingerLimit }.count() });
+      if (socket.receiveBytes(buffer.data(), buffer.size()) <= 0) {
+        return;
+      }
+    }
+  } catch (const Poco::Exception&) {
+    // The caller is gone.
+    return;
+  }
+}
+
+// Opens what the library keeps to itself: whether a further request has been read already.
+class Session : public HTTPServerSession
+{
+public:
+  using HTTPServerSession::buffered;
+  using HTTPServerSession::HTTPServerSession;
+};
+
+// One connection of a caller: its requests one after the other.
+class Conversation
 {
 public:
-  explicit FunctionHandler(const HttpServerOptions& aOptions)
+  Conversation(const HttpServerOptions& aOptions, trefoil::Connection& aConnection)
     : mOptions(aOptions)
+    , mConnection(aConnection)
+    , mParams(ParamsOf(aOptions))
+    , mSession(aConnection.Socket(), mParams)
   {
   }
 
-  void handleRequest(HTTPServerRequest& aRequest, HTTPServerResponse& aResponse) override
+  void Run()
   {
-    HttpExchange::Connection connection{ .mRequest = aRequest, .mResponse = aResponse };
-    HttpRequest plain = HeadOf(aRequest);
-    std::optional<std::string> body = ReadBody(aRequest, mOptions.mMostBodyBytes);
-    const bool tooLong = !body.has_value();
-    if (!tooLong) {
-      plain.mBody = std::move(*body);
-    }
-    HttpExchange exchange{ std::move(plain), connection };
-    if (tooLong) {
-      aResponse.setKeepAlive(false);
-      exchange.Answer({ .mStatus = kPayloadTooLarge, .mBody = "the request's body is too long\n" });
-      return;
+    bool open = true;
+    while (open && AwaitRequest()) {
+      open = ServeOne();
     }
-    mOptions.mHandler(exchange);
   }
 
 private:
-  const HttpServerOptions& mOptions;
-};
+  static HTTPServerParams::Ptr ParamsOf(const HttpServerOptions& aOptions)
+  {
+    HTTPServerParams::Ptr params = new HTTPServerParams;
+    params->setKeepAlive(true);
+    params->setTimeout(Poco::Timespan{ aOptions.mIdleConnectionMilliseconds * 1000 });
+    return params;
+  }
 
-class FunctionHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-  explicit FunctionHandlerFactory(HttpServerOptions aOptions)
-    : mOptions(std::move(aOptions))
+  bool AwaitRequest()
   {
+    return mSession.buffered() > 0 ||
+           mConnection.AwaitRequest(Now() + Milliseconds{ mOptions.mIdleConnectionMilliseconds });
   }
 
-  HTTPRequestHandler* createRequestHandler(const HTTPServerRequest&) override
+  // Serves one request. Returns whether another may follow.
+  bool ServeOne()
   {
-    return new FunctionHandler{ mOptions };
+    Poco::Net::HTTPServerResponseImpl response{ mSession };
+    try {
+      Poco::Net::HTTPServerRequestImpl request{ response, mSession, mParams };
+      response.setVersion(request.getVersion());
+      response.setKeepAlive(request.getKeepAlive() && !mConnection.IsDraining());
+      return Handle(request, response);
+    } catch (const Poco::Net::NoMessageException&) {
+      return false;
+    } catch (const Poco::Net::NetException& error) {
+      Reject(mSession, response, { .mStatus = kBadRequest, .mBody = ReasonOf(error) });
+    } catch (const Poco::TimeoutException&) {
+      Reject(mSession, response, { .mStatus = kRequestTimeout, .mBody = "no request in time\n" });
+    } catch (const Poco::IOException&) {
+      return false;
+    } catch (const std::exception&) {
+      Reject(mSession, response, { .mStatus = kBadRequest, .mBody = "the request is malformed\n" });
+    }
+    return false;
   }
 
-private:
-  const HttpServerOptions mOptions;
+  static std::string ReasonOf(const Poco::Exception& aError)
+  {
+    return "the request is malformed: " + aError.displayText() + "\n";
+  }
+
+  bool Handle(Poco::Net::HTTPServerRequestImpl& aRequest,
+              Poco::Net::HTTPServerResponseImpl& aResponse)
+  {
+    HttpExchange::Connection connection{ .mRequest = aRequest, .mResponse = aResponse };
+    HttpRequest plain = HeadOf(aRequest);
+    if (const auto refusal = CheckHead(plain)) {
+      Reject(mSession, aResponse, *refusal);
+      return false;
+    }
+    if (aRequest.getExpectContinue()) {
+      aResponse.sendContinue();
+    }
+    std::optional<std::string> body = ReadBody(aRequest, mOptions.mMostBodyBytes);
+    if (!body.has_value()) {
+      Reject(mSession,
+             aResponse,
+             { .mStatus = kPayloadTooLarge, .mBody = "the request's body is too long\n" });
+      return false;
+    }
+    if (aRequest.hasContentLength() &&
+        body->size() != static_cast<std::size_t>(aRequest.getContentLength64())) {
+      Reject(mSession,
+             aResponse,
+             { .mStatus = kBadRequest, .mBody = "the request's body is cut short\n" });
+      return false;
+    }
+    plain.mBody = std::move(*body);
+    HttpExchange exchange{ std::move(plain), connection };
+    mOptions.mHandler(exchange);
+    return aResponse.getKeepAlive() && !mConnection.IsDraining();
+  }
+
+  const HttpServerOptions& mOptions;
+  trefoil::Connection& mConnection;
+  HTTPServerParams::Ptr mParams;
+  Session mSession;
 };
 
 } // namespace
@@ -177,9 +268,8 @@
 HttpExchange::Abort()
 {
   mConnection.mResponse.setKeepAlive(false);
-  auto& request = dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(mConnection.mRequest);
   try {
-    request.session().socket().shutdown();
+    mConnection.mRequest.session().socket().shutdown();
   } catch (const Poco::Exception&) {
     // The connection is closed already.
     return;
@@ -188,21 +278,8 @@
 
 struct HttpServer::State
 {
-  Poco::ThreadPool mThreads;
-  Poco::Net::ServerSocket mSocket;
-  Poco::Net::HTTPServer mServer;
-
-  State(HttpServerOptions aOptions,
-        const Poco::Net::ServerSocket& aSocket,
-        const Poco::Net::HTTPServerParams::Ptr& aParams)
-    : mThreads(2,
-               static_cast<int>(aOptions.mMostConnections),
-               kThreadIdleSeconds,
-               kThreadStackBytes)
-    , mSocket(aSocket)
-    , mServer(new FunctionHandlerFactory{ std::move(aOptions) }, mThreads, mSocket, aParams)
-  {
-  }
+  HttpServerOptions mOptions;
+  std::optional<Listener> mListener;
 };
 
 HttpServer::HttpServer(std::unique_ptr<State> aState)
@@ -213,47 +290,42 @@
 HttpServer::HttpServer(HttpServer&&) noexcept = default;
 HttpServer&
 HttpServer::operator=(HttpServer&&) noexcept = default;
-
-HttpServer::~HttpServer()
-{
-  if (mState != nullptr) {
-    mState->mServer.stopAll(true);
-    mState->mThreads.joinAll();
-  }
-}
+HttpServer::~HttpServer() = default;
 
 absl::StatusOr<HttpServer>
 HttpServer::Start(HttpServerOptions aOptions)
 {
-  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-  params->setMaxThreads(static_cast<int>(aOptions.mMostConnections));
-  params->setMaxQueued(kMostWaitingConnections);
-  params->setKeepAlive(true);
-  params->setKeepAliveTimeout(Poco::Timespan{ aOptions.mIdleConnectionMilliseconds * 1000 });
-  params->setTimeout(Poco::Timespan{ aOptions.mIdleConnectionMilliseconds * 1000 });
-  try {
-    Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress{ aOptions.mListen.mAddress, aOptions.mListen.mPort },
-                true);
-    socket.listen(kListenBacklog);
-    auto state = std::make_unique<State>(std::move(aOptions), socket, params);
-    state->mServer.start();
-    return HttpServer{ std::move(state) };
-  } catch (const Poco::Exception& error) {
-    return absl::UnavailableError(error.displayText());
+  auto state = std::make_unique<State>();
+  state->mOptions = std::move(aOptions);
+  const HttpServerOptions& options = state->mOptions;
+  auto listener = Listener::Start({ .mListen = options.mListen,
+                                    .mServe =
+                                      [&options](trefoil::Connection& aConnection) {
+                                        try {
+                                          Conversation{ options, aConnection }.Run();
+                                        } catch (const std::exception&) {
+                                          // The connection is broken: there is nobody to tell.
+                                          return;
+                                        }
+                                      },
+                                    .mMostConnections = options.mMostConnections });
+  if (!listener.ok()) {
+    return listener.status();
   }
+  state->mListener = std::move(*listener);
+  return HttpServer{ std::move(state) };
 }
 
-void
-HttpServer::StopListening()
+std::int64_t
+HttpServer::Drain(Instant aDeadline)
 {
-  mState->mServer.stop();
+  return mState->mListener->Drain(aDeadline);
 }
 
 std::uint16_t
 HttpServer::Port() const
 {
-  return mState->mServer.port();
+  return mState->mListener->Port();
 }
 
 } // namespace trefoil
--- a/trefoil/http/server.h
+++ b/trefoil/http/server.h
@@ -11,6 +11,7 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "trefoil/base/endpoint.h"
+#include "trefoil/base/instant.h"
 #include "trefoil/http/message.h"
 
 #include <cstddef>
@@ -54,9 +55,9 @@
 {
   Endpoint mListen;
   HttpHandler mHandler;
-  // Requests with a longer body are answered 413.
+  // Requests with a longer body are answered 413. check_head.h has the other limits.
   std::size_t mMostBodyBytes = std::size_t{ 64 } << 20;
-  // Further connections wait, then are refused.
+  // Further connections wait in the system's queue.
   std::int64_t mMostConnections = 256;
   std::int64_t mIdleConnectionMilliseconds = 15'000;
 };
@@ -72,8 +73,10 @@
   HttpServer& operator=(HttpServer&&) noexcept;
   ~HttpServer();
 
-  // Stops taking connections. Requests in flight go on.
-  void StopListening();
+  // Stops taking connections without dropping one: those that came up are served, callers on kept
+  // connections are told that these close, and requests in flight go on. Returns how many
+  // connections were left at `aDeadline`.
+  std::int64_t Drain(Instant aDeadline);
 
   std::uint16_t Port() const;
 
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -1,5 +1,7 @@
 #include "trefoil/node/entry_host.h"
 
+#include "trefoil/node/internal/peer_streams.h"
+#include "trefoil/node/internal/request_life.h"
 #include "trefoil/platform/store_client.h"
 #include "trefoil/wire/codec.h"
 
@@ -23,6 +25,14 @@
 // How long the balancer may take to notice that the host is not ready.
 constexpr Milliseconds kBalancerNotice{ 300 };
 constexpr std::string_view kDocumentPrefix = "services/";
+// The end of the stop notice that is kept for handing streams over.
+constexpr Milliseconds kLongestHandOverReserve{ 3000 };
+
+Milliseconds
+HandOverReserve(std::int64_t aNoticeMilliseconds)
+{
+  return std::min(Milliseconds{ aNoticeMilliseconds / 2 }, kLongestHandOverReserve);
+}
 
 } // namespace
 
@@ -30,12 +40,15 @@
   : mSettings(aSettings)
   , mSocket(std::move(aSocket))
   , mStoreWorker({ .mStore = { .mEndpoint = mSettings.mStore }, .mQueue = &mQueue })
+  , mLife(std::make_unique<RequestLife>(mSettings.mHost,
+                                        [this](const Message& aMessage) { TellHosts(aMessage); }))
   , mTraffic{ .mHost = mSettings.mHost,
               .mZone = mSettings.mZone,
               .mSnapshots = &mSnapshots,
               .mInFlight = &mInFlight,
               .mActive = &mActive,
-              .mMetrics = &mMetrics }
+              .mMetrics = &mMetrics,
+              .mLife = mLife.get() }
 {
 }
 
@@ -48,6 +61,13 @@
   }
   std::unique_ptr<EntryHost> host{ new EntryHost{ aSettings, std::move(*socket) } };
   EntryHost* raw = host.get();
+  auto peers = PeerServer::Start(
+    { .mListen = aSettings.mPeerListen,
+      .mAnswer = [raw](const Message& aMessage) { return AnswerPeer(raw->mTraffic, aMessage); } });
+  if (!peers.ok()) {
+    return peers.status();
+  }
+  host->mPeerServer = std::move(*peers);
   auto server = HttpServer::Start(
     { .mListen = aSettings.mListen,
       .mHandler = [raw](HttpExchange& aExchange) { Serve(raw->mTraffic, aExchange); },
@@ -67,13 +87,20 @@
 EntryHost::~EntryHost()
 {
   mStopping = true;
+  for (const auto& record : mLife->mStreams.Running()) {
+    record->Fail({ .mVerdict = Verdict::kMayHaveRun,
+                   .mStatus = absl::UnavailableError("the entry host stopped") });
+  }
   mServer.reset();
+  mPeerServer.reset();
   mQueue.Close();
   for (std::thread* thread : { &mControlThread, &mStoreThread, &mPeerThread }) {
     if (thread->joinable()) {
       thread->join();
     }
   }
+  // Waits for the streams of other hosts, which use the other members.
+  mLife.reset();
 }
 
 std::int64_t
@@ -82,13 +109,27 @@
   const Instant end = Now() + Milliseconds{ mSettings.mStopNoticeMilliseconds };
   mQueue.Push(StopAnnounced{});
   absl::SleepFor(absl::FromChrono(std::min(kBalancerNotice, Remaining(end, Now()))));
-  mServer->StopListening();
+  const Instant handOverAt = end - HandOverReserve(mSettings.mStopNoticeMilliseconds);
+  HandOverStreams(mTraffic, handOverAt, end);
+  if (mServer->Drain(handOverAt) > 0 || mActive.load() > 0) {
+    HandOverStreams(mTraffic, Now(), end);
+  }
+  mServer->Drain(end);
   while (mActive.load() > 0 && !HasPassed(end, Now())) {
     absl::SleepFor(absl::FromChrono(kDrainCheck));
   }
   return mActive.load();
 }
 
+void
+EntryHost::TellHosts(const Message& aMessage)
+{
+  const std::string bytes = Encode(aMessage);
+  for (const auto& [host, member] : mSnapshots.Read()->mMembers.mByHost) {
+    mSocket.Send(member.mLast.mPeerEndpoint, bytes).IgnoreError();
+  }
+}
+
 void
 EntryHost::RunControl()
 {
@@ -174,7 +215,7 @@
       continue;
     }
     auto message = Decode(*bytes);
-    if (message.ok()) {
+    if (message.ok() && !mLife->mCrashes.Take(*message)) {
       mQueue.Push(MessageArrived{ .mMessage = std::move(*message) });
     }
   }
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -16,6 +16,7 @@
 #include "trefoil/node/store_worker.h"
 #include "trefoil/node/traffic.h"
 #include "trefoil/settings/host_settings.h"
+#include "trefoil/wire/peer_call.h"
 #include "trefoil/wire/udp_socket.h"
 
 #include <atomic>
@@ -36,8 +37,8 @@
   ~EntryHost();
 
   // Stops without cutting off a request: tells the balancer and the other hosts, takes no further
-  // connections and waits for the requests in flight, the stop notice at most. Returns how many
-  // were still running.
+  // connections, waits for the requests in flight, and hands those over to other hosts that would
+  // outlast the stop notice. Returns how many were still running.
   std::int64_t Stop();
 
 private:
@@ -45,6 +46,7 @@
   void RunControl();
   void RunStoreWatch();
   void RunPeerReceive();
+  void TellHosts(const Message& aMessage);
   void CarryOut(const ControlEffects& aEffects);
   void CarryOut(const PublishSnapshot& aEffect);
   void CarryOut(const SendMessage& aEffect);
@@ -60,7 +62,9 @@
   Metrics mMetrics;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
+  std::unique_ptr<RequestLife> mLife;
   TrafficContext mTraffic;
+  std::optional<PeerServer> mPeerServer;
   std::optional<HttpServer> mServer;
   std::thread mControlThread;
   std::thread mStoreThread;
--- a/trefoil/node/internal/completion_traffic.cc
+++ b/trefoil/node/internal/completion_traffic.cc
@@ -3,191 +3,43 @@
 #include "trefoil/base/digest.h"
 #include "trefoil/frontend/answer.h"
 #include "trefoil/frontend/completion.h"
+#include "trefoil/node/internal/answer_stream.h"
 #include "trefoil/node/internal/caller.h"
-#include "trefoil/node/internal/pick_server.h"
-#include "trefoil/request/stream_progress.h"
-
-#include <algorithm>
-#include <fmt/format.h>
-#include <set>
-#include <spdlog/spdlog.h>
+#include "trefoil/node/internal/generation.h"
+#include "trefoil/node/internal/peer_streams.h"
+#include "trefoil/node/internal/request_life.h"
+#include "trefoil/request/hand_over.h"
 
 namespace trefoil {
 namespace {
 
-// An engine that sends nothing for so long is taken for lost.
-constexpr Milliseconds kStallLimit{ 2000 };
-// An engine that has not sent the first token for so long is taken for lost.
-constexpr Milliseconds kFirstTokenLimit{ 10'000 };
-
-// One completion while it is being served.
-struct Serving
-{
-  const TrafficContext& mContext;
-  HttpExchange& mExchange;
-  const CompletionRequest& mRequest;
-  const Caller& mCaller;
-  StreamProgress mProgress;
-  // Servers that failed this request.
-  std::set<BackendServerId> mFailed;
-  std::string mFinishReason;
-  Instant mStartedAt;
-  // When the newest token was passed on.
-  Instant mLastTokenAt;
-};
-
-enum class AttemptResult
+// Who asks for what.
+struct AcceptedCompletion
 {
-  kComplete,
-  kFailed,
-  kCallerGone,
+  CompletionRequest mRequest;
+  Caller mCaller;
 };
 
-bool
-Forward(Serving& aServing, const EngineEvent& aEvent)
+// Parses a request and finds its service and account.
+absl::StatusOr<AcceptedCompletion>
+AcceptCompletion(const TrafficContext& aContext, const HttpRequest& aHttp, CompletionForm aForm)
 {
-  if (!aServing.mRequest.mStream) {
-    return true;
-  }
-  return aServing.mExchange.Write(RenderTokenEvent(
-    aServing.mRequest,
-    aServing.mProgress.mRequest,
-    { .mIndex = aEvent.mIndex, .mText = aEvent.mText, .mFinishReason = aEvent.mFinishReason }));
-}
-
-void
-CountToken(Serving& aServing)
-{
-  const Instant now = Now();
-  Metrics& metrics = *aServing.mContext.mMetrics;
-  metrics.Add(Counter::kTokens, 1);
-  if (aServing.mProgress.mTokens == 1) {
-    metrics.Observe(Summary::kFirstToken, now - aServing.mStartedAt);
-  } else {
-    metrics.Observe(Summary::kTokenGap, now - aServing.mLastTokenAt);
-  }
-  aServing.mLastTokenAt = now;
-}
-
-// Reads an engine's stream to its end or its failure.
-AttemptResult
-Follow(Serving& aServing, EngineStream& aStream)
-{
-  StreamProgress& progress = aServing.mProgress;
-  Milliseconds limit = kFirstTokenLimit;
-  while (true) {
-    const auto event = aStream.Next(std::min(Now() + limit, progress.mDeadline));
-    if (!event.ok()) {
-      spdlog::info("attempt {} failed after {} tokens: {}",
-                   progress.mAttempt.Value(),
-                   progress.mTokens,
-                   event.status().ToString());
-      return AttemptResult::kFailed;
-    }
-    if (event->mKind == EngineEventKind::kEnd) {
-      return aServing.mFinishReason.empty() ? AttemptResult::kFailed : AttemptResult::kComplete;
-    }
-    limit = kStallLimit;
-    const TokenFate fate = Accept(
-      progress, { .mAttempt = event->mAttempt, .mIndex = event->mIndex, .mText = event->mText });
-    if (fate == TokenFate::kGap) {
-      return AttemptResult::kFailed;
-    }
-    if (fate == TokenFate::kDrop) {
-      continue;
-    }
-    aServing.mFinishReason = event->mFinishReason;
-    CountToken(aServing);
-    if (!Forward(aServing, *event)) {
-      return AttemptResult::kCallerGone;
-    }
-  }
-}
-
-AttemptResult
-RunAttempt(Serving& aServing, const BackendServerSpec& aServer)
-{
-  StreamProgress& progress = aServing.mProgress;
-  const InFlightGuard inFlight{ *aServing.mContext.mInFlight, aServer.mServer };
-  aServing.mContext.mMetrics->Add(Counter::kAttempts, 1);
-  if (progress.mTokens > 0) {
-    aServing.mContext.mMetrics->Add(Counter::kStreamsResumed, 1);
-  }
-  BeginAttempt(
-    progress, AttemptId{ fmt::format("{}-{}", progress.mRequest.Value(), progress.mAttempts + 1) });
-  auto opened =
-    EngineStream::Open({ .mServer = aServer.mEndpoint,
-                         .mAttempt = progress.mAttempt,
-                         .mForm = aServing.mRequest.mForm,
-                         .mBody = aServing.mRequest.mBody,
-                         .mGenerated = progress.mGenerated,
-                         .mFirstIndex = progress.mTokens,
-                         .mDeadline = std::min(progress.mDeadline, Now() + kFirstTokenLimit) });
-  if (const auto* failure = std::get_if<Failure>(&opened)) {
-    spdlog::info("attempt {} on {} did not start: {}",
-                 progress.mAttempt.Value(),
-                 aServer.mServer.Value(),
-                 failure->mStatus.ToString());
-    return AttemptResult::kFailed;
+  const auto request = ParseCompletion(aForm, aHttp.mBody);
+  if (!request.ok()) {
+    return request.status();
   }
-  return Follow(aServing, std::get<EngineStream>(opened));
-}
-
-// Runs attempts until the answer is complete. Returns why it cannot be completed.
-std::optional<Failure>
-RunAttempts(Serving& aServing)
-{
-  while (true) {
-    const auto server =
-      PickServer(aServing.mContext, *aServing.mCaller.mDocument, aServing.mFailed);
-    if (!server.has_value()) {
-      return Failure{ .mVerdict =
-                        aServing.mProgress.mAttempts == 0 ? Verdict::kNotRun : Verdict::kMayHaveRun,
-                      .mStatus = absl::UnavailableError("the service has no backend server") };
-    }
-    const AttemptResult result = RunAttempt(aServing, *server);
-    if (result != AttemptResult::kFailed) {
-      return std::nullopt;
-    }
-    aServing.mContext.mMetrics->Add(Counter::kAttemptsFailed, 1);
-    aServing.mFailed.insert(server->mServer);
-    if (AfterFailure(aServing.mProgress, Now()) == NextStep::kGiveUp) {
-      return Failure{ .mVerdict = Verdict::kMayHaveRun,
-                      .mStatus =
-                        absl::UnavailableError("the answer could not be completed in time") };
-    }
+  const auto caller = Identify(*aContext.mSnapshots->Read(), request->mService, aHttp, Now());
+  if (!caller.ok()) {
+    return caller.status();
   }
-}
-
-void
-BeginEventStream(HttpExchange& aExchange, const RequestId& aId)
-{
-  HttpAnswer head;
-  SetHeader(head.mHeaders, "Content-Type", "text/event-stream");
-  SetHeader(head.mHeaders, "Cache-Control", "no-store");
-  SetHeader(head.mHeaders, kRequestIdHeader, aId.Value());
-  aExchange.BeginStream(head);
-}
-
-void
-Finish(Serving& aServing, const std::optional<Failure>& aFailure)
-{
-  const StreamProgress& progress = aServing.mProgress;
-  HttpExchange& exchange = aServing.mExchange;
-  if (aServing.mRequest.mStream) {
-    exchange.Write(aFailure.has_value() ? RenderErrorEvent(progress.mRequest, *aFailure)
-                                        : RenderEndEvent());
-    return;
+  if (caller->mDocument->mKind != ServiceKind::kModel) {
+    return absl::InvalidArgumentError("the service is no model service");
   }
-  if (aFailure.has_value()) {
-    exchange.Answer(RenderFailure(progress.mRequest, *aFailure));
-    return;
+  const RequestDigest digest = DigestOf(caller->mAccount, request->mService, request->mBody);
+  if (aContext.mLife->mCrashes.JudgeNow(digest) == CrashJudgement::kRefuse) {
+    return absl::FailedPreconditionError("backend servers crashed each time they ran this request");
   }
-  exchange.Answer(RenderWholeAnswer(aServing.mRequest,
-                                    progress.mRequest,
-                                    progress.mGenerated,
-                                    aServing.mFinishReason,
-                                    progress.mTokens));
+  return AcceptedCompletion{ .mRequest = *request, .mCaller = *caller };
 }
 
 } // namespace
@@ -195,35 +47,32 @@
 void
 ServeCompletion(const TrafficContext& aContext, HttpExchange& aExchange, CompletionForm aForm)
 {
-  const RequestId id = NewRequestId();
-  const auto refuse = [&aExchange, &id](const absl::Status& aStatus) {
-    aExchange.Answer(RenderFailure(id, { .mVerdict = Verdict::kNotRun, .mStatus = aStatus }));
-  };
-  const auto request = ParseCompletion(aForm, aExchange.Request().mBody);
-  if (!request.ok()) {
-    refuse(request.status());
-    return;
-  }
-  const auto caller =
-    Identify(*aContext.mSnapshots->Read(), request->mService, aExchange.Request(), Now());
-  if (!caller.ok()) {
-    refuse(caller.status());
-    return;
-  }
-  if (caller->mDocument->mKind != ServiceKind::kModel) {
-    refuse(absl::InvalidArgumentError("the service is no model service"));
+  const RequestId id = MakeRequestId(aContext.mHost, RandomHex());
+  const auto accepted = AcceptCompletion(aContext, aExchange.Request(), aForm);
+  if (!accepted.ok()) {
+    aExchange.Answer(
+      RenderFailure(id, { .mVerdict = Verdict::kNotRun, .mStatus = accepted.status() }));
     return;
   }
-  Serving serving{ .mContext = aContext,
-                   .mExchange = aExchange,
-                   .mRequest = *request,
-                   .mCaller = *caller,
-                   .mProgress = { .mRequest = id, .mDeadline = caller->mDeadline },
-                   .mStartedAt = Now() };
-  if (request->mStream) {
-    BeginEventStream(aExchange, id);
+  const Caller& caller = accepted->mCaller;
+  const auto record = aContext.mLife->mStreams.Add(
+    IdentityOf(id, caller.mAccount, accepted->mRequest, caller.mDeadline), {}, Now());
+  const AnswerStream answer{ .mExchange = aExchange,
+                             .mRequest = accepted->mRequest,
+                             .mId = id,
+                             .mPromptTokens = record->Identity().mPromptTokens };
+  Generation generation{ .mContext = aContext,
+                         .mRecord = *record,
+                         .mDocument = caller.mDocument,
+                         .mProgress = { .mRequest = id, .mDeadline = caller.mDeadline } };
+  if (accepted->mRequest.mStream) {
+    BeginEventStream(answer);
+    generation.mOnToken = [&answer](const TokenEvent& aToken) {
+      return WriteToken(answer, aToken);
+    };
   }
-  Finish(serving, RunAttempts(serving));
+  Generate(generation);
+  FinishAnswer(answer, record->Read(0, Now()));
 }
 
 } // namespace trefoil
--- /dev/null
+++ b/trefoil/node/internal/request_life.cc
@@ -0,0 +1,36 @@
+#include "trefoil/node/internal/request_life.h"
+
+namespace trefoil {
+
+AdoptedStreams::~AdoptedStreams()
+{
+  std::list<Worker> workers;
+  {
+    const absl::MutexLock lock{ &mMutex };
+    workers.splice(workers.end(), mWorkers);
+  }
+  for (Worker& worker : workers) {
+    worker.mThread.join();
+  }
+}
+
+void
+AdoptedStreams::Start(std::function<void()> aWork)
+{
+  const absl::MutexLock lock{ &mMutex };
+  for (auto worker = mWorkers.begin(); worker != mWorkers.end();) {
+    if (worker->mDone.load()) {
+      worker->mThread.join();
+      worker = mWorkers.erase(worker);
+    } else {
+      ++worker;
+    }
+  }
+  Worker& added = mWorkers.emplace_back();
+  added.mThread = std::thread{ [work = std::move(aWork), &added] {
+    work();
+    added.mDone = true;
+  } };
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/node/internal/stream_record.cc
@@ -0,0 +1,202 @@
+#include "trefoil/node/internal/stream_record.h"
+
+#include "absl/time/time.h"
+
+#include <algorithm>
+
+namespace trefoil {
+namespace {
+
+// How long an ended stream can be read.
+constexpr std::chrono::seconds kKeepEnded{ 120 };
+// How long a stream goes on that no caller follows.
+constexpr std::chrono::seconds kUnattendedLimit{ 60 };
+constexpr Milliseconds kForgetEvery{ 1000 };
+// Ended streams beyond this size are forgotten early, the oldest first.
+constexpr std::int64_t kMostEndedBytes = std::int64_t{ 32 } << 20;
+
+} // namespace
+
+StreamRecord::StreamRecord(StreamIdentity aIdentity, std::vector<std::string> aTokens, Instant aNow)
+  : mIdentity(std::move(aIdentity))
+  , mFirstOwnToken(static_cast<std::int64_t>(aTokens.size()))
+  , mWantedUntil(aNow + kUnattendedLimit)
+{
+  mBuffer.mTokens = std::move(aTokens);
+}
+
+bool
+StreamRecord::Append(const BufferedToken& aToken)
+{
+  const auto decided = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex) {
+    return mBuffer.mState != StreamState::kHandingOver;
+  };
+  const absl::MutexLock lock{ &mMutex };
+  mMutex.Await(absl::Condition(&decided));
+  if (aToken.mIndex == mFirstOwnToken) {
+    mFirstOwnAt = Now();
+  }
+  return trefoil::Append(mBuffer, aToken) == AppendFate::kKept;
+}
+
+void
+StreamRecord::Complete()
+{
+  const absl::MutexLock lock{ &mMutex };
+  trefoil::Complete(mBuffer);
+  mEndedAt = Now();
+}
+
+void
+StreamRecord::Fail(const Failure& aFailure)
+{
+  const absl::MutexLock lock{ &mMutex };
+  trefoil::Fail(mBuffer, aFailure);
+  mEndedAt = Now();
+}
+
+StreamNews
+StreamRecord::Read(std::int64_t aFrom, Instant aDeadline)
+{
+  const auto from = static_cast<std::size_t>(std::max<std::int64_t>(aFrom, 0));
+  const auto hasNews = [this, from]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex) {
+    return mBuffer.mTokens.size() > from || HasEnded(mBuffer);
+  };
+  const absl::MutexLock lock{ &mMutex };
+  mMutex.AwaitWithTimeout(absl::Condition(&hasNews), absl::FromChrono(aDeadline - Now()));
+  StreamNews news{ .mFrom = static_cast<std::int64_t>(from),
+                   .mState = mBuffer.mState,
+                   .mFinishReason = mBuffer.mFinishReason,
+                   .mFailure = mBuffer.mFailure,
+                   .mHandedTo = mBuffer.mHandedTo };
+  if (from < mBuffer.mTokens.size()) {
+    news.mTokens.assign(mBuffer.mTokens.begin() + static_cast<std::ptrdiff_t>(from),
+                        mBuffer.mTokens.end());
+  }
+  return news;
+}
+
+std::optional<std::vector<std::string>>
+StreamRecord::BeginHandOver()
+{
+  const absl::MutexLock lock{ &mMutex };
+  if (!trefoil::BeginHandOver(mBuffer)) {
+    return std::nullopt;
+  }
+  return mBuffer.mTokens;
+}
+
+void
+StreamRecord::EndHandOver(HandOverOutcome aOutcome, const HostId& aHost)
+{
+  const absl::MutexLock lock{ &mMutex };
+  trefoil::EndHandOver(mBuffer, aOutcome, aHost);
+  mEndedAt = Now();
+}
+
+bool
+StreamRecord::Ended() const
+{
+  const absl::MutexLock lock{ &mMutex };
+  return HasEnded(mBuffer);
+}
+
+StreamOutlook
+StreamRecord::Outlook(Instant aNow) const
+{
+  const absl::MutexLock lock{ &mMutex };
+  const auto tokens = static_cast<std::int64_t>(mBuffer.mTokens.size());
+  const auto own = static_cast<double>(tokens - mFirstOwnToken - 1);
+  const double seconds = std::chrono::duration<double>(aNow - mFirstOwnAt).count();
+  return { .mRequest = mIdentity.mRequest,
+           .mContextTokens = mIdentity.mPromptTokens + tokens,
+           .mTokensLeft = std::max<std::int64_t>(mIdentity.mMostTokens - tokens, 0),
+           .mTokensPerSecond = own > 0 && seconds > 0 ? own / seconds : 0 };
+}
+
+void
+StreamRecord::Want(Instant aNow)
+{
+  const absl::MutexLock lock{ &mMutex };
+  mWantedUntil = aNow + kUnattendedLimit;
+}
+
+Instant
+StreamRecord::WantedUntil() const
+{
+  const absl::MutexLock lock{ &mMutex };
+  return mWantedUntil;
+}
+
+std::optional<Instant>
+StreamRecord::ForgetAt() const
+{
+  const absl::MutexLock lock{ &mMutex };
+  return HasEnded(mBuffer) ? std::optional{ mEndedAt + kKeepEnded } : std::nullopt;
+}
+
+std::int64_t
+StreamRecord::Bytes() const
+{
+  const absl::MutexLock lock{ &mMutex };
+  return mBuffer.mBytes + static_cast<std::int64_t>(mIdentity.mBody.size());
+}
+
+std::shared_ptr<StreamRecord>
+StreamTable::Add(StreamIdentity aIdentity, std::vector<std::string> aTokens, Instant aNow)
+{
+  const absl::MutexLock lock{ &mMutex };
+  Forget(aNow);
+  auto& place = mRecords[aIdentity.mRequest];
+  place = std::make_shared<StreamRecord>(std::move(aIdentity), std::move(aTokens), aNow);
+  return place;
+}
+
+std::shared_ptr<StreamRecord>
+StreamTable::Find(const RequestId& aRequest) const
+{
+  const absl::MutexLock lock{ &mMutex };
+  const auto found = mRecords.find(aRequest);
+  return found == mRecords.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<StreamRecord>>
+StreamTable::Running() const
+{
+  std::vector<std::shared_ptr<StreamRecord>> running;
+  const absl::MutexLock lock{ &mMutex };
+  for (const auto& [request, record] : mRecords) {
+    if (!record->Ended()) {
+      running.push_back(record);
+    }
+  }
+  return running;
+}
+
+void
+StreamTable::Forget(Instant aNow)
+{
+  if (!HasPassed(mForgetAgainAt, aNow)) {
+    return;
+  }
+  mForgetAgainAt = aNow + kForgetEvery;
+  std::vector<std::pair<Instant, RequestId>> ended;
+  std::int64_t bytes = 0;
+  for (const auto& [request, record] : mRecords) {
+    if (const auto forgetAt = record->ForgetAt()) {
+      ended.emplace_back(*forgetAt, request);
+      bytes += record->Bytes();
+    }
+  }
+  std::ranges::sort(ended);
+  for (const auto& [forgetAt, request] : ended) {
+    if (!HasPassed(forgetAt, aNow) && bytes <= kMostEndedBytes) {
+      return;
+    }
+    const auto found = mRecords.find(request);
+    bytes -= found->second->Bytes();
+    mRecords.erase(found);
+  }
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/node/internal/stream_source.cc
@@ -0,0 +1,161 @@
+#include "trefoil/node/internal/stream_source.h"
+
+#include "trefoil/node/internal/request_life.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace trefoil {
+namespace {
+
+// How long a host may take to answer beyond the wait that it was asked for.
+constexpr Milliseconds kPeerLimit{ 1000 };
+// How many hosts may hold a stream that was handed over.
+constexpr std::size_t kMostHosts = 3;
+// How often a stream is followed from host to host in one read.
+constexpr int kMostHops = 4;
+
+absl::StatusOr<SourceNews>
+ReadHere(StreamSource& aSource, std::int64_t aFrom, Instant aDeadline)
+{
+  aSource.mRecord->Want(Now());
+  const StreamIdentity& identity = aSource.mRecord->Identity();
+  return SourceNews{ .mService = identity.mService,
+                     .mAccount = identity.mAccount,
+                     .mForm = identity.mForm,
+                     .mBody = identity.mBody,
+                     .mNews = aSource.mRecord->Read(aFrom, aDeadline) };
+}
+
+absl::StatusOr<SourceNews>
+NewsOf(StreamTokens&& aTokens)
+{
+  const auto form = ValueOf(kCompletionPaths, aTokens.mPath);
+  const auto state = ValueOf(kStreamStateNames, aTokens.mState);
+  if (!aTokens.mFound || !form.has_value() || !state.has_value()) {
+    return absl::NotFoundError("the host does not know the request");
+  }
+  return SourceNews{ .mService = aTokens.mService,
+                     .mAccount = aTokens.mAccount,
+                     .mForm = *form,
+                     .mBody = std::move(aTokens.mBody),
+                     .mNews = { .mFrom = aTokens.mFrom,
+                                .mTokens = std::move(aTokens.mTokens),
+                                .mState = *state,
+                                .mFinishReason = aTokens.mFinishReason,
+                                .mFailure = { .mVerdict = Verdict::kMayHaveRun,
+                                              .mStatus = absl::UnavailableError(aTokens.mError) },
+                                .mHandedTo = aTokens.mHandedTo } };
+}
+
+absl::StatusOr<SourceNews>
+ReadThere(StreamSource& aSource, std::int64_t aFrom, Instant aDeadline)
+{
+  const auto snapshot = aSource.mContext.mSnapshots->Read();
+  const auto member = snapshot->mMembers.mByHost.find(aSource.mHost);
+  if (member == snapshot->mMembers.mByHost.end()) {
+    return absl::NotFoundError("the host is gone");
+  }
+  if (!aSource.mConnection.has_value()) {
+    auto connection =
+      PeerConnection::Connect(member->second.mLast.mPeerEndpoint, Now() + kPeerLimit);
+    if (!connection.ok()) {
+      return connection.status();
+    }
+    aSource.mConnection = std::move(*connection);
+  }
+  auto reply =
+    aSource.mConnection->Call(StreamRead{ .mRequest = aSource.mRequest,
+                                          .mFrom = aFrom,
+                                          .mWaitMilliseconds = Remaining(aDeadline, Now()).count(),
+                                          .mWithBody = aSource.mWithBody },
+                              aDeadline + kPeerLimit);
+  if (!reply.ok()) {
+    aSource.mConnection.reset();
+    return reply.status();
+  }
+  if (auto* tokens = std::get_if<StreamTokens>(&*reply)) {
+    return NewsOf(std::move(*tokens));
+  }
+  return absl::NotFoundError("the host answered something else");
+}
+
+void
+PointTo(StreamSource& aSource, const HostId& aHost)
+{
+  aSource.mConnection.reset();
+  aSource.mHost = aHost;
+  aSource.mRecord = aHost == aSource.mContext.mHost
+                      ? aSource.mContext.mLife->mStreams.Find(aSource.mRequest)
+                      : nullptr;
+}
+
+absl::StatusOr<SourceNews>
+ReadFrom(StreamSource& aSource, std::int64_t aFrom, Instant aDeadline)
+{
+  if (aSource.mRecord != nullptr) {
+    return ReadHere(aSource, aFrom, aDeadline);
+  }
+  if (aSource.mHost.Empty() || aSource.mHost == aSource.mContext.mHost) {
+    return absl::NotFoundError("the host does not know the request");
+  }
+  return ReadThere(aSource, aFrom, aDeadline);
+}
+
+// Returns the hosts that may hold the stream, the likeliest first.
+std::vector<HostId>
+LikelyHosts(const StreamSource& aSource)
+{
+  std::vector<HostId> likely{ aSource.mContext.mHost };
+  std::vector<HostId> others;
+  for (const auto& [host, member] : aSource.mContext.mSnapshots->Read()->mMembers.mByHost) {
+    if (IsMadeBy(aSource.mRequest, host)) {
+      likely.push_back(host);
+    } else {
+      others.push_back(host);
+    }
+  }
+  const auto heirs = HostsFor(aSource.mRequest, others, kMostHosts);
+  likely.insert(likely.end(), heirs.begin(), heirs.end());
+  return likely;
+}
+
+// Follows a stream that was handed over from host to host.
+absl::StatusOr<SourceNews>
+FollowHandOver(StreamSource& aSource, std::int64_t aFrom, Instant aDeadline)
+{
+  absl::StatusOr<SourceNews> news = ReadFrom(aSource, aFrom, aDeadline);
+  for (int hop = 0; hop < kMostHops && news.ok(); ++hop) {
+    const bool moved = news->mNews.mState == StreamState::kHandedOver;
+    if (!moved || !news->mNews.mTokens.empty()) {
+      return news;
+    }
+    const HostId next = news->mNews.mHandedTo;
+    PointTo(aSource, next);
+    news = ReadFrom(aSource, aFrom, aDeadline);
+  }
+  return news;
+}
+
+} // namespace
+
+absl::StatusOr<SourceNews>
+ReadNews(StreamSource& aSource, std::int64_t aFrom, Instant aDeadline)
+{
+  if (aSource.mRecord != nullptr || !aSource.mHost.Empty()) {
+    auto news = FollowHandOver(aSource, aFrom, aDeadline);
+    if (news.ok()) {
+      return news;
+    }
+  }
+  for (const HostId& host : LikelyHosts(aSource)) {
+    PointTo(aSource, host);
+    auto news = FollowHandOver(aSource, aFrom, aDeadline);
+    if (news.ok()) {
+      return news;
+    }
+  }
+  return absl::NotFoundError("no entry host that answers knows this request");
+}
+
+} // namespace trefoil
--- a/trefoil/node/traffic.cc
+++ b/trefoil/node/traffic.cc
@@ -1,9 +1,11 @@
 #include "trefoil/node/traffic.h"
 
 #include "trefoil/frontend/completion.h"
+#include "trefoil/node/internal/answer_stream.h"
 #include "trefoil/node/internal/caller.h"
 #include "trefoil/node/internal/completion_traffic.h"
 #include "trefoil/node/internal/plain_traffic.h"
+#include "trefoil/node/internal/reattach_traffic.h"
 #include "trefoil/node/internal/status_page.h"
 
 #include <string_view>
@@ -68,6 +70,10 @@
     aExchange.Answer(RenderStatusPage(aContext));
     return;
   }
+  if (path.starts_with(kRequestsPath)) {
+    ServeReattach(aContext, aExchange);
+    return;
+  }
   if (path == "/metrics") {
     aExchange.Answer(
       { .mHeaders = { { .mName = "Content-Type", .mValue = "text/plain; version=0.0.4" } },
--- a/trefoil/node/traffic.h
+++ b/trefoil/node/traffic.h
@@ -16,6 +16,8 @@
 
 namespace trefoil {
 
+struct RequestLife;
+
 struct TrafficContext
 {
   HostId mHost;
@@ -25,6 +27,9 @@
   // Requests that are being served now.
   std::atomic<std::int64_t>* mActive = nullptr;
   Metrics* mMetrics = nullptr;
+  RequestLife* mLife = nullptr;
+  // Whether streams move to other engines with their KV cache where the notice allows it.
+  bool mTransfersCaches = true;
 };
 
 // Answers one request of a caller, an operator or the balancer.
--- a/trefoil/request/stream_progress.h
+++ b/trefoil/request/stream_progress.h
@@ -33,8 +33,13 @@
   Instant mDeadline;
   // The attempt whose tokens count now.
   AttemptId mAttempt;
+  // Attempts that may have run.
   int mAttempts = 0;
   int mMostAttempts = 8;
+  // Rises with each attempt, so that each has its own id.
+  int mNumber = 0;
+  // Attempts in a row that no server started.
+  int mNotStarted = 0;
   std::string mGenerated;
   std::int64_t mTokens = 0;
 };
@@ -65,6 +70,10 @@
 void
 BeginAttempt(StreamProgress& aProgress, const AttemptId& aAttempt);
 
+// Takes the current attempt back: no server started it.
+void
+AttemptNotStarted(StreamProgress& aProgress);
+
 // Takes a token in if it is the next one.
 TokenFate
 Accept(StreamProgress& aProgress, const Token& aToken);
@@ -73,4 +82,9 @@
 NextStep
 AfterFailure(const StreamProgress& aProgress, Instant aNow);
 
+// Returns when the next attempt may follow: at once after one that ran, with growing pauses while
+// no server starts one.
+Instant
+RetryAt(const StreamProgress& aProgress, Instant aNow);
+
 } // namespace trefoil
--- a/trefoil/wire/codec.cc
+++ b/trefoil/wire/codec.cc
@@ -5,6 +5,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
 #include <exception>
 #include <fmt/format.h>
 #include <sstream>
--- a/trefoil/wire/codec.h
+++ b/trefoil/wire/codec.h
@@ -18,7 +18,7 @@
 
 inline constexpr unsigned char kProtocolVersion = 1;
 // The longest encoded message that is decoded.
-inline constexpr std::size_t kMostMessageBytes = std::size_t{ 2 } << 20;
+inline constexpr std::size_t kMostMessageBytes = std::size_t{ 72 } << 20;
 
 std::string
 Encode(const Message& aMessage);
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -7,6 +7,8 @@
 
 #include "trefoil/base/endpoint.h"
 #include "trefoil/base/ids.h"
+#include "trefoil/wire/crash_report.h"
+#include "trefoil/wire/stream_messages.h"
 
 #include <cstdint>
 #include <variant>
@@ -38,6 +40,12 @@
 };
 
 // New kinds go to the end: the index of a kind is part of the encoding.
-using Message = std::variant<Heartbeat>;
+using Message = std::variant<Heartbeat,
+                             CrashReport,
+                             ServerReservation,
+                             StreamRead,
+                             StreamTokens,
+                             StreamHandOver,
+                             StreamHandOverReply>;
 
 } // namespace trefoil
