--- a/tests/request_life/request_life_test.cc
+++ b/tests/request_life/request_life_test.cc
@@ -125,7 +125,7 @@
 
 TEST_CASE("A caller loses its connection")
 {
-  Site site{ { .mEngines = 2, .mHosts = 3 } };
+  Site site{ { .mEngines = 2, .mHosts = 3, .mZones = 2 } };
   CallerAnswer answer = Ask(site.Listen(0), BodyOf(PromptOf(0), kTokens), 5);
   REQUIRE(answer.mLastEvent == 4);
 
--- a/tests/site/site.cc
+++ b/tests/site/site.cc
@@ -50,7 +50,8 @@
   const auto address = [](std::size_t aHost) { return fmt::format("127.0.13.{}", aHost + 10); };
   const std::uint16_t port = PortOfThisProcess(aTry);
   HostSettings settings{ .mHost = HostId{ fmt::format("host-{}", aIndex) },
-                         .mZone = AvailabilityZoneId{ fmt::format("zone-{}", aIndex) },
+                         .mZone = AvailabilityZoneId{ fmt::format(
+                           "zone-{}", aIndex % static_cast<std::size_t>(aOptions.mZones)) },
                          .mListen = { .mAddress = address(aIndex), .mPort = port },
                          .mPeerListen = { .mAddress = address(aIndex),
                                           .mPort = static_cast<std::uint16_t>(port + 1) },
--- a/tests/site/site.h
+++ b/tests/site/site.h
@@ -24,6 +24,8 @@
 {
   int mEngines = 3;
   int mHosts = 3;
+  // Hosts are spread over so many availability zones.
+  int mZones = 1;
   std::int64_t mFirstTokenMilliseconds = 5;
   std::int64_t mTokenEveryMilliseconds = 5;
   std::int64_t mExportTokensPerSecond = 100'000;
--- a/trefoil/http/server.cc
+++ b/trefoil/http/server.cc
@@ -108,6 +108,13 @@
   }
 }
 
+bool
+IsKnownVersion(const std::string& aVersion)
+{
+  return aVersion == Poco::Net::HTTPMessage::HTTP_1_1 ||
+         aVersion == Poco::Net::HTTPMessage::HTTP_1_0;
+}
+
 // Opens what the library keeps to itself: whether a further request has been read already.
 class Session : public HTTPServerSession
 {
@@ -155,8 +162,13 @@
   bool ServeOne()
   {
     Poco::Net::HTTPServerResponseImpl response{ mSession };
+    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
     try {
       Poco::Net::HTTPServerRequestImpl request{ response, mSession, mParams };
+      if (!IsKnownVersion(request.getVersion())) {
+        Reject(mSession, response, { .mStatus = kBadRequest, .mBody = "use HTTP/1.1\n" });
+        return false;
+      }
       response.setVersion(request.getVersion());
       response.setKeepAlive(request.getKeepAlive() && !mConnection.IsDraining());
       return Handle(request, response);
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -1,5 +1,6 @@
 #include "trefoil/node/entry_host.h"
 
+#include "trefoil/base/digest.h"
 #include "trefoil/node/internal/peer_streams.h"
 #include "trefoil/node/internal/request_life.h"
 #include "trefoil/platform/store_client.h"
@@ -25,6 +26,8 @@
 // How long the balancer may take to notice that the host is not ready.
 constexpr Milliseconds kBalancerNotice{ 300 };
 constexpr std::string_view kDocumentPrefix = "services/";
+// Hosts whose callers follow streams of this host hold a connection while they wait for news.
+constexpr std::int64_t kMostPeerConnections = 256;
 // The end of the stop notice that is kept for handing streams over.
 constexpr Milliseconds kLongestHandOverReserve{ 3000 };
 
@@ -45,7 +48,7 @@
   , mTraffic{ .mHost = mSettings.mHost,
               .mZone = mSettings.mZone,
               .mSnapshots = &mSnapshots,
-              .mInFlight = &mInFlight,
+              .mRouting = &mRouting,
               .mActive = &mActive,
               .mMetrics = &mMetrics,
               .mLife = mLife.get() }
@@ -63,7 +66,8 @@
   EntryHost* raw = host.get();
   auto peers = PeerServer::Start(
     { .mListen = aSettings.mPeerListen,
-      .mAnswer = [raw](const Message& aMessage) { return AnswerPeer(raw->mTraffic, aMessage); } });
+      .mHandler = [raw](const Message& aMessage) { return AnswerPeer(raw->mTraffic, aMessage); },
+      .mMostConnections = kMostPeerConnections });
   if (!peers.ok()) {
     return peers.status();
   }
@@ -139,7 +143,8 @@
                        .mPeerEndpoint = mSettings.mPeerListen,
                        .mListen = mSettings.mListen,
                        .mSeeds = mSettings.mSeeds,
-                       .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())) },
+                       .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())),
+                       .mRandomSeed = Digest64(RandomHex()) },
                      Now());
   while (!mQueue.Closed()) {
     const auto event = mQueue.Pop(NextTimer(state));
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -11,12 +11,12 @@
 #include "trefoil/http/server.h"
 #include "trefoil/node/control_state.h"
 #include "trefoil/node/event_queue.h"
-#include "trefoil/node/in_flight.h"
+#include "trefoil/node/routing_tables.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/node/store_worker.h"
 #include "trefoil/node/traffic.h"
 #include "trefoil/settings/host_settings.h"
-#include "trefoil/wire/peer_call.h"
+#include "trefoil/wire/peer_link.h"
 #include "trefoil/wire/udp_socket.h"
 
 #include <atomic>
@@ -58,7 +58,7 @@
   EventQueue mQueue;
   SnapshotCell mSnapshots;
   StoreWorker mStoreWorker;
-  InFlightTable mInFlight;
+  RoutingTables mRouting;
   Metrics mMetrics;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
--- a/trefoil/node/internal/generation.cc
+++ b/trefoil/node/internal/generation.cc
@@ -19,6 +19,8 @@
 constexpr Milliseconds kFirstTokenLimit{ 10'000 };
 // How long a server that failed gets no new work of this host.
 constexpr Milliseconds kAvoidFailed{ 1000 };
+// The same for a server that sends nothing: each request that is tried on it waits for long.
+constexpr Milliseconds kAvoidStalled{ 10'000 };
 // How fast engines export a KV cache.
 constexpr double kTransferTokensPerSecond = 50'000;
 
@@ -239,7 +241,7 @@
 RunAttempt(Generation& aGeneration, const BackendServerSpec& aServer)
 {
   StreamProgress& progress = aGeneration.mProgress;
-  const InFlightGuard inFlight{ *aGeneration.mContext.mInFlight, aServer.mServer };
+  const InFlightGuard inFlight{ *aGeneration.mContext.mRouting, aServer.mServer };
   aGeneration.mContext.mMetrics->Add(Counter::kAttempts, 1);
   if (progress.mTokens > 0) {
     aGeneration.mContext.mMetrics->Add(Counter::kStreamsResumed, 1);
@@ -309,7 +311,12 @@
   }
   std::set<BackendServerId> excluded = Board(aGeneration).Avoided();
   excluded.insert(aGeneration.mFailed.begin(), aGeneration.mFailed.end());
-  return PickServer(aGeneration.mContext, *aGeneration.mDocument, excluded);
+  const StreamIdentity& identity = aGeneration.mRecord.Identity();
+  return PickServer(aGeneration.mContext,
+                    *aGeneration.mDocument,
+                    excluded,
+                    { .mPrompt = identity.mPrompt,
+                      .mExpectedTokens = identity.mMostTokens - aGeneration.mProgress.mTokens });
 }
 
 // Notes what an attempt says of its server and its request.
@@ -333,7 +340,9 @@
     board.Crashed(aGeneration.mDigest, aServer.mServer);
   }
   if (aResult != AttemptResult::kMoved) {
-    board.Avoid(aServer.mServer, AvoidReason::kFailed, Now() + kAvoidFailed);
+    const bool stalled = aResult == AttemptResult::kStalled;
+    board.Avoid(
+      aServer.mServer, AvoidReason::kFailed, Now() + (stalled ? kAvoidStalled : kAvoidFailed));
   }
 }
 
--- a/trefoil/node/internal/peer_streams.cc
+++ b/trefoil/node/internal/peer_streams.cc
@@ -3,7 +3,7 @@
 #include "trefoil/node/internal/generation.h"
 #include "trefoil/node/internal/request_life.h"
 #include "trefoil/request/reclaim.h"
-#include "trefoil/wire/peer_call.h"
+#include "trefoil/wire/peer_link.h"
 
 #include <algorithm>
 #include <spdlog/spdlog.h>
@@ -111,30 +111,27 @@
 {
   HandOverOutcome outcome = HandOverOutcome::kRefused;
   for (int ask = 0; ask < kMostAsks && !HasPassed(aStopsAt, Now()); ++ask) {
-    const Instant until = std::min(aStopsAt, Now() + kPeerLimit);
-    auto connection = PeerConnection::Connect(aPeer, until);
-    if (!connection.ok()) {
-      // It may have taken the stream when it was asked before.
+    const auto reply = AskPeer(aPeer, aHandOver, std::min(aStopsAt, Now() + kPeerLimit));
+    if (reply.ok()) {
+      const auto* answer = std::get_if<StreamHandOverReply>(&*reply);
+      return answer != nullptr && answer->mTaken ? HandOverOutcome::kTaken
+                                                 : HandOverOutcome::kRefused;
+    }
+    if (WasNotSent(reply.status())) {
+      // The peer may have taken the stream when it was asked before.
       return outcome;
     }
     outcome = HandOverOutcome::kUnknown;
-    const auto reply = connection->Call(aHandOver, until);
-    if (!reply.ok()) {
-      continue;
-    }
-    const auto* answer = std::get_if<StreamHandOverReply>(&*reply);
-    return answer != nullptr && answer->mTaken ? HandOverOutcome::kTaken
-                                               : HandOverOutcome::kRefused;
   }
   return outcome;
 }
 
 std::vector<HostId>
-HostsThatStay(const Snapshot& aSnapshot)
+HostsThatStay(const Snapshot& aSnapshot, const HostId& aSelf)
 {
   std::vector<HostId> hosts;
   for (const auto& [host, member] : aSnapshot.mMembers.mByHost) {
-    if (member.mState == MemberState::kAlive) {
+    if (IsAlive(member) && host != aSelf) {
       hosts.push_back(host);
     }
   }
@@ -159,7 +156,8 @@
                                  .mTokens = std::move(*tokens),
                                  .mLeftMilliseconds =
                                    Remaining(identity.mDeadline, Now()).count() };
-  for (const HostId& host : HostsFor(identity.mRequest, HostsThatStay(*snapshot), kMostHosts)) {
+  for (const HostId& host :
+       HostsFor(identity.mRequest, HostsThatStay(*snapshot, aContext.mHost), kMostHosts)) {
     const Member& member = snapshot->mMembers.mByHost.at(host);
     if (AskHost(member.mLast.mPeerEndpoint, handOver, aStopsAt) != HandOverOutcome::kRefused) {
       // With its reply still open, the host is the only one that may go on.
@@ -184,6 +182,7 @@
            .mAccount = aAccount,
            .mForm = aCompletion.mForm,
            .mBody = aCompletion.mBody,
+           .mPrompt = aCompletion.mPrompt,
            .mPromptTokens = EstimateTokens(aCompletion.mPrompt),
            .mMostTokens = aCompletion.mMostTokens,
            .mDeadline = aDeadline };
--- a/trefoil/node/internal/stream_record.h
+++ b/trefoil/node/internal/stream_record.h
@@ -34,6 +34,7 @@
   CompletionForm mForm = CompletionForm::kText;
   // The caller's JSON.
   std::string mBody;
+  std::string mPrompt;
   std::int64_t mPromptTokens = 0;
   std::int64_t mMostTokens = 0;
   Instant mDeadline;
--- a/trefoil/node/internal/stream_source.cc
+++ b/trefoil/node/internal/stream_source.cc
@@ -1,6 +1,7 @@
 #include "trefoil/node/internal/stream_source.h"
 
 #include "trefoil/node/internal/request_life.h"
+#include "trefoil/wire/peer_link.h"
 
 #include <algorithm>
 #include <vector>
@@ -56,22 +57,13 @@
   if (member == snapshot->mMembers.mByHost.end()) {
     return absl::NotFoundError("the host is gone");
   }
-  if (!aSource.mConnection.has_value()) {
-    auto connection =
-      PeerConnection::Connect(member->second.mLast.mPeerEndpoint, Now() + kPeerLimit);
-    if (!connection.ok()) {
-      return connection.status();
-    }
-    aSource.mConnection = std::move(*connection);
-  }
-  auto reply =
-    aSource.mConnection->Call(StreamRead{ .mRequest = aSource.mRequest,
-                                          .mFrom = aFrom,
-                                          .mWaitMilliseconds = Remaining(aDeadline, Now()).count(),
-                                          .mWithBody = aSource.mWithBody },
-                              aDeadline + kPeerLimit);
+  auto reply = AskPeer(member->second.mLast.mPeerEndpoint,
+                       StreamRead{ .mRequest = aSource.mRequest,
+                                   .mFrom = aFrom,
+                                   .mWaitMilliseconds = Remaining(aDeadline, Now()).count(),
+                                   .mWithBody = aSource.mWithBody },
+                       aDeadline + kPeerLimit);
   if (!reply.ok()) {
-    aSource.mConnection.reset();
     return reply.status();
   }
   if (auto* tokens = std::get_if<StreamTokens>(&*reply)) {
@@ -83,7 +75,6 @@
 void
 PointTo(StreamSource& aSource, const HostId& aHost)
 {
-  aSource.mConnection.reset();
   aSource.mHost = aHost;
   aSource.mRecord = aHost == aSource.mContext.mHost
                       ? aSource.mContext.mLife->mStreams.Find(aSource.mRequest)
--- a/trefoil/node/internal/stream_source.h
+++ b/trefoil/node/internal/stream_source.h
@@ -10,10 +10,8 @@
 #include "absl/status/statusor.h"
 #include "trefoil/node/internal/stream_record.h"
 #include "trefoil/node/traffic.h"
-#include "trefoil/wire/peer_call.h"
 
 #include <memory>
-#include <optional>
 
 namespace trefoil {
 
@@ -25,7 +23,6 @@
   std::shared_ptr<StreamRecord> mRecord;
   // The host that holds the stream otherwise.
   HostId mHost;
-  std::optional<PeerConnection> mConnection;
   // Whether the next read should tell the caller's JSON body.
   bool mWithBody = true;
 };
