--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -51,6 +51,7 @@
 
 Engine::Engine(EngineOptions aOptions)
   : mOptions(std::move(aOptions))
+  , mIncarnation(static_cast<std::uint64_t>(UnixMilliseconds(WallNow())))
 {
 }
 
@@ -296,6 +297,9 @@
   Object load;
   {
     const absl::MutexLock lock{ &mMutex };
+    load.set("incarnation", mIncarnation + mLife);
+    load.set("sequence", ++mLoadAnswers);
+    load.set("running", mInFlight);
     load.set("in_flight", mInFlight);
     load.set("leaving", mLeaving);
     load.set("notice_ms", mLeaving ? Remaining(mDiesAt, Now()).count() : 0);
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -5,7 +5,7 @@
 //   engine.Serve(aExchange); } });
 //
 // Generates the tokens of token_text.h, one after the other, from the place that the request says.
-// Logs what ran; GET /history tells it. It can leave on notice, freeze and die, also at the sight
+// Logs what ran; GET /history tells it, GET /load its load. It can leave on notice, freeze and die, also at the sight
 // of a request whose prompt contains kCrashMarker. Thread-safe.
 #pragma once
 
@@ -108,6 +108,8 @@
   std::int64_t mInFlight ABSL_GUARDED_BY(mMutex) = 0;
   std::int64_t mRecomputedTokens ABSL_GUARDED_BY(mMutex) = 0;
   std::int64_t mCrashes ABSL_GUARDED_BY(mMutex) = 0;
+  std::uint64_t mIncarnation ABSL_GUARDED_BY(mMutex) = 0;
+  std::uint64_t mLoadAnswers ABSL_GUARDED_BY(mMutex) = 0;
   // The tokens in the KV cache of each attempt that runs.
   std::map<std::string, std::int64_t> mCaches ABSL_GUARDED_BY(mMutex);
 };
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -4,13 +4,16 @@
 //   (*host)->Stop();
 //
 // Threads: one control thread owns all control state and blocks on one queue. One thread watches
-// the store, one receives datagrams, and each connection of a caller has a thread.
+// the store, one receives datagrams, a few carry out calls to other hosts and polls of backend
+// servers, and each connection of a caller has a thread.
 #pragma once
 
 #include "absl/status/statusor.h"
 #include "trefoil/http/server.h"
 #include "trefoil/node/control_state.h"
 #include "trefoil/node/event_queue.h"
+#include "trefoil/node/internal/peer_worker.h"
+#include "trefoil/node/internal/watch_gate.h"
 #include "trefoil/node/routing_tables.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/node/store_worker.h"
@@ -52,20 +55,25 @@
   void CarryOut(const SendMessage& aEffect);
   void CarryOut(const StoreReadWanted& aEffect);
   void CarryOut(const StoreWriteWanted& aEffect);
+  void CarryOut(const FetchDocuments& aEffect);
+  void CarryOut(const PollServer& aEffect);
+  void CarryOut(const WatchDocuments& aEffect);
 
   HostSettings mSettings;
   UdpSocket mSocket;
   EventQueue mQueue;
   SnapshotCell mSnapshots;
   StoreWorker mStoreWorker;
+  PeerWorker mPeerWorker;
+  WatchGate mWatchGate;
   RoutingTables mRouting;
   Metrics mMetrics;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
   std::unique_ptr<RequestLife> mLife;
   TrafficContext mTraffic;
-  std::optional<PeerServer> mPeerServer;
   std::optional<HttpServer> mServer;
+  std::optional<PeerServer> mPeerServer;
   std::thread mControlThread;
   std::thread mStoreThread;
   std::thread mPeerThread;
--- a/trefoil/node/internal/peer_streams.cc
+++ b/trefoil/node/internal/peer_streams.cc
@@ -189,7 +189,7 @@
 }
 
 std::optional<Message>
-AnswerPeer(const TrafficContext& aContext, const Message& aMessage)
+AnswerStreams(const TrafficContext& aContext, const Message& aMessage)
 {
   if (const auto* read = std::get_if<StreamRead>(&aMessage)) {
     return AnswerRead(aContext, *read);
--- a/trefoil/node/internal/peer_streams.h
+++ b/trefoil/node/internal/peer_streams.h
@@ -15,7 +15,7 @@
 
 // Answers a message about a stream. Returns nothing for a message that is none.
 std::optional<Message>
-AnswerPeer(const TrafficContext& aContext, const Message& aMessage);
+AnswerStreams(const TrafficContext& aContext, const Message& aMessage);
 
 // Passes the streams that will not end before `aEndBefore` to other hosts, the most valuable first.
 // Returns how many were taken. Blocks, until `aStopsAt` at most.
