--- a/standin/engine.h
+++ b/standin/engine.h
@@ -5,8 +5,8 @@
 //   engine.Serve(aExchange); } });
 //
 // Generates the tokens of token_text.h, one after the other, from the place that the request says.
-// Logs what ran; GET /history tells it, GET /load its load. It can leave on notice, freeze and die, also at the sight
-// of a request whose prompt contains kCrashMarker. Thread-safe.
+// Logs what ran; GET /history tells it, GET /load its load. It can leave on notice, freeze and die,
+// also at the sight of a request whose prompt contains kCrashMarker. Thread-safe.
 #pragma once
 
 #include "absl/base/thread_annotations.h"
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -89,14 +89,15 @@
     return server.status();
   }
   host->mServer = std::move(*server);
-  auto peerServer = PeerServer::Start(
-    { .mListen = aSettings.mPeerListen,
-      .mHandler =
-        [raw](const Message& aRequest) {
-          auto answer = AnswerStreams(raw->mTraffic, aRequest);
-          return answer.has_value() ? answer : AnswerPeer(raw->mSnapshots, aRequest);
-        },
-      .mMostConnections = kMostPeerConnections });
+  auto peerServer = PeerServer::Start({ .mListen = aSettings.mPeerListen,
+                                        .mHandler =
+                                          [raw](const Message& aRequest) {
+                                            auto answer = AnswerStreams(raw->mTraffic, aRequest);
+                                            return answer.has_value()
+                                                     ? answer
+                                                     : AnswerPeer(raw->mSnapshots, aRequest);
+                                          },
+                                        .mMostConnections = kMostPeerConnections });
   if (!peerServer.ok()) {
     return peerServer.status();
   }
--- a/trefoil/node/internal/peer_streams.cc
+++ b/trefoil/node/internal/peer_streams.cc
@@ -2,6 +2,7 @@
 
 #include "trefoil/node/internal/generation.h"
 #include "trefoil/node/internal/request_life.h"
+#include "trefoil/node/internal/stream_source.h"
 #include "trefoil/request/reclaim.h"
 #include "trefoil/wire/peer_link.h"
 
@@ -20,30 +21,41 @@
 // How many hosts are asked to take a stream.
 constexpr std::size_t kMostHosts = 3;
 
+StreamTokens
+TokensOf(const StreamRead& aRead, SourceNews aNews)
+{
+  return { .mRequest = aRead.mRequest,
+           .mFound = true,
+           .mService = aNews.mService,
+           .mAccount = aNews.mAccount,
+           .mPath = std::string{ NameOf(kCompletionPaths, aNews.mForm) },
+           .mBody = aRead.mWithBody ? std::move(aNews.mBody) : "",
+           .mState = std::string{ NameOf(kStreamStateNames, aNews.mNews.mState) },
+           .mFrom = aNews.mNews.mFrom,
+           .mTokens = std::move(aNews.mNews.mTokens),
+           .mFinishReason = aNews.mNews.mFinishReason,
+           .mError = std::string{ aNews.mNews.mFailure.mStatus.message() },
+           .mHandedTo = aNews.mNews.mHandedTo };
+}
+
 Message
 AnswerRead(const TrafficContext& aContext, const StreamRead& aRead)
 {
+  const Milliseconds wait =
+    std::clamp(Milliseconds{ aRead.mWaitMilliseconds }, Milliseconds{ 0 }, kLongestWait);
   const auto record = aContext.mLife->mStreams.Find(aRead.mRequest);
-  if (record == nullptr) {
+  if (record != nullptr) {
+    return TokensOf(aRead, ReadRecord(*record, aRead.mFrom, Now() + wait));
+  }
+  if (!aRead.mRelay) {
     return StreamTokens{ .mRequest = aRead.mRequest };
   }
-  const Milliseconds wait =
-    std::clamp(Milliseconds{ aRead.mWaitMilliseconds }, Milliseconds{ 0 }, kLongestWait);
-  record->Want(Now());
-  const StreamIdentity& identity = record->Identity();
-  StreamNews news = record->Read(aRead.mFrom, Now() + wait);
-  return StreamTokens{ .mRequest = aRead.mRequest,
-                       .mFound = true,
-                       .mService = identity.mService,
-                       .mAccount = identity.mAccount,
-                       .mPath = std::string{ NameOf(kCompletionPaths, identity.mForm) },
-                       .mBody = aRead.mWithBody ? identity.mBody : "",
-                       .mState = std::string{ NameOf(kStreamStateNames, news.mState) },
-                       .mFrom = news.mFrom,
-                       .mTokens = std::move(news.mTokens),
-                       .mFinishReason = news.mFinishReason,
-                       .mError = std::string{ news.mFailure.mStatus.message() },
-                       .mHandedTo = news.mHandedTo };
+  StreamSource source{ .mContext = aContext,
+                       .mRequest = aRead.mRequest,
+                       .mMayRelay = false,
+                       .mWithBody = aRead.mWithBody };
+  auto news = ReadNews(source, aRead.mFrom, Now() + wait);
+  return news.ok() ? TokensOf(aRead, std::move(*news)) : StreamTokens{ .mRequest = aRead.mRequest };
 }
 
 StreamProgress
--- a/trefoil/node/internal/stream_source.cc
+++ b/trefoil/node/internal/stream_source.cc
@@ -4,6 +4,7 @@
 #include "trefoil/wire/peer_link.h"
 
 #include <algorithm>
+#include <map>
 #include <vector>
 
 namespace trefoil {
@@ -16,18 +17,6 @@
 // How often a stream is followed from host to host in one read.
 constexpr int kMostHops = 4;
 
-absl::StatusOr<SourceNews>
-ReadHere(StreamSource& aSource, std::int64_t aFrom, Instant aDeadline)
-{
-  aSource.mRecord->Want(Now());
-  const StreamIdentity& identity = aSource.mRecord->Identity();
-  return SourceNews{ .mService = identity.mService,
-                     .mAccount = identity.mAccount,
-                     .mForm = identity.mForm,
-                     .mBody = identity.mBody,
-                     .mNews = aSource.mRecord->Read(aFrom, aDeadline) };
-}
-
 absl::StatusOr<SourceNews>
 NewsOf(StreamTokens&& aTokens)
 {
@@ -61,7 +50,8 @@
                        StreamRead{ .mRequest = aSource.mRequest,
                                    .mFrom = aFrom,
                                    .mWaitMilliseconds = Remaining(aDeadline, Now()).count(),
-                                   .mWithBody = aSource.mWithBody },
+                                   .mWithBody = aSource.mWithBody,
+                                   .mRelay = aSource.mRelay },
                        aDeadline + kPeerLimit);
   if (!reply.ok()) {
     return reply.status();
@@ -75,6 +65,7 @@
 void
 PointTo(StreamSource& aSource, const HostId& aHost)
 {
+  aSource.mRelay = false;
   aSource.mHost = aHost;
   aSource.mRecord = aHost == aSource.mContext.mHost
                       ? aSource.mContext.mLife->mStreams.Find(aSource.mRequest)
@@ -85,7 +76,7 @@
 ReadFrom(StreamSource& aSource, std::int64_t aFrom, Instant aDeadline)
 {
   if (aSource.mRecord != nullptr) {
-    return ReadHere(aSource, aFrom, aDeadline);
+    return ReadRecord(*aSource.mRecord, aFrom, aDeadline);
   }
   if (aSource.mHost.Empty() || aSource.mHost == aSource.mContext.mHost) {
     return absl::NotFoundError("the host does not know the request");
@@ -111,6 +102,23 @@
   return likely;
 }
 
+// Returns one live host of each other zone.
+std::vector<HostId>
+RelayHosts(const StreamSource& aSource)
+{
+  std::map<AvailabilityZoneId, HostId> byZone;
+  for (const auto& [host, member] : aSource.mContext.mSnapshots->Read()->mMembers.mByHost) {
+    if (IsAlive(member) && member.mLast.mZone != aSource.mContext.mZone) {
+      byZone.emplace(member.mLast.mZone, host);
+    }
+  }
+  std::vector<HostId> hosts;
+  for (const auto& [zone, host] : byZone) {
+    hosts.push_back(host);
+  }
+  return hosts;
+}
+
 // Follows a stream that was handed over from host to host.
 absl::StatusOr<SourceNews>
 FollowHandOver(StreamSource& aSource, std::int64_t aFrom, Instant aDeadline)
@@ -130,6 +138,18 @@
 
 } // namespace
 
+SourceNews
+ReadRecord(StreamRecord& aRecord, std::int64_t aFrom, Instant aDeadline)
+{
+  aRecord.Want(Now());
+  const StreamIdentity& identity = aRecord.Identity();
+  return { .mService = identity.mService,
+           .mAccount = identity.mAccount,
+           .mForm = identity.mForm,
+           .mBody = identity.mBody,
+           .mNews = aRecord.Read(aFrom, aDeadline) };
+}
+
 absl::StatusOr<SourceNews>
 ReadNews(StreamSource& aSource, std::int64_t aFrom, Instant aDeadline)
 {
@@ -146,6 +166,14 @@
       return news;
     }
   }
+  for (const HostId& host : aSource.mMayRelay ? RelayHosts(aSource) : std::vector<HostId>{}) {
+    PointTo(aSource, host);
+    aSource.mRelay = true;
+    auto news = ReadFrom(aSource, aFrom, aDeadline);
+    if (news.ok()) {
+      return news;
+    }
+  }
   return absl::NotFoundError("no entry host that answers knows this request");
 }
 
--- a/trefoil/node/internal/stream_source.h
+++ b/trefoil/node/internal/stream_source.h
@@ -23,6 +23,10 @@
   std::shared_ptr<StreamRecord> mRecord;
   // The host that holds the stream otherwise.
   HostId mHost;
+  // Whether that host is asked to look among the hosts of its zone.
+  bool mRelay = false;
+  // Whether hosts of other zones may be asked to look.
+  bool mMayRelay = true;
   // Whether the next read should tell the caller's JSON body.
   bool mWithBody = true;
 };
@@ -37,6 +41,10 @@
   StreamNews mNews;
 };
 
+// The same of a stream on this host.
+SourceNews
+ReadRecord(StreamRecord& aRecord, std::int64_t aFrom, Instant aDeadline);
+
 // Returns what follows place `aFrom`, after a wait until `aDeadline` at most. Returns NotFound if
 // no host that answers knows the request.
 absl::StatusOr<SourceNews>
--- a/trefoil/request/hand_over.cc
+++ b/trefoil/request/hand_over.cc
@@ -16,7 +16,8 @@
 EndsBefore(const StreamOutlook& aStream, Instant aStopsAt, Instant aNow)
 {
   if (aStream.mTokensPerSecond <= 0) {
-    return false;
+    // It has just begun: there is time to see how fast it is.
+    return !HasPassed(aStopsAt, aNow);
   }
   const double left = std::chrono::duration<double>(Remaining(aStopsAt, aNow)).count();
   return static_cast<double>(aStream.mTokensLeft) / aStream.mTokensPerSecond < left * kUsableShare;
--- a/trefoil/wire/stream_messages.h
+++ b/trefoil/wire/stream_messages.h
@@ -17,11 +17,13 @@
   std::int64_t mWaitMilliseconds = 0;
   // Whether the reply should hold the caller's JSON body.
   bool mWithBody = false;
+  // Whether a host that does not hold the stream asks the hosts of its zone that may.
+  bool mRelay = false;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mRequest, mFrom, mWaitMilliseconds, mWithBody);
+    aArchive(mRequest, mFrom, mWaitMilliseconds, mWithBody, mRelay);
   }
 };
 
