--- a/standin/store.cc
+++ b/standin/store.cc
@@ -1,11 +1,14 @@
 #include "standin/store.h"
 
 #include "absl/strings/numbers.h"
+#include "absl/time/clock.h"
 #include "absl/time/time.h"
 
 #include <Poco/JSON/Object.h>
 #include <algorithm>
+#include <optional>
 #include <sstream>
+#include <utility>
 
 namespace trefoil::standin {
 namespace {
@@ -14,6 +17,9 @@
 using Poco::JSON::Object;
 
 constexpr std::string_view kKeyPrefix = "/v1/kv/";
+constexpr std::string_view kListPath = "/v1/list";
+constexpr std::string_view kWatchPath = "/v1/watch";
+constexpr std::string_view kLeasePath = "/v1/lease";
 constexpr std::uint64_t kLongestWaitMilliseconds = 60'000;
 constexpr int kHttpGone = 410;
 constexpr std::size_t kMostValueBytes = std::size_t{ 1 } << 20;
@@ -44,40 +50,88 @@
   return text.str();
 }
 
+// Returns the kind of a call, nothing for an unknown path.
+std::optional<StoreCallKind>
+KindOf(const HttpRequest& aRequest)
+{
+  const std::string_view path = PathOf(aRequest.mTarget);
+  if (path == kWatchPath) {
+    return StoreCallKind::kWatch;
+  }
+  if (path.starts_with(kLeasePath)) {
+    return StoreCallKind::kLease;
+  }
+  if (path == kListPath || (path.starts_with(kKeyPrefix) && aRequest.mMethod == "GET")) {
+    return StoreCallKind::kRead;
+  }
+  return path.starts_with(kKeyPrefix) ? std::optional{ StoreCallKind::kWrite } : std::nullopt;
+}
+
 } // namespace
 
 void
 Store::Serve(HttpExchange& aExchange)
 {
+  const HttpRequest& request = aExchange.Request();
+  const std::string_view path = PathOf(request.mTarget);
+  if (path.starts_with("/admin/")) {
+    ServeAdmin(aExchange);
+  } else if (const auto kind = KindOf(request)) {
+    ServeCall(aExchange, *kind);
+  } else {
+    aExchange.Answer({ .mStatus = 404, .mBody = "not found\n" });
+  }
+}
+
+void
+Store::ServeAdmin(HttpExchange& aExchange)
+{
+  const HttpRequest& request = aExchange.Request();
+  if (PathOf(request.mTarget) == "/admin/fault" && request.mMethod == "POST") {
+    mFaults.Set(request.mTarget);
+  }
+  aExchange.Answer({ .mBody = mFaults.Counts() + "\n" });
+}
+
+void
+Store::ServeCall(HttpExchange& aExchange, StoreCallKind aKind)
+{
+  const StoreFault fault = mFaults.Enter(aKind);
+  if (fault.mDown) {
+    aExchange.Abort();
+    return;
+  }
   const std::string_view path = PathOf(aExchange.Request().mTarget);
-  if (path.starts_with(kKeyPrefix)) {
-    ServeKey(aExchange, std::string{ path.substr(kKeyPrefix.size()) });
-  } else if (path == "/v1/list") {
-    ServeList(aExchange);
-  } else if (path == "/v1/watch") {
+  if (aKind == StoreCallKind::kWatch) {
     ServeWatch(aExchange);
-  } else if (path.starts_with("/v1/lease")) {
+    return;
+  }
+  absl::SleepFor(absl::Milliseconds(fault.mSlowMilliseconds));
+  if (aKind == StoreCallKind::kLease) {
     ServeLeaseCall(aExchange);
+  } else if (path == kListPath) {
+    ServeList(aExchange);
   } else {
-    aExchange.Answer({ .mStatus = 404, .mBody = "not found\n" });
+    ServeKey(aExchange, fault);
   }
 }
 
 void
-Store::ServeKey(HttpExchange& aExchange, const std::string& aKey)
+Store::ServeKey(HttpExchange& aExchange, const StoreFault& aFault)
 {
   const std::string& method = aExchange.Request().mMethod;
+  const std::string key{ PathOf(aExchange.Request().mTarget).substr(kKeyPrefix.size()) };
   if (method == "GET") {
-    ServeRead(aExchange, aKey);
+    ServeRead(aExchange, key, mFaults.Happens(aFault.mStaleReadsPercent));
   } else if (method == "PUT" || method == "DELETE") {
-    ServeWrite(aExchange, aKey);
+    ServeWrite(aExchange, key, mFaults.Happens(aFault.mLostAnswersPercent));
   } else {
     aExchange.Answer({ .mStatus = 405, .mBody = "use GET, PUT or DELETE\n" });
   }
 }
 
 void
-Store::ServeRead(HttpExchange& aExchange, const std::string& aKey)
+Store::ServeRead(HttpExchange& aExchange, const std::string& aKey, bool aStale)
 {
   StoredValue value;
   {
@@ -88,6 +142,9 @@
       value = found->second;
     }
   }
+  if (aStale) {
+    value = { .mValue = value.mValueBefore, .mRevision = value.mRevisionBefore };
+  }
   if (value.mRevision == 0 || value.mDeleted) {
     aExchange.Answer({ .mStatus = 404, .mBody = "no such key\n" });
     return;
@@ -96,7 +153,7 @@
 }
 
 void
-Store::ServeWrite(HttpExchange& aExchange, const std::string& aKey)
+Store::ServeWrite(HttpExchange& aExchange, const std::string& aKey, bool aLosesAnswer)
 {
   const HttpRequest& request = aExchange.Request();
   if (request.mBody.size() > kMostValueBytes) {
@@ -121,12 +178,18 @@
       value = { .mValue = request.mBody,
                 .mRevision = ++mRevision,
                 .mDeleted = request.mMethod == "DELETE",
+                .mValueBefore = std::move(value.mValue),
+                .mRevisionBefore = current,
                 .mLease = lease };
       Object written;
       written.set("revision", mRevision);
       answer.mBody = TextOf(written);
     }
   }
+  if (aLosesAnswer) {
+    aExchange.Abort();
+    return;
+  }
   aExchange.Answer(answer);
 }
 
--- a/standin/store.h
+++ b/standin/store.h
@@ -5,10 +5,12 @@
 //   HttpServer::Start({ .mListen = endpoint, .mHandler = [&](HttpExchange& aExchange) {
 //   store.Serve(aExchange); } });
 //
-// docs/PROTOCOLS.md gives the interface. Thread-safe.
+// docs/PROTOCOLS.md gives the interface, store_faults.h the faults that it shows on demand.
+// Thread-safe.
 #pragma once
 
 #include "standin/leases.h"
+#include "standin/store_faults.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
@@ -27,6 +29,9 @@
   std::string mValue;
   std::uint64_t mRevision = 0;
   bool mDeleted = false;
+  // What stood there before, for reads that show an old value.
+  std::string mValueBefore;
+  std::uint64_t mRevisionBefore = 0;
   // The lease that the key ends with; 0 for none.
   std::uint64_t mLease = 0;
 };
@@ -37,9 +42,12 @@
   void Serve(HttpExchange& aExchange);
 
 private:
-  void ServeKey(HttpExchange& aExchange, const std::string& aKey);
-  void ServeRead(HttpExchange& aExchange, const std::string& aKey);
-  void ServeWrite(HttpExchange& aExchange, const std::string& aKey);
+  void ServeAdmin(HttpExchange& aExchange);
+  // Carries out a call, unless a fault that stands prevents it.
+  void ServeCall(HttpExchange& aExchange, StoreCallKind aKind);
+  void ServeKey(HttpExchange& aExchange, const StoreFault& aFault);
+  void ServeRead(HttpExchange& aExchange, const std::string& aKey, bool aStale);
+  void ServeWrite(HttpExchange& aExchange, const std::string& aKey, bool aLosesAnswer);
   void ServeList(HttpExchange& aExchange);
   void ServeWatch(HttpExchange& aExchange);
   void ServeLeaseCall(HttpExchange& aExchange);
@@ -51,6 +59,7 @@
   bool HasChange(std::string_view aPrefix, std::uint64_t aAfter)
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
 
+  StoreFaults mFaults;
   absl::Mutex mMutex;
   Leases mLeases ABSL_GUARDED_BY(mMutex);
   std::uint64_t mRevision ABSL_GUARDED_BY(mMutex) = 0;
--- /dev/null
+++ b/trefoil/audit/trail_codec.cc
@@ -0,0 +1,98 @@
+#include "trefoil/audit/trail_codec.h"
+
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeFormatter.h>
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Timestamp.h>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace trefoil {
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+Object::Ptr
+ObjectOf(const AuditRecord& aRecord)
+{
+  Object::Ptr object = new Object;
+  object->set("kind", std::string{ NameOf(kAuditKindNames, aRecord.mKind) });
+  object->set("revision", aRecord.mRevision);
+  object->set("who", aRecord.mWho);
+  object->set("where", aRecord.mWhere);
+  object->set("at_unix_ms", UnixMilliseconds(aRecord.mAt));
+  object->set("text", aRecord.mText);
+  return object;
+}
+
+AuditRecord
+RecordOf(const Object& aObject)
+{
+  const auto kind = ValueOf(kAuditKindNames, aObject.getValue<std::string>("kind"));
+  if (!kind.has_value()) {
+    throw Poco::DataFormatException("unknown kind of record");
+  }
+  return { .mKind = *kind,
+           .mRevision = aObject.getValue<std::uint64_t>("revision"),
+           .mWho = aObject.getValue<std::string>("who"),
+           .mWhere = aObject.getValue<std::string>("where"),
+           .mAt = FromUnixMilliseconds(aObject.getValue<std::int64_t>("at_unix_ms")),
+           .mText = aObject.getValue<std::string>("text") };
+}
+
+} // namespace
+
+std::string
+EncodePiece(const AuditPiece& aPiece)
+{
+  Array::Ptr records = new Array;
+  for (const AuditRecord& record : aPiece.mRecords) {
+    records->add(ObjectOf(record));
+  }
+  Object piece;
+  piece.set("number", aPiece.mNumber);
+  piece.set("records", records);
+  std::ostringstream text;
+  piece.stringify(text);
+  return text.str();
+}
+
+absl::StatusOr<AuditPiece>
+DecodePiece(std::string_view aText)
+{
+  if (aText.empty()) {
+    return AuditPiece{};
+  }
+  try {
+    const auto object = Poco::JSON::Parser{}.parse(std::string{ aText }).extract<Object::Ptr>();
+    AuditPiece piece{ .mNumber = object->getValue<std::uint64_t>("number") };
+    for (const auto& item : *object->getArray("records")) {
+      piece.mRecords.push_back(RecordOf(*item.extract<Object::Ptr>()));
+    }
+    return piece;
+  } catch (const Poco::Exception& error) {
+    return absl::DataLossError(error.displayText());
+  }
+}
+
+std::string
+RenderRecord(const AuditRecord& aRecord)
+{
+  constexpr std::int64_t kMicrosecondsInMillisecond = 1000;
+  const Poco::Timestamp at{ UnixMilliseconds(aRecord.mAt) * kMicrosecondsInMillisecond };
+  const std::string where = aRecord.mWhere.empty() ? "" : " in " + aRecord.mWhere;
+  const std::string text = aRecord.mText.empty() ? "" : ": " + aRecord.mText;
+  return fmt::format("{} revision {} {}{} by {}{}",
+                     Poco::DateTimeFormatter::format(at, Poco::DateTimeFormat::ISO8601_FRAC_FORMAT),
+                     aRecord.mRevision,
+                     NameOf(kAuditKindNames, aRecord.mKind),
+                     where,
+                     aRecord.mWho,
+                     text);
+}
+
+} // namespace trefoil
--- a/trefoil/node/control_state.cc
+++ b/trefoil/node/control_state.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::string_view kDocumentPrefix = "services/";
+// Hosts that are told of this host's work at a time.
+constexpr std::size_t kDemandsInZone = 2;
+constexpr std::size_t kDemandsElsewhere = 1;
 
 std::shared_ptr<const Snapshot>
 MakeSnapshot(ControlState& aState)
@@ -116,25 +119,64 @@
 ControlEffects
 On(ControlState& aState, const TimerFired&, Instant aNow)
 {
+  ControlEffects effects = OnIdempotencyTimer(aState.mIdempotency, aNow);
+  std::ranges::move(OnAuditTimer(aState.mAudit, aNow), std::back_inserter(effects));
+  if (!HasPassed(NextPeerTimer(aState), aNow)) {
+    return effects;
+  }
+  NoteConfiguration(
+    aState.mAudit,
+    { .mDocuments = aState.mConfig.mDocuments, .mMembers = aState.mGossip.mMembers },
+    aNow);
   ControlEffects peerEffects = OnPeerTimer(aState, aNow);
   PublishReports(aState.mHealth, aNow);
-  ControlEffects effects = Publish(aState);
+  effects.emplace_back(PublishSnapshot{ MakeSnapshot(aState) });
   std::ranges::move(peerEffects, std::back_inserter(effects));
   return effects;
 }
 
 ControlEffects
-On(ControlState&, const StoreReadDone&, Instant)
+On(ControlState& aState, const DemandsSampled& aEvent, Instant)
+{
+  ControlEffects effects;
+  for (Endpoint& target : SpreadTargets(aState.mGossip, kDemandsInZone, kDemandsElsewhere)) {
+    effects.emplace_back(SendMessage{ .mTo = std::move(target), .mMessage = aEvent.mDemands });
+  }
+  return effects;
+}
+
+ControlEffects
+On(ControlState& aState, const StoreReadDone& aEvent, Instant aNow)
 {
+  if (aEvent.mTopic == StoreTopic::kClaims) {
+    return OnIdempotency(aState.mIdempotency, aEvent, aNow);
+  }
+  if (aEvent.mTopic == StoreTopic::kAudit) {
+    return OnAudit(aState.mAudit, aEvent, aNow);
+  }
   return {};
 }
 
 ControlEffects
-On(ControlState&, const StoreWriteDone&, Instant)
+On(ControlState& aState, const StoreWriteDone& aEvent, Instant aNow)
 {
+  if (aEvent.mTopic == StoreTopic::kClaims) {
+    return OnIdempotency(aState.mIdempotency, aEvent, aNow);
+  }
+  if (aEvent.mTopic == StoreTopic::kAudit) {
+    return OnAudit(aState.mAudit, aEvent, aNow);
+  }
   return {};
 }
 
+// The events of traffic threads.
+template<typename Event>
+ControlEffects
+On(ControlState& aState, const Event& aEvent, Instant aNow)
+{
+  return OnIdempotency(aState.mIdempotency, aEvent, aNow);
+}
+
 } // namespace
 
 ControlState
@@ -151,6 +193,14 @@
                                   aNow);
   state.mConfig = MakeConfigState(aNow);
   state.mSharedDocuments = std::make_shared<const DocumentsInForce>();
+  state.mIdempotency.mTickets.mIssuer = { .mZone = aOptions.mZone,
+                                          .mHost = aOptions.mHost,
+                                          .mEndpoint = aOptions.mListen,
+                                          .mIncarnation = aOptions.mIncarnation };
+  state.mAudit = { .mHost = aOptions.mHost,
+                   .mZone = aOptions.mZone,
+                   .mStartedAt = aNow,
+                   .mStartedAtWall = aOptions.mStartedAt };
   state.mOptions = std::move(aOptions);
   return state;
 }
@@ -164,7 +214,8 @@
 Instant
 NextTimer(const ControlState& aState)
 {
-  return NextPeerTimer(aState);
+  const Instant next = NextTimer(aState.mAudit.mRecorder, NextPeerTimer(aState));
+  return NextTimer(aState.mIdempotency.mClaims, next);
 }
 
 } // namespace trefoil
--- a/trefoil/node/control_state.h
+++ b/trefoil/node/control_state.h
@@ -14,6 +14,8 @@
 #include "trefoil/health/server_health.h"
 #include "trefoil/membership/gossip.h"
 #include "trefoil/node/event.h"
+#include "trefoil/node/internal/audit_control.h"
+#include "trefoil/node/internal/idempotency_control.h"
 
 #include <cstdint>
 #include <memory>
@@ -29,6 +31,8 @@
   Endpoint mListen;
   std::vector<Endpoint> mSeeds;
   std::uint64_t mIncarnation = 0;
+  // The calendar time of the start.
+  WallTime mStartedAt;
   // Decides which hosts gossip goes to.
   std::uint64_t mRandomSeed = 0;
 };
@@ -44,6 +48,8 @@
   std::uint32_t mSharedDigest = 0;
   // A new host asks the store once.
   bool mWatchesStore = true;
+  IdempotencyControl mIdempotency;
+  AuditControl mAudit;
   bool mReady = false;
   bool mStoreReachable = false;
   bool mLeaving = false;
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -1,6 +1,7 @@
 #include "trefoil/node/entry_host.h"
 
 #include "trefoil/base/digest.h"
+#include "trefoil/node/internal/admission_request.h"
 #include "trefoil/node/internal/peer_requests.h"
 #include "trefoil/node/internal/peer_streams.h"
 #include "trefoil/node/internal/request_life.h"
@@ -58,15 +59,22 @@
   , mSocket(std::move(aSocket))
   , mStoreWorker({ .mStore = { .mEndpoint = mSettings.mStore }, .mQueue = &mQueue })
   , mPeerWorker({ .mQueue = &mQueue })
+  , mDesk(mQueue)
+  , mAdmission({ .mHost = mSettings.mHost,
+                 .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())),
+                 .mHostsAtStart = mSettings.mSeeds.size() + 1 })
   , mLife(std::make_unique<RequestLife>(mSettings.mHost,
                                         [this](const Message& aMessage) { TellHosts(aMessage); }))
   , mTraffic{ .mHost = mSettings.mHost,
               .mZone = mSettings.mZone,
               .mSnapshots = &mSnapshots,
               .mRouting = &mRouting,
+              .mAdmission = &mAdmission,
               .mActive = &mActive,
               .mMetrics = &mMetrics,
-              .mLife = mLife.get() }
+              .mLife = mLife.get(),
+              .mDesk = &mDesk,
+              .mClusterSecret = mSettings.mClusterSecret }
 {
 }
 
@@ -165,6 +173,7 @@
                        .mListen = mSettings.mListen,
                        .mSeeds = mSettings.mSeeds,
                        .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())),
+                       .mStartedAt = WallNow(),
                        .mRandomSeed = Digest64(RandomHex()) },
                      Now());
   while (!mQueue.Closed()) {
@@ -174,10 +183,22 @@
     }
     if (HasPassed(NextTimer(state), Now())) {
       CarryOut(Step(state, TimerFired{}, Now()));
+      TickAdmission(state);
     }
   }
 }
 
+void
+EntryHost::TickAdmission(ControlState& aState)
+{
+  const Instant now = Now();
+  AdmissionDemands demands =
+    mAdmission.Tick(ViewOfHosts(*mSnapshots.Read(), mSettings.mZone, now), now);
+  if (!demands.mDemands.empty()) {
+    CarryOut(Step(aState, DemandsSampled{ .mDemands = std::move(demands) }, now));
+  }
+}
+
 void
 EntryHost::CarryOut(const ControlEffects& aEffects)
 {
@@ -229,6 +250,24 @@
   mWatchGate.SetWanted(aEffect.mWanted);
 }
 
+void
+EntryHost::CarryOut(const ClaimDecided& aEffect)
+{
+  mDesk.Answer(aEffect.mWaiter, aEffect);
+}
+
+void
+EntryHost::CarryOut(const TicketMinted& aEffect)
+{
+  mDesk.Answer(aEffect.mWaiter, aEffect);
+}
+
+void
+EntryHost::CarryOut(const TicketDecided& aEffect)
+{
+  mDesk.Answer(aEffect.mWaiter, aEffect);
+}
+
 void
 EntryHost::RunStoreWatch()
 {
@@ -261,7 +300,12 @@
       continue;
     }
     auto message = Decode(*bytes);
-    if (message.ok() && !mLife->mCrashes.Take(*message)) {
+    if (!message.ok() || mLife->mCrashes.Take(*message)) {
+      continue;
+    }
+    if (const auto* demands = std::get_if<AdmissionDemands>(&*message)) {
+      mAdmission.Hear(*demands, Now());
+    } else {
       mQueue.Push(MessageArrived{ .mMessage = std::move(*message) });
     }
   }
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -10,6 +10,8 @@
 
 #include "absl/status/statusor.h"
 #include "trefoil/http/server.h"
+#include "trefoil/node/admission_gate.h"
+#include "trefoil/node/control_desk.h"
 #include "trefoil/node/control_state.h"
 #include "trefoil/node/event_queue.h"
 #include "trefoil/node/internal/peer_worker.h"
@@ -50,6 +52,7 @@
   void RunStoreWatch();
   void RunPeerReceive();
   void TellHosts(const Message& aMessage);
+  void TickAdmission(ControlState& aState);
   void CarryOut(const ControlEffects& aEffects);
   void CarryOut(const PublishSnapshot& aEffect);
   void CarryOut(const SendMessage& aEffect);
@@ -58,6 +61,9 @@
   void CarryOut(const FetchDocuments& aEffect);
   void CarryOut(const PollServer& aEffect);
   void CarryOut(const WatchDocuments& aEffect);
+  void CarryOut(const ClaimDecided& aEffect);
+  void CarryOut(const TicketMinted& aEffect);
+  void CarryOut(const TicketDecided& aEffect);
 
   HostSettings mSettings;
   UdpSocket mSocket;
@@ -66,7 +72,9 @@
   StoreWorker mStoreWorker;
   PeerWorker mPeerWorker;
   WatchGate mWatchGate;
+  ControlDesk mDesk;
   RoutingTables mRouting;
+  AdmissionGate mAdmission;
   Metrics mMetrics;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
--- a/trefoil/node/event.h
+++ b/trefoil/node/event.h
@@ -7,7 +7,9 @@
 #include "trefoil/base/name_table.h"
 #include "trefoil/config/config_spread.h"
 #include "trefoil/health/server_health.h"
+#include "trefoil/idempotency/claims.h"
 #include "trefoil/node/snapshot.h"
+#include "trefoil/node/ticket_event.h"
 #include "trefoil/platform/store_client.h"
 #include "trefoil/wire/message.h"
 
@@ -90,6 +92,12 @@
   PollResult mResult;
 };
 
+// The work of this host that admission does not hold back was measured.
+struct DemandsSampled
+{
+  AdmissionDemands mDemands;
+};
+
 using ControlEvent = std::variant<DocumentsRead,
                                   StoreUnreachable,
                                   MessageArrived,
@@ -98,7 +106,13 @@
                                   StoreReadDone,
                                   StoreWriteDone,
                                   DocumentsFetched,
-                                  ServerPolled>;
+                                  ServerPolled,
+                                  DemandsSampled,
+                                  ClaimWanted,
+                                  OutcomeKnown,
+                                  TicketWanted,
+                                  TicketUsed,
+                                  TicketEnded>;
 
 // Show this snapshot to the traffic threads.
 struct PublishSnapshot
@@ -155,7 +169,10 @@
                                    StoreWriteWanted,
                                    FetchDocuments,
                                    PollServer,
-                                   WatchDocuments>;
+                                   WatchDocuments,
+                                   ClaimDecided,
+                                   TicketMinted,
+                                   TicketDecided>;
 using ControlEffects = std::vector<ControlEffect>;
 
 } // namespace trefoil
--- a/trefoil/node/internal/completion_traffic.cc
+++ b/trefoil/node/internal/completion_traffic.cc
@@ -3,6 +3,7 @@
 #include "trefoil/base/digest.h"
 #include "trefoil/frontend/answer.h"
 #include "trefoil/frontend/completion.h"
+#include "trefoil/node/internal/admission_request.h"
 #include "trefoil/node/internal/answer_stream.h"
 #include "trefoil/node/internal/caller.h"
 #include "trefoil/node/internal/generation.h"
@@ -48,13 +49,20 @@
 ServeCompletion(const TrafficContext& aContext, HttpExchange& aExchange, CompletionForm aForm)
 {
   const RequestId id = MakeRequestId(aContext.mHost, RandomHex());
+  const auto refuse = [&aExchange, &id](const absl::Status& aStatus) {
+    aExchange.Answer(RenderFailure(id, { .mVerdict = Verdict::kNotRun, .mStatus = aStatus }));
+  };
   const auto accepted = AcceptCompletion(aContext, aExchange.Request(), aForm);
   if (!accepted.ok()) {
-    aExchange.Answer(
-      RenderFailure(id, { .mVerdict = Verdict::kNotRun, .mStatus = accepted.status() }));
+    refuse(accepted.status());
     return;
   }
   const Caller& caller = accepted->mCaller;
+  const auto pass = Admit(aContext, caller, aExchange.Request(), ExpectedWork(accepted->mRequest));
+  if (!pass.ok()) {
+    refuse(pass.status());
+    return;
+  }
   const auto record = aContext.mLife->mStreams.Add(
     IdentityOf(id, caller.mAccount, accepted->mRequest, caller.mDeadline), {}, Now());
   const AnswerStream answer{ .mExchange = aExchange,
--- a/trefoil/node/traffic.h
+++ b/trefoil/node/traffic.h
@@ -8,11 +8,14 @@
 
 #include "trefoil/http/server.h"
 #include "trefoil/metrics/metrics.h"
+#include "trefoil/node/admission_gate.h"
+#include "trefoil/node/control_desk.h"
 #include "trefoil/node/routing_tables.h"
 #include "trefoil/node/snapshot.h"
 
 #include <atomic>
 #include <cstdint>
+#include <string>
 
 namespace trefoil {
 
@@ -24,12 +27,16 @@
   AvailabilityZoneId mZone;
   SnapshotCell* mSnapshots = nullptr;
   RoutingTables* mRouting = nullptr;
+  AdmissionGate* mAdmission = nullptr;
   // Requests that are being served now.
   std::atomic<std::int64_t>* mActive = nullptr;
   Metrics* mMetrics = nullptr;
   RequestLife* mLife = nullptr;
   // Whether streams move to other engines with their KV cache where the notice allows it.
   bool mTransfersCaches = true;
+  ControlDesk* mDesk = nullptr;
+  // Authenticates tickets. Empty if the host mints and takes none.
+  std::string mClusterSecret;
 };
 
 // Answers one request of a caller, an operator or the balancer.
--- a/trefoil/settings/host_settings.h
+++ b/trefoil/settings/host_settings.h
@@ -48,6 +48,8 @@
   std::int64_t mIdleConnectionMilliseconds = 0;
   // The notice between SIGTERM and the end of the host.
   std::int64_t mStopNoticeMilliseconds = 0;
+  // Authenticates tickets; the same on all entry hosts. Empty: the host mints and takes none.
+  std::string mClusterSecret;
   LogLevel mLogLevel = LogLevel::kInfo;
 };
 
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "trefoil/base/endpoint.h"
+#include "trefoil/wire/admission_message.h"
 #include "trefoil/wire/config_message.h"
 #include "trefoil/wire/crash_report.h"
 #include "trefoil/wire/gossip_message.h"
@@ -31,7 +32,8 @@
                              StreamRead,
                              StreamTokens,
                              StreamHandOver,
-                             StreamHandOverReply>;
+                             StreamHandOverReply,
+                             AdmissionDemands>;
 
 // A message and where it goes.
 struct Datagram
