--- a/trefoil/frontend/frontend_test.cc
+++ b/trefoil/frontend/frontend_test.cc
@@ -2,6 +2,11 @@
 #include "trefoil/frontend/completion.h"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <rapidcheck.h>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace trefoil {
 namespace {
@@ -36,12 +41,80 @@
                               R"({"model":"m","prompt":["a"]})",
                               R"({"model":"m","prompt":"p","stream":1})",
                               R"({"model":"m","prompt":"p","max_tokens":0})",
-                              R"({"model":"m","prompt":"p","max_tokens":"many"})" }) {
+                              R"({"model":"m","prompt":"p","max_tokens":"many"})",
+                              R"({"model":"m","prompt":"p","max_tokens":99999999999})",
+                              R"({"model":"m","prompt":"p","stream_options":7})",
+                              R"({"model":"m","prompt":"p","stream_options":{"include_usage":7}})",
+                              R"("text")",
+                              "7",
+                              "null" }) {
       const auto request = ParseCompletion(CompletionForm::kText, body);
       CHECK_FALSE(request.ok());
       CHECK_FALSE(request.status().message().empty());
     }
-    CHECK_FALSE(ParseCompletion(CompletionForm::kChat, R"({"model":"m","messages":["x"]})").ok());
+    for (const char* messages : { R"(["x"])",
+                                  "[]",
+                                  "{}",
+                                  R"([{"role":"user"}])",
+                                  R"([{"role":1,"content":"x"}])",
+                                  R"([{"role":"user","content":null}])" }) {
+      const std::string body = fmt::format(R"({{"model":"m","messages":{}}})", messages);
+      CHECK_FALSE(ParseCompletion(CompletionForm::kChat, body).ok());
+    }
+    CHECK_FALSE(ParseCompletion(CompletionForm::kText, std::string(100'000, '[')).ok());
+  }
+}
+
+TEST_CASE("Whatever bytes a body has, it is read or refused with a reason")
+{
+  const std::string good = R"({"model":"m","prompt":"p","stream":true,"max_tokens":4})";
+  const bool holds = rc::check([&good] {
+    std::string body = good;
+    const auto changes = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
+      rc::gen::pair(rc::gen::inRange<std::size_t>(0, good.size()), rc::gen::arbitrary<char>()));
+    for (const auto& [place, character] : changes) {
+      body[place] = character;
+    }
+    body.resize(*rc::gen::inRange<std::size_t>(0, body.size() + 1));
+    for (const auto form : { CompletionForm::kText, CompletionForm::kChat }) {
+      const auto request = ParseCompletion(form, body);
+      RC_ASSERT(request.ok() || !request.status().message().empty());
+    }
+    ParseEngineEvent(body).IgnoreError();
+  });
+  CHECK(holds);
+}
+
+TEST_CASE("Callers' clients find what they expect in a stream")
+{
+  const auto request =
+    ParseCompletion(CompletionForm::kChat,
+                    R"({"model":"rules","messages":[{"role":"user","content":"x"}],
+                                           "stream":true,"stream_options":{"include_usage":true}})");
+  REQUIRE(request.ok());
+  const RequestId id{ "r1" };
+
+  SECTION("the first delta tells the role, later ones do not")
+  {
+    const std::string first = RenderTokenEvent(*request, id, { .mIndex = 0, .mText = "a" });
+    CHECK(first.starts_with("id: 0\ndata: {"));
+    CHECK(first.find(R"("role":"assistant")") != std::string::npos);
+    CHECK(RenderTokenEvent(*request, id, { .mIndex = 1, .mText = "b" }).find("role") ==
+          std::string::npos);
+  }
+  SECTION("usage comes when it is asked for")
+  {
+    REQUIRE(request->mIncludeUsage);
+    const std::string event =
+      RenderUsageEvent(*request, id, { .mPromptTokens = 3, .mCompletionTokens = 4 });
+    CHECK(event.find(R"("choices":[])") != std::string::npos);
+    CHECK(event.find(R"("total_tokens":7)") != std::string::npos);
+  }
+  SECTION("a stream that moves says where it goes on")
+  {
+    const std::string event = RenderMovedEvent(id, "/v1/requests/r1", 7);
+    CHECK(event.starts_with("event: moved\n"));
+    CHECK(event.find("requests\\/r1") + event.find("requests/r1") != 2 * std::string::npos);
   }
 }
 
--- /dev/null
+++ b/trefoil/http/malformed_test.cc
@@ -0,0 +1,161 @@
+#include "trefoil/http/check_head.h"
+#include "trefoil/http/client.h"
+#include "trefoil/http/server.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <array>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <string>
+#include <vector>
+
+namespace trefoil {
+namespace {
+
+constexpr Milliseconds kGenerousLimit{ 20'000 };
+constexpr Poco::Timespan::TimeDiff kReadLimitMicroseconds = 20'000'000;
+
+// Sends bytes as they are and returns what comes back until the server closes.
+std::string
+Exchange(std::uint16_t aPort, const std::string& aBytes)
+{
+  std::string answer;
+  try {
+    Poco::Net::StreamSocket socket{ Poco::Net::SocketAddress{ "127.0.0.1", aPort } };
+    socket.setReceiveTimeout(Poco::Timespan{ kReadLimitMicroseconds });
+    socket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
+    socket.shutdownSend();
+    std::array<char, 4096> buffer{};
+    while (const int bytes = socket.receiveBytes(buffer.data(), buffer.size())) {
+      answer.append(buffer.data(), static_cast<std::size_t>(bytes));
+    }
+  } catch (const Poco::Exception& error) {
+    answer += error.displayText();
+  }
+  return answer;
+}
+
+std::string
+Repeat(const std::string& aText, int aTimes)
+{
+  std::string text;
+  for (int i = 0; i < aTimes; ++i) {
+    text += aText;
+  }
+  return text;
+}
+
+HttpServer
+EchoServer()
+{
+  auto server = HttpServer::Start(
+    { .mListen = { .mAddress = "127.0.0.1", .mPort = 0 },
+      .mHandler =
+        [](HttpExchange& aExchange) { aExchange.Answer({ .mBody = aExchange.Request().mBody }); },
+      .mMostBodyBytes = 1000,
+      .mMostConnections = 8 });
+  REQUIRE(server.ok());
+  return std::move(*server);
+}
+
+TEST_CASE("Malformed requests are refused with a reason")
+{
+  HttpServer server = EchoServer();
+  const std::string host = "Host: a\r\n";
+  const std::vector<std::pair<std::string, std::string>> cases{
+    { "nonsense\r\n\r\n", "400" },
+    { "GET\r\n\r\n", "400" },
+    { "GET / HTTP/7\r\n" + host + "\r\n", "400" },
+    { "GET / \t\r\n\r\n", "400" },
+    { "get / HTTP/1.1\r\n" + host + "\r\n", "400" },
+    { "G\x01T / HTTP/1.1\r\n" + host + "\r\n", "400" },
+    { Repeat("A", 100) + " / HTTP/1.1\r\n" + host + "\r\n", "400" },
+    { "GET relative HTTP/1.1\r\n" + host + "\r\n", "400" },
+    { "GET /" + Repeat("x", 10'000) + " HTTP/1.1\r\n" + host + "\r\n", "414" },
+    { "GET /" + Repeat("x", 40'000) + " HTTP/1.1\r\n" + host + "\r\n", "400" },
+    { "GET / HTTP/1.1\r\n" + Repeat("a: b\r\n", 200) + "\r\n", "400" },
+    { "GET / HTTP/1.1\r\n" + Repeat("a: " + Repeat("x", 4000) + "\r\n", 20) + "\r\n", "431" },
+    { "GET / HTTP/1.1\r\na: " + Repeat("x", 20'000) + "\r\n\r\n", "400" },
+    { "POST / HTTP/1.1\r\n" + host + "Content-Length: abc\r\n\r\nxx", "400" },
+    { "POST / HTTP/1.1\r\n" + host + "Content-Length: -5\r\n\r\nxx", "400" },
+    { "POST / HTTP/1.1\r\n" + host + "Content-Length: 99999999999999999999\r\n\r\nxx", "400" },
+    { "POST / HTTP/1.1\r\n" + host + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nxxx", "400" },
+    { "POST / HTTP/1.1\r\n" + host +
+        "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "400" },
+    { "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: gzip\r\n\r\nxx", "400" },
+    { "POST / HTTP/1.1\r\n" + host + "Content-Length: 50\r\n\r\ncut short", "400" },
+    { "POST / HTTP/1.1\r\n" + host + "Content-Length: 5000\r\n\r\n" + Repeat("x", 5000), "413" },
+    { "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" +
+        Repeat("x", 2000) + "\r\n0\r\n\r\n",
+      "413" },
+  };
+  for (const auto& [bytes, status] : cases) {
+    INFO(bytes.substr(0, 100));
+    const std::string answer = Exchange(server.Port(), bytes);
+    CHECK(answer.starts_with("HTTP/1.1 " + status));
+    const std::size_t body = answer.find("\r\n\r\n");
+    REQUIRE(body != std::string::npos);
+    CHECK(answer.size() > body + 4);
+  }
+
+  SECTION("and the server still serves good ones")
+  {
+    const auto result = Call({ .mServer = { .mAddress = "127.0.0.1", .mPort = server.Port() },
+                               .mRequest = { .mMethod = "POST", .mBody = "hello" },
+                               .mDeadline = Now() + kGenerousLimit });
+    REQUIRE(std::holds_alternative<HttpAnswer>(result));
+    CHECK(std::get<HttpAnswer>(result).mBody == "hello");
+  }
+  SECTION("two requests sent at once are both answered")
+  {
+    const std::string answer =
+      Exchange(server.Port(),
+               "POST /1 HTTP/1.1\r\nContent-Length: 3\r\n\r\noneGET /2 HTTP/1.1\r\nConnection: "
+               "close\r\n\r\n");
+    CHECK(answer.find("one") != std::string::npos);
+    CHECK(answer.find("HTTP/1.1 200", 10) != std::string::npos);
+  }
+}
+
+TEST_CASE("Random bytes never take the server down")
+{
+  HttpServer server = EchoServer();
+  const bool holds = rc::check([&server] {
+    auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+    if (*rc::gen::arbitrary<bool>()) {
+      bytes = "POST / HTTP/1.1\r\n" + bytes + "\r\n\r\n";
+    }
+    const std::string answer = Exchange(server.Port(), bytes);
+    RC_ASSERT(answer.empty() || answer.starts_with("HTTP/1."));
+  });
+  CHECK(holds);
+  CHECK(Exchange(server.Port(), "GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+          .starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("Any head is either refused with a reason or has one meaning")
+{
+  const bool holds = rc::check([] {
+    HttpRequest head{ .mMethod = *rc::gen::arbitrary<std::string>(),
+                      .mTarget = *rc::gen::arbitrary<std::string>() };
+    for (const auto& value : *rc::gen::arbitrary<std::vector<std::string>>()) {
+      const auto* name = *rc::gen::element("Content-Length", "Transfer-Encoding", "Other");
+      head.mHeaders.push_back({ .mName = name, .mValue = value });
+    }
+    const auto refusal = CheckHead(head);
+    if (refusal.has_value()) {
+      RC_ASSERT(refusal->mStatus >= 400 && refusal->mStatus < 500);
+      RC_ASSERT(!refusal->mBody.empty());
+      return;
+    }
+    RC_ASSERT(HeaderValue(head.mHeaders, "Content-Length").empty() ||
+              HeaderValue(head.mHeaders, "Transfer-Encoding").empty());
+  });
+  CHECK(holds);
+}
+
+} // namespace
+} // namespace trefoil
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -3,6 +3,8 @@
 #include "trefoil/base/digest.h"
 #include "trefoil/node/internal/admission_request.h"
 #include "trefoil/node/internal/peer_requests.h"
+#include "trefoil/node/internal/peer_streams.h"
+#include "trefoil/node/internal/request_life.h"
 #include "trefoil/platform/store_client.h"
 #include "trefoil/wire/codec.h"
 
@@ -29,6 +31,16 @@
 // How long the balancer may take to notice that the host is not ready.
 constexpr Milliseconds kBalancerNotice{ 300 };
 constexpr std::string_view kDocumentPrefix = "services/";
+// Hosts whose callers follow streams of this host hold a connection while they wait for news.
+constexpr std::int64_t kMostPeerConnections = 256;
+// The end of the stop notice that is kept for handing streams over.
+constexpr Milliseconds kLongestHandOverReserve{ 3000 };
+
+Milliseconds
+HandOverReserve(std::int64_t aNoticeMilliseconds)
+{
+  return std::min(Milliseconds{ aNoticeMilliseconds / 2 }, kLongestHandOverReserve);
+}
 
 // Returns when the store may be asked again after so many failures in a row.
 Instant
@@ -51,6 +63,8 @@
   , mAdmission({ .mHost = mSettings.mHost,
                  .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())),
                  .mHostsAtStart = mSettings.mSeeds.size() + 1 })
+  , mLife(std::make_unique<RequestLife>(mSettings.mHost,
+                                        [this](const Message& aMessage) { TellHosts(aMessage); }))
   , mTraffic{ .mHost = mSettings.mHost,
               .mZone = mSettings.mZone,
               .mSnapshots = &mSnapshots,
@@ -58,6 +72,7 @@
               .mAdmission = &mAdmission,
               .mActive = &mActive,
               .mMetrics = &mMetrics,
+              .mLife = mLife.get(),
               .mDesk = &mDesk,
               .mClusterSecret = mSettings.mClusterSecret,
               .mOutcomes = &mOutcomes }
@@ -83,10 +98,15 @@
     return server.status();
   }
   host->mServer = std::move(*server);
-  auto peerServer = PeerServer::Start(
-    { .mListen = aSettings.mPeerListen, .mHandler = [raw](const Message& aRequest) {
-       return AnswerPeer(raw->mSnapshots, aRequest);
-     } });
+  auto peerServer = PeerServer::Start({ .mListen = aSettings.mPeerListen,
+                                        .mHandler =
+                                          [raw](const Message& aRequest) {
+                                            auto answer = AnswerStreams(raw->mTraffic, aRequest);
+                                            return answer.has_value()
+                                                     ? answer
+                                                     : AnswerPeer(raw->mSnapshots, aRequest);
+                                          },
+                                        .mMostConnections = kMostPeerConnections });
   if (!peerServer.ok()) {
     return peerServer.status();
   }
@@ -100,6 +120,10 @@
 EntryHost::~EntryHost()
 {
   mStopping = true;
+  for (const auto& record : mLife->mStreams.Running()) {
+    record->Fail({ .mVerdict = Verdict::kMayHaveRun,
+                   .mStatus = absl::UnavailableError("the entry host stopped") });
+  }
   mServer.reset();
   mPeerServer.reset();
   mQueue.Close();
@@ -109,6 +133,8 @@
       thread->join();
     }
   }
+  // Waits for the streams of other hosts, which use the other members.
+  mLife.reset();
 }
 
 std::int64_t
@@ -117,13 +143,27 @@
   const Instant end = Now() + Milliseconds{ mSettings.mStopNoticeMilliseconds };
   mQueue.Push(StopAnnounced{});
   absl::SleepFor(absl::FromChrono(std::min(kBalancerNotice, Remaining(end, Now()))));
-  mServer->StopListening();
+  const Instant handOverAt = end - HandOverReserve(mSettings.mStopNoticeMilliseconds);
+  HandOverStreams(mTraffic, handOverAt, end);
+  if (mServer->Drain(handOverAt) > 0 || mActive.load() > 0) {
+    HandOverStreams(mTraffic, Now(), end);
+  }
+  mServer->Drain(end);
   while (mActive.load() > 0 && !HasPassed(end, Now())) {
     absl::SleepFor(absl::FromChrono(kDrainCheck));
   }
   return mActive.load();
 }
 
+void
+EntryHost::TellHosts(const Message& aMessage)
+{
+  const std::string bytes = Encode(aMessage);
+  for (const auto& [host, member] : mSnapshots.Read()->mMembers.mByHost) {
+    mSocket.Send(member.mLast.mPeerEndpoint, bytes).IgnoreError();
+  }
+}
+
 void
 EntryHost::RunControl()
 {
@@ -268,7 +308,7 @@
       continue;
     }
     auto message = Decode(*bytes);
-    if (!message.ok()) {
+    if (!message.ok() || mLife->mCrashes.Take(*message)) {
       continue;
     }
     if (const auto* demands = std::get_if<AdmissionDemands>(&*message)) {
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -43,8 +43,8 @@
   ~EntryHost();
 
   // Stops without cutting off a request: tells the balancer and the other hosts, takes no further
-  // connections and waits for the requests in flight, the stop notice at most. Returns how many
-  // were still running.
+  // connections, waits for the requests in flight, and hands those over to other hosts that would
+  // outlast the stop notice. Returns how many were still running.
   std::int64_t Stop();
 
 private:
@@ -52,6 +52,7 @@
   void RunControl();
   void RunStoreWatch();
   void RunPeerReceive();
+  void TellHosts(const Message& aMessage);
   void TickAdmission(ControlState& aState);
   void CarryOut(const ControlEffects& aEffects);
   void CarryOut(const PublishSnapshot& aEffect);
@@ -80,6 +81,7 @@
   Metrics mMetrics;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
+  std::unique_ptr<RequestLife> mLife;
   TrafficContext mTraffic;
   std::optional<HttpServer> mServer;
   std::optional<PeerServer> mPeerServer;
--- a/trefoil/node/traffic.h
+++ b/trefoil/node/traffic.h
@@ -20,6 +20,7 @@
 namespace trefoil {
 
 class OutcomeBuffer;
+struct RequestLife;
 
 struct TrafficContext
 {
@@ -31,6 +32,9 @@
   // Requests that are being served now.
   std::atomic<std::int64_t>* mActive = nullptr;
   Metrics* mMetrics = nullptr;
+  RequestLife* mLife = nullptr;
+  // Whether streams move to other engines with their KV cache where the notice allows it.
+  bool mTransfersCaches = true;
   ControlDesk* mDesk = nullptr;
   // Authenticates tickets. Empty if the host mints and takes none.
   std::string mClusterSecret;
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -8,9 +8,11 @@
 #include "trefoil/base/endpoint.h"
 #include "trefoil/wire/admission_message.h"
 #include "trefoil/wire/config_message.h"
+#include "trefoil/wire/crash_report.h"
 #include "trefoil/wire/gossip_message.h"
 #include "trefoil/wire/health_message.h"
 #include "trefoil/wire/move_message.h"
+#include "trefoil/wire/stream_messages.h"
 
 #include <variant>
 #include <vector>
@@ -30,7 +32,13 @@
                              DutiesHeld,
                              VersionReport,
                              PermitGranted,
-                             VersionStopped>;
+                             VersionStopped,
+                             CrashReport,
+                             ServerReservation,
+                             StreamRead,
+                             StreamTokens,
+                             StreamHandOver,
+                             StreamHandOverReply>;
 
 // A message and where it goes.
 struct Datagram
--- a/trefoil/wire/peer_link.cc
+++ b/trefoil/wire/peer_link.cc
@@ -144,8 +144,18 @@
   const PeerHandler mHandler;
 };
 
+// How the text of a status begins whose request was not sent.
+constexpr std::string_view kNotSent = "connect: ";
+
 } // namespace
 
+bool
+WasNotSent(const absl::Status& aStatus)
+{
+  const absl::string_view text = aStatus.message();
+  return std::string_view{ text.data(), text.size() }.starts_with(kNotSent);
+}
+
 absl::StatusOr<Message>
 AskPeer(const Endpoint& aPeer, const Message& aRequest, Instant aDeadline)
 {
@@ -154,7 +164,7 @@
     const auto limit = std::min(aDeadline, Now() + kConnectLimit);
     socket.connect(Poco::Net::SocketAddress{ aPeer.mAddress, aPeer.mPort }, LimitUntil(limit));
   } catch (const Poco::Exception& error) {
-    return absl::UnavailableError("connect: " + error.displayText());
+    return absl::UnavailableError(std::string{ kNotSent } + error.displayText());
   }
   try {
     WriteFrame(socket, aRequest, aDeadline);
--- a/trefoil/wire/peer_link.h
+++ b/trefoil/wire/peer_link.h
@@ -25,6 +25,10 @@
 absl::StatusOr<Message>
 AskPeer(const Endpoint& aPeer, const Message& aRequest, Instant aDeadline);
 
+// Returns whether a status of AskPeer says that no byte of the request was sent.
+bool
+WasNotSent(const absl::Status& aStatus);
+
 // Returns the answer to a request, nothing to close the connection without one.
 using PeerHandler = std::function<std::optional<Message>(const Message& aRequest)>;
 
