Slow the pace of contended slots, and make room for more claims

Cause: a slot's value took 400 claims in 4 s, so 1,600 in 16 slots of time at most 400 a second, and nine hosts that write four slots conflict. Change: buckets of 1 s in a ring of 4,096, pace halved after a conflict, and an outcome that comes after its slot was forgotten reads the value first instead of being lost.

--- a/trefoil/idempotency/claim.h
+++ b/trefoil/idempotency/claim.h
@@ -110,9 +110,9 @@
 struct ClaimOptions
 {
   std::uint32_t mSlots = 4;
-  std::int64_t mBucketMilliseconds = 4'000;
+  std::int64_t mBucketMilliseconds = 1'000;
   // Buckets of a slot before the first one's place is used again.
-  std::int64_t mRingBuckets = 1'024;
+  std::int64_t mRingBuckets = 4'096;
   // Keys older than this are refused.
   std::int64_t mRetentionMilliseconds = 3'600'000;
   // Keys dated further ahead are refused. Also the most that two hosts' calendars may differ.
@@ -128,7 +128,7 @@
   // Outcomes that wait for the store, for each slot and bucket.
   std::size_t mMostOutcomes = 400;
   // Slots and buckets whose values are remembered.
-  std::size_t mMostSlotsKept = 64;
+  std::size_t mMostSlotsKept = 128;
 };
 
 // Returns where the claim of a key belongs. `aKey` is the digest that a record holds.
--- a/trefoil/idempotency/claims.cc
+++ b/trefoil/idempotency/claims.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int kMostPauseDoublings = 4;
+constexpr int kMostBackoff = 5;
 
 // Returns the record of a key in a value that may be changed, null if there is none.
 ClaimRecord*
@@ -286,6 +287,10 @@
   SlotState& slot = aClaims.mSlots[aEvent.mSlot];
   slot.mLastUsedAt = aNow;
   KeepOutcome(aClaims.mOptions, slot, aEvent.mRecord);
+  if (slot.mKnown.has_value() && slot.mKnown->mRevision == 0) {
+    // The slot was forgotten since the claim: its value has to be read.
+    slot.mKnown.reset();
+  }
 }
 
 void
@@ -309,9 +314,11 @@
   slot.mCall = SlotCall::kNone;
   switch (aEvent.mResult) {
     case SlotWriteResult::kWritten:
+      aClaims.mBackoff = std::max(aClaims.mBackoff - 1, 0);
       slot.mKnown = { .mValue = std::move(slot.mWriting), .mRevision = aEvent.mStored.mRevision };
       break;
     case SlotWriteResult::kConflict:
+      aClaims.mBackoff = std::min(aClaims.mBackoff + 1, kMostBackoff);
       slot.mKnown = aEvent.mStored;
       break;
     case SlotWriteResult::kNotWritten:
@@ -356,7 +363,8 @@
     }
     if (auto call = StartCall(aClaims.mOptions, id, slot)) {
       effects.push_back(std::move(*call));
-      slot.mNextCallAt = aNow + Milliseconds{ aClaims.mOptions.mSlotPaceMilliseconds };
+      const std::int64_t factor = std::int64_t{ 1 } << aClaims.mBackoff;
+      slot.mNextCallAt = aNow + Milliseconds{ aClaims.mOptions.mSlotPaceMilliseconds * factor };
       aClaims.mNextCallAt = aNow + Milliseconds{ aClaims.mOptions.mHostPaceMilliseconds };
     }
   }
--- a/trefoil/idempotency/claims.h
+++ b/trefoil/idempotency/claims.h
@@ -165,6 +165,8 @@
   std::map<SlotId, SlotState> mSlots;
   // Calls in a row that the store did not answer.
   int mFailures = 0;
+  // How often the pace of a slot is halved, because other hosts write the same slots.
+  int mBackoff = 0;
   Instant mNextCallAt;
 };
 
