--- a/trefoil/duty/duty_test.cc
+++ b/trefoil/duty/duty_test.cc
@@ -1,5 +1,5 @@
-#include "trefoil/duty/claim_record.h"
 #include "trefoil/duty/duty.h"
+#include "trefoil/duty/holder_record.h"
 
 #include <catch2/catch.hpp>
 
@@ -100,12 +100,12 @@
 
 TEST_CASE("A claim is written and read back the same")
 {
-  const ClaimRecord record{ .mHost = HostId{ "h\"1" }, .mNonce = ~std::uint64_t{ 0 } };
-  const auto parsed = ParseClaim(RenderClaim(record));
+  const HolderRecord record{ .mHost = HostId{ "h\"1" }, .mNonce = ~std::uint64_t{ 0 } };
+  const auto parsed = ParseHolder(RenderHolder(record));
   REQUIRE(parsed.ok());
   CHECK(parsed->mHost == record.mHost);
   CHECK(parsed->mNonce == record.mNonce);
-  CHECK_FALSE(ParseClaim("{").ok());
+  CHECK_FALSE(ParseHolder("{").ok());
 }
 
 TEST_CASE("Retries are limited")
--- a/trefoil/duty/claim_record.cc
+++ b/trefoil/duty/holder_record.cc
@@ -1,4 +1,4 @@
-#include "trefoil/duty/claim_record.h"
+#include "trefoil/duty/holder_record.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
@@ -14,7 +14,7 @@
 }
 
 std::string
-RenderClaim(const ClaimRecord& aRecord)
+RenderHolder(const HolderRecord& aRecord)
 {
   Poco::JSON::Object object;
   object.set("host", aRecord.mHost.Value());
@@ -24,13 +24,13 @@
   return text.str();
 }
 
-absl::StatusOr<ClaimRecord>
-ParseClaim(const std::string& aText)
+absl::StatusOr<HolderRecord>
+ParseHolder(const std::string& aText)
 {
   try {
     const auto object = Poco::JSON::Parser{}.parse(aText).extract<Poco::JSON::Object::Ptr>();
-    return ClaimRecord{ .mHost = HostId{ object->getValue<std::string>("host") },
-                        .mNonce = object->getValue<std::uint64_t>("nonce") };
+    return HolderRecord{ .mHost = HostId{ object->getValue<std::string>("host") },
+                         .mNonce = object->getValue<std::uint64_t>("nonce") };
   } catch (const Poco::Exception& error) {
     return absl::DataLossError(error.displayText());
   }
--- a/trefoil/duty/claim_record.h
+++ b/trefoil/duty/holder_record.h
@@ -1,7 +1,7 @@
 // How a claim stands in the store, as JSON.
 //
-//   std::string text = RenderClaim({ .mHost = host, .mNonce = 7 });
-//   ClaimRecord record = ParseClaim(text).value();
+//   std::string text = RenderHolder({ .mHost = host, .mNonce = 7 });
+//   HolderRecord record = ParseHolder(text).value();
 #pragma once
 
 #include "absl/status/statusor.h"
@@ -17,10 +17,10 @@
 ClaimKey(const ServiceId& aService);
 
 std::string
-RenderClaim(const ClaimRecord& aRecord);
+RenderHolder(const HolderRecord& aRecord);
 
 // Returns DataLoss for a text that is no claim.
-absl::StatusOr<ClaimRecord>
-ParseClaim(const std::string& aText);
+absl::StatusOr<HolderRecord>
+ParseHolder(const std::string& aText);
 
 } // namespace trefoil
--- a/trefoil/duty/one_holder_test.cc
+++ b/trefoil/duty/one_holder_test.cc
@@ -46,7 +46,7 @@
 {
   std::map<std::uint64_t, std::int64_t> mLeaseEnds;
   std::uint64_t mRevision = 0;
-  ClaimRecord mClaim;
+  HolderRecord mClaim;
   std::uint64_t mClaimRevision = 0;
   std::uint64_t mClaimLease = 0;
 };
--- a/trefoil/node/control_state.cc
+++ b/trefoil/node/control_state.cc
@@ -1,5 +1,6 @@
 #include "trefoil/node/control_state.h"
 
+#include "trefoil/node/internal/moves.h"
 #include "trefoil/node/internal/peer_control.h"
 
 #include <algorithm>
@@ -10,6 +11,9 @@
 namespace {
 
 constexpr std::string_view kDocumentPrefix = "services/";
+// Hosts that are told of this host's work at a time.
+constexpr std::size_t kDemandsInZone = 2;
+constexpr std::size_t kDemandsElsewhere = 1;
 
 std::shared_ptr<const Snapshot>
 MakeSnapshot(ControlState& aState)
@@ -22,6 +26,7 @@
     snapshot->mServices[service] = { .mDocument = document.mDocument,
                                      .mRevision = document.mRevision,
                                      .mRefusal = document.mRefusal };
+    AddMoveShares(aState, service, snapshot->mServices[service]);
   }
   FillPeerPart(aState, *snapshot);
   return snapshot;
@@ -35,6 +40,17 @@
   return effects;
 }
 
+// Adds the effects of moves, and a snapshot if they changed a share.
+void
+AddMoves(ControlState& aState, ControlEffects& aEffects, ControlEffects aMoves)
+{
+  if (aState.mMoves.mChanged) {
+    aState.mMoves.mChanged = false;
+    aEffects.emplace_back(PublishSnapshot{ MakeSnapshot(aState) });
+  }
+  std::move(aMoves.begin(), aMoves.end(), std::back_inserter(aEffects));
+}
+
 ControlEffects
 On(ControlState& aState, const DocumentsRead& aEvent, Instant aNow)
 {
@@ -99,6 +115,14 @@
 {
   ControlEffects effects;
   AddDatagrams(effects, OnPeerMessage(aState, aEvent.mMessage, aNow));
+  const auto onMoves = [&aState, aNow](const auto& aKind) -> ControlEffects {
+    if constexpr (requires { OnMoveMessage(aState, aKind, aNow); }) {
+      return OnMoveMessage(aState, aKind, aNow);
+    } else {
+      return {};
+    }
+  };
+  AddMoves(aState, effects, std::visit(onMoves, aEvent.mMessage));
   AddReports(aState, effects, aNow);
   AddFetch(aState, effects, aNow);
   return effects;
@@ -110,6 +134,7 @@
   aState.mLeaving = true;
   ControlEffects effects = Publish(aState);
   AddDatagrams(effects, AnnounceLeaving(aState.mGossip, aNow));
+  AddMoves(aState, effects, OnMovesStop(aState, aNow));
   return effects;
 }
 
@@ -118,7 +143,7 @@
 {
   ControlEffects effects = OnIdempotencyTimer(aState.mIdempotency, aNow);
   std::ranges::move(OnAuditTimer(aState.mAudit, aNow), std::back_inserter(effects));
-  if (!HasPassed(NextPeerTimer(aState), aNow)) {
+  if (!HasPassed(std::min(NextPeerTimer(aState), NextMovesTimer(aState)), aNow)) {
     return effects;
   }
   NoteConfiguration(
@@ -127,8 +152,20 @@
     aNow);
   ControlEffects peerEffects = OnPeerTimer(aState, aNow);
   PublishReports(aState.mHealth, aNow);
-  std::ranges::move(Publish(aState), std::back_inserter(effects));
+  ControlEffects moves = OnMovesTimer(aState, aNow);
+  effects.emplace_back(PublishSnapshot{ MakeSnapshot(aState) });
   std::ranges::move(peerEffects, std::back_inserter(effects));
+  AddMoves(aState, effects, std::move(moves));
+  return effects;
+}
+
+ControlEffects
+On(ControlState& aState, const DemandsSampled& aEvent, Instant)
+{
+  ControlEffects effects;
+  for (Endpoint& target : SpreadTargets(aState.mGossip, kDemandsInZone, kDemandsElsewhere)) {
+    effects.emplace_back(SendMessage{ .mTo = std::move(target), .mMessage = aEvent.mDemands });
+  }
   return effects;
 }
 
@@ -141,7 +178,9 @@
   if (aEvent.mTopic == StoreTopic::kAudit) {
     return OnAudit(aState.mAudit, aEvent, aNow);
   }
-  return {};
+  ControlEffects effects;
+  AddMoves(aState, effects, OnMovesRead(aState, aEvent, aNow));
+  return effects;
 }
 
 ControlEffects
@@ -153,7 +192,25 @@
   if (aEvent.mTopic == StoreTopic::kAudit) {
     return OnAudit(aState.mAudit, aEvent, aNow);
   }
-  return {};
+  ControlEffects effects;
+  AddMoves(aState, effects, OnMovesWrite(aState, aEvent, aNow));
+  return effects;
+}
+
+ControlEffects
+On(ControlState& aState, const LeaseCallDone& aEvent, Instant aNow)
+{
+  ControlEffects effects;
+  AddMoves(aState, effects, OnLeaseCall(aState, aEvent, aNow));
+  return effects;
+}
+
+ControlEffects
+On(ControlState& aState, const OutcomesSeen& aEvent, Instant aNow)
+{
+  ControlEffects effects;
+  AddMoves(aState, effects, OnOutcomes(aState, aEvent, aNow));
+  return effects;
 }
 
 // The events of traffic threads.
@@ -178,6 +235,11 @@
                                     .mIncarnation = aOptions.mIncarnation,
                                     .mRandomSeed = aOptions.mRandomSeed },
                                   aNow);
+  // The incarnation is the time of the start in milliseconds.
+  state.mMoves = MakeMovesState(
+    aOptions, aNow, FromUnixMilliseconds(static_cast<std::int64_t>(aOptions.mIncarnation)));
+  state.mConfig = MakeConfigState(aNow);
+  state.mSharedDocuments = std::make_shared<const DocumentsInForce>();
   state.mIdempotency.mTickets.mIssuer = { .mZone = aOptions.mZone,
                                           .mHost = aOptions.mHost,
                                           .mEndpoint = aOptions.mListen,
@@ -186,8 +248,6 @@
                    .mZone = aOptions.mZone,
                    .mStartedAt = aNow,
                    .mStartedAtWall = aOptions.mStartedAt };
-  state.mConfig = MakeConfigState(aNow);
-  state.mSharedDocuments = std::make_shared<const DocumentsInForce>();
   state.mOptions = std::move(aOptions);
   return state;
 }
@@ -202,7 +262,7 @@
 NextTimer(const ControlState& aState)
 {
   const Instant next = NextTimer(aState.mAudit.mRecorder, NextPeerTimer(aState));
-  return NextTimer(aState.mIdempotency.mClaims, next);
+  return std::min(NextTimer(aState.mIdempotency.mClaims, next), NextMovesTimer(aState));
 }
 
 } // namespace trefoil
--- a/trefoil/node/control_state.h
+++ b/trefoil/node/control_state.h
@@ -16,6 +16,7 @@
 #include "trefoil/node/event.h"
 #include "trefoil/node/internal/audit_control.h"
 #include "trefoil/node/internal/idempotency_control.h"
+#include "trefoil/node/moves_state.h"
 
 #include <cstdint>
 #include <memory>
@@ -42,14 +43,15 @@
   ControlOptions mOptions;
   ConfigState mConfig;
   GossipState mGossip;
-  IdempotencyControl mIdempotency;
-  AuditControl mAudit;
+  MovesState mMoves;
   HealthState mHealth;
   // A copy of the documents for other threads, and its digest.
   std::shared_ptr<const DocumentsInForce> mSharedDocuments;
   std::uint32_t mSharedDigest = 0;
   // A new host asks the store once.
   bool mWatchesStore = true;
+  IdempotencyControl mIdempotency;
+  AuditControl mAudit;
   bool mReady = false;
   bool mStoreReachable = false;
   bool mLeaving = false;
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -1,6 +1,7 @@
 #include "trefoil/node/entry_host.h"
 
 #include "trefoil/base/digest.h"
+#include "trefoil/node/internal/admission_request.h"
 #include "trefoil/node/internal/peer_requests.h"
 #include "trefoil/platform/store_client.h"
 #include "trefoil/wire/codec.h"
@@ -47,14 +48,19 @@
   , mStoreWorker({ .mStore = { .mEndpoint = mSettings.mStore }, .mQueue = &mQueue })
   , mPeerWorker({ .mQueue = &mQueue })
   , mDesk(mQueue)
+  , mAdmission({ .mHost = mSettings.mHost,
+                 .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())),
+                 .mHostsAtStart = mSettings.mSeeds.size() + 1 })
   , mTraffic{ .mHost = mSettings.mHost,
               .mZone = mSettings.mZone,
               .mSnapshots = &mSnapshots,
               .mRouting = &mRouting,
+              .mAdmission = &mAdmission,
               .mActive = &mActive,
               .mMetrics = &mMetrics,
               .mDesk = &mDesk,
-              .mClusterSecret = mSettings.mClusterSecret }
+              .mClusterSecret = mSettings.mClusterSecret,
+              .mOutcomes = &mOutcomes }
 {
 }
 
@@ -137,11 +143,24 @@
       CarryOut(Step(state, *event, Now()));
     }
     if (HasPassed(NextTimer(state), Now())) {
+      mOutcomes.Flush();
       CarryOut(Step(state, TimerFired{}, Now()));
+      TickAdmission(state);
     }
   }
 }
 
+void
+EntryHost::TickAdmission(ControlState& aState)
+{
+  const Instant now = Now();
+  AdmissionDemands demands =
+    mAdmission.Tick(ViewOfHosts(*mSnapshots.Read(), mSettings.mZone, now), now);
+  if (!demands.mDemands.empty()) {
+    CarryOut(Step(aState, DemandsSampled{ .mDemands = std::move(demands) }, now));
+  }
+}
+
 void
 EntryHost::CarryOut(const ControlEffects& aEffects)
 {
@@ -175,6 +194,12 @@
   mStoreWorker.Submit(aEffect);
 }
 
+void
+EntryHost::CarryOut(const LeaseCallWanted& aEffect)
+{
+  mStoreWorker.Submit(aEffect);
+}
+
 void
 EntryHost::CarryOut(const FetchDocuments& aEffect)
 {
@@ -243,7 +268,12 @@
       continue;
     }
     auto message = Decode(*bytes);
-    if (message.ok()) {
+    if (!message.ok()) {
+      continue;
+    }
+    if (const auto* demands = std::get_if<AdmissionDemands>(&*message)) {
+      mAdmission.Hear(*demands, Now());
+    } else {
       mQueue.Push(MessageArrived{ .mMessage = std::move(*message) });
     }
   }
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -10,11 +10,13 @@
 
 #include "absl/status/statusor.h"
 #include "trefoil/http/server.h"
+#include "trefoil/node/admission_gate.h"
 #include "trefoil/node/control_desk.h"
 #include "trefoil/node/control_state.h"
 #include "trefoil/node/event_queue.h"
 #include "trefoil/node/internal/peer_worker.h"
 #include "trefoil/node/internal/watch_gate.h"
+#include "trefoil/node/outcome_buffer.h"
 #include "trefoil/node/routing_tables.h"
 #include "trefoil/node/snapshot.h"
 #include "trefoil/node/store_worker.h"
@@ -50,11 +52,13 @@
   void RunControl();
   void RunStoreWatch();
   void RunPeerReceive();
+  void TickAdmission(ControlState& aState);
   void CarryOut(const ControlEffects& aEffects);
   void CarryOut(const PublishSnapshot& aEffect);
   void CarryOut(const SendMessage& aEffect);
   void CarryOut(const StoreReadWanted& aEffect);
   void CarryOut(const StoreWriteWanted& aEffect);
+  void CarryOut(const LeaseCallWanted& aEffect);
   void CarryOut(const FetchDocuments& aEffect);
   void CarryOut(const PollServer& aEffect);
   void CarryOut(const WatchDocuments& aEffect);
@@ -65,12 +69,14 @@
   HostSettings mSettings;
   UdpSocket mSocket;
   EventQueue mQueue;
+  OutcomeBuffer mOutcomes{ mQueue };
   SnapshotCell mSnapshots;
   StoreWorker mStoreWorker;
   PeerWorker mPeerWorker;
   WatchGate mWatchGate;
   ControlDesk mDesk;
   RoutingTables mRouting;
+  AdmissionGate mAdmission;
   Metrics mMetrics;
   std::atomic<std::int64_t> mActive = 0;
   std::atomic<bool> mStopping = false;
--- a/trefoil/node/internal/pick_server.cc
+++ b/trefoil/node/internal/pick_server.cc
@@ -35,14 +35,34 @@
 {
   const auto snapshot = aContext.mSnapshots->Read();
   const ServiceView* view = FindService(*snapshot, aService);
-  if (view != nullptr && aContext.mRouting->IsOlder(aService, view->mRevision)) {
+  if (view == nullptr) {
+    return;
+  }
+  if (aContext.mRouting->IsOlder(aService, view->mRevision)) {
     aContext.mRouting->SetServers(
       aService, view->mRevision, RoutableServers(*view->mDocument, aContext.mZone));
   }
+  aContext.mRouting->TakeReports(
+    aService, { .mReports = snapshot->mServers, .mNotUp = snapshot->mNotUp }, Now());
 }
 
 } // namespace
 
+std::vector<VersionWeight>
+VersionWeights(const Snapshot& aSnapshot, const ServiceDocument& aDocument)
+{
+  const ServiceView* view = FindService(aSnapshot, aDocument.mService);
+  if (view == nullptr || view->mMove.mShares.empty()) {
+    return VersionWeights(aDocument);
+  }
+  std::vector<VersionWeight> weights;
+  for (const VersionShare& share : view->mMove.mShares) {
+    weights.push_back(
+      { .mVersion = share.mVersion, .mWeight = static_cast<double>(share.mPermille) });
+  }
+  return weights;
+}
+
 std::vector<VersionWeight>
 VersionWeights(const ServiceDocument& aDocument)
 {
@@ -88,12 +108,11 @@
                               static_cast<std::int64_t>(aHint.mPrompt.size()) / kBytesPerToken,
                             .mExpectedTokens = aHint.mExpectedTokens,
                             .mExcluded = aExcluded,
-                            .mVersions = VersionWeights(aDocument),
+                            .mVersions = VersionWeights(*aContext.mSnapshots->Read(), aDocument),
                             .mRandom = RandomNumber() };
-  request.mExcluded.insert(fresh->mNotUp->begin(), fresh->mNotUp->end());
   auto chosen = aContext.mRouting->Choose(aDocument.mService, request, Now());
   if (!chosen.has_value() && !aExcluded.empty()) {
-    request.mExcluded = *fresh->mNotUp;
+    request.mExcluded.clear();
     chosen = aContext.mRouting->Choose(aDocument.mService, request, Now());
   }
   if (!chosen.has_value()) {
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -6,9 +6,11 @@
 #pragma once
 
 #include "trefoil/base/endpoint.h"
+#include "trefoil/wire/admission_message.h"
 #include "trefoil/wire/config_message.h"
 #include "trefoil/wire/gossip_message.h"
 #include "trefoil/wire/health_message.h"
+#include "trefoil/wire/move_message.h"
 
 #include <variant>
 #include <vector>
@@ -23,7 +25,12 @@
                              Heartbeats,
                              ServerReports,
                              DocumentsWanted,
-                             DocumentsOffered>;
+                             DocumentsOffered,
+                             AdmissionDemands,
+                             DutiesHeld,
+                             VersionReport,
+                             PermitGranted,
+                             VersionStopped>;
 
 // A message and where it goes.
 struct Datagram
