--- a/trefoil/operations/document.cc
+++ b/trefoil/operations/document.cc
@@ -174,7 +174,7 @@
   const StoreWriteRequest write{ .mKey = key,
                                  .mValue = WithAuthor(author, aOptions.mText),
                                  .mExpected = current->mRevision };
-  const PutResult result = Write(aStore, write, author, aDeadline);
+  PutResult result = Write(aStore, write, author, aDeadline);
   if (result.mState == PutState::kAccepted) {
     NoteAccepted(aStore,
                  document->mService,
