--- a/cmd/trefoilctl.cc
+++ b/cmd/trefoilctl.cc
@@ -8,8 +8,8 @@
 #include "trefoil/platform/store_client.h"
 
 #include <Poco/JSON/Object.h>
-#include <cstdint>
 #include <Poco/JSON/Parser.h>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <fmt/format.h>
@@ -278,9 +278,8 @@
 Run(const trefoil::CommandLine& aLine)
 {
   const Arguments& arguments = aLine.mArguments;
-  const bool usesStore =
-    arguments.at("put").asBool() || arguments.at("show").asBool() ||
-    arguments.at("audit").asBool() || arguments.at("moves").asBool();
+  const bool usesStore = arguments.at("put").asBool() || arguments.at("show").asBool() ||
+                         arguments.at("audit").asBool() || arguments.at("moves").asBool();
   const auto endpoint = trefoil::ParseEndpoint(Text(arguments, usesStore ? "--store" : "--host"));
   if (!endpoint.ok()) {
     return Fail(std::string{ endpoint.status().message() }, kExitBadInput);
--- a/tests/hosts_together.sh
+++ b/tests/hosts_together.sh
@@ -54,7 +54,7 @@
 put second
 measure "accepted to in force on nine hosts" "\"revision_in_force\": $revision"
 measure "then known to be in force everywhere by all" '"in_force_everywhere": true'
-curl -fs -X POST http://127.0.11.3:19101/admin/leave >/dev/null
+curl -fs -X POST "http://127.0.11.3:19101/admin/leave?notice_ms=120000" >/dev/null
 measure "reclaim notice to no new work from nine hosts" '"server": "engine-1"'
 
 echo "zone d is cut off from the store"
@@ -66,7 +66,7 @@
 for i in 7 8; do wait_for_url "http://127.0.11.1$i:18080/readyz"; done
 put third
 measure "accepted to in force on nine hosts" "\"revision_in_force\": $revision"
-curl -fs -X POST http://127.0.11.3:19102/admin/leave >/dev/null
+curl -fs -X POST "http://127.0.11.3:19102/admin/leave?notice_ms=120000" >/dev/null
 measure "reclaim notice to no new work from nine hosts" '"server": "engine-2"'
 
 echo "host 1 is frozen for ten seconds"
--- a/trefoil/backend/load_answer.cc
+++ b/trefoil/backend/load_answer.cc
@@ -5,11 +5,13 @@
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
+#include <fmt/format.h>
 
 namespace trefoil {
 namespace {
 
 constexpr int kHttpOk = 200;
+constexpr int kHttpServerError = 500;
 constexpr std::size_t kMostLoadBytes = std::size_t{ 64 } << 10;
 
 } // namespace
@@ -41,6 +43,9 @@
     return failure->mStatus;
   }
   const auto& answer = std::get<HttpAnswer>(result);
+  if (answer.mStatus >= kHttpServerError) {
+    return absl::UnavailableError(fmt::format("the server answered {}", answer.mStatus));
+  }
   if (answer.mStatus != kHttpOk) {
     return std::optional<LoadAnswer>{};
   }
--- a/trefoil/backend/load_answer_test.cc
+++ b/trefoil/backend/load_answer_test.cc
@@ -1,5 +1,8 @@
 #include "trefoil/backend/load_answer.h"
 
+#include "trefoil/http/server.h"
+
+#include <atomic>
 #include <catch2/catch.hpp>
 
 namespace trefoil {
@@ -25,5 +28,34 @@
   }
 }
 
+TEST_CASE("A backend server is asked for its load")
+{
+  std::atomic<int> status = 200;
+  auto server =
+    HttpServer::Start({ .mListen = { .mAddress = "127.0.0.1", .mPort = 0 },
+                        .mHandler =
+                          [&status](HttpExchange& aExchange) {
+                            aExchange.Answer({ .mStatus = status.load(), .mBody = "dead\n" });
+                          },
+                        .mMostConnections = 4 });
+  REQUIRE(server.ok());
+  const auto ask = [&server] {
+    return AskLoad({ .mAddress = "127.0.0.1", .mPort = server->Port() },
+                   Now() + Milliseconds{ 20'000 });
+  };
+
+  SECTION("one that does not know the question is up and tells nothing")
+  {
+    status = 404;
+    REQUIRE(ask().ok());
+    CHECK_FALSE(ask()->has_value());
+  }
+  SECTION("one that answers with an error of its own has failed the poll")
+  {
+    status = 503;
+    CHECK(absl::IsUnavailable(ask().status()));
+  }
+}
+
 } // namespace
 } // namespace trefoil
--- a/trefoil/http/http_test.cc
+++ b/trefoil/http/http_test.cc
@@ -122,8 +122,11 @@
   }
   SECTION("inside the body or before it: it is not")
   {
-    CHECK(AnswerToBytes(server, head + "he").empty());
-    CHECK(AnswerToBytes(server, head).empty());
+    for (const std::string& bytes : { head + "he", head }) {
+      const std::string answer = AnswerToBytes(server, bytes);
+      CHECK(answer.starts_with("HTTP/1.1 400 "));
+      CHECK(answer.find("took") == std::string::npos);
+    }
   }
 }
 
