--- a/trefoil/metrics/metrics.cc
+++ b/trefoil/metrics/metrics.cc
@@ -106,8 +106,10 @@
     const LatencyAccumulator& seconds = mSummaries[IndexOf(summary)]->mSeconds;
     page += fmt::format("# TYPE {} summary\n", name);
     for (std::size_t i = 0; i < kQuantiles.size() && acc::count(seconds) > 0; ++i) {
-      page += fmt::format(
-        "{}{{quantile=\"{}\"}} {:.6f}\n", name, kQuantiles[i], acc::extended_p_square(seconds)[i]);
+      page += fmt::format("{}{{quantile=\"{}\"}} {:.6f}\n",
+                          name,
+                          kQuantiles[i],
+                          acc::extended_p_square(seconds)[static_cast<std::ptrdiff_t>(i)]);
     }
     page +=
       fmt::format("{0}_sum {1:.6f}\n{0}_count {2}\n", name, acc::sum(seconds), acc::count(seconds));
