Give each unnamed attempt a cache of its own in the stand-in engine

Cause: asked directly, 1,680 of 2,000 streams broke: without an attempt id all shared one cache entry, and the first that ended took it from the others. Change: such a request gets a random id.

--- a/standin/engine_work.cc
+++ b/standin/engine_work.cc
@@ -1,6 +1,7 @@
 #include "standin/engine_work.h"
 
 #include "standin/token_text.h"
+#include "trefoil/base/digest.h"
 
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
@@ -66,6 +67,8 @@
   EngineWork work{ .mChat = aChat,
                    .mPrompt = PromptOf(*body, aChat),
                    .mMostTokens = body->optValue<std::int64_t>("max_tokens", kDefaultMostTokens) };
+  // A request that names no attempt has a cache of its own all the same.
+  work.mAttempt = RandomHex();
   if (body->isObject("resume")) {
     const auto resume = body->getObject("resume");
     work.mAttempt = resume->getValue<std::string>("attempt");
