--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -6,7 +6,9 @@
 # Every property test draws its cases from this seed, so that a run gives the same verdict each time.
 set(TREFOIL_RC_PARAMS "seed=20261204" CACHE STRING "RapidCheck parameters of the test runs")
 
-add_library(trefoil_catch_main OBJECT ${CMAKE_SOURCE_DIR}/cmake/catch_main.cc)
+if(NOT TREFOIL_DAEMON_ONLY)
+  add_library(trefoil_catch_main OBJECT ${CMAKE_SOURCE_DIR}/cmake/catch_main.cc)
+endif()
 
 function(trefoil_package aName)
   cmake_parse_arguments(ARG "" "" "DEPS;TEST_DEPS" ${ARGN})
@@ -23,7 +25,7 @@
     add_library(trefoil_${aName} INTERFACE)
     target_link_libraries(trefoil_${aName} INTERFACE ${ARG_DEPS})
   endif()
-  if(tests)
+  if(tests AND NOT TREFOIL_DAEMON_ONLY)
     add_executable(${aName}_test ${tests})
     target_link_libraries(${aName}_test trefoil_${aName} trefoil_catch_main Catch2::Catch2
                           rapidcheck ${ARG_TEST_DEPS})
@@ -31,7 +33,7 @@
     set_tests_properties(${aName} PROPERTIES ENVIRONMENT "RC_PARAMS=${TREFOIL_RC_PARAMS}"
                                              TIMEOUT 300)
   endif()
-  if(benchmarks)
+  if(benchmarks AND NOT TREFOIL_DAEMON_ONLY)
     add_executable(${aName}_benchmark ${benchmarks})
     target_link_libraries(${aName}_benchmark trefoil_${aName} benchmark::benchmark_main)
   endif()
--- a/trefoil/base/instant.h
+++ b/trefoil/base/instant.h
@@ -24,6 +24,12 @@
   return std::chrono::steady_clock::now();
 }
 
+// Returns the monotonic time including the time that the host was suspended. It is used alone, or
+// throughout, by a process whose deadlines must go on while the host is suspended, and never mixed
+// with Now().
+Instant
+SuspendAwareNow();
+
 // Returns the current calendar time. Called at the edges only, never in decision code.
 inline WallTime
 WallNow()
--- /dev/null
+++ b/trefoil/catalogue/catalogue.cc
@@ -0,0 +1,72 @@
+#include "trefoil/catalogue/catalogue.h"
+
+#include <Poco/String.h>
+
+namespace trefoil {
+
+RouteIndex
+IndexRoutes(const Catalogue& aCatalogue)
+{
+  RouteIndex index;
+  for (std::size_t i = 0; i < aCatalogue.mRoutes.size(); ++i) {
+    const Route& route = aCatalogue.mRoutes[i];
+    index.mRoutes[Poco::toLower(route.mHost)].emplace(route.mPathPrefix, i);
+  }
+  for (std::size_t i = 0; i < aCatalogue.mAccounts.size(); ++i) {
+    for (const std::string& key : aCatalogue.mAccounts[i].mKeys) {
+      index.mAccountsByKey.emplace(key, i);
+    }
+  }
+  return index;
+}
+
+const Route*
+FindRoute(const Catalogue& aCatalogue,
+          const RouteIndex& aIndex,
+          std::string_view aHost,
+          std::string_view aPath)
+{
+  const auto host =
+    aIndex.mRoutes.find(Poco::toLower(std::string{ aHost.substr(0, aHost.find(':')) }));
+  if (host == aIndex.mRoutes.end()) {
+    return nullptr;
+  }
+  for (std::size_t slash = aPath.rfind('/'); slash != std::string_view::npos;
+       slash = slash == 0 ? std::string_view::npos : aPath.rfind('/', slash - 1)) {
+    const auto route = host->second.find(std::string{ aPath.substr(0, slash + 1) });
+    if (route != host->second.end()) {
+      return &aCatalogue.mRoutes[route->second];
+    }
+  }
+  return nullptr;
+}
+
+const ClientAccount*
+FindAccount(const Catalogue& aCatalogue, const RouteIndex& aIndex, std::string_view aKey)
+{
+  const auto found = aIndex.mAccountsByKey.find(std::string{ aKey });
+  return found == aIndex.mAccountsByKey.end() ? nullptr : &aCatalogue.mAccounts[found->second];
+}
+
+const RouteTarget*
+DrawTarget(const Route& aRoute, std::uint64_t aDraw)
+{
+  std::uint64_t total = 0;
+  for (const RouteTarget& target : aRoute.mTargets) {
+    total += static_cast<std::uint64_t>(target.mWeight);
+  }
+  if (total == 0) {
+    return nullptr;
+  }
+  std::uint64_t rest = aDraw % total;
+  for (const RouteTarget& target : aRoute.mTargets) {
+    const auto weight = static_cast<std::uint64_t>(target.mWeight);
+    if (rest < weight) {
+      return &target;
+    }
+    rest -= weight;
+  }
+  return nullptr;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/catalogue/server_registry.cc
@@ -0,0 +1,46 @@
+#include "trefoil/catalogue/server_registry.h"
+
+#include <algorithm>
+
+namespace trefoil {
+
+bool
+Learn(ServerRegistry& aRegistry, const RegisteredServer& aServer)
+{
+  const auto removed = aRegistry.mRemoved.find(aServer.mId);
+  if (removed != aRegistry.mRemoved.end()) {
+    if (removed->second >= aServer.mRevision) {
+      return false;
+    }
+    aRegistry.mRemoved.erase(removed);
+  }
+  const auto [entry, fresh] = aRegistry.mServers.try_emplace(aServer.mId, aServer);
+  if (fresh) {
+    return true;
+  }
+  if (entry->second.mRevision >= aServer.mRevision) {
+    return false;
+  }
+  RegisteredServer before = entry->second;
+  entry->second = aServer;
+  before.mRevision = aServer.mRevision;
+  return before != aServer;
+}
+
+bool
+Forget(ServerRegistry& aRegistry, const BackendServerId& aId, std::int64_t aRevision)
+{
+  const auto entry = aRegistry.mServers.find(aId);
+  if (entry != aRegistry.mServers.end() && entry->second.mRevision > aRevision) {
+    return false;
+  }
+  std::int64_t& removed = aRegistry.mRemoved[aId];
+  removed = std::max(removed, aRevision);
+  if (entry == aRegistry.mServers.end()) {
+    return false;
+  }
+  aRegistry.mServers.erase(entry);
+  return true;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/dispatch/server_choice.cc
@@ -0,0 +1,140 @@
+#include "trefoil/dispatch/server_choice.h"
+
+#include "trefoil/base/digest.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace trefoil {
+namespace {
+
+// The weight of the newest outcome in the moving mean: the last ten or so count.
+constexpr double kOutcomeWeight = 0.15;
+// A server that was full takes requests again after about the time of one short request.
+constexpr Milliseconds kFullPause{ 100 };
+// The first pause after a broken connection; it doubles with each further failure in a row, up to
+// the most. The first is about the time in which a crashed server's entry goes on; the most is
+// that in which a restarted one is back.
+constexpr Milliseconds kBrokenPause{ 250 };
+constexpr int kMostDoublings = 4;
+// From this share of failures on, a server is left out while others can serve.
+constexpr double kPoorShare = 0.4;
+// A poor server is tried again after this, with one request.
+constexpr Milliseconds kPoorPause{ 2'000 };
+// Requests at a server of the own zone that weigh as much as the way to another zone.
+constexpr double kOtherZoneLoad = 1.0;
+// Requests at a server that weigh as much as if all of its answers were failures.
+constexpr double kFailureLoad = 4.0;
+// What an unused server of a lower rank must save, in tokens, before a key is moved to it.
+constexpr double kMoveTokens = 2'000;
+
+bool
+IsAvoided(const ServerCandidate& aCandidate, Instant aNow)
+{
+  return !HasPassed(aCandidate.mStanding->mAvoidUntil, aNow);
+}
+
+double
+LoadCost(const ServerCandidate& aCandidate, const ChoiceTerms& aTerms)
+{
+  const double away = aCandidate.mServer->mZone == aTerms.mZone ? 0 : kOtherZoneLoad;
+  return aCandidate.mStanding->mInFlight + away + kFailureLoad * aCandidate.mStanding->mFailureShare;
+}
+
+// Returns the tokens that are read before the request's own part if it goes to the candidate.
+double
+CacheCost(const ServerCandidate& aCandidate, const ChoiceTerms& aTerms, bool aIsFirst)
+{
+  const double waiting =
+    aCandidate.mStanding->mPendingTokens + aCandidate.mStanding->mPendingElsewhere;
+  if (aIsFirst) {
+    return waiting;
+  }
+  const double shared = static_cast<double>(aTerms.mSharedTokens);
+  return waiting + kMoveTokens + (aCandidate.mHoldsCache ? 0 : shared);
+}
+
+// Returns the candidate that owns the key among those that may be used.
+std::size_t
+FirstByRank(const std::vector<ServerCandidate>& aCandidates,
+            const ChoiceTerms& aTerms,
+            bool aUseAvoided,
+            Instant aNow)
+{
+  std::size_t first = aCandidates.size();
+  std::uint64_t highest = 0;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    if (!aUseAvoided && IsAvoided(aCandidates[i], aNow)) {
+      continue;
+    }
+    const std::uint64_t score =
+      RendezvousScore(aCandidates[i].mServer->mId.Value(), aTerms.mCacheKey);
+    if (first == aCandidates.size() || score > highest) {
+      first = i;
+      highest = score;
+    }
+  }
+  return first;
+}
+
+} // namespace
+
+std::optional<std::size_t>
+ChooseServer(const std::vector<ServerCandidate>& aCandidates,
+             const ChoiceTerms& aTerms,
+             Instant aNow)
+{
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
+  const bool useAvoided = std::ranges::all_of(
+    aCandidates, [aNow](const ServerCandidate& aItem) { return IsAvoided(aItem, aNow); });
+  const std::size_t first = aTerms.mCacheKey.empty()
+                              ? aCandidates.size()
+                              : FirstByRank(aCandidates, aTerms, useAvoided, aNow);
+  std::optional<std::size_t> best;
+  double least = std::numeric_limits<double>::max();
+  const std::size_t start = aTerms.mDraw % aCandidates.size();
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    const std::size_t position = (start + i) % aCandidates.size();
+    const ServerCandidate& candidate = aCandidates[position];
+    if (!useAvoided && IsAvoided(candidate, aNow)) {
+      continue;
+    }
+    const double cost = aTerms.mCacheKey.empty()
+                          ? LoadCost(candidate, aTerms)
+                          : CacheCost(candidate, aTerms, position == first);
+    if (cost < least) {
+      least = cost;
+      best = position;
+    }
+  }
+  return best;
+}
+
+bool
+NoteOutcome(ServerStanding& aStanding, DispatchOutcome aOutcome, Instant aNow)
+{
+  const bool good = aOutcome == DispatchOutcome::kServed;
+  if (aOutcome == DispatchOutcome::kTurnedAway) {
+    aStanding.mAvoidUntil = std::max(aStanding.mAvoidUntil, aNow + kFullPause);
+    return false;
+  }
+  aStanding.mFailureShare += kOutcomeWeight * ((good ? 0.0 : 1.0) - aStanding.mFailureShare);
+  if (good) {
+    aStanding.mFailuresInRow = 0;
+    return false;
+  }
+  ++aStanding.mFailuresInRow;
+  Milliseconds pause{ 0 };
+  if (aOutcome == DispatchOutcome::kBroken) {
+    pause = kBrokenPause * (1 << std::min(aStanding.mFailuresInRow - 1, kMostDoublings));
+  }
+  if (aStanding.mFailureShare >= kPoorShare) {
+    pause = std::max(pause, kPoorPause);
+  }
+  aStanding.mAvoidUntil = std::max(aStanding.mAvoidUntil, aNow + pause);
+  return pause > Milliseconds{ 0 };
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/dispatch/server_choice.h
@@ -0,0 +1,82 @@
+// Which backend server a request is sent to.
+//
+//   std::optional<std::size_t> chosen = ChooseServer(candidates, { .mZone = zone, .mCacheKey = key }, now);
+//
+// Requests that follow a cache go to the servers that probably hold the shared parts of their prompt:
+// all hosts rank the servers of a key alike by rendezvous hash, so that they agree without a message, and
+// move on to the next rank only where the work that waits at the first costs more than reading the
+// parts again. Other requests go to the server with the least work, those of the own zone first.
+// Servers that failed lately are left out while others can serve. Pure functions.
+#pragma once
+
+#include "trefoil/catalogue/server_registry.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace trefoil {
+
+// What this host knows of a server from its own requests.
+struct ServerStanding
+{
+  int mInFlight = 0;
+  // Prompt tokens of requests that wait for their first event, as far as they are not cached; of this
+  // host, and of the others by their reports.
+  double mPendingTokens = 0;
+  double mPendingElsewhere = 0;
+  // A moving mean of outcomes: 0 all good, 1 all failed.
+  double mFailureShare = 0;
+  int mFailuresInRow = 0;
+  // No requests until then if another server can take them.
+  Instant mAvoidUntil;
+};
+
+struct ServerCandidate
+{
+  const RegisteredServer* mServer = nullptr;
+  const ServerStanding* mStanding = nullptr;
+  // A request of this host has read the shared parts there, not long ago.
+  bool mHoldsCache = false;
+};
+
+struct ChoiceTerms
+{
+  AvailabilityZoneId mZone;
+  // Names the shared parts of the prompt; empty for requests without.
+  std::string mCacheKey;
+  std::int64_t mSharedTokens = 0;
+  // Breaks ties.
+  std::uint64_t mDraw = 0;
+};
+
+// Returns the position of the chosen candidate, nothing if there are none.
+std::optional<std::size_t>
+ChooseServer(const std::vector<ServerCandidate>& aCandidates,
+             const ChoiceTerms& aTerms,
+             Instant aNow);
+
+enum class DispatchOutcome
+{
+  kServed,
+  // The server said that it did not run the request: it is full or leaves.
+  kTurnedAway,
+  kFailed,
+  // The server broke off or cannot be reached.
+  kBroken,
+};
+
+inline constexpr NameTable<DispatchOutcome, 4> kDispatchOutcomeNames{ {
+  { DispatchOutcome::kServed, "served" },
+  { DispatchOutcome::kTurnedAway, "turned_away" },
+  { DispatchOutcome::kFailed, "failed" },
+  { DispatchOutcome::kBroken, "broken" },
+} };
+
+// Takes in how an attempt ended. Returns whether the server is avoided from now on.
+bool
+NoteOutcome(ServerStanding& aStanding, DispatchOutcome aOutcome, Instant aNow);
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/forward/cache_hints.cc
@@ -0,0 +1,46 @@
+#include "trefoil/forward/cache_hints.h"
+
+namespace trefoil {
+namespace {
+
+// A part that was not used for longer has probably given way to others.
+constexpr std::chrono::seconds kHintAge{ 30 };
+// Keys kept: several times the sessions that one host sees in kHintAge.
+constexpr std::size_t kMostKeys = 4'000;
+
+} // namespace
+
+void
+NoteRead(CacheHints& aHints, const std::string& aKey, const BackendServerId& aServer, Instant aNow)
+{
+  if (aHints.mReadAt.size() >= kMostKeys) {
+    std::erase_if(aHints.mReadAt, [aNow](const auto& aItem) {
+      for (const auto& [server, readAt] : aItem.second) {
+        if (aNow - readAt <= kHintAge) {
+          return false;
+        }
+      }
+      return true;
+    });
+    if (aHints.mReadAt.size() >= kMostKeys) {
+      aHints.mReadAt.clear();
+    }
+  }
+  aHints.mReadAt[aKey][aServer] = aNow;
+}
+
+bool
+Holds(const CacheHints& aHints,
+      const std::string& aKey,
+      const BackendServerId& aServer,
+      Instant aNow)
+{
+  const auto key = aHints.mReadAt.find(aKey);
+  if (key == aHints.mReadAt.end()) {
+    return false;
+  }
+  const auto server = key->second.find(aServer);
+  return server != key->second.end() && aNow - server->second <= kHintAge;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/forward/traffic.cc
@@ -0,0 +1,326 @@
+#include "trefoil/forward/traffic.h"
+
+#include "trefoil/forward/exchange.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <thread>
+#include <unordered_set>
+#include <utility>
+
+namespace trefoil {
+namespace {
+
+// Connections that wait to be accepted: a herd of clients that reconnect at once.
+constexpr int kBacklog = 512;
+// Idle connections to servers are looked through so often.
+constexpr Milliseconds kSweepEvery{ 1'000 };
+// The platform sends new connections until it has missed two readiness questions, one a second.
+constexpr Milliseconds kBalancerNotices{ 3'000 };
+constexpr Milliseconds kStopCheckEvery{ 50 };
+// Usage windows kept: more than the time in which a report is due.
+constexpr std::size_t kMostUsageWindows = 8;
+constexpr int kOk = 200;
+constexpr int kNotReady = 503;
+
+Poco::Net::ServerSocket
+Listen(const Endpoint& aEndpoint)
+{
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress{ aEndpoint.mAddress, aEndpoint.mPort }, true);
+  socket.listen(kBacklog);
+  socket.setBlocking(false);
+  return socket;
+}
+
+} // namespace
+
+TrafficState::TrafficState(TrafficOptions aOptions, EventLog& aLog, Metrics& aMetrics)
+  : mOptions(std::move(aOptions))
+  , mLog(aLog)
+  , mMetrics(aMetrics)
+  , mPool(mLoop)
+  , mQuotas(MakeQuotaState(mOptions.mQuotaWindow))
+  , mRetries(MakeRetryFund(mOptions.mRetries))
+  , mRandom(std::random_device{}())
+{
+}
+
+struct Traffic::Impl
+{
+  using AnswerRequest = std::function<HttpAnswer(const HttpRequest&)>;
+
+  Impl(const TrafficOptions& aOptions, EventLog& aLog, Metrics& aMetrics)
+    : mState(aOptions, aLog, aMetrics)
+  {
+  }
+
+  void Bind();
+  void Accept(Poco::Net::ServerSocket& aListener,
+              const std::shared_ptr<const SessionCallbacks>& aCallbacks);
+  std::shared_ptr<SessionCallbacks> BaseCallbacks();
+  std::shared_ptr<const SessionCallbacks> FrontCallbacks();
+  // Sessions whose requests are answered at once.
+  std::shared_ptr<const SessionCallbacks> PlainCallbacks(AnswerRequest aAnswer);
+  void TakeView(std::shared_ptr<const TrafficView> aView);
+  void TakeNews(const PeerNews& aNews);
+  TrafficReport MakeReport();
+  void Sweep();
+  void CheckStop(Instant aBegan, Instant aDeadline);
+
+  TrafficState mState;
+  std::vector<Poco::Net::ServerSocket> mListeners;
+  std::unordered_set<std::shared_ptr<ClientSession>> mSessions;
+  std::unordered_map<const ClientSession*, std::shared_ptr<Exchange>> mExchanges;
+  std::thread mThread;
+  int mCutOff = 0;
+};
+
+std::shared_ptr<SessionCallbacks>
+Traffic::Impl::BaseCallbacks()
+{
+  auto callbacks = std::make_shared<SessionCallbacks>();
+  callbacks->mOnClosed = [this](const std::shared_ptr<ClientSession>& aSession, bool /*aWaited*/) {
+    mSessions.erase(aSession);
+    const auto found = mExchanges.find(aSession.get());
+    if (found != mExchanges.end()) {
+      const auto exchange = found->second;
+      exchange->OnClientGone();
+      mExchanges.erase(aSession.get());
+    }
+  };
+  callbacks->mOnMalformed = [this](int aStatus, std::string_view aReason) {
+    mState.mLog.Write(
+      LogWeight::kNotable, LogEvent::kRequestMalformed, "status={} reason=\"{}\"", aStatus, aReason);
+  };
+  callbacks->mLimits = [this] {
+    return mState.mView && mState.mView->mCatalogue ? mState.mView->mCatalogue->mCatalogue.mLimits
+                                                    : ClientLimits{};
+  };
+  callbacks->mStopping = [this] { return mState.mStopping; };
+  return callbacks;
+}
+
+std::shared_ptr<const SessionCallbacks>
+Traffic::Impl::FrontCallbacks()
+{
+  auto callbacks = BaseCallbacks();
+  callbacks->mOnRequest = [this](const std::shared_ptr<ClientSession>& aSession,
+                                 HttpRequest aRequest) {
+    const auto exchange =
+      Exchange::Begin(mState, aSession, std::move(aRequest), [this](const ClientSession* aEnded) {
+        mExchanges.erase(aEnded);
+      });
+    if (!exchange->IsOver()) {
+      mExchanges[aSession.get()] = exchange;
+    }
+  };
+  return callbacks;
+}
+
+std::shared_ptr<const SessionCallbacks>
+Traffic::Impl::PlainCallbacks(AnswerRequest aAnswer)
+{
+  auto callbacks = BaseCallbacks();
+  callbacks->mOnRequest = [answer = std::move(aAnswer)](
+                            const std::shared_ptr<ClientSession>& aSession,
+                            const HttpRequest& aRequest) { aSession->SendWhole(answer(aRequest)); };
+  return callbacks;
+}
+
+void
+Traffic::Impl::Bind()
+{
+  const TrafficOptions& options = mState.mOptions;
+  const auto add = [this](const Endpoint& aEndpoint,
+                          const std::shared_ptr<const SessionCallbacks>& aCallbacks) {
+    auto listener = std::make_shared<Poco::Net::ServerSocket>(Listen(aEndpoint));
+    mListeners.push_back(*listener);
+    mState.mLoop.Watch(*listener, kReadable, [this, listener, aCallbacks](unsigned /*aReady*/) {
+      Accept(*listener, aCallbacks);
+    });
+  };
+  add(options.mListen, FrontCallbacks());
+  add(options.mReadiness, PlainCallbacks([this](const HttpRequest& /*aRequest*/) {
+        const bool ready = !mState.mStopping && mState.mView && mState.mView->mCatalogue;
+        return HttpAnswer{ .mStatus = ready ? kOk : kNotReady };
+      }));
+  if (options.mMetrics.has_value()) {
+    add(*options.mMetrics, PlainCallbacks([this](const HttpRequest& /*aRequest*/) {
+          return HttpAnswer{ .mHeaders = { { "Content-Type", "text/plain; version=0.0.4" } },
+                             .mBody = mState.mMetrics.Render() };
+        }));
+  }
+}
+
+void
+Traffic::Impl::Accept(Poco::Net::ServerSocket& aListener,
+                      const std::shared_ptr<const SessionCallbacks>& aCallbacks)
+{
+  // While too many connections are open, new ones wait in the listener's queue.
+  while (mSessions.size() + mState.mPool.Idle() < mState.mOptions.mMostConnections &&
+         aListener.poll(Poco::Timespan{ 0 }, Poco::Net::Socket::SELECT_READ)) {
+    try {
+      const Poco::Net::StreamSocket socket = aListener.acceptConnection();
+      mSessions.insert(ClientSession::Start(mState.mLoop, socket, aCallbacks));
+    } catch (const Poco::Exception& error) {
+      mState.mLog.Write(LogWeight::kNotable,
+                        LogEvent::kInputRejected,
+                        "input=connection reason=\"{}\"",
+                        error.displayText());
+      return;
+    }
+  }
+}
+
+void
+Traffic::Impl::TakeView(std::shared_ptr<const TrafficView> aView)
+{
+  const bool sameServers = mState.mView && mState.mView->mServers == aView->mServers;
+  mState.mView = std::move(aView);
+  if (sameServers || !mState.mView->mServers) {
+    return;
+  }
+  mState.mServers.clear();
+  for (const auto& [id, server] : mState.mView->mServers->mServers) {
+    mState.mServers[server.mService].push_back(&server);
+  }
+  std::erase_if(mState.mStandings, [this](const auto& aItem) {
+    return aItem.second.mInFlight == 0 &&
+           !mState.mView->mServers->mServers.contains(aItem.first);
+  });
+}
+
+void
+Traffic::Impl::TakeNews(const PeerNews& aNews)
+{
+  const Instant now = SuspendAwareNow();
+  for (const auto& [account, used] : aNews.mQuotaUsed) {
+    AddUsedElsewhere(mState.mQuotas, account, used, now);
+  }
+  for (const CrashCount& crash : aNews.mCrashes) {
+    Merge(mState.mCrashes, crash, now);
+  }
+  for (auto& [server, standing] : mState.mStandings) {
+    const auto pending = aNews.mPendingTokens.find(server);
+    standing.mPendingElsewhere = pending == aNews.mPendingTokens.end() ? 0 : pending->second;
+  }
+}
+
+TrafficReport
+Traffic::Impl::MakeReport()
+{
+  TrafficReport report{ .mUsage = mState.mUsage,
+                        .mCrashes = std::exchange(mState.mCrashNews, {}),
+                        .mLoads = mState.mLoads,
+                        .mOutcomes = mState.mOutcomes };
+  for (const auto& [account, use] : mState.mQuotas.mAccounts) {
+    report.mQuotaUsed[account] = use.mOwnTotal;
+  }
+  for (const auto& [server, standing] : mState.mStandings) {
+    if (standing.mPendingTokens > 0) {
+      report.mPendingTokens[server] = standing.mPendingTokens;
+    }
+  }
+  while (mState.mUsage.size() > kMostUsageWindows) {
+    mState.mUsage.erase(mState.mUsage.begin());
+  }
+  return report;
+}
+
+void
+Traffic::Impl::Sweep()
+{
+  const Instant now = SuspendAwareNow();
+  if (mState.mView && mState.mView->mServers) {
+    mState.mPool.Sweep(*mState.mView->mServers, now);
+  }
+  Expire(mState.mCrashes, now);
+  mState.mLoop.CallAt(now + kSweepEvery, [this] { Sweep(); });
+}
+
+void
+Traffic::Impl::CheckStop(Instant aBegan, Instant aDeadline)
+{
+  const Instant now = SuspendAwareNow();
+  const bool noticed = now - aBegan >= kBalancerNotices;
+  if (noticed) {
+    const auto sessions = mSessions;
+    for (const auto& session : sessions) {
+      session->CloseIfIdle();
+    }
+  }
+  if ((noticed && mExchanges.empty()) || HasPassed(aDeadline, now)) {
+    mCutOff = static_cast<int>(mExchanges.size());
+    mState.mLoop.Stop();
+    return;
+  }
+  mState.mLoop.CallAt(now + kStopCheckEvery,
+                      [this, aBegan, aDeadline] { CheckStop(aBegan, aDeadline); });
+}
+
+Traffic::Traffic(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+Traffic::~Traffic()
+{
+  mImpl->mState.mLoop.Stop();
+  if (mImpl->mThread.joinable()) {
+    mImpl->mThread.join();
+  }
+}
+
+absl::StatusOr<std::unique_ptr<Traffic>>
+Traffic::Start(const TrafficOptions& aOptions, EventLog& aLog, Metrics& aMetrics)
+{
+  auto impl = std::make_unique<Impl>(aOptions, aLog, aMetrics);
+  try {
+    impl->Bind();
+  } catch (const Poco::Exception& error) {
+    return absl::UnavailableError(error.displayText());
+  }
+  Impl* state = impl.get();
+  state->mThread = std::thread{ [state] {
+    state->Sweep();
+    state->mState.mLoop.Run();
+  } };
+  return std::unique_ptr<Traffic>{ new Traffic{ std::move(impl) } };
+}
+
+void
+Traffic::Publish(std::shared_ptr<const TrafficView> aView)
+{
+  mImpl->mState.mLoop.Post(
+    [state = mImpl.get(), view = std::move(aView)]() mutable { state->TakeView(std::move(view)); });
+}
+
+void
+Traffic::Tell(PeerNews aNews)
+{
+  mImpl->mState.mLoop.Post(
+    [state = mImpl.get(), news = std::move(aNews)] { state->TakeNews(news); });
+}
+
+void
+Traffic::Report(std::function<void(TrafficReport)> aCallback)
+{
+  mImpl->mState.mLoop.Post([state = mImpl.get(), callback = std::move(aCallback)] {
+    callback(state->MakeReport());
+  });
+}
+
+int
+Traffic::Stop(Instant aDeadline)
+{
+  mImpl->mState.mLoop.Post([state = mImpl.get(), aDeadline] {
+    state->mState.mStopping = true;
+    state->CheckStop(SuspendAwareNow(), aDeadline);
+  });
+  mImpl->mThread.join();
+  return mImpl->mCutOff;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/forward/traffic_state.h
@@ -0,0 +1,43 @@
+// The state of a traffic thread, shared by the parts that run on it.
+#pragma once
+
+#include "trefoil/forward/cache_hints.h"
+#include "trefoil/forward/server_pool.h"
+#include "trefoil/forward/traffic.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace trefoil {
+
+struct TrafficState
+{
+  TrafficState(TrafficOptions aOptions, EventLog& aLog, Metrics& aMetrics);
+
+  TrafficOptions mOptions;
+  EventLog& mLog;
+  Metrics& mMetrics;
+  EventLoop mLoop;
+  ServerPool mPool;
+  std::shared_ptr<const TrafficView> mView;
+  // Servers of the view by service; they live as long as the view.
+  std::map<ServiceId, std::vector<const RegisteredServer*>> mServers;
+  std::unordered_map<BackendServerId, ServerStanding> mStandings;
+  QuotaState mQuotas;
+  RetryFund mRetries;
+  CrashLedger mCrashes;
+  // Own counts of crashes since the last report.
+  std::vector<CrashCount> mCrashNews;
+  CacheHints mCacheHints;
+  UsageWindows mUsage;
+  std::map<ServiceId, ServiceLoad> mLoads;
+  std::map<ServiceId, std::map<VersionId, VersionOutcomes>> mOutcomes;
+  std::mt19937_64 mRandom;
+  bool mStopping = false;
+};
+
+} // namespace trefoil
--- a/trefoil/http/message.cc
+++ b/trefoil/http/message.cc
@@ -7,23 +7,20 @@
 #include <iterator>
 
 namespace trefoil {
-namespace {
 
 bool
-SameName(std::string_view aLeft, std::string_view aRight)
+IsSameHeader(std::string_view aLeft, std::string_view aRight)
 {
   return std::ranges::equal(aLeft, aRight, [](unsigned char aFirst, unsigned char aSecond) {
     return std::tolower(aFirst) == std::tolower(aSecond);
   });
 }
 
-} // namespace
-
 std::string_view
 HeaderValue(const HttpHeaders& aHeaders, std::string_view aName)
 {
   for (const HttpHeader& header : aHeaders) {
-    if (SameName(header.mName, aName)) {
+    if (IsSameHeader(header.mName, aName)) {
       return header.mValue;
     }
   }
@@ -34,7 +31,7 @@
 SetHeader(HttpHeaders& aHeaders, std::string_view aName, std::string_view aValue)
 {
   std::erase_if(aHeaders,
-                [aName](const HttpHeader& aHeader) { return SameName(aHeader.mName, aName); });
+                [aName](const HttpHeader& aHeader) { return IsSameHeader(aHeader.mName, aName); });
   aHeaders.push_back({ .mName = std::string{ aName }, .mValue = std::string{ aValue } });
 }
 
@@ -51,7 +48,7 @@
                                           "transfer-encoding",
                                           "upgrade" };
   return std::ranges::any_of(kNames,
-                             [aName](std::string_view aKnown) { return SameName(aKnown, aName); });
+                             [aName](std::string_view aKnown) { return IsSameHeader(aKnown, aName); });
 }
 
 std::string_view
--- a/trefoil/http/message.h
+++ b/trefoil/http/message.h
@@ -34,6 +34,10 @@
   std::string mBody;
 };
 
+// Returns whether two header names are the same; the case of letters does not count.
+bool
+IsSameHeader(std::string_view aLeft, std::string_view aRight);
+
 // Returns the value of the first header called `aName` in any case, empty if there is none.
 std::string_view
 HeaderValue(const HttpHeaders& aHeaders, std::string_view aName);
--- /dev/null
+++ b/trefoil/reactor/event_loop.cc
@@ -0,0 +1,185 @@
+#include "trefoil/reactor/event_loop.h"
+
+#include <Poco/Net/StreamSocketImpl.h>
+#include <Poco/Timespan.h>
+#include <algorithm>
+#include <sys/eventfd.h>
+#include <utility>
+
+namespace trefoil {
+namespace {
+
+// The longest sleep without a timer; a task or a socket ends it at once.
+constexpr Milliseconds kLongestWait{ 5'000 };
+
+int
+PollMode(unsigned aEvents)
+{
+  int mode = Poco::Net::PollSet::POLL_ERROR;
+  if ((aEvents & kReadable) != 0) {
+    mode |= Poco::Net::PollSet::POLL_READ;
+  }
+  if ((aEvents & kWritable) != 0) {
+    mode |= Poco::Net::PollSet::POLL_WRITE;
+  }
+  return mode;
+}
+
+unsigned
+ReadyEvents(int aMode)
+{
+  unsigned ready = 0;
+  if ((aMode & Poco::Net::PollSet::POLL_READ) != 0) {
+    ready |= kReadable;
+  }
+  if ((aMode & Poco::Net::PollSet::POLL_WRITE) != 0) {
+    ready |= kWritable;
+  }
+  if ((aMode & Poco::Net::PollSet::POLL_ERROR) != 0) {
+    ready |= kFailed;
+  }
+  return ready;
+}
+
+} // namespace
+
+EventLoop::EventLoop()
+  : mWakeUp(new Poco::Net::StreamSocketImpl(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)))
+{
+  Watch(mWakeUp, kReadable, [this](unsigned /*aReady*/) {
+    eventfd_t count = 0;
+    eventfd_read(mWakeUp.impl()->sockfd(), &count);
+  });
+}
+
+void
+EventLoop::WakeUp()
+{
+  eventfd_write(mWakeUp.impl()->sockfd(), 1);
+}
+
+void
+EventLoop::Run()
+{
+  while (!mStopped.load()) {
+    RunTasks();
+    RunTimers();
+    if (!mStopped.load()) {
+      Wait();
+    }
+  }
+}
+
+void
+EventLoop::Stop()
+{
+  mStopped.store(true);
+  WakeUp();
+}
+
+void
+EventLoop::Post(Task aTask)
+{
+  {
+    const absl::MutexLock lock{ &mMutex };
+    mTasks.push_back(std::move(aTask));
+    if (mTasks.size() > 1) {
+      return;
+    }
+  }
+  WakeUp();
+}
+
+EventLoop::TimerId
+EventLoop::CallAt(Instant aTime, Task aTask)
+{
+  const TimerId id = ++mLastTimer;
+  mTimers.emplace(std::make_pair(aTime, id), std::move(aTask));
+  mTimerTimes.emplace(id, aTime);
+  return id;
+}
+
+void
+EventLoop::Cancel(TimerId aTimer)
+{
+  const auto found = mTimerTimes.find(aTimer);
+  if (found != mTimerTimes.end()) {
+    mTimers.erase({ found->second, aTimer });
+    mTimerTimes.erase(found);
+  }
+}
+
+void
+EventLoop::Watch(const Poco::Net::Socket& aSocket, unsigned aEvents, Handler aHandler)
+{
+  const auto [entry, fresh] =
+    mHandlers.insert_or_assign(aSocket.impl(), std::move(aHandler));
+  if (fresh) {
+    mSockets.add(aSocket, PollMode(aEvents));
+  } else {
+    mSockets.update(aSocket, PollMode(aEvents));
+  }
+}
+
+void
+EventLoop::Unwatch(const Poco::Net::Socket& aSocket)
+{
+  if (mHandlers.erase(aSocket.impl()) > 0) {
+    mSockets.remove(aSocket);
+  }
+}
+
+void
+EventLoop::RunTasks()
+{
+  std::vector<Task> tasks;
+  {
+    const absl::MutexLock lock{ &mMutex };
+    tasks.swap(mTasks);
+  }
+  for (const Task& task : tasks) {
+    task();
+  }
+}
+
+void
+EventLoop::RunTimers()
+{
+  const Instant now = SuspendAwareNow();
+  while (!mTimers.empty() && mTimers.begin()->first.first <= now) {
+    auto timer = mTimers.extract(mTimers.begin());
+    mTimerTimes.erase(timer.key().second);
+    timer.mapped()();
+  }
+}
+
+void
+EventLoop::Wait()
+{
+  {
+    const absl::MutexLock lock{ &mMutex };
+    if (!mTasks.empty()) {
+      return;
+    }
+  }
+  Milliseconds wait = kLongestWait;
+  if (!mTimers.empty()) {
+    wait = std::min(
+      wait, std::chrono::ceil<Milliseconds>(mTimers.begin()->first.first - SuspendAwareNow()));
+  }
+  if (wait <= Milliseconds{ 0 }) {
+    wait = Milliseconds{ 0 };
+  }
+  const auto ready =
+    mSockets.poll(Poco::Timespan{ std::chrono::microseconds{ wait }.count() });
+  for (const auto& [socket, mode] : ready) {
+    // An earlier handler of this round may have closed the socket.
+    const auto handler = mHandlers.find(socket.impl());
+    if (handler != mHandlers.end()) {
+      const Handler keep = handler->second;
+      keep(ReadyEvents(mode));
+    }
+  }
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/settings/endpoint_settings.cc
@@ -0,0 +1,74 @@
+#include "trefoil/settings/endpoint_settings.h"
+
+#include <fmt/format.h>
+#include <fstream>
+#include <sstream>
+
+namespace trefoil {
+
+Endpoint
+ReadEndpoint(TomlReader& aReader, std::string_view aKey)
+{
+  const std::string text = aReader.RequiredString(aKey);
+  const auto endpoint = ParseEndpoint(text);
+  if (!endpoint.ok()) {
+    aReader.Fault(aKey, std::string{ endpoint.status().message() });
+    return {};
+  }
+  return *endpoint;
+}
+
+std::optional<Endpoint>
+ReadOptionalEndpoint(TomlReader& aReader, std::string_view aKey)
+{
+  const std::string text = aReader.OptionalString(aKey, "");
+  if (text.empty()) {
+    return std::nullopt;
+  }
+  const auto endpoint = ParseEndpoint(text);
+  if (!endpoint.ok()) {
+    aReader.Fault(aKey, std::string{ endpoint.status().message() });
+    return std::nullopt;
+  }
+  return *endpoint;
+}
+
+std::vector<Endpoint>
+ReadEndpoints(TomlReader& aReader, std::string_view aKey)
+{
+  std::vector<Endpoint> endpoints;
+  for (const std::string& text : aReader.OptionalStrings(aKey)) {
+    const auto endpoint = ParseEndpoint(text);
+    if (!endpoint.ok()) {
+      aReader.Fault(aKey, std::string{ endpoint.status().message() });
+      return {};
+    }
+    endpoints.push_back(*endpoint);
+  }
+  return endpoints;
+}
+
+std::string
+ReadName(TomlReader& aReader, std::string_view aKey)
+{
+  std::string name = aReader.RequiredString(aKey);
+  if (name.empty()) {
+    aReader.Fault(aKey, "must not be empty");
+  }
+  return name;
+}
+
+absl::StatusOr<std::string>
+ReadSettingsFile(std::string_view aPath)
+{
+  const std::string path{ aPath };
+  std::ifstream file{ path };
+  if (!file) {
+    return absl::NotFoundError(fmt::format("{}: cannot be read", path));
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+} // namespace trefoil
--- a/trefoil/settings/host_settings.cc
+++ b/trefoil/settings/host_settings.cc
@@ -1,11 +1,8 @@
 #include "trefoil/settings/host_settings.h"
 
+#include "trefoil/settings/endpoint_settings.h"
 #include "trefoil/settings/toml_reader.h"
 
-#include <fmt/format.h>
-#include <fstream>
-#include <sstream>
-
 namespace trefoil {
 namespace {
 
@@ -17,43 +14,6 @@
 constexpr std::size_t kLeastSecretBytes = 16;
 constexpr std::int64_t kLongestMilliseconds = 3'600'000;
 
-Endpoint
-ReadEndpoint(TomlReader& aReader, std::string_view aKey)
-{
-  const std::string text = aReader.RequiredString(aKey);
-  const auto endpoint = ParseEndpoint(text);
-  if (!endpoint.ok()) {
-    aReader.Fault(aKey, std::string{ endpoint.status().message() });
-    return {};
-  }
-  return *endpoint;
-}
-
-std::vector<Endpoint>
-ReadEndpoints(TomlReader& aReader, std::string_view aKey)
-{
-  std::vector<Endpoint> endpoints;
-  for (const std::string& text : aReader.OptionalStrings(aKey)) {
-    const auto endpoint = ParseEndpoint(text);
-    if (!endpoint.ok()) {
-      aReader.Fault(aKey, std::string{ endpoint.status().message() });
-      return {};
-    }
-    endpoints.push_back(*endpoint);
-  }
-  return endpoints;
-}
-
-std::string
-ReadName(TomlReader& aReader, std::string_view aKey)
-{
-  std::string name = aReader.RequiredString(aKey);
-  if (name.empty()) {
-    aReader.Fault(aKey, "must not be empty");
-  }
-  return name;
-}
-
 LogLevel
 ReadLogLevel(TomlReader& aReader)
 {
@@ -116,14 +76,11 @@
 absl::StatusOr<HostSettings>
 ReadHostSettings(std::string_view aPath)
 {
-  const std::string path{ aPath };
-  std::ifstream file{ path };
-  if (!file) {
-    return absl::NotFoundError(fmt::format("{}: cannot be read", path));
+  const auto text = ReadSettingsFile(aPath);
+  if (!text.ok()) {
+    return text.status();
   }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return ParseHostSettings(text.str(), path);
+  return ParseHostSettings(*text, aPath);
 }
 
 } // namespace trefoil
--- a/trefoil/settings/toml_reader.cc
+++ b/trefoil/settings/toml_reader.cc
@@ -130,6 +130,22 @@
   return *value;
 }
 
+double
+TomlReader::OptionalNumber(std::string_view aKey, double aDefault)
+{
+  mAsked.emplace(aKey);
+  const toml::node* node = AsTable(mTable).get(aKey);
+  if (node == nullptr) {
+    return aDefault;
+  }
+  const auto value = node->value<double>();
+  if (!value.has_value() || !node->is_number()) {
+    Fault(aKey, "must be a number");
+    return aDefault;
+  }
+  return *value;
+}
+
 bool
 TomlReader::OptionalBool(std::string_view aKey, bool aDefault)
 {
--- a/trefoil/settings/toml_reader.h
+++ b/trefoil/settings/toml_reader.h
@@ -56,6 +56,7 @@
   // Reads values that may be left out; a wrong one is a fault.
   std::string OptionalString(std::string_view aKey, std::string_view aDefault);
   std::int64_t OptionalInt(std::string_view aKey, std::int64_t aDefault, IntBounds aBounds = {});
+  double OptionalNumber(std::string_view aKey, double aDefault);
   bool OptionalBool(std::string_view aKey, bool aDefault);
   // Returns milliseconds since 1970 of an offset date-time, `aDefault` if it is left out.
   std::int64_t OptionalUnixMilliseconds(std::string_view aKey, std::int64_t aDefault);
--- /dev/null
+++ b/trefoil/steering/control.cc
@@ -0,0 +1,283 @@
+#include "trefoil/steering/control.h"
+
+#include "trefoil/steering/control_state.h"
+#include "trefoil/steering/internal/duties.h"
+#include "trefoil/steering/internal/store_news.h"
+#include "trefoil/wire/codec.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <array>
+#include <thread>
+#include <utility>
+
+namespace trefoil {
+namespace {
+
+// News are sent so often: a quota is overrun by at most what comes in that time and a way.
+constexpr Milliseconds kNewsEvery{ 250 };
+// The store's list of hosts is read so often.
+constexpr Milliseconds kHostsEvery{ 5'000 };
+// Crashes are repeated in the news for so long, since a message may be lost.
+constexpr Milliseconds kRepeatCrashes{ 3'000 };
+// Windows of usage in a message: the running one and those that may still be reported.
+constexpr std::size_t kUsageWindowsSent = 4;
+constexpr Milliseconds kCloudSilence{ 1'500 };
+constexpr int kMostDatagram = 65'507;
+
+TrafficNews
+MakeNews(ControlState& aState)
+{
+  const Instant now = SuspendAwareNow();
+  TrafficNews news{ .mHost = aState.mOptions.mHost,
+                    .mIncarnation = aState.mIncarnation,
+                    .mSequence = ++aState.mSequence,
+                    .mEndpoint = aState.mOptions.mPeerEndpoint,
+                    .mHoldsDuties = aState.mHoldsDuties,
+                    .mLeaving = aState.mLeaving };
+  for (const auto& [account, used] : aState.mReport.mQuotaUsed) {
+    news.mQuotas.push_back(
+      { .mAccount = account, .mUsed = static_cast<std::uint64_t>(std::max(0.0, used)) });
+  }
+  std::size_t windows = 0;
+  for (auto window = aState.mReport.mUsage.rbegin();
+       window != aState.mReport.mUsage.rend() && windows < kUsageWindowsSent;
+       ++window, ++windows) {
+    for (const auto& [account, requests] : window->second) {
+      news.mUsage.push_back(
+        { .mWindow = window->first, .mAccount = account, .mRequests = requests });
+    }
+  }
+  while (!aState.mCrashes.empty() && now - aState.mCrashes.front().first > kRepeatCrashes) {
+    aState.mCrashes.pop_front();
+  }
+  for (const auto& [seenAt, crash] : aState.mCrashes) {
+    news.mCrashes.push_back({ .mHost = crash.mHost,
+                              .mDigest = crash.mDigest.Value(),
+                              .mCrashes = crash.mCrashes.mCrashes,
+                              .mCleared = crash.mCrashes.mCleared });
+  }
+  for (const auto& [server, tokens] : aState.mReport.mPendingTokens) {
+    news.mPending.push_back(
+      { .mServer = server, .mTokens = static_cast<std::uint64_t>(std::max(0.0, tokens)) });
+  }
+  for (const auto& [service, load] : aState.mReport.mLoads) {
+    news.mServices.push_back(
+      { .mService = service,
+        .mRequests = load.mRequests,
+        .mPromptTokens = static_cast<std::uint64_t>(load.mPromptTokens),
+        .mSlow = load.mSlow,
+        .mInFlight = load.mInFlight });
+  }
+  if (!aState.mMoves.mMoves.empty()) {
+    for (const auto& [service, versions] : aState.mReport.mOutcomes) {
+      for (const auto& [version, outcomes] : versions) {
+        news.mVersions.push_back({ .mService = service,
+                                   .mVersion = version,
+                                   .mServed = outcomes.mServed,
+                                   .mFailed = outcomes.mFailed,
+                                   .mLatencyMs = outcomes.mLatencyMs });
+      }
+    }
+  }
+  return news;
+}
+
+void
+SendNews(ControlState& aState)
+{
+  const std::string bytes = Encode(MakeNews(aState));
+  for (const Endpoint& to : Recipients(aState.mPeers, SuspendAwareNow())) {
+    try {
+      aState.mPeerSocket.sendTo(bytes.data(),
+                                static_cast<int>(bytes.size()),
+                                Poco::Net::SocketAddress{ to.mAddress, to.mPort });
+    } catch (const Poco::Exception& error) {
+      // News are sent anew every kNewsEvery.
+      aState.mLog.Write(LogWeight::kRoutine,
+                        LogEvent::kInputRejected,
+                        "input=news_to peer={} reason=\"{}\"",
+                        ToText(to),
+                        error.displayText());
+    }
+  }
+}
+
+void
+TakeDatagram(ControlState& aState, std::string_view aBytes)
+{
+  const auto message = Decode(aBytes);
+  const TrafficNews* news = message.ok() ? std::get_if<TrafficNews>(&*message) : nullptr;
+  if (news == nullptr) {
+    aState.mLog.Write(LogWeight::kNotable,
+                      LogEvent::kInputRejected,
+                      "input=news bytes={} reason=\"{}\"",
+                      aBytes.size(),
+                      std::string{ message.status().message() });
+    return;
+  }
+  PeerNews added = TakeNews(aState.mPeers, *news, SuspendAwareNow());
+  if (news->mHoldsDuties && news->mHost != aState.mOptions.mHost) {
+    OnHolderHeard(aState);
+  }
+  if (!added.mQuotaUsed.empty() || !added.mCrashes.empty()) {
+    added.mPendingTokens = PendingElsewhere(aState.mPeers, SuspendAwareNow());
+    aState.mTraffic.Tell(std::move(added));
+  }
+}
+
+void
+ReadPeers(ControlState& aState)
+{
+  std::array<char, kMostDatagram> buffer{};
+  try {
+    while (aState.mPeerSocket.poll(Poco::Timespan{ 0 }, Poco::Net::Socket::SELECT_READ)) {
+      Poco::Net::SocketAddress sender;
+      const int count =
+        aState.mPeerSocket.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), sender);
+      if (count > 0) {
+        TakeDatagram(aState, { buffer.data(), static_cast<std::size_t>(count) });
+      }
+    }
+  } catch (const Poco::Exception& error) {
+    aState.mLog.Write(LogWeight::kNotable,
+                      LogEvent::kInputRejected,
+                      "input=news reason=\"{}\"",
+                      error.displayText());
+  }
+}
+
+void
+NoteTouch(ControlState& aState)
+{
+  const std::size_t inTouch = LivePeers(aState.mPeers, SuspendAwareNow()).size();
+  if (inTouch != std::exchange(aState.mPeersInTouch, inTouch)) {
+    aState.mLog.Write(LogWeight::kNotable,
+                      LogEvent::kPeersChanged,
+                      "in_touch={} hosts={} quota_share={:.2f}",
+                      inTouch,
+                      HostCount(aState.mPeers, SuspendAwareNow()),
+                      QuotaShare(aState.mPeers, SuspendAwareNow()));
+  }
+}
+
+void
+OnReport(ControlState& aState, TrafficReport aReport)
+{
+  const Instant now = SuspendAwareNow();
+  for (const CrashCount& crash : aReport.mCrashes) {
+    aState.mCrashes.emplace_back(now, crash);
+  }
+  aState.mReport = std::move(aReport);
+  SendNews(aState);
+  NoteTouch(aState);
+  PublishView(aState);
+  WorkOnDuties(aState);
+}
+
+void
+Tick(ControlState& aState)
+{
+  aState.mTraffic.Report([&aState](TrafficReport aReport) {
+    aState.mLoop.Post(
+      [&aState, report = std::move(aReport)]() mutable { OnReport(aState, std::move(report)); });
+  });
+  aState.mLoop.CallAt(SuspendAwareNow() + kNewsEvery, [&aState] { Tick(aState); });
+}
+
+void
+RefreshHostsRegularly(ControlState& aState)
+{
+  RefreshHosts(aState);
+  if (aState.mOptions.mUsageWindow > Milliseconds{ 0 }) {
+    constexpr std::int64_t kWindowsKept = 8;
+    DropUsageBefore(aState.mPeers,
+                    UnixMilliseconds(WallNow()) / aState.mOptions.mUsageWindow.count() -
+                      kWindowsKept);
+  }
+  aState.mLoop.CallAt(SuspendAwareNow() + kHostsEvery,
+                      [&aState] { RefreshHostsRegularly(aState); });
+}
+
+} // namespace
+
+ControlState::ControlState(ControlOptions aOptions, Traffic& aTraffic, EventLog& aLog)
+  : mOptions(std::move(aOptions))
+  , mTraffic(aTraffic)
+  , mLog(aLog)
+  , mStore(mLoop, mOptions.mStore, mOptions.mCodec.mStore)
+  , mIncarnation(static_cast<std::uint64_t>(UnixMilliseconds(WallNow())))
+  , mRandom(std::random_device{}())
+{
+  mPeers.mSelf = mOptions.mHost;
+  if (mOptions.mCloud.has_value()) {
+    mCloud.emplace(mLoop, *mOptions.mCloud, StreamOptions{ .mSilenceLimit = kCloudSilence });
+  }
+}
+
+struct Control::Impl
+{
+  Impl(const ControlOptions& aOptions, Traffic& aTraffic, EventLog& aLog)
+    : mState(aOptions, aTraffic, aLog)
+  {
+  }
+
+  ControlState mState;
+  std::thread mThread;
+};
+
+Control::Control(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+Control::~Control()
+{
+  Stop();
+}
+
+absl::StatusOr<std::unique_ptr<Control>>
+Control::Start(const ControlOptions& aOptions, Traffic& aTraffic, EventLog& aLog)
+{
+  auto impl = std::make_unique<Impl>(aOptions, aTraffic, aLog);
+  ControlState& state = impl->mState;
+  try {
+    const Endpoint& peers = aOptions.mPeerEndpoint;
+    state.mPeerSocket.bind(Poco::Net::SocketAddress{ peers.mAddress, peers.mPort }, true);
+    state.mPeerSocket.setBlocking(false);
+  } catch (const Poco::Exception& error) {
+    return absl::UnavailableError(error.displayText());
+  }
+  impl->mThread = std::thread{ [&state] {
+    state.mLoop.Watch(
+      state.mPeerSocket, kReadable, [&state](unsigned /*aReady*/) { ReadPeers(state); });
+    FollowStore(state);
+    JoinDuties(state);
+    RefreshHostsRegularly(state);
+    Tick(state);
+    state.mLoop.Run();
+  } };
+  return std::unique_ptr<Control>{ new Control{ std::move(impl) } };
+}
+
+void
+Control::Leave()
+{
+  ControlState& state = mImpl->mState;
+  state.mLoop.Post([&state] {
+    state.mLeaving = true;
+    LeaveDuties(state);
+    SendNews(state);
+  });
+}
+
+void
+Control::Stop()
+{
+  mImpl->mState.mLoop.Stop();
+  if (mImpl->mThread.joinable()) {
+    mImpl->mThread.join();
+  }
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/steering/internal/store_news.h
@@ -0,0 +1,20 @@
+// Takes what the store says into the state of the control thread.
+#pragma once
+
+#include "trefoil/steering/control_state.h"
+
+namespace trefoil {
+
+// Starts to follow the operators' and the backend servers' keys.
+void
+FollowStore(ControlState& aState);
+
+// Asks the store for the entry hosts that it lists, and writes this one's entry where it is missing.
+void
+RefreshHosts(ControlState& aState);
+
+// Publishes what has changed to the traffic thread.
+void
+PublishView(ControlState& aState);
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/steering/peer_book.cc
@@ -0,0 +1,156 @@
+#include "trefoil/steering/peer_book.h"
+
+#include <algorithm>
+
+namespace trefoil {
+namespace {
+
+// A host that was not heard of for so long is out of touch: four of its messages are missing.
+constexpr Milliseconds kSilentAfter{ 1'000 };
+// A host that the store does not list is forgotten after this; a store's outage is shorter.
+constexpr Milliseconds kForgetAfter{ 15'000 };
+
+std::map<ClientAccountId, std::uint64_t>
+QuotasOf(const TrafficNews& aNews)
+{
+  std::map<ClientAccountId, std::uint64_t> quotas;
+  for (const AccountTotal& total : aNews.mQuotas) {
+    quotas[total.mAccount] = total.mUsed;
+  }
+  return quotas;
+}
+
+} // namespace
+
+PeerNews
+TakeNews(PeerBook& aBook, const TrafficNews& aNews, Instant aNow)
+{
+  if (aNews.mHost == aBook.mSelf) {
+    return {};
+  }
+  Peer& peer = aBook.mPeers[aNews.mHost];
+  const bool sameLife = peer.mNews.mIncarnation == aNews.mIncarnation;
+  if (aNews.mIncarnation < peer.mNews.mIncarnation ||
+      (sameLife && aNews.mSequence <= peer.mNews.mSequence)) {
+    return {};
+  }
+  PeerNews news;
+  const auto before = sameLife ? QuotasOf(peer.mNews) : std::map<ClientAccountId, std::uint64_t>{};
+  for (const AccountTotal& total : aNews.mQuotas) {
+    const auto known = before.find(total.mAccount);
+    const std::uint64_t used = known == before.end() ? 0 : known->second;
+    if (total.mUsed > used) {
+      news.mQuotaUsed[total.mAccount] = static_cast<double>(total.mUsed - used);
+    }
+  }
+  for (const CrashReport& crash : aNews.mCrashes) {
+    news.mCrashes.push_back(
+      { .mHost = crash.mHost,
+        .mDigest = RequestDigest{ crash.mDigest },
+        .mCrashes = { .mCrashes = crash.mCrashes, .mCleared = crash.mCleared } });
+  }
+  UsageWindows& usage = aBook.mUsage[aNews.mHost][aNews.mIncarnation];
+  for (const WindowCount& count : aNews.mUsage) {
+    std::int64_t& known = usage[count.mWindow][count.mAccount];
+    known = std::max(known, count.mRequests);
+  }
+  peer.mNews = aNews;
+  peer.mHeardAt = aNow;
+  return news;
+}
+
+std::vector<HostId>
+LivePeers(const PeerBook& aBook, Instant aNow)
+{
+  std::vector<HostId> live;
+  for (const auto& [host, peer] : aBook.mPeers) {
+    if (aNow - peer.mHeardAt < kSilentAfter && !peer.mNews.mLeaving) {
+      live.push_back(host);
+    }
+  }
+  return live;
+}
+
+int
+HostCount(const PeerBook& aBook, Instant aNow)
+{
+  std::set<HostId> hosts{ aBook.mSelf };
+  for (const auto& [host, endpoint] : aBook.mListed) {
+    const auto peer = aBook.mPeers.find(host);
+    if (peer == aBook.mPeers.end() || !peer->second.mNews.mLeaving) {
+      hosts.insert(host);
+    }
+  }
+  for (const HostId& host : LivePeers(aBook, aNow)) {
+    hosts.insert(host);
+  }
+  return static_cast<int>(hosts.size());
+}
+
+double
+QuotaShare(const PeerBook& aBook, Instant aNow)
+{
+  const auto inTouch = static_cast<double>(LivePeers(aBook, aNow).size() + 1);
+  return std::min(1.0, inTouch / HostCount(aBook, aNow));
+}
+
+std::set<Endpoint>
+Recipients(const PeerBook& aBook, Instant aNow)
+{
+  std::set<Endpoint> recipients;
+  for (const auto& [host, endpoint] : aBook.mListed) {
+    if (host != aBook.mSelf) {
+      recipients.insert(endpoint);
+    }
+  }
+  for (const auto& [host, peer] : aBook.mPeers) {
+    if (aNow - peer.mHeardAt < kForgetAfter) {
+      recipients.insert(peer.mNews.mEndpoint);
+    }
+  }
+  return recipients;
+}
+
+std::map<ClientAccountId, std::int64_t>
+UsageElsewhere(const PeerBook& aBook, std::int64_t aWindow)
+{
+  std::map<ClientAccountId, std::int64_t> counts;
+  for (const auto& [host, incarnations] : aBook.mUsage) {
+    for (const auto& [incarnation, windows] : incarnations) {
+      const auto window = windows.find(aWindow);
+      if (window == windows.end()) {
+        continue;
+      }
+      for (const auto& [account, requests] : window->second) {
+        counts[account] += requests;
+      }
+    }
+  }
+  return counts;
+}
+
+void
+DropUsageBefore(PeerBook& aBook, std::int64_t aWindow)
+{
+  for (auto& [host, incarnations] : aBook.mUsage) {
+    for (auto& [incarnation, windows] : incarnations) {
+      windows.erase(windows.begin(), windows.lower_bound(aWindow));
+    }
+    std::erase_if(incarnations, [](const auto& aItem) { return aItem.second.empty(); });
+  }
+  std::erase_if(aBook.mUsage, [](const auto& aItem) { return aItem.second.empty(); });
+}
+
+std::map<BackendServerId, double>
+PendingElsewhere(const PeerBook& aBook, Instant aNow)
+{
+  std::map<BackendServerId, double> pending;
+  for (const HostId& host : LivePeers(aBook, aNow)) {
+    for (const PendingAtServer& item : aBook.mPeers.at(host).mNews.mPending) {
+      pending[item.mServer] += static_cast<double>(item.mTokens);
+    }
+  }
+  return pending;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/steering/peer_book.h
@@ -0,0 +1,66 @@
+// What the other entry hosts have told of their traffic.
+//
+//   PeerNews news = TakeNews(book, message, now);
+//   double share = QuotaShare(book, now);
+//
+// Plain data and pure functions.
+#pragma once
+
+#include "trefoil/forward/traffic_view.h"
+#include "trefoil/wire/traffic_message.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace trefoil {
+
+struct Peer
+{
+  TrafficNews mNews;
+  Instant mHeardAt;
+};
+
+struct PeerBook
+{
+  HostId mSelf;
+  // The hosts that the store lists, this one included, and where they listen.
+  std::map<HostId, Endpoint> mListed;
+  std::map<HostId, Peer> mPeers;
+  // Usage of earlier incarnations and of hosts that are gone, by window.
+  std::map<HostId, std::map<std::uint64_t, UsageWindows>> mUsage;
+};
+
+// Takes in a message. Returns what it adds to what was known; nothing if it is old.
+PeerNews
+TakeNews(PeerBook& aBook, const TrafficNews& aNews, Instant aNow);
+
+// Returns the hosts that were heard of lately, without this one.
+std::vector<HostId>
+LivePeers(const PeerBook& aBook, Instant aNow);
+
+// Returns the number of entry hosts, in touch or not.
+int
+HostCount(const PeerBook& aBook, Instant aNow);
+
+// Returns the part of the quotas that this host and the hosts it hears may use together.
+double
+QuotaShare(const PeerBook& aBook, Instant aNow);
+
+// Returns where news are sent.
+std::set<Endpoint>
+Recipients(const PeerBook& aBook, Instant aNow);
+
+// Returns the requests of a usage window over all hosts but this one.
+std::map<ClientAccountId, std::int64_t>
+UsageElsewhere(const PeerBook& aBook, std::int64_t aWindow);
+
+// Drops the usage of windows before one.
+void
+DropUsageBefore(PeerBook& aBook, std::int64_t aWindow);
+
+// Returns the pending prompt tokens at each server over the live peers.
+std::map<BackendServerId, double>
+PendingElsewhere(const PeerBook& aBook, Instant aNow);
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/store/store_channel.cc
@@ -0,0 +1,48 @@
+#include "trefoil/store/store_channel.h"
+
+#include <spdlog/spdlog.h>
+#include <utility>
+
+namespace trefoil {
+namespace {
+
+// A connection to the store on which nothing is acknowledged for so long is given up. Below the
+// shortest time that a configuration may take to come into force.
+constexpr Milliseconds kStoreSilence{ 1'500 };
+constexpr Milliseconds kStoreConnect{ 1'000 };
+
+} // namespace
+
+StoreChannel::StoreChannel(EventLoop& aLoop, const Endpoint& aStore, StoreCodec aCodec)
+  : mChannel(aLoop,
+             aStore,
+             { .mSilenceLimit = kStoreSilence, .mConnectLimit = kStoreConnect })
+  , mCodec(aCodec)
+{
+}
+
+void
+StoreChannel::Call(const StoreCall& aCall, Instant aDeadline, Callback aCallback)
+{
+  mChannel.Send(mCodec.mEncode(aCall),
+                aDeadline,
+                [aCall, callback = std::move(aCallback), decode = mCodec.mDecode](
+                  const HttpReply& aReply) {
+                  if (aReply.mKind != ReplyKind::kAnswered) {
+                    callback({ .mOutcome = aReply.mKind == ReplyKind::kNotSent
+                                             ? StoreOutcome::kRefused
+                                             : StoreOutcome::kUnknown });
+                    return;
+                  }
+                  const auto answer = decode(aCall, aReply.mAnswer);
+                  if (!answer.ok()) {
+                    spdlog::warn("event=store_answer_unreadable reason=\"{}\"",
+                                 std::string{ answer.status().message() });
+                    callback({ .mOutcome = StoreOutcome::kUnknown });
+                    return;
+                  }
+                  callback(*answer);
+                });
+}
+
+} // namespace trefoil
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -13,6 +13,7 @@
 #include "trefoil/wire/health_message.h"
 #include "trefoil/wire/move_message.h"
 #include "trefoil/wire/stream_messages.h"
+#include "trefoil/wire/traffic_message.h"
 
 #include <variant>
 #include <vector>
@@ -38,7 +39,8 @@
                              StreamRead,
                              StreamTokens,
                              StreamHandOver,
-                             StreamHandOverReply>;
+                             StreamHandOverReply,
+                             TrafficNews>;
 
 // A message and where it goes.
 struct Datagram
