Keep quotas over a kill of all hosts, and stop listening when a host stops

Change: what is left of a quota is divided by use until the next news; one host writes the uses of all into the store twice a second and a starting host reads them; a peer's first message counts its window, not its total since its start. A stopping host stops listening after the balancer has noticed.

Ruled out: shorter intervals between news (the overrun of a kill does not depend on them).

--- a/trefoil/dispatch/quota.cc
+++ b/trefoil/dispatch/quota.cc
@@ -1,14 +1,39 @@
 #include "trefoil/dispatch/quota.h"
 
+#include <algorithm>
+
 namespace trefoil {
 namespace {
 
+// A host may spend more of what is left than its share so far, for a demand that moves between hosts.
+constexpr double kShareGrowth = 1.5;
+
+// Returns the part of what is left of a quota that this host may spend until the next news.
+double
+PartOfRest(AccountUse& aUse, const QuotaTerms& aTerms, Instant aNow)
+{
+  const double all = Sum(aUse.mWindow, aNow);
+  const double even = 1.0 / std::max(1, aTerms.mHostsInTouch);
+  const double used = all > 0 ? Sum(aUse.mOwnWindow, aNow) / all : even;
+  return std::min(1.0, kShareGrowth * std::max(even, used));
+}
+
+void
+Count(AccountUse& aUse, double aCost, Instant aNow)
+{
+  Add(aUse.mWindow, aCost, aNow);
+  Add(aUse.mOwnWindow, aCost, aNow);
+  aUse.mSinceNews += aCost;
+  aUse.mOwnTotal += aCost;
+}
+
 AccountUse&
 UseOf(QuotaState& aState, const ClientAccountId& aAccount)
 {
   const auto [entry, fresh] = aState.mAccounts.try_emplace(aAccount);
   if (fresh) {
     entry->second.mWindow = MakeSlidingCount(aState.mWindow);
+    entry->second.mOwnWindow = MakeSlidingCount(aState.mWindow);
   }
   return entry->second;
 }
@@ -41,22 +66,20 @@
   if (aAccount.mRatePerSecond > 0) {
     const double seconds = std::chrono::duration<double>(aState.mWindow).count();
     const double most =
-      (aAccount.mRatePerSecond * seconds + aAccount.mBurst) * aTerms.mShare;
-    if (Sum(use.mWindow, aNow) + aCost > most) {
+      (aAccount.mRatePerSecond * seconds + aAccount.mBurst + aTerms.mSlack) * aTerms.mShare;
+    const double restAtNews = most - (Sum(use.mWindow, aNow) - use.mSinceNews);
+    if (use.mSinceNews + aCost > restAtNews * PartOfRest(use, aTerms, aNow)) {
       return false;
     }
   }
-  Add(use.mWindow, aCost, aNow);
-  use.mOwnTotal += aCost;
+  Count(use, aCost, aNow);
   return true;
 }
 
 void
 ReturnQuota(QuotaState& aState, const ClientAccount& aAccount, double aCost, Instant aNow)
 {
-  AccountUse& use = UseOf(aState, aAccount.mName);
-  Add(use.mWindow, -aCost, aNow);
-  use.mOwnTotal -= aCost;
+  Count(UseOf(aState, aAccount.mName), -aCost, aNow);
 }
 
 void
@@ -65,4 +88,12 @@
   Add(UseOf(aState, aAccount).mWindow, aCost, aNow);
 }
 
+void
+OnQuotaNews(QuotaState& aState)
+{
+  for (auto& [account, use] : aState.mAccounts) {
+    use.mSinceNews = 0;
+  }
+}
+
 } // namespace trefoil
--- a/trefoil/dispatch/quota.h
+++ b/trefoil/dispatch/quota.h
@@ -5,8 +5,10 @@
 //   AddUsedElsewhere(quotas, account, tokens, now);
 //
 // Hosts tell each other what they let through. Each host allows what the account's quota leaves of the
-// window after all that it knows of. A host that hears only some of the others allows their share of the
-// quota, so that the parts of a divided system stay inside the quota together. Pure functions.
+// window after all that it knows of. What is left near the end of a quota is divided among the hosts until the
+// next news, by how much each of them uses, so that they do not all spend it at once. A host that hears
+// only some of the others allows their share of the quota, so that the parts of a divided system stay
+// inside the quota together. Pure functions.
 #pragma once
 
 #include "trefoil/catalogue/catalogue.h"
@@ -20,6 +22,10 @@
 {
   // Tokens (or requests) let through by all hosts in the window.
   SlidingCount mWindow;
+  // The part of it that this host let through.
+  SlidingCount mOwnWindow;
+  // Let through by this host since the last news of the others.
+  double mSinceNews = 0;
   // What this host has let through since its start.
   double mOwnTotal = 0;
 };
@@ -34,6 +40,10 @@
 {
   // The part of the quota that the hosts in touch with this one may use together.
   double mShare = 1;
+  // Hosts in touch with this one, itself included.
+  int mHostsInTouch = 1;
+  // Tokens (or requests) beyond the quota that a window may hold.
+  double mSlack = 0;
 };
 
 QuotaState
@@ -58,4 +68,8 @@
 void
 AddUsedElsewhere(QuotaState& aState, const ClientAccountId& aAccount, double aCost, Instant aNow);
 
+// The news of the other hosts are taken in; what is left is divided anew.
+void
+OnQuotaNews(QuotaState& aState);
+
 } // namespace trefoil
--- a/trefoil/dispatch/sliding_count.cc
+++ b/trefoil/dispatch/sliding_count.cc
@@ -35,11 +35,14 @@
 }
 
 void
-Add(SlidingCount& aCount, double aAmount, Instant aNow)
+Add(SlidingCount& aCount, double aAmount, Instant aWhen)
 {
-  Advance(aCount, aNow);
-  aCount.mSlices[static_cast<std::size_t>(
-    aCount.mNewest % static_cast<std::int64_t>(aCount.mSlices.size()))] += aAmount;
+  Advance(aCount, aWhen);
+  const std::int64_t slice = aWhen.time_since_epoch() / aCount.mSlice;
+  const auto size = static_cast<std::int64_t>(aCount.mSlices.size());
+  if (aCount.mNewest - slice < size) {
+    aCount.mSlices[static_cast<std::size_t>(slice % size)] += aAmount;
+  }
 }
 
 double
--- a/trefoil/dispatch/sliding_count.h
+++ b/trefoil/dispatch/sliding_count.h
@@ -26,8 +26,9 @@
 SlidingCount
 MakeSlidingCount(Instant::duration aWindow);
 
+// Adds what happened at a time, which may be past.
 void
-Add(SlidingCount& aCount, double aAmount, Instant aNow);
+Add(SlidingCount& aCount, double aAmount, Instant aWhen);
 
 double
 Sum(SlidingCount& aCount, Instant aNow);
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -146,7 +146,9 @@
     if (!TakeQuota(mState.mQuotas,
                    *mAccount,
                    mQuotaCost,
-                   { .mShare = mState.mView->mQuotaShare },
+                   { .mShare = mState.mView->mQuotaShare,
+                     .mHostsInTouch = mState.mView->mHostsInTouch,
+                     .mSlack = mState.mOptions.mQuotaSlack },
                    mArrivedAt)) {
       Refuse(kTooManyRequests, RefusalReason::kOverQuota, RetryAfter(kRetryOverQuota));
       return false;
--- a/trefoil/forward/traffic.cc
+++ b/trefoil/forward/traffic.cc
@@ -67,6 +67,7 @@
   void TakeNews(const PeerNews& aNews);
   TrafficReport MakeReport();
   void Sweep();
+  void StopListening();
   void CheckStop(Instant aBegan, Instant aDeadline);
 
   TrafficState mState;
@@ -196,9 +197,13 @@
 Traffic::Impl::TakeNews(const PeerNews& aNews)
 {
   const Instant now = SuspendAwareNow();
+  for (const PastUse& use : aNews.mPastUses) {
+    AddUsedElsewhere(mState.mQuotas, use.mAccount, use.mCost, now - use.mAge);
+  }
   for (const auto& [account, used] : aNews.mQuotaUsed) {
     AddUsedElsewhere(mState.mQuotas, account, used, now);
   }
+  OnQuotaNews(mState.mQuotas);
   for (const CrashCount& crash : aNews.mCrashes) {
     Merge(mState.mCrashes, crash, now);
   }
@@ -215,8 +220,11 @@
                         .mCrashes = std::exchange(mState.mCrashNews, {}),
                         .mLoads = mState.mLoads,
                         .mOutcomes = mState.mOutcomes };
-  for (const auto& [account, use] : mState.mQuotas.mAccounts) {
-    report.mQuotaUsed[account] = use.mOwnTotal;
+  const Instant now = SuspendAwareNow();
+  for (auto& [account, use] : mState.mQuotas.mAccounts) {
+    report.mQuotaUsed[account] = { .mTotal = use.mOwnTotal,
+                                   .mWindow = Sum(use.mOwnWindow, now),
+                                   .mAllHosts = use.mWindow };
   }
   for (const auto& [server, standing] : mState.mStandings) {
     if (standing.mPendingTokens > 0) {
@@ -240,12 +248,27 @@
   mState.mLoop.CallAt(now + kSweepEvery, [this] { Sweep(); });
 }
 
+// A request that came now might not end in time; clients that are refused a connection go to another host.
+void
+Traffic::Impl::StopListening()
+{
+  if (mListeners.empty()) {
+    return;
+  }
+  for (Poco::Net::ServerSocket& listener : mListeners) {
+    mState.mLoop.Unwatch(listener);
+    listener.close();
+  }
+  mListeners.clear();
+}
+
 void
 Traffic::Impl::CheckStop(Instant aBegan, Instant aDeadline)
 {
   const Instant now = SuspendAwareNow();
   const bool noticed = now - aBegan >= kBalancerNotices;
   if (noticed) {
+    StopListening();
     const auto sessions = mSessions;
     for (const auto& session : sessions) {
       session->CloseIfIdle();
--- a/trefoil/forward/traffic.h
+++ b/trefoil/forward/traffic.h
@@ -35,6 +35,8 @@
   ForwardCodec mCodec;
   RetryTerms mRetries;
   Milliseconds mQuotaWindow{ 0 };
+  // Tokens (or requests) beyond a quota that a window may hold.
+  double mQuotaSlack = 0;
   Milliseconds mUsageWindow{ 0 };
   // A request with a key is refused once the configuration was not proven current for so long.
   Milliseconds mMostConfigurationAge{ 0 };
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -6,6 +6,7 @@
 #include "trefoil/catalogue/catalogue.h"
 #include "trefoil/catalogue/server_registry.h"
 #include "trefoil/dispatch/server_choice.h"
+#include "trefoil/dispatch/sliding_count.h"
 #include "trefoil/request/crash_ledger.h"
 
 #include <cstdint>
@@ -41,12 +42,23 @@
   double mQuotaShare = 1;
   // Entry hosts, in touch or not; at least 1.
   int mHosts = 1;
+  int mHostsInTouch = 1;
   std::map<ServiceId, VersionSteering> mSteering;
 };
 
+// What some host let through of an account's quota some time ago.
+struct PastUse
+{
+  ClientAccountId mAccount;
+  double mCost = 0;
+  Milliseconds mAge{ 0 };
+};
+
 // News of other hosts for the traffic thread.
 struct PeerNews
 {
+  // From before the start of this host.
+  std::vector<PastUse> mPastUses;
   std::map<ClientAccountId, double> mQuotaUsed;
   std::vector<CrashCount> mCrashes;
   // Pending prompt tokens at each server, summed over the other hosts.
@@ -75,11 +87,22 @@
   int mInFlight = 0;
 };
 
+// What a host let through of an account's quota.
+struct QuotaUse
+{
+  // Since the start of the host.
+  double mTotal = 0;
+  // In the newest window.
+  double mWindow = 0;
+  // What all hosts let through in the window, as far as this one knows.
+  SlidingCount mAllHosts;
+};
+
 // What the traffic thread tells the control thread.
 struct TrafficReport
 {
   // Totals since the start of the host.
-  std::map<ClientAccountId, double> mQuotaUsed;
+  std::map<ClientAccountId, QuotaUse> mQuotaUsed;
   UsageWindows mUsage;
   std::vector<CrashCount> mCrashes;
   std::map<BackendServerId, double> mPendingTokens;
--- a/trefoil/settings/gateway_settings.cc
+++ b/trefoil/settings/gateway_settings.cc
@@ -18,6 +18,7 @@
 constexpr std::int64_t kMostRetrySlack = 1'000'000;
 constexpr std::int64_t kDefaultRetryWindowMs = 10'000;
 constexpr std::int64_t kDefaultQuotaWindowMs = 8'000;
+constexpr std::int64_t kMostQuotaSlack = 1'000'000'000;
 constexpr std::int64_t kDefaultUsageWindowMs = 5'000;
 constexpr std::int64_t kDefaultUsageLateMs = 10'000;
 
@@ -60,6 +61,8 @@
     "retry_slack", kDefaultRetrySlack, { .mLeast = 0, .mMost = kMostRetrySlack });
   settings.mRetryWindow = ReadDuration(reader, "retry_window_ms", kDefaultRetryWindowMs);
   settings.mQuotaWindow = ReadDuration(reader, "quota_window_ms", kDefaultQuotaWindowMs);
+  settings.mQuotaSlack =
+    reader.OptionalInt("quota_slack", 0, { .mLeast = 0, .mMost = kMostQuotaSlack });
   settings.mUsageWindow = ReadDuration(reader, "usage_window_ms", kDefaultUsageWindowMs);
   settings.mUsageLateAfter = ReadDuration(reader, "usage_late_after_ms", kDefaultUsageLateMs);
   if (settings.mRetryRatio < 0 || settings.mRetryRatio > 1) {
--- a/trefoil/settings/gateway_settings.h
+++ b/trefoil/settings/gateway_settings.h
@@ -40,6 +40,8 @@
   std::int64_t mRetrySlack = 0;
   Milliseconds mRetryWindow{ 0 };
   Milliseconds mQuotaWindow{ 0 };
+  // Tokens (or requests) beyond an account's quota that a window may hold.
+  std::int64_t mQuotaSlack = 0;
   Milliseconds mUsageWindow{ 0 };
   Milliseconds mUsageLateAfter{ 0 };
 
--- a/trefoil/steering/control.cc
+++ b/trefoil/steering/control.cc
@@ -7,6 +7,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <algorithm>
 #include <array>
 #include <thread>
 #include <utility>
@@ -16,6 +17,8 @@
 
 // News are sent so often: a quota is overrun by at most what comes in that time and a way.
 constexpr Milliseconds kNewsEvery{ 250 };
+// A record of the quotas is written once for so many news: every half a second.
+constexpr std::uint64_t kNewsPerQuotaRecord = 2;
 // The store's list of hosts is read so often.
 constexpr Milliseconds kHostsEvery{ 5'000 };
 // Crashes are repeated in the news for so long, since a message may be lost.
@@ -37,7 +40,10 @@
                     .mLeaving = aState.mLeaving };
   for (const auto& [account, used] : aState.mReport.mQuotaUsed) {
     news.mQuotas.push_back(
-      { .mAccount = account, .mUsed = static_cast<std::uint64_t>(std::max(0.0, used)) });
+      { .mAccount = account,
+        .mUsed = static_cast<std::uint64_t>(std::max(0.0, used.mTotal)),
+        .mUsedInWindow =
+          static_cast<std::uint64_t>(std::clamp(used.mWindow, 0.0, std::max(0.0, used.mTotal))) });
   }
   std::size_t windows = 0;
   for (auto window = aState.mReport.mUsage.rbegin();
@@ -173,6 +179,9 @@
   NoteTouch(aState);
   PublishView(aState);
   WorkOnDuties(aState);
+  if (aState.mSequence % kNewsPerQuotaRecord == 0) {
+    WriteQuotaRecord(aState);
+  }
 }
 
 void
--- a/trefoil/steering/internal/store_news.cc
+++ b/trefoil/steering/internal/store_news.cc
@@ -1,5 +1,7 @@
 #include "trefoil/steering/internal/store_news.h"
 
+#include "trefoil/steering/quota_record.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -292,8 +294,46 @@
     });
 }
 
+// Takes in what the quotas were used for before this host started, then begins to serve.
+void
+OnQuotaRecord(ControlState& aState, const StoreAnswer& aAnswer)
+{
+  if (aAnswer.mOutcome == StoreOutcome::kDone && !aAnswer.mItems.empty()) {
+    const auto record = ParseQuotaRecord(aAnswer.mItems.front().mValue);
+    if (record.ok()) {
+      PeerNews news{ .mPastUses = PastUses(*record, WallNow()) };
+      aState.mTraffic.Tell(std::move(news));
+    } else {
+      aState.mLog.Write(LogWeight::kNotable,
+                        LogEvent::kInputRejected,
+                        "input=quota_record reason=\"{}\"",
+                        std::string{ record.status().message() });
+    }
+  }
+  aState.mOperatorWatch->Start();
+}
+
 } // namespace
 
+void
+WriteQuotaRecord(ControlState& aState)
+{
+  const Instant now = SuspendAwareNow();
+  const std::vector<HostId> live = LivePeers(aState.mPeers, now);
+  const bool first = std::ranges::all_of(
+    live, [&aState](const HostId& aHost) { return aState.mOptions.mHost < aHost; });
+  if (!first || aState.mReport.mQuotaUsed.empty()) {
+    return;
+  }
+  aState.mStore.Call(
+    Commit{ .mWrites = { { .mKey = kQuotaKey,
+                           .mValue = RenderQuotaRecord(
+                             MakeQuotaRecord(aState.mReport.mQuotaUsed, WallNow())) } } },
+    now + kHostsLimit,
+    // A record that is not written is followed by the next one.
+    [](const StoreAnswer& /*aAnswer*/) {});
+}
+
 void
 FollowStore(ControlState& aState)
 {
@@ -317,7 +357,9 @@
                         .mWait = kOperatorWait,
                         .mGather = kOperatorGather },
     std::move(operators));
-  aState.mOperatorWatch->Start();
+  aState.mStore.Call(ReadKey{ .mKey = kQuotaKey },
+                     SuspendAwareNow() + kHostsLimit,
+                     [&aState](const StoreAnswer& aAnswer) { OnQuotaRecord(aState, aAnswer); });
 
   PrefixWatchCallbacks servers = HealthCallbacks(aState, "servers");
   servers.mOnList = [&aState](const std::vector<StoreItem>& aItems, std::int64_t aRevision) {
@@ -356,6 +398,7 @@
 {
   const Instant now = SuspendAwareNow();
   aState.mView.mHosts = HostCount(aState.mPeers, now);
+  aState.mView.mHostsInTouch = static_cast<int>(LivePeers(aState.mPeers, now).size()) + 1;
   aState.mView.mQuotaShare = QuotaShare(aState.mPeers, now);
   aState.mView.mSteering = SteeringOf(aState.mMoves);
   aState.mTraffic.Publish(std::make_shared<const TrafficView>(aState.mView));
--- a/trefoil/steering/internal/store_news.h
+++ b/trefoil/steering/internal/store_news.h
@@ -13,6 +13,10 @@
 void
 RefreshHosts(ControlState& aState);
 
+// Writes what the quotas were used for lately, if this host is the one to do so.
+void
+WriteQuotaRecord(ControlState& aState);
+
 // Publishes what has changed to the traffic thread.
 void
 PublishView(ControlState& aState);
--- a/trefoil/steering/peer_book.cc
+++ b/trefoil/steering/peer_book.cc
@@ -35,10 +35,12 @@
     return {};
   }
   PeerNews news;
+  // Nothing is known of what an unknown incarnation let through before its window.
   const auto before = sameLife ? QuotasOf(peer.mNews) : std::map<ClientAccountId, std::uint64_t>{};
   for (const AccountTotal& total : aNews.mQuotas) {
     const auto known = before.find(total.mAccount);
-    const std::uint64_t used = known == before.end() ? 0 : known->second;
+    const std::uint64_t used =
+      sameLife ? (known == before.end() ? 0 : known->second) : total.mUsed - total.mUsedInWindow;
     if (total.mUsed > used) {
       news.mQuotaUsed[total.mAccount] = static_cast<double>(total.mUsed - used);
     }
--- /dev/null
+++ b/trefoil/steering/peer_book_test.cc
@@ -0,0 +1,95 @@
+#include "trefoil/steering/peer_book.h"
+
+#include <catch2/catch.hpp>
+
+namespace trefoil {
+namespace {
+
+const Instant kNow{ std::chrono::hours{ 1 } };
+const ClientAccountId kAccount{ "club" };
+const HostId kPeer{ "host-2" };
+
+TrafficNews
+News(std::uint64_t aIncarnation, std::uint64_t aSequence, std::uint64_t aTotal, std::uint64_t aWindow)
+{
+  return { .mHost = kPeer,
+           .mIncarnation = aIncarnation,
+           .mSequence = aSequence,
+           .mEndpoint = { .mAddress = "127.0.0.2", .mPort = 7600 },
+           .mQuotas = { { .mAccount = kAccount, .mUsed = aTotal, .mUsedInWindow = aWindow } } };
+}
+
+SCENARIO("a host hears what another one let through")
+{
+  PeerBook book{ .mSelf = HostId{ "host-1" } };
+  GIVEN("a peer that has run for a long time")
+  {
+    const PeerNews first = TakeNews(book, News(1, 40, 9'000'000, 50'000), kNow);
+    THEN("only what the peer let through in the window counts")
+    {
+      CHECK(first.mQuotaUsed.at(kAccount) == 50'000);
+    }
+    WHEN("it lets more through")
+    {
+      const PeerNews next = TakeNews(book, News(1, 42, 9'030'000, 70'000), kNow);
+      THEN("the difference counts, though a message was lost")
+      {
+        CHECK(next.mQuotaUsed.at(kAccount) == 30'000);
+      }
+      AND_WHEN("an old message comes late")
+      {
+        const PeerNews late = TakeNews(book, News(1, 41, 9'010'000, 60'000), kNow);
+        THEN("it changes nothing") { CHECK(late.mQuotaUsed.empty()); }
+      }
+    }
+    WHEN("it starts again")
+    {
+      const PeerNews again = TakeNews(book, News(2, 1, 20'000, 20'000), kNow);
+      THEN("its new total counts") { CHECK(again.mQuotaUsed.at(kAccount) == 20'000); }
+    }
+  }
+}
+
+SCENARIO("a host is cut off from some of the others")
+{
+  PeerBook book{ .mSelf = HostId{ "host-1" } };
+  book.mListed = { { HostId{ "host-1" }, {} }, { HostId{ "host-2" }, {} }, { HostId{ "host-3" }, {} } };
+  TakeNews(book, News(1, 1, 0, 0), kNow);
+  THEN("the hosts in touch may use their share of the quotas")
+  {
+    CHECK(HostCount(book, kNow) == 3);
+    CHECK(QuotaShare(book, kNow) == Approx(2.0 / 3));
+  }
+  WHEN("nothing is heard for a while")
+  {
+    const Instant later = kNow + std::chrono::seconds{ 2 };
+    THEN("the host may use its own share alone") { CHECK(QuotaShare(book, later) == Approx(1.0 / 3)); }
+  }
+  WHEN("the other one stops")
+  {
+    TrafficNews leaving = News(1, 2, 0, 0);
+    leaving.mLeaving = true;
+    TakeNews(book, leaving, kNow);
+    THEN("its share goes to the others") { CHECK(QuotaShare(book, kNow) == Approx(0.5)); }
+  }
+}
+
+SCENARIO("usage of a window is summed over hosts and their incarnations")
+{
+  PeerBook book{ .mSelf = HostId{ "host-1" } };
+  TrafficNews news = News(1, 1, 0, 0);
+  news.mUsage = { { .mWindow = 7, .mAccount = kAccount, .mRequests = 12 } };
+  TakeNews(book, news, kNow);
+  news.mIncarnation = 2;
+  news.mUsage = { { .mWindow = 7, .mAccount = kAccount, .mRequests = 3 } };
+  TakeNews(book, news, kNow);
+  CHECK(UsageElsewhere(book, 7).at(kAccount) == 15);
+  WHEN("windows before are dropped")
+  {
+    DropUsageBefore(book, 8);
+    THEN("nothing is left") { CHECK(UsageElsewhere(book, 7).empty()); }
+  }
+}
+
+} // namespace
+} // namespace trefoil
--- a/trefoil/wire/traffic_message.h
+++ b/trefoil/wire/traffic_message.h
@@ -19,12 +19,14 @@
 struct AccountTotal
 {
   ClientAccountId mAccount;
+  // Since the start of the host, and in the newest window.
   std::uint64_t mUsed = 0;
+  std::uint64_t mUsedInWindow = 0;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mAccount, mUsed);
+    aArchive(mAccount, mUsed, mUsedInWindow);
   }
 };
 
