Count demand that hosts may not serve, and keep servers until the demand is known

Change: no order in the first 3.5 s of a duty; what runs then is kept for 20 s unless the demand asks for more; a first order never lowers at once; requests that a host may not serve for want of news count as demand.

--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -79,9 +79,6 @@
   }
   mDeadlineTimer =
     mState.mLoop.CallAt(mDeadline, [self = shared_from_this()] { self->OnDeadline(); });
-  ServiceLoad& load = mState.mLoads[mService];
-  ++load.mRequests;
-  load.mPromptTokens += static_cast<double>(mFacts.mPromptTokens);
   CountRequest(mState.mRetries, mService, mArrivedAt);
   TryServer();
 }
@@ -127,6 +124,8 @@
 {
   if (!mCatalogue->mCatalogue.mAccounts.empty() && !mRoute->mAllowsAnonymous) {
     if (mArrivedAt - mState.mView->mProvenAt > mState.mOptions.mMostConfigurationAge) {
+      // The demand is there, though this host may not serve it now.
+      NoteDemand();
       Refuse(kUnavailable, RefusalReason::kOldConfiguration, RetryAfter(kRetryWhenFull));
       return false;
     }
@@ -155,9 +154,20 @@
     }
     mQuotaTaken = true;
   }
+  NoteDemand();
   return true;
 }
 
+void
+Exchange::NoteDemand()
+{
+  if (!std::exchange(mDemandNoted, true)) {
+    ServiceLoad& load = mState.mLoads[mService];
+    ++load.mRequests;
+    load.mPromptTokens += static_cast<double>(mFacts.mPromptTokens);
+  }
+}
+
 ServerStanding&
 Exchange::StandingOf(const BackendServerId& aServer)
 {
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -113,6 +113,7 @@
   void Start();
   bool CheckRequest();
   bool CheckAccount();
+  void NoteDemand();
   void TryServer();
   std::optional<RegisteredServer> PickServer();
   VersionId PickVersion();
@@ -153,6 +154,7 @@
   ServiceId mService;
   double mQuotaCost = 0;
   bool mQuotaTaken = false;
+  bool mDemandNoted = false;
   std::string mCacheKey;
   std::int64_t mSharedTokens = 0;
   Instant mArrivedAt;
--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -98,11 +98,13 @@
 {
   aState.mStore.Call(EndStoreLease{ .mLease = aEffect.mLease },
                      SuspendAwareNow() + kCallLimit,
-                     [&aState](const StoreAnswer& aAnswer) {
-                       aState.mLog.Write(LogWeight::kNotable,
-                                         LogEvent::kDutyLost,
-                                         "reason=leaving lease_end={}",
-                                         NameOf(kStoreOutcomeNames, aAnswer.mOutcome));
+                     [&aState, held = aState.mHoldsDuties](const StoreAnswer& aAnswer) {
+                       if (held) {
+                         aState.mLog.Write(LogWeight::kNotable,
+                                           LogEvent::kDutyLost,
+                                           "reason=leaving lease_end={}",
+                                           NameOf(kStoreOutcomeNames, aAnswer.mOutcome));
+                       }
                      });
 }
 
@@ -168,6 +170,9 @@
   const bool holds = Holds(aState.mDuties, kDuties, SuspendAwareNow());
   if (holds != aState.mHoldsDuties) {
     aState.mHoldsDuties = holds;
+    if (holds) {
+      StartScaling(aState.mScaling, SuspendAwareNow());
+    }
     aState.mLog.Write(LogWeight::kNotable,
                       holds ? LogEvent::kDutyTaken : LogEvent::kDutyLost,
                       "fencing={} lease={}",
--- a/trefoil/steering/scaling.cc
+++ b/trefoil/steering/scaling.cc
@@ -22,6 +22,10 @@
 // The demand is taken over periods of this length, and the highest of the newest ones counts.
 constexpr Milliseconds kDemandPeriod{ 2'000 };
 constexpr Milliseconds kDemandMemory{ 20'000 };
+// Servers that start together with the hosts have registered after this.
+constexpr Milliseconds kRegistersWithin{ 3'500 };
+// A holder that has just taken up the duty knows the demand of the day after this.
+constexpr Milliseconds kDemandKnownAfter{ 20'000 };
 // A server that was ordered is registered so long after its start-up time.
 constexpr Milliseconds kBootMargin{ 3'000 };
 
@@ -88,15 +92,28 @@
 }
 
 int
-ServersNeeded(ScalingState& aState, const ScalingInputs& aInputs, const ServiceId& aService)
+ServersNeeded(ScalingState& aState,
+              const ScalingInputs& aInputs,
+              const ServiceId& aService,
+              Instant aNow)
 {
   const double demand = PeakDemand(aState, aService);
-  if (demand > 0) {
-    return CeilingOf(demand / kTokensPerServer);
-  }
+  const int needed = CeilingOf(demand / kTokensPerServer);
   const int present = CountServers(*aInputs.mServers, aService, nullptr, true) +
                       CountServers(*aInputs.mServers, aService, nullptr, false);
-  return aState.mAtStart.try_emplace(aService, present).first->second;
+  int& atStart = aState.mAtStart[aService];
+  if (aNow - aState.mStartedAt < kRegistersWithin) {
+    atStart = present;
+  }
+  const bool known = demand > 0 && aNow - aState.mStartedAt >= kDemandKnownAfter;
+  return known ? needed : std::max(needed, atStart);
+}
+
+void
+StartScaling(ScalingState& aState, Instant aNow)
+{
+  aState = {};
+  aState.mStartedAt = aNow;
 }
 
 std::map<AvailabilityZoneId, ZonePlan>
@@ -129,11 +146,19 @@
     if (!service.mScaling.has_value()) {
       continue;
     }
+    const int needed = ServersNeeded(aState, aInputs, name, aNow);
+    if (aNow - aState.mStartedAt < kRegistersWithin) {
+      continue;
+    }
     for (const auto& [zone, plan] :
-         PlanServers(aInputs, service, ServersNeeded(aState, aInputs, name))) {
+         PlanServers(aInputs, service, needed)) {
       for (const bool reclaimable : { true, false }) {
         const int wanted = reclaimable ? plan.mReclaimable : plan.mLasting;
         OrderState& state = aState.mOrders[{ name, zone, reclaimable }];
+        if (state.mAccepted < 0) {
+          // What runs was ordered by a holder before this one, or by the platform itself.
+          state.mAccepted = CountServers(*aInputs.mServers, name, &zone, reclaimable);
+        }
         const bool lost =
           state.mAccepted == wanted &&
           aNow - state.mAcceptedAt > service.mScaling->mBootTime + kBootMargin &&
--- a/trefoil/steering/scaling.h
+++ b/trefoil/steering/scaling.h
@@ -59,8 +59,10 @@
 {
   std::map<OrderKey, OrderState> mOrders;
   std::map<ServiceId, DemandTrack> mDemand;
-  // The servers that ran when the duty was taken up: what is kept while there is no demand yet.
+  // The servers that ran when the duty was taken up, and when that was: they are kept until the demand is
+  // known.
   std::map<ServiceId, int> mAtStart;
+  Instant mStartedAt;
 };
 
 struct ZonePlan
@@ -87,9 +89,16 @@
 std::map<AvailabilityZoneId, ZonePlan>
 PlanServers(const ScalingInputs& aInputs, const CatalogueService& aService, int aNeeded);
 
-// Returns how many servers a demand needs in all; what ran at the start while there is none.
+// Returns how many servers the demand needs in all; not fewer than ran at the start until it is known.
 int
-ServersNeeded(ScalingState& aState, const ScalingInputs& aInputs, const ServiceId& aService);
+ServersNeeded(ScalingState& aState,
+              const ScalingInputs& aInputs,
+              const ServiceId& aService,
+              Instant aNow);
+
+// Forgets what an earlier time of duty found. Called when the duty is taken up.
+void
+StartScaling(ScalingState& aState, Instant aNow);
 
 // Returns the orders that are due and notes them as under way.
 std::vector<ServerOrder>
