--- a/cmd/trefoil_gateway.cc
+++ b/cmd/trefoil_gateway.cc
@@ -91,7 +91,8 @@
   return signals;
 }
 
-// Reads the settings again. A change takes effect at the next start, except that a wrong file is told.
+// Reads the settings again. A change takes effect at the next start, except that a wrong file is
+// told.
 void
 Reload(const std::string& aPath, trefoil::GatewaySettings& aSettings, trefoil::EventLog& aLog)
 {
--- a/trefoil/catalogue/catalogue.h
+++ b/trefoil/catalogue/catalogue.h
@@ -138,8 +138,8 @@
 RouteIndex
 IndexRoutes(const Catalogue& aCatalogue);
 
-// Returns the route of the host with the longest prefix of the path, null if none matches. A port in
-// `aHost` and the case of its letters are ignored.
+// Returns the route of the host with the longest prefix of the path, null if none matches. A port
+// in `aHost` and the case of its letters are ignored.
 const Route*
 FindRoute(const Catalogue& aCatalogue,
           const RouteIndex& aIndex,
--- a/trefoil/dispatch/quota.cc
+++ b/trefoil/dispatch/quota.cc
@@ -5,7 +5,8 @@
 namespace trefoil {
 namespace {
 
-// A host may spend more of what is left than its share so far, for a demand that moves between hosts.
+// A host may spend more of what is left than its share so far, for a demand that moves between
+// hosts.
 constexpr double kShareGrowth = 1.5;
 
 // Returns the part of what is left of a quota that this host may spend until the next news.
@@ -55,7 +56,7 @@
   return static_cast<double>(aTokens > 0 ? aTokens : aAccount.mDefaultTokens);
 }
 
-bool
+QuotaDecision
 TakeQuota(QuotaState& aState,
           const ClientAccount& aAccount,
           double aCost,
@@ -63,17 +64,18 @@
           Instant aNow)
 {
   AccountUse& use = UseOf(aState, aAccount.mName);
+  QuotaDecision decision{ .mUsed = Sum(use.mWindow, aNow) };
   if (aAccount.mRatePerSecond > 0) {
     const double seconds = std::chrono::duration<double>(aState.mWindow).count();
-    const double most =
+    decision.mLimit =
       (aAccount.mRatePerSecond * seconds + aAccount.mBurst + aTerms.mSlack) * aTerms.mShare;
-    const double restAtNews = most - (Sum(use.mWindow, aNow) - use.mSinceNews);
-    if (use.mSinceNews + aCost > restAtNews * PartOfRest(use, aTerms, aNow)) {
-      return false;
-    }
+    const double restAtNews = decision.mLimit - (decision.mUsed - use.mSinceNews);
+    decision.mAllowed = use.mSinceNews + aCost <= restAtNews * PartOfRest(use, aTerms, aNow);
   }
-  Count(use, aCost, aNow);
-  return true;
+  if (decision.mAllowed) {
+    Count(use, aCost, aNow);
+  }
+  return decision;
 }
 
 void
--- a/trefoil/dispatch/quota.h
+++ b/trefoil/dispatch/quota.h
@@ -4,11 +4,11 @@
 //   if (TakeQuota(quotas, account, tokens, { .mShare = 1.0 }, now)) { ... dispatch ... }
 //   AddUsedElsewhere(quotas, account, tokens, now);
 //
-// Hosts tell each other what they let through. Each host allows what the account's quota leaves of the
-// window after all that it knows of. What is left near the end of a quota is divided among the hosts until the
-// next news, by how much each of them uses, so that they do not all spend it at once. A host that hears
-// only some of the others allows their share of the quota, so that the parts of a divided system stay
-// inside the quota together. Pure functions.
+// Hosts tell each other what they let through. Each host allows what the account's quota leaves of
+// the window after all that it knows of. What is left near the end of a quota is divided among the
+// hosts until the next news, by how much each of them uses, so that they do not all spend it at
+// once. A host that hears only some of the others allows their share of the quota, so that the
+// parts of a divided system stay inside the quota together. Pure functions.
 #pragma once
 
 #include "trefoil/catalogue/catalogue.h"
@@ -46,15 +46,27 @@
   double mSlack = 0;
 };
 
+// What a decision was based on.
+struct QuotaDecision
+{
+  bool mAllowed = true;
+  // Let through by all hosts in the window, and what may be.
+  double mUsed = 0;
+  double mLimit = 0;
+
+  explicit operator bool() const { return mAllowed; }
+};
+
 QuotaState
 MakeQuotaState(Instant::duration aWindow);
 
-// Returns what a request counts against its account's quota. `aTokens` is 0 if the request does not say.
+// Returns what a request counts against its account's quota. `aTokens` is 0 if the request does not
+// say.
 double
 QuotaCost(const ClientAccount& aAccount, std::int64_t aTokens);
 
-// Counts a request if the quota allows it. Returns whether it does.
-bool
+// Counts a request if the quota allows it.
+QuotaDecision
 TakeQuota(QuotaState& aState,
           const ClientAccount& aAccount,
           double aCost,
--- a/trefoil/dispatch/quota_test.cc
+++ b/trefoil/dispatch/quota_test.cc
@@ -92,7 +92,10 @@
   WHEN("it gives it back")
   {
     ReturnQuota(host, account, 1'700'000, kStart);
-    THEN("another one may take it") { CHECK(TakeQuota(host, account, 500'000, {}, kStart)); }
+    THEN("another one may take it")
+    {
+      CHECK(TakeQuota(host, account, 500'000, {}, kStart));
+    }
   }
 }
 
--- a/trefoil/dispatch/retry_fund.cc
+++ b/trefoil/dispatch/retry_fund.cc
@@ -34,8 +34,8 @@
 TakeRepeat(RetryFund& aFund, const ServiceId& aService, int aHosts, Instant aNow)
 {
   ServiceArrivals& arrivals = ArrivalsOf(aFund, aService);
-  const double most = aFund.mTerms.mRatio * Sum(arrivals.mRequests, aNow) +
-                      aFund.mTerms.mSlack / std::max(1, aHosts);
+  const double most =
+    aFund.mTerms.mRatio * Sum(arrivals.mRequests, aNow) + aFund.mTerms.mSlack / std::max(1, aHosts);
   if (Sum(arrivals.mRepeats, aNow) + 1 > most) {
     return false;
   }
--- a/trefoil/dispatch/retry_fund.h
+++ b/trefoil/dispatch/retry_fund.h
@@ -4,8 +4,8 @@
 //   CountRequest(fund, service, now);
 //   if (TakeRepeat(fund, service, hosts, now)) { ... send it once more ... }
 //
-// Each host spends a share of its own requests and its part of the slack, so that the sum over the hosts
-// holds without a message. Pure functions.
+// Each host spends a share of its own requests and its part of the slack, so that the sum over the
+// hosts holds without a message. Pure functions.
 #pragma once
 
 #include "trefoil/base/ids.h"
--- a/trefoil/dispatch/server_choice.cc
+++ b/trefoil/dispatch/server_choice.cc
@@ -42,7 +42,8 @@
 LoadCost(const ServerCandidate& aCandidate, const ChoiceTerms& aTerms)
 {
   const double away = aCandidate.mServer->mZone == aTerms.mZone ? 0 : kOtherZoneLoad;
-  return aCandidate.mStanding->mInFlight + away + kFailureLoad * aCandidate.mStanding->mFailureShare;
+  return aCandidate.mStanding->mInFlight + away +
+         kFailureLoad * aCandidate.mStanding->mFailureShare;
 }
 
 // Returns the tokens that are read before the request's own part if it goes to the candidate.
@@ -105,9 +106,8 @@
     if (!useAvoided && IsAvoided(candidate, aNow)) {
       continue;
     }
-    const double cost = aTerms.mCacheKey.empty()
-                          ? LoadCost(candidate, aTerms)
-                          : CacheCost(candidate, aTerms, position == first);
+    const double cost = aTerms.mCacheKey.empty() ? LoadCost(candidate, aTerms)
+                                                 : CacheCost(candidate, aTerms, position == first);
     if (cost < least) {
       least = cost;
       best = position;
--- a/trefoil/dispatch/server_choice.h
+++ b/trefoil/dispatch/server_choice.h
@@ -1,12 +1,13 @@
 // Which backend server a request is sent to.
 //
-//   std::optional<std::size_t> chosen = ChooseServer(candidates, { .mZone = zone, .mCacheKey = key }, now);
+//   std::optional<std::size_t> chosen = ChooseServer(candidates, { .mZone = zone, .mCacheKey = key
+//   }, now);
 //
-// Requests that follow a cache go to the servers that probably hold the shared parts of their prompt:
-// all hosts rank the servers of a key alike by rendezvous hash, so that they agree without a message, and
-// move on to the next rank only where the work that waits at the first costs more than reading the
-// parts again. Other requests go to the server with the least work, those of the own zone first.
-// Servers that failed lately are left out while others can serve. Pure functions.
+// Requests that follow a cache go to the servers that probably hold the shared parts of their
+// prompt: all hosts rank the servers of a key alike by rendezvous hash, so that they agree without
+// a message, and move on to the next rank only where the work that waits at the first costs more
+// than reading the parts again. Other requests go to the server with the least work, those of the
+// own zone first. Servers that failed lately are left out while others can serve. Pure functions.
 #pragma once
 
 #include "trefoil/catalogue/server_registry.h"
@@ -24,8 +25,8 @@
 struct ServerStanding
 {
   int mInFlight = 0;
-  // Prompt tokens of requests that wait for their first event, as far as they are not cached; of this
-  // host, and of the others by their reports.
+  // Prompt tokens of requests that wait for their first event, as far as they are not cached; of
+  // this host, and of the others by their reports.
   double mPendingTokens = 0;
   double mPendingElsewhere = 0;
   // A moving mean of outcomes: 0 all good, 1 all failed.
@@ -35,8 +36,8 @@
   Instant mAvoidUntil;
 };
 
-// What this host knows of the way to a zone: when its servers break off together, the zone is probably
-// cut off, and the others of it need not be tried one by one.
+// What this host knows of the way to a zone: when its servers break off together, the zone is
+// probably cut off, and the others of it need not be tried one by one.
 struct ZoneStanding
 {
   // Servers that broke off or were not reached since the last answer from the zone.
@@ -88,8 +89,8 @@
   { DispatchOutcome::kBroken, "broken" },
 } };
 
-// Takes in that a server of a zone was served by, or was not. Returns whether the zone is avoided from now
-// on.
+// Takes in that a server of a zone was served by, or was not. Returns whether the zone is avoided
+// from now on.
 bool
 NoteZoneOutcome(ZoneStanding& aZone,
                 const BackendServerId& aServer,
--- a/trefoil/dispatch/sliding_count.h
+++ b/trefoil/dispatch/sliding_count.h
@@ -4,8 +4,8 @@
 //   Add(count, 1, now);
 //   double sum = Sum(count, now);
 //
-// Time is cut into slices; the sum covers the window and up to one slice more, so that it never misses
-// what happened inside the window. Plain data and pure functions.
+// Time is cut into slices; the sum covers the window and up to one slice more, so that it never
+// misses what happened inside the window. Plain data and pure functions.
 #pragma once
 
 #include "trefoil/base/instant.h"
--- a/trefoil/eventlog/event_log.h
+++ b/trefoil/eventlog/event_log.h
@@ -3,9 +3,9 @@
 //   EventLog log{ "host-1" };
 //   log.Write(LogWeight::kNotable, LogEvent::kAttemptFailed, "id={} server={}", id, server);
 //
-// Lines are written by a thread of their own from a bounded queue whose oldest lines give way, so that
-// a reader that stops reading costs lines and never a request. Each weight has a budget of lines a
-// second; what exceeds it is counted and told once a second. Thread-safe.
+// Lines are written by a thread of their own from a bounded queue whose oldest lines give way, so
+// that a reader that stops reading costs lines and never a request. Each weight has a budget of
+// lines a second; what exceeds it is counted and told once a second. Thread-safe.
 #pragma once
 
 #include "absl/base/thread_annotations.h"
--- a/trefoil/forward/client_session.cc
+++ b/trefoil/forward/client_session.cc
@@ -156,8 +156,7 @@
 void
 ClientSession::SendHead(const HttpAnswer& aHead, std::string_view aFraming)
 {
-  std::string bytes =
-    fmt::format("HTTP/1.1 {} {}\r\n", aHead.mStatus, StatusText(aHead.mStatus));
+  std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n", aHead.mStatus, StatusText(aHead.mStatus));
   for (const HttpHeader& header : aHead.mHeaders) {
     fmt::format_to(std::back_inserter(bytes), "{}: {}\r\n", header.mName, header.mValue);
   }
--- a/trefoil/forward/client_session.h
+++ b/trefoil/forward/client_session.h
@@ -3,8 +3,8 @@
 //   auto session = ClientSession::Start(loop, socket, options, callbacks);
 //   session->SendWhole(answer);              // or StartAnswer, SendBody..., FinishAnswer
 //
-// A request is handed on once it is whole. While it waits for its answer the connection is watched, and
-// a client that closes is reported at once. Runs on the thread of its event loop.
+// A request is handed on once it is whole. While it waits for its answer the connection is watched,
+// and a client that closes is reported at once. Runs on the thread of its event loop.
 #pragma once
 
 #include "trefoil/catalogue/catalogue.h"
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -21,8 +21,8 @@
 
 // Dispatches beyond a route's attempts that servers may turn away.
 constexpr int kMostTurnedAway = 2;
-// When a client should come again: after the time in which a full server frees a place, or in which an
-// account's window moves on.
+// When a client should come again: after the time in which a full server frees a place, or in which
+// an account's window moves on.
 constexpr Milliseconds kRetryWhenFull{ 200 };
 constexpr Milliseconds kRetryOverQuota{ 500 };
 // Clients heed a time to come back up to this part of what they have left.
@@ -96,10 +96,9 @@
     Refuse(kBadRequest, RefusalReason::kMalformedHead, std::nullopt);
     return false;
   }
-  mRoute = FindRoute(
-    mCatalogue->mCatalogue, mCatalogue->mIndex, mFacts.mHost, PathOf(mRequest.mTarget));
-  const RouteTarget* target =
-    mRoute == nullptr ? nullptr : DrawTarget(*mRoute, mState.mRandom());
+  mRoute =
+    FindRoute(mCatalogue->mCatalogue, mCatalogue->mIndex, mFacts.mHost, PathOf(mRequest.mTarget));
+  const RouteTarget* target = mRoute == nullptr ? nullptr : DrawTarget(*mRoute, mState.mRandom());
   if (target == nullptr) {
     Refuse(kNotFound, RefusalReason::kNoRoute, std::nullopt);
     return false;
@@ -142,13 +141,14 @@
   }
   if (mAccount != nullptr) {
     mQuotaCost = QuotaCost(*mAccount, mFacts.mPromptTokens + mFacts.mOutputTokens);
-    if (!TakeQuota(mState.mQuotas,
-                   *mAccount,
-                   mQuotaCost,
-                   { .mShare = mState.mView->mQuotaShare,
-                     .mHostsInTouch = mState.mView->mHostsInTouch,
-                     .mSlack = mState.mOptions.mQuotaSlack },
-                   mArrivedAt)) {
+    mQuotaDecision = TakeQuota(mState.mQuotas,
+                               *mAccount,
+                               mQuotaCost,
+                               { .mShare = mState.mView->mQuotaShare,
+                                 .mHostsInTouch = mState.mView->mHostsInTouch,
+                                 .mSlack = mState.mOptions.mQuotaSlack },
+                               mArrivedAt);
+    if (!mQuotaDecision.mAllowed) {
       Refuse(kTooManyRequests, RefusalReason::kOverQuota, RetryAfter(kRetryOverQuota));
       return false;
     }
@@ -204,11 +204,11 @@
         (steered && ofTarget != !wanted.Empty())) {
       continue;
     }
-    candidates.push_back({ .mServer = server,
-                           .mStanding = &StandingOf(server->mId),
-                           .mHoldsCache = !mCacheKey.empty() &&
-                                          Holds(mState.mCacheHints, mCacheKey, server->mId, now),
-                           .mZoneAvoided = !HasPassed(mState.mZones[server->mZone].mAvoidUntil, now) });
+    candidates.push_back(
+      { .mServer = server,
+        .mStanding = &StandingOf(server->mId),
+        .mHoldsCache = !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, server->mId, now),
+        .mZoneAvoided = !HasPassed(mState.mZones[server->mZone].mAvoidUntil, now) });
   }
   const auto chosen = ChooseServer(candidates,
                                    { .mZone = mState.mOptions.mZone,
@@ -288,15 +288,15 @@
 {
   const ReuseRule rule = MayRepeat() ? ReuseRule::kAny : ReuseRule::kFresh;
   const Instant now = SuspendAwareNow();
-  const double hinted =
-    !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, aServer.mId, now)
-      ? static_cast<double>(mSharedTokens)
-      : 0.0;
-  mAttempt = Attempt{ .mServer = aServer,
-                      .mConnection = mState.mPool.Take(aServer, rule),
-                      .mReader = MessageReader::ForAnswer(kAnswerLimits, mRequest.mMethod != "HEAD"),
-                      .mSentAt = now,
-                      .mPendingTokens = static_cast<double>(mFacts.mPromptTokens) - hinted };
+  const double hinted = !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, aServer.mId, now)
+                          ? static_cast<double>(mSharedTokens)
+                          : 0.0;
+  mAttempt =
+    Attempt{ .mServer = aServer,
+             .mConnection = mState.mPool.Take(aServer, rule),
+             .mReader = MessageReader::ForAnswer(kAnswerLimits, mRequest.mMethod != "HEAD"),
+             .mSentAt = now,
+             .mPendingTokens = static_cast<double>(mFacts.mPromptTokens) - hinted };
   ++mDispatches;
   mTried.insert(aServer.mId);
   ServerStanding& standing = StandingOf(aServer.mId);
@@ -349,8 +349,7 @@
       return;
     }
     if (mAttempt->mSkipping && state == ReadState::kComplete) {
-      mAttempt->mReader =
-        MessageReader::ForAnswer(kAnswerLimits, mRequest.mMethod != "HEAD");
+      mAttempt->mReader = MessageReader::ForAnswer(kAnswerLimits, mRequest.mMethod != "HEAD");
       mAttempt->mHeadChecked = false;
       mAttempt->mSkipping = false;
       continue;
@@ -404,8 +403,8 @@
   if (mAttempt->mBegun) {
     return;
   }
-  const bool stream = mRoute->mKind == RouteKind::kStream &&
-                      IsSuccess(mAttempt->mReader->Answer().mStatus);
+  const bool stream =
+    mRoute->mKind == RouteKind::kStream && IsSuccess(mAttempt->mReader->Answer().mStatus);
   if (stream && mAttempt->mReader->Body().empty()) {
     return;
   }
@@ -418,8 +417,7 @@
   }
   mState.mMetrics.Observe(stream ? Summary::kFirstToken : Summary::kPlainAnswer, latency);
   if (mAccount != nullptr) {
-    const std::int64_t window =
-      UnixMilliseconds(WallNow()) / mState.mOptions.mUsageWindow.count();
+    const std::int64_t window = UnixMilliseconds(WallNow()) / mState.mOptions.mUsageWindow.count();
     ++mState.mUsage[window][mAccount->mName];
   }
 }
@@ -533,8 +531,7 @@
                       standing.mFailureShare,
                       Remaining(standing.mAvoidUntil, now).count());
   }
-  if (NoteZoneOutcome(
-        mState.mZones[attempt.mServer.mZone], attempt.mServer.mId, aOutcome, now)) {
+  if (NoteZoneOutcome(mState.mZones[attempt.mServer.mZone], attempt.mServer.mId, aOutcome, now)) {
     mState.mLog.Write(LogWeight::kNotable,
                       LogEvent::kServerAvoided,
                       "zone={} service={}",
@@ -604,8 +601,8 @@
 Exchange::AttemptFailed(AttemptEnd aEnd)
 {
   mState.mMetrics.Add(Counter::kAttemptsFailed, 1);
-  const bool mayHaveRun = aEnd == AttemptEnd::kBroken || aEnd == AttemptEnd::kSilent ||
-                          aEnd == AttemptEnd::kServerError;
+  const bool mayHaveRun =
+    aEnd == AttemptEnd::kBroken || aEnd == AttemptEnd::kSilent || aEnd == AttemptEnd::kServerError;
   mState.mLog.Write(LogWeight::kNotable,
                     LogEvent::kAttemptFailed,
                     "id={} route={} server={} end={} reused={} ms={} last_event={}",
@@ -743,21 +740,26 @@
 {
   const bool notRun = aStatus == kUnavailable || aStatus == kTooManyRequests;
   mState.mMetrics.Add(notRun ? Counter::kRequestsNotRun : Counter::kRequestsMayHaveRun, 1);
-  mState.mLog.Write(LogWeight::kNotable,
-                    LogEvent::kRequestRefused,
-                    "id={} route={} account={} service={} status={} reason={} dispatches={} version={} "
-                    "proof_age_ms={} ms={}",
-                    mFacts.mRequestId,
-                    mRoute == nullptr ? "" : mRoute->mName,
-                    mAccount == nullptr ? "" : mAccount->mName.Value(),
-                    mService.Value(),
-                    aStatus,
-                    NameOf(kRefusalReasonNames, aReason),
-                    mDispatches,
-                    mCatalogue ? mCatalogue->mCatalogue.mVersion : 0,
-                    mState.mView ? (SuspendAwareNow() - mState.mView->mProvenAt) / Milliseconds{ 1 }
-                                 : 0,
-                    (SuspendAwareNow() - mArrivedAt) / Milliseconds{ 1 });
+  mState.mLog.Write(
+    LogWeight::kNotable,
+    LogEvent::kRequestRefused,
+    "id={} route={} account={} service={} status={} reason={} dispatches={} version={} "
+    "proof_age_ms={} quota_cost={:.0f} quota_used={:.0f} quota_limit={:.0f} "
+    "quota_share={:.2f} ms={}",
+    mFacts.mRequestId,
+    mRoute == nullptr ? "" : mRoute->mName,
+    mAccount == nullptr ? "" : mAccount->mName.Value(),
+    mService.Value(),
+    aStatus,
+    NameOf(kRefusalReasonNames, aReason),
+    mDispatches,
+    mCatalogue ? mCatalogue->mCatalogue.mVersion : 0,
+    mState.mView ? (SuspendAwareNow() - mState.mView->mProvenAt) / Milliseconds{ 1 } : 0,
+    mQuotaCost,
+    mQuotaDecision.mUsed,
+    mQuotaDecision.mLimit,
+    mState.mView ? mState.mView->mQuotaShare : 0,
+    (SuspendAwareNow() - mArrivedAt) / Milliseconds{ 1 });
   if (mQuotaTaken && mDispatches == 0) {
     ReturnQuota(mState.mQuotas, *mAccount, mQuotaCost, SuspendAwareNow());
   }
@@ -796,7 +798,8 @@
   const Milliseconds patience =
     mFacts.mPatience.value_or(aWanted * kRetryAfterPart) -
     std::chrono::duration_cast<Milliseconds>(SuspendAwareNow() - mArrivedAt);
-  return std::clamp(aWanted, Milliseconds{ 0 }, std::max(Milliseconds{ 0 }, patience / kRetryAfterPart));
+  return std::clamp(
+    aWanted, Milliseconds{ 0 }, std::max(Milliseconds{ 0 }, patience / kRetryAfterPart));
 }
 
 } // namespace trefoil
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -3,8 +3,8 @@
 //   auto exchange = Exchange::Begin(state, session, std::move(request));
 //   exchange->OnClientGone();
 //
-// A request that may not be repeated is sent on again only while no backend server can have run it. "Not
-// run" is answered only on that condition too. Runs on the traffic thread.
+// A request that may not be repeated is sent on again only while no backend server can have run it.
+// "Not run" is answered only on that condition too. Runs on the traffic thread.
 #pragma once
 
 #include "trefoil/base/name_table.h"
@@ -154,6 +154,7 @@
   ServiceId mService;
   double mQuotaCost = 0;
   bool mQuotaTaken = false;
+  QuotaDecision mQuotaDecision;
   bool mDemandNoted = false;
   std::string mCacheKey;
   std::int64_t mSharedTokens = 0;
--- a/trefoil/forward/server_pool.cc
+++ b/trefoil/forward/server_pool.cc
@@ -12,8 +12,8 @@
 constexpr Milliseconds kIdleMargin{ 1'000 };
 // Servers may drop idle connections sooner than they say; within this they were never seen to.
 constexpr Milliseconds kFreshIdle{ 1'000 };
-// Round trips between zones are under 10 ms. A lost first packet would be sent again after a second;
-// another server is tried before that, since nothing was sent.
+// Round trips between zones are under 10 ms. A lost first packet would be sent again after a
+// second; another server is tried before that, since nothing was sent.
 constexpr Milliseconds kConnectLimit{ 250 };
 // Above two retransmissions of a lost packet, which TCP sends after 200 and 400 ms.
 constexpr Milliseconds kServerSilence{ 800 };
--- a/trefoil/forward/server_pool.h
+++ b/trefoil/forward/server_pool.h
@@ -2,10 +2,11 @@
 //
 //   std::shared_ptr<ServerConnection> connection = pool.Take(server, ReuseRule::kAny);
 //   ...
-//   pool.Give(connection, keepsIdle);        // after a whole answer that leaves the connection clean
+//   pool.Give(connection, keepsIdle);        // after a whole answer that leaves the connection
+//   clean
 //
-// A connection belongs to one incarnation of a server. One that is not given back is closed by its owner.
-// Runs on the thread of its event loop.
+// A connection belongs to one incarnation of a server. One that is not given back is closed by its
+// owner. Runs on the thread of its event loop.
 #pragma once
 
 #include "trefoil/catalogue/server_registry.h"
@@ -22,8 +23,8 @@
 enum class ReuseRule
 {
   kAny,
-  // Only a connection that was used so lately that the server has hardly closed it: the request cannot
-  // be repeated if it has.
+  // Only a connection that was used so lately that the server has hardly closed it: the request
+  // cannot be repeated if it has.
   kFresh,
 };
 
@@ -54,8 +55,8 @@
   std::shared_ptr<ServerConnection> Take(const RegisteredServer& aServer, ReuseRule aRule);
   void Give(const std::shared_ptr<ServerConnection>& aConnection,
             std::optional<Milliseconds> aKeepsIdle);
-  // Closes the idle connections of servers that are not in the registry as this incarnation, and those
-  // that are too old.
+  // Closes the idle connections of servers that are not in the registry as this incarnation, and
+  // those that are too old.
   void Sweep(const ServerRegistry& aServers, Instant aNow);
   std::size_t Idle() const { return mIdleCount; }
   std::uint64_t Opened() const { return mOpened; }
--- a/trefoil/forward/traffic.cc
+++ b/trefoil/forward/traffic.cc
@@ -92,8 +92,11 @@
     }
   };
   callbacks->mOnMalformed = [this](int aStatus, std::string_view aReason) {
-    mState.mLog.Write(
-      LogWeight::kNotable, LogEvent::kRequestMalformed, "status={} reason=\"{}\"", aStatus, aReason);
+    mState.mLog.Write(LogWeight::kNotable,
+                      LogEvent::kRequestMalformed,
+                      "status={} reason=\"{}\"",
+                      aStatus,
+                      aReason);
   };
   callbacks->mLimits = [this] {
     return mState.mView && mState.mView->mCatalogue ? mState.mView->mCatalogue->mCatalogue.mLimits
@@ -149,9 +152,9 @@
       }));
   if (options.mMetrics.has_value()) {
     add(*options.mMetrics, PlainCallbacks([this](const HttpRequest& /*aRequest*/) {
-          return HttpAnswer{ .mHeaders = { { "Content-Type", "text/plain; version=0.0.4" } },
-                             .mBody = mState.mMetrics.Render() };
-        }));
+      return HttpAnswer{ .mHeaders = { { "Content-Type", "text/plain; version=0.0.4" } },
+                         .mBody = mState.mMetrics.Render() };
+    }));
   }
 }
 
@@ -188,8 +191,7 @@
     mState.mServers[server.mService].push_back(&server);
   }
   std::erase_if(mState.mStandings, [this](const auto& aItem) {
-    return aItem.second.mInFlight == 0 &&
-           !mState.mView->mServers->mServers.contains(aItem.first);
+    return aItem.second.mInFlight == 0 && !mState.mView->mServers->mServers.contains(aItem.first);
   });
 }
 
@@ -248,7 +250,8 @@
   mState.mLoop.CallAt(now + kSweepEvery, [this] { Sweep(); });
 }
 
-// A request that came now might not end in time; clients that are refused a connection go to another host.
+// A request that came now might not end in time; clients that are refused a connection go to
+// another host.
 void
 Traffic::Impl::StopListening()
 {
@@ -330,9 +333,8 @@
 void
 Traffic::Report(std::function<void(TrafficReport)> aCallback)
 {
-  mImpl->mState.mLoop.Post([state = mImpl.get(), callback = std::move(aCallback)] {
-    callback(state->MakeReport());
-  });
+  mImpl->mState.mLoop.Post(
+    [state = mImpl.get(), callback = std::move(aCallback)] { callback(state->MakeReport()); });
 }
 
 int
--- a/trefoil/forward/traffic.h
+++ b/trefoil/forward/traffic.h
@@ -1,5 +1,5 @@
-// The traffic thread of an entry host: clients' connections, requests under way and the connections to
-// backend servers.
+// The traffic thread of an entry host: clients' connections, requests under way and the connections
+// to backend servers.
 //
 //   auto traffic = Traffic::Start(options, log, metrics);
 //   traffic->Publish(view);                  // from the control thread
@@ -59,8 +59,9 @@
   // Has the report made on the traffic thread and handed to `aCallback` there.
   void Report(std::function<void(TrafficReport)> aCallback);
 
-  // Says no to the platform's readiness questions, goes on serving until the requests under way have
-  // ended or `aDeadline`, and ends the thread. Returns the number of requests that were cut off.
+  // Says no to the platform's readiness questions, goes on serving until the requests under way
+  // have ended or `aDeadline`, and ends the thread. Returns the number of requests that were cut
+  // off.
   int Stop(Instant aDeadline);
 
 private:
--- a/trefoil/http/http_channel.cc
+++ b/trefoil/http/http_channel.cc
@@ -56,8 +56,7 @@
   Call call{ .mBytes = RenderRequest(aRequest, mTo),
              .mCallback = std::move(aCallback),
              .mNumber = ++mLastNumber };
-  call.mTimer =
-    mLoop.CallAt(aDeadline, [this, number = call.mNumber] { OnDeadline(number); });
+  call.mTimer = mLoop.CallAt(aDeadline, [this, number = call.mNumber] { OnDeadline(number); });
   mCalls.push_back(std::move(call));
   StartNext();
 }
@@ -69,11 +68,11 @@
     return;
   }
   if (!mStream || !mStream->IsOpen()) {
-    mStream = ByteStream::Connect(mLoop,
-                                  mTo,
-                                  { .mOnBytes = [this] { OnBytes(); },
-                                    .mOnEnd = [this](StreamEnd aEnd) { OnEnd(aEnd); } },
-                                  mOptions);
+    mStream = ByteStream::Connect(
+      mLoop,
+      mTo,
+      { .mOnBytes = [this] { OnBytes(); }, .mOnEnd = [this](StreamEnd aEnd) { OnEnd(aEnd); } },
+      mOptions);
   }
   mReader = MessageReader::ForAnswer({});
   mSent = true;
@@ -117,8 +116,7 @@
     Finish(reply);
     return;
   }
-  Finish({ .mKind =
-             aEnd == StreamEnd::kConnectFailed ? ReplyKind::kNotSent : ReplyKind::kLost });
+  Finish({ .mKind = aEnd == StreamEnd::kConnectFailed ? ReplyKind::kNotSent : ReplyKind::kLost });
 }
 
 void
--- a/trefoil/http/http_channel.h
+++ b/trefoil/http/http_channel.h
@@ -3,8 +3,8 @@
 //   HttpChannel channel(loop, endpoint, { .mSilenceLimit = kSilenceLimit });
 //   channel.Send(request, deadline, [](const HttpReply& aReply) { ... });
 //
-// Requests wait their turn. After a failure the connection is closed and the next request opens a new
-// one. All calls are made on the loop's thread.
+// Requests wait their turn. After a failure the connection is closed and the next request opens a
+// new one. All calls are made on the loop's thread.
 #pragma once
 
 #include "trefoil/base/endpoint.h"
@@ -82,7 +82,8 @@
   std::optional<MessageReader> mReader;
 };
 
-// Returns the bytes of a request. `Host` is set from the endpoint, and Content-Length from the body.
+// Returns the bytes of a request. `Host` is set from the endpoint, and Content-Length from the
+// body.
 std::string
 RenderRequest(const HttpRequest& aRequest, const Endpoint& aTo);
 
--- a/trefoil/http/message.cc
+++ b/trefoil/http/message.cc
@@ -47,8 +47,8 @@
                                           "trailer",
                                           "transfer-encoding",
                                           "upgrade" };
-  return std::ranges::any_of(kNames,
-                             [aName](std::string_view aKnown) { return IsSameHeader(aKnown, aName); });
+  return std::ranges::any_of(
+    kNames, [aName](std::string_view aKnown) { return IsSameHeader(aKnown, aName); });
 }
 
 std::string_view
--- a/trefoil/http/message_reader.cc
+++ b/trefoil/http/message_reader.cc
@@ -1,6 +1,5 @@
 #include "trefoil/http/message_reader.h"
 
-
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <string_view>
@@ -131,8 +130,8 @@
   std::size_t taken = 0;
   beast::error_code error;
   while (taken < aBytes.size() && !aParser.is_done()) {
-    const std::size_t count = aParser.put(
-      boost::asio::const_buffer{ aBytes.data() + taken, aBytes.size() - taken }, error);
+    const std::size_t count =
+      aParser.put(boost::asio::const_buffer{ aBytes.data() + taken, aBytes.size() - taken }, error);
     taken += count;
     if (error || count == 0) {
       break;
--- a/trefoil/http/message_reader.h
+++ b/trefoil/http/message_reader.h
@@ -4,8 +4,8 @@
 //   switch (reader.Consume(stream.Received())) {
 //     case ReadState::kComplete: use(reader.Answer(), reader.Body());
 //
-// The framing is decoded by Boost.Beast. Folded headers, bare line feeds and bodies whose end is left
-// open are malformed. One object reads one message.
+// The framing is decoded by Boost.Beast. Folded headers, bare line feeds and bodies whose end is
+// left open are malformed. One object reads one message.
 #pragma once
 
 #include "trefoil/base/name_table.h"
--- a/trefoil/reactor/byte_stream.cc
+++ b/trefoil/reactor/byte_stream.cc
@@ -20,8 +20,7 @@
 SetSilenceLimit(Poco::Net::StreamSocket& aSocket, Milliseconds aLimit)
 {
   constexpr int kProbes = 2;
-  const int seconds =
-    std::max(1, static_cast<int>(aLimit.count() / 1'000 / (kProbes + 1)));
+  const int seconds = std::max(1, static_cast<int>(aLimit.count() / 1'000 / (kProbes + 1)));
   aSocket.setNoDelay(true);
   aSocket.setKeepAlive(true);
   aSocket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, seconds);
--- a/trefoil/reactor/byte_stream.h
+++ b/trefoil/reactor/byte_stream.h
@@ -46,7 +46,8 @@
 
 struct StreamOptions
 {
-  // Unacknowledged bytes, or a peer that answers no keep-alive probe, end the connection after this.
+  // Unacknowledged bytes, or a peer that answers no keep-alive probe, end the connection after
+  // this.
   Milliseconds mSilenceLimit{ 3'000 };
   Milliseconds mConnectLimit{ 1'000 };
 };
--- a/trefoil/reactor/event_loop.cc
+++ b/trefoil/reactor/event_loop.cc
@@ -112,8 +112,7 @@
 void
 EventLoop::Watch(const Poco::Net::Socket& aSocket, unsigned aEvents, Handler aHandler)
 {
-  const auto [entry, fresh] =
-    mHandlers.insert_or_assign(aSocket.impl(), std::move(aHandler));
+  const auto [entry, fresh] = mHandlers.insert_or_assign(aSocket.impl(), std::move(aHandler));
   if (fresh) {
     mSockets.add(aSocket, PollMode(aEvents));
   } else {
@@ -170,8 +169,7 @@
   if (wait <= Milliseconds{ 0 }) {
     wait = Milliseconds{ 0 };
   }
-  const auto ready =
-    mSockets.poll(Poco::Timespan{ std::chrono::microseconds{ wait }.count() });
+  const auto ready = mSockets.poll(Poco::Timespan{ std::chrono::microseconds{ wait }.count() });
   for (const auto& [socket, mode] : ready) {
     // An earlier handler of this round may have closed the socket.
     const auto handler = mHandlers.find(socket.impl());
--- a/trefoil/reactor/event_loop.h
+++ b/trefoil/reactor/event_loop.h
@@ -51,13 +51,12 @@
   // Drops a timer; one that has run, or 0, is ignored.
   void Cancel(TimerId aTimer);
 
-  // Calls the handler while the socket is ready for what `aEvents` names. A second call for the same
-  // socket replaces the first. The socket stays watched until Unwatch.
+  // Calls the handler while the socket is ready for what `aEvents` names. A second call for the
+  // same socket replaces the first. The socket stays watched until Unwatch.
   void Watch(const Poco::Net::Socket& aSocket, unsigned aEvents, Handler aHandler);
   void Unwatch(const Poco::Net::Socket& aSocket);
 
 private:
-
   void WakeUp();
   void RunTasks();
   void RunTimers();
--- a/trefoil/settings/gateway_settings.h
+++ b/trefoil/settings/gateway_settings.h
@@ -48,8 +48,8 @@
   friend bool operator==(const GatewaySettings&, const GatewaySettings&) = default;
 };
 
-// Parses the text of a settings file. `aFile` names it in errors. Returns InvalidArgument with file, line
-// and column for a value that is missing, wrong or unknown.
+// Parses the text of a settings file. `aFile` names it in errors. Returns InvalidArgument with
+// file, line and column for a value that is missing, wrong or unknown.
 absl::StatusOr<GatewaySettings>
 ParseGatewaySettings(std::string_view aText, std::string_view aFile);
 
--- a/trefoil/steering/control.cc
+++ b/trefoil/steering/control.cc
@@ -39,11 +39,10 @@
                     .mHoldsDuties = aState.mHoldsDuties,
                     .mLeaving = aState.mLeaving };
   for (const auto& [account, used] : aState.mReport.mQuotaUsed) {
-    news.mQuotas.push_back(
-      { .mAccount = account,
-        .mUsed = static_cast<std::uint64_t>(std::max(0.0, used.mTotal)),
-        .mUsedInWindow =
-          static_cast<std::uint64_t>(std::clamp(used.mWindow, 0.0, std::max(0.0, used.mTotal))) });
+    news.mQuotas.push_back({ .mAccount = account,
+                             .mUsed = static_cast<std::uint64_t>(std::max(0.0, used.mTotal)),
+                             .mUsedInWindow = static_cast<std::uint64_t>(
+                               std::clamp(used.mWindow, 0.0, std::max(0.0, used.mTotal))) });
   }
   std::size_t windows = 0;
   for (auto window = aState.mReport.mUsage.rbegin();
@@ -68,12 +67,11 @@
       { .mServer = server, .mTokens = static_cast<std::uint64_t>(std::max(0.0, tokens)) });
   }
   for (const auto& [service, load] : aState.mReport.mLoads) {
-    news.mServices.push_back(
-      { .mService = service,
-        .mRequests = load.mRequests,
-        .mPromptTokens = static_cast<std::uint64_t>(load.mPromptTokens),
-        .mSlow = load.mSlow,
-        .mInFlight = load.mInFlight });
+    news.mServices.push_back({ .mService = service,
+                               .mRequests = load.mRequests,
+                               .mPromptTokens = static_cast<std::uint64_t>(load.mPromptTokens),
+                               .mSlow = load.mSlow,
+                               .mInFlight = load.mInFlight });
   }
   if (!aState.mMoves.mMoves.empty()) {
     for (const auto& [service, versions] : aState.mReport.mOutcomes) {
@@ -122,6 +120,7 @@
                       std::string{ message.status().message() });
     return;
   }
+  const bool unknown = IsUnknown(aState.mPeers, *news);
   PeerNews added = TakeNews(aState.mPeers, *news, SuspendAwareNow());
   if (news->mHoldsDuties && news->mHost != aState.mOptions.mHost) {
     OnHolderHeard(aState);
@@ -130,6 +129,10 @@
     added.mPendingTokens = PendingElsewhere(aState.mPeers, SuspendAwareNow());
     aState.mTraffic.Tell(std::move(added));
   }
+  if (unknown) {
+    // A host that has just started learns of this one at once.
+    SendNews(aState);
+  }
 }
 
 void
--- a/trefoil/steering/control.h
+++ b/trefoil/steering/control.h
@@ -1,5 +1,5 @@
-// The control thread of an entry host: what the store says, what other hosts say, and the duties that one
-// host at a time carries out.
+// The control thread of an entry host: what the store says, what other hosts say, and the duties
+// that one host at a time carries out.
 //
 //   auto control = Control::Start(options, *traffic, log);
 //   ...
--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -15,15 +15,16 @@
 constexpr Milliseconds kCallLimit{ 1'500 };
 // A call that carries out a duty ends within this, or its effect is not waited for.
 constexpr Milliseconds kActLimit{ 1'000 };
-// After the end of a usage window, the news of all hosts with its last counts have come, and requests
-// that began in it have shown their first byte.
+// After the end of a usage window, the news of all hosts with its last counts have come, and
+// requests that began in it have shown their first byte.
 constexpr Milliseconds kUsageSettle{ 2'000 };
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 // Hosts that stand ready wait longer the lower they rank; ranks beyond this wait alike.
 constexpr int kMostRank = 8;
 
-void Apply(ControlState& aState, const DutyEvent& aEvent);
+void
+Apply(ControlState& aState, const DutyEvent& aEvent);
 
 ClaimResult
 ResultOf(const StoreAnswer& aAnswer)
@@ -78,19 +79,19 @@
 void
 Perform(ControlState& aState, const RenewLease& aEffect)
 {
-  aState.mStore.Call(RenewStoreLease{ .mLease = aEffect.mLease },
-                     SuspendAwareNow() + kCallLimit,
-                     [&aState, aEffect](const StoreAnswer& aAnswer) {
-                       if (aAnswer.mOutcome == StoreOutcome::kDone) {
-                         Apply(aState,
-                               LeaseAnswered{ .mCallNumber = aEffect.mCallNumber,
-                                              .mLease = aEffect.mLease });
-                       } else if (aAnswer.mOutcome == StoreOutcome::kNotFound) {
-                         Apply(aState, LeaseLost{ .mLease = aEffect.mLease });
-                       } else {
-                         Apply(aState, LeaseCallFailed{ .mCallNumber = aEffect.mCallNumber });
-                       }
-                     });
+  aState.mStore.Call(
+    RenewStoreLease{ .mLease = aEffect.mLease },
+    SuspendAwareNow() + kCallLimit,
+    [&aState, aEffect](const StoreAnswer& aAnswer) {
+      if (aAnswer.mOutcome == StoreOutcome::kDone) {
+        Apply(aState,
+              LeaseAnswered{ .mCallNumber = aEffect.mCallNumber, .mLease = aEffect.mLease });
+      } else if (aAnswer.mOutcome == StoreOutcome::kNotFound) {
+        Apply(aState, LeaseLost{ .mLease = aEffect.mLease });
+      } else {
+        Apply(aState, LeaseCallFailed{ .mCallNumber = aEffect.mCallNumber });
+      }
+    });
 }
 
 void
@@ -320,11 +321,8 @@
   }
   for (const auto& [host, peer] : aState.mPeers.mPeers) {
     for (const ServiceTotal& total : peer.mNews.mServices) {
-      NoteDemand(aState.mScaling,
-                 host,
-                 total.mService,
-                 static_cast<double>(total.mPromptTokens),
-                 now);
+      NoteDemand(
+        aState.mScaling, host, total.mService, static_cast<double>(total.mPromptTokens), now);
     }
   }
   for (const ServerOrder& order : DueOrders(aState.mScaling, inputs, now)) {
@@ -333,16 +331,17 @@
       now + kActLimit,
       [&aState, order](const HttpReply& aReply) {
         const bool accepted = IsAccepted(aReply);
-        aState.mLog.Write(LogWeight::kNotable,
-                          LogEvent::kServersOrdered,
-                          "service={} zone={} count={} reclaimable={} accepted={} reply={} status={}",
-                          order.mService.Value(),
-                          order.mZone.Value(),
-                          order.mCount,
-                          order.mReclaimable,
-                          accepted,
-                          NameOf(kReplyKindNames, aReply.mKind),
-                          aReply.mAnswer.mStatus);
+        aState.mLog.Write(
+          LogWeight::kNotable,
+          LogEvent::kServersOrdered,
+          "service={} zone={} count={} reclaimable={} accepted={} reply={} status={}",
+          order.mService.Value(),
+          order.mZone.Value(),
+          order.mCount,
+          order.mReclaimable,
+          accepted,
+          NameOf(kReplyKindNames, aReply.mKind),
+          aReply.mAnswer.mStatus);
         OnOrderAnswered(aState.mScaling, order, accepted, SuspendAwareNow());
       });
   }
--- a/trefoil/steering/internal/store_news.cc
+++ b/trefoil/steering/internal/store_news.cc
@@ -8,9 +8,9 @@
 namespace trefoil {
 namespace {
 
-// How long the store holds a watch without changes. That of the operators' keys also proves that the
-// configuration is the newest, so it is well below the age at which keys are refused.
-constexpr Milliseconds kOperatorWait{ 1'500 };
+// How long the store holds a watch without changes. That of the operators' keys also proves that
+// the configuration is the newest, so it is well below the age at which keys are refused.
+constexpr Milliseconds kOperatorWait{ 1'000 };
 constexpr Milliseconds kServerWait{ 5'000 };
 // Servers that start or leave together are read by one call. Well below the time in which a leaving
 // server must get no more requests.
@@ -269,8 +269,7 @@
     }
   }
   if (listed != aState.mPeers.mListed) {
-    aState.mLog.Write(
-      LogWeight::kNotable, LogEvent::kPeersChanged, "listed={}", listed.size());
+    aState.mLog.Write(LogWeight::kNotable, LogEvent::kPeersChanged, "listed={}", listed.size());
   }
   aState.mPeers.mListed = std::move(listed);
 }
@@ -282,16 +281,15 @@
   if (lease == 0 || lease == aState.mListedUnderLease) {
     return;
   }
-  aState.mStore.Call(
-    Commit{ .mWrites = { { .mKey = kHostPrefix + aState.mOptions.mHost.Value(),
-                           .mValue = ToText(aState.mOptions.mPeerEndpoint),
-                           .mLease = lease } } },
-    SuspendAwareNow() + kHostsLimit,
-    [&aState, lease](const StoreAnswer& aAnswer) {
-      if (aAnswer.mOutcome == StoreOutcome::kDone) {
-        aState.mListedUnderLease = lease;
-      }
-    });
+  aState.mStore.Call(Commit{ .mWrites = { { .mKey = kHostPrefix + aState.mOptions.mHost.Value(),
+                                            .mValue = ToText(aState.mOptions.mPeerEndpoint),
+                                            .mLease = lease } } },
+                     SuspendAwareNow() + kHostsLimit,
+                     [&aState, lease](const StoreAnswer& aAnswer) {
+                       if (aAnswer.mOutcome == StoreOutcome::kDone) {
+                         aState.mListedUnderLease = lease;
+                       }
+                     });
 }
 
 // Takes in what the quotas were used for before this host started, then begins to serve.
@@ -302,6 +300,7 @@
     const auto record = ParseQuotaRecord(aAnswer.mItems.front().mValue);
     if (record.ok()) {
       PeerNews news{ .mPastUses = PastUses(*record, WallNow()) };
+      aState.mPeers.mRecordTakenAt = SuspendAwareNow();
       aState.mTraffic.Tell(std::move(news));
     } else {
       aState.mLog.Write(LogWeight::kNotable,
@@ -325,13 +324,12 @@
   if (!first || aState.mReport.mQuotaUsed.empty()) {
     return;
   }
-  aState.mStore.Call(
-    Commit{ .mWrites = { { .mKey = kQuotaKey,
-                           .mValue = RenderQuotaRecord(
-                             MakeQuotaRecord(aState.mReport.mQuotaUsed, WallNow())) } } },
-    now + kHostsLimit,
-    // A record that is not written is followed by the next one.
-    [](const StoreAnswer& /*aAnswer*/) {});
+  aState.mStore.Call(Commit{ .mWrites = { { .mKey = kQuotaKey,
+                                            .mValue = RenderQuotaRecord(MakeQuotaRecord(
+                                              aState.mReport.mQuotaUsed, WallNow())) } } },
+                     now + kHostsLimit,
+                     // A record that is not written is followed by the next one.
+                     [](const StoreAnswer& /*aAnswer*/) {});
 }
 
 void
@@ -349,14 +347,13 @@
     aState.mView.mProvenAt = std::max(aState.mView.mProvenAt, aWhen);
     PublishView(aState);
   };
-  aState.mOperatorWatch.emplace(
-    aState.mLoop,
-    aState.mOptions.mStore,
-    codec.mStore,
-    PrefixWatchOptions{ .mPrefix = codec.mOperatorPrefix,
-                        .mWait = kOperatorWait,
-                        .mGather = kOperatorGather },
-    std::move(operators));
+  aState.mOperatorWatch.emplace(aState.mLoop,
+                                aState.mOptions.mStore,
+                                codec.mStore,
+                                PrefixWatchOptions{ .mPrefix = codec.mOperatorPrefix,
+                                                    .mWait = kOperatorWait,
+                                                    .mGather = kOperatorGather },
+                                std::move(operators));
   aState.mStore.Call(ReadKey{ .mKey = kQuotaKey },
                      SuspendAwareNow() + kHostsLimit,
                      [&aState](const StoreAnswer& aAnswer) { OnQuotaRecord(aState, aAnswer); });
@@ -375,12 +372,13 @@
     aState.mLoop.CallAt(*aState.mServersRegainedAt + kServersReturn,
                         [&aState] { SettleDoubtfulRemovals(aState); });
   };
-  aState.mServerWatch.emplace(
-    aState.mLoop,
-    aState.mOptions.mStore,
-    codec.mStore,
-    PrefixWatchOptions{ .mPrefix = codec.mServerPrefix, .mWait = kServerWait, .mGather = kServerGather },
-    std::move(servers));
+  aState.mServerWatch.emplace(aState.mLoop,
+                              aState.mOptions.mStore,
+                              codec.mStore,
+                              PrefixWatchOptions{ .mPrefix = codec.mServerPrefix,
+                                                  .mWait = kServerWait,
+                                                  .mGather = kServerGather },
+                              std::move(servers));
   aState.mServerWatch->Start();
 }
 
--- a/trefoil/steering/internal/store_news.h
+++ b/trefoil/steering/internal/store_news.h
@@ -9,7 +9,8 @@
 void
 FollowStore(ControlState& aState);
 
-// Asks the store for the entry hosts that it lists, and writes this one's entry where it is missing.
+// Asks the store for the entry hosts that it lists, and writes this one's entry where it is
+// missing.
 void
 RefreshHosts(ControlState& aState);
 
--- a/trefoil/steering/peer_book.cc
+++ b/trefoil/steering/peer_book.cc
@@ -7,6 +7,8 @@
 
 // A host that was not heard of for so long is out of touch: four of its messages are missing.
 constexpr Milliseconds kSilentAfter{ 1'000 };
+// All running hosts are heard of within this after the start.
+constexpr Milliseconds kRecordCovers{ 2'000 };
 // A host that the store does not list is forgotten after this; a store's outage is shorter.
 constexpr Milliseconds kForgetAfter{ 15'000 };
 
@@ -35,12 +37,14 @@
     return {};
   }
   PeerNews news;
+  const bool inRecord =
+    aBook.mRecordTakenAt.has_value() && aNow - *aBook.mRecordTakenAt < kRecordCovers;
   // Nothing is known of what an unknown incarnation let through before its window.
   const auto before = sameLife ? QuotasOf(peer.mNews) : std::map<ClientAccountId, std::uint64_t>{};
   for (const AccountTotal& total : aNews.mQuotas) {
     const auto known = before.find(total.mAccount);
-    const std::uint64_t used =
-      sameLife ? (known == before.end() ? 0 : known->second) : total.mUsed - total.mUsedInWindow;
+    const std::uint64_t used = sameLife ? (known == before.end() ? 0 : known->second)
+                                        : total.mUsed - (inRecord ? 0 : total.mUsedInWindow);
     if (total.mUsed > used) {
       news.mQuotaUsed[total.mAccount] = static_cast<double>(total.mUsed - used);
     }
@@ -61,6 +65,14 @@
   return news;
 }
 
+bool
+IsUnknown(const PeerBook& aBook, const TrafficNews& aNews)
+{
+  const auto peer = aBook.mPeers.find(aNews.mHost);
+  return aNews.mHost != aBook.mSelf &&
+         (peer == aBook.mPeers.end() || peer->second.mNews.mIncarnation < aNews.mIncarnation);
+}
+
 std::vector<HostId>
 LivePeers(const PeerBook& aBook, Instant aNow)
 {
--- a/trefoil/steering/peer_book_test.cc
+++ b/trefoil/steering/peer_book_test.cc
@@ -10,7 +10,10 @@
 const HostId kPeer{ "host-2" };
 
 TrafficNews
-News(std::uint64_t aIncarnation, std::uint64_t aSequence, std::uint64_t aTotal, std::uint64_t aWindow)
+News(std::uint64_t aIncarnation,
+     std::uint64_t aSequence,
+     std::uint64_t aTotal,
+     std::uint64_t aWindow)
 {
   return { .mHost = kPeer,
            .mIncarnation = aIncarnation,
@@ -39,13 +42,53 @@
       AND_WHEN("an old message comes late")
       {
         const PeerNews late = TakeNews(book, News(1, 41, 9'010'000, 60'000), kNow);
-        THEN("it changes nothing") { CHECK(late.mQuotaUsed.empty()); }
+        THEN("it changes nothing")
+        {
+          CHECK(late.mQuotaUsed.empty());
+        }
       }
     }
     WHEN("it starts again")
     {
       const PeerNews again = TakeNews(book, News(2, 1, 20'000, 20'000), kNow);
-      THEN("its new total counts") { CHECK(again.mQuotaUsed.at(kAccount) == 20'000); }
+      THEN("its new total counts")
+      {
+        CHECK(again.mQuotaUsed.at(kAccount) == 20'000);
+      }
+    }
+  }
+}
+
+SCENARIO("a host starts and reads the record of the quotas")
+{
+  PeerBook book{ .mSelf = HostId{ "host-1" }, .mRecordTakenAt = kNow };
+  CHECK(IsUnknown(book, News(1, 40, 0, 0)));
+  GIVEN("a peer that is heard of just afterwards")
+  {
+    const PeerNews first =
+      TakeNews(book, News(1, 40, 9'000'000, 50'000), kNow + Milliseconds{ 100 });
+    THEN("its window is part of the record and does not count twice")
+    {
+      CHECK(first.mQuotaUsed.empty());
+      CHECK_FALSE(IsUnknown(book, News(1, 41, 0, 0)));
+    }
+    WHEN("it lets more through")
+    {
+      const PeerNews next =
+        TakeNews(book, News(1, 41, 9'030'000, 70'000), kNow + Milliseconds{ 350 });
+      THEN("the difference counts")
+      {
+        CHECK(next.mQuotaUsed.at(kAccount) == 30'000);
+      }
+    }
+  }
+  GIVEN("a peer that is heard of much later")
+  {
+    const PeerNews first =
+      TakeNews(book, News(1, 40, 9'000'000, 50'000), kNow + std::chrono::seconds{ 5 });
+    THEN("its window counts")
+    {
+      CHECK(first.mQuotaUsed.at(kAccount) == 50'000);
     }
   }
 }
@@ -53,7 +96,9 @@
 SCENARIO("a host is cut off from some of the others")
 {
   PeerBook book{ .mSelf = HostId{ "host-1" } };
-  book.mListed = { { HostId{ "host-1" }, {} }, { HostId{ "host-2" }, {} }, { HostId{ "host-3" }, {} } };
+  book.mListed = { { HostId{ "host-1" }, {} },
+                   { HostId{ "host-2" }, {} },
+                   { HostId{ "host-3" }, {} } };
   TakeNews(book, News(1, 1, 0, 0), kNow);
   THEN("the hosts in touch may use their share of the quotas")
   {
@@ -63,14 +108,20 @@
   WHEN("nothing is heard for a while")
   {
     const Instant later = kNow + std::chrono::seconds{ 2 };
-    THEN("the host may use its own share alone") { CHECK(QuotaShare(book, later) == Approx(1.0 / 3)); }
+    THEN("the host may use its own share alone")
+    {
+      CHECK(QuotaShare(book, later) == Approx(1.0 / 3));
+    }
   }
   WHEN("the other one stops")
   {
     TrafficNews leaving = News(1, 2, 0, 0);
     leaving.mLeaving = true;
     TakeNews(book, leaving, kNow);
-    THEN("its share goes to the others") { CHECK(QuotaShare(book, kNow) == Approx(0.5)); }
+    THEN("its share goes to the others")
+    {
+      CHECK(QuotaShare(book, kNow) == Approx(0.5));
+    }
   }
 }
 
@@ -87,7 +138,10 @@
   WHEN("windows before are dropped")
   {
     DropUsageBefore(book, 8);
-    THEN("nothing is left") { CHECK(UsageElsewhere(book, 7).empty()); }
+    THEN("nothing is left")
+    {
+      CHECK(UsageElsewhere(book, 7).empty());
+    }
   }
 }
 
--- a/trefoil/steering/prefix_watch.cc
+++ b/trefoil/steering/prefix_watch.cc
@@ -72,8 +72,7 @@
 {
   const Instant now = SuspendAwareNow();
   mChannel.Call(
-    WatchKeys{
-      .mPrefix = mOptions.mPrefix, .mAfterRevision = mRevision, .mWait = mOptions.mWait },
+    WatchKeys{ .mPrefix = mOptions.mPrefix, .mAfterRevision = mRevision, .mWait = mOptions.mWait },
     now + mOptions.mWait + mOptions.mMargin,
     [this, now](const StoreAnswer& aAnswer) { OnWatched(aAnswer, now); });
 }
@@ -112,8 +111,8 @@
   const Milliseconds pause =
     std::min(kLongestPause, kFirstPause * (1 << std::min(mFailures, kMostDoublings)));
   ++mFailures;
-  const auto drawn = static_cast<std::int64_t>(
-    mRandom() % static_cast<std::uint64_t>(pause.count() / 2 + 1));
+  const auto drawn =
+    static_cast<std::int64_t>(mRandom() % static_cast<std::uint64_t>(pause.count() / 2 + 1));
   mLoop.CallAt(SuspendAwareNow() + pause / 2 + Milliseconds{ drawn }, [this, aList] {
     if (aList) {
       List({});
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -1,5 +1,5 @@
-// Keeps up with the keys of one prefix in the store: a list, then watches, and a new list when the store
-// has dropped the changes in between.
+// Keeps up with the keys of one prefix in the store: a list, then watches, and a new list when the
+// store has dropped the changes in between.
 //
 //   PrefixWatch watch(loop, channel, { .mPrefix = "servers/" }, callbacks);
 //   watch.Start();
--- a/trefoil/steering/quota_record.cc
+++ b/trefoil/steering/quota_record.cc
@@ -58,15 +58,14 @@
 std::vector<PastUse>
 PastUses(const QuotaRecord& aRecord, WallTime aNow)
 {
-  const Milliseconds since = std::max(
-    Milliseconds{ 0 }, std::chrono::duration_cast<Milliseconds>(aNow - aRecord.mAt));
+  const Milliseconds since =
+    std::max(Milliseconds{ 0 }, std::chrono::duration_cast<Milliseconds>(aNow - aRecord.mAt));
   std::vector<PastUse> uses;
   for (const auto& [account, slices] : aRecord.mSlices) {
     Milliseconds age = since;
     for (auto used = slices.rbegin(); used != slices.rend(); ++used) {
       if (*used > 0) {
-        uses.push_back(
-          { .mAccount = account, .mCost = static_cast<double>(*used), .mAge = age });
+        uses.push_back({ .mAccount = account, .mCost = static_cast<double>(*used), .mAge = age });
       }
       age += aRecord.mSlice;
     }
--- a/trefoil/steering/quota_record.h
+++ b/trefoil/steering/quota_record.h
@@ -1,5 +1,5 @@
-// What all hosts let through of the quotas lately, as one record in the store, for hosts that start when
-// there is nobody left to ask.
+// What all hosts let through of the quotas lately, as one record in the store, for hosts that start
+// when there is nobody left to ask.
 //
 //   std::string text = RenderQuotaRecord(record);
 //   std::vector<PastUse> uses = PastUses(*ParseQuotaRecord(text), WallNow());
--- a/trefoil/steering/scaling.cc
+++ b/trefoil/steering/scaling.cc
@@ -10,8 +10,8 @@
 constexpr Milliseconds kOrderPause{ 2'000 };
 // Fewer servers are ordered once fewer were wanted for so long: a wave of the load is longer.
 constexpr Milliseconds kLowerAfter{ 4'000 };
-// Prompt tokens a second, cached parts included, that one server reads in time for its goals. From trials on
-// the standard days: 40,000 and 52,000 are worth the same, 28,000 and 65,000 less.
+// Prompt tokens a second, cached parts included, that one server reads in time for its goals. From
+// trials on the standard days: 40,000 and 52,000 are worth the same, 28,000 and 65,000 less.
 constexpr double kTokensPerServer = 46'000;
 // Reclaimable servers ordered for each one needed, so that the loss of a zone leaves most of them.
 constexpr double kReclaimableSpare = 2.0;
@@ -126,11 +126,10 @@
     reclaimable = std::min(CeilingOf(aNeeded * kReclaimableSpare / zones),
                            static_cast<int>(bounds.mMost * kReclaimablePart));
   }
-  const int missing =
-    aNeeded - CountServers(*aInputs.mServers, aService.mName, nullptr, true);
+  const int missing = aNeeded - CountServers(*aInputs.mServers, aService.mName, nullptr, true);
   const int least = std::max(kLastingInZone, bounds.mLeast);
-  const int lasting = std::clamp(
-    CeilingOf(missing / zones), least, std::max(least, bounds.mMost - reclaimable));
+  const int lasting =
+    std::clamp(CeilingOf(missing / zones), least, std::max(least, bounds.mMost - reclaimable));
   std::map<AvailabilityZoneId, ZonePlan> plan;
   for (const AvailabilityZoneId& zone : aInputs.mZones) {
     plan[zone] = { .mReclaimable = reclaimable, .mLasting = lasting };
@@ -150,8 +149,7 @@
     if (aNow - aState.mStartedAt < kRegistersWithin) {
       continue;
     }
-    for (const auto& [zone, plan] :
-         PlanServers(aInputs, service, needed)) {
+    for (const auto& [zone, plan] : PlanServers(aInputs, service, needed)) {
       for (const bool reclaimable : { true, false }) {
         const int wanted = reclaimable ? plan.mReclaimable : plan.mLasting;
         OrderState& state = aState.mOrders[{ name, zone, reclaimable }];
@@ -159,10 +157,9 @@
           // What runs was ordered by a holder before this one, or by the platform itself.
           state.mAccepted = CountServers(*aInputs.mServers, name, &zone, reclaimable);
         }
-        const bool lost =
-          state.mAccepted == wanted &&
-          aNow - state.mAcceptedAt > service.mScaling->mBootTime + kBootMargin &&
-          CountServers(*aInputs.mServers, name, &zone, reclaimable) < wanted;
+        const bool lost = state.mAccepted == wanted &&
+                          aNow - state.mAcceptedAt > service.mScaling->mBootTime + kBootMargin &&
+                          CountServers(*aInputs.mServers, name, &zone, reclaimable) < wanted;
         if (wanted >= state.mAccepted) {
           state.mLowerSince = aNow;
         }
@@ -171,10 +168,8 @@
           continue;
         }
         state.mNextAt = aNow + kOrderPause;
-        orders.push_back({ .mService = name,
-                           .mZone = zone,
-                           .mCount = wanted,
-                           .mReclaimable = reclaimable });
+        orders.push_back(
+          { .mService = name, .mZone = zone, .mCount = wanted, .mReclaimable = reclaimable });
       }
     }
   }
--- a/trefoil/steering/scaling.h
+++ b/trefoil/steering/scaling.h
@@ -4,9 +4,10 @@
 //   for (const ServerOrder& order : DueOrders(scaling, inputs, now)) { ... }
 //   OnOrderAnswered(scaling, order, accepted, now);
 //
-// Reclaimable servers carry the load, since they cost a fraction, spread over the zones, since all of a
-// zone are reclaimed at once. A few lasting servers are kept in each zone, and more are ordered while
-// reclaimable ones are missing. Orders are absolute. Pure functions; the caller sends the orders.
+// Reclaimable servers carry the load, since they cost a fraction, spread over the zones, since all
+// of a zone are reclaimed at once. A few lasting servers are kept in each zone, and more are
+// ordered while reclaimable ones are missing. Orders are absolute. Pure functions; the caller sends
+// the orders.
 #pragma once
 
 #include "trefoil/steering/platform_codec.h"
@@ -59,8 +60,8 @@
 {
   std::map<OrderKey, OrderState> mOrders;
   std::map<ServiceId, DemandTrack> mDemand;
-  // The servers that ran when the duty was taken up, and when that was: they are kept until the demand is
-  // known.
+  // The servers that ran when the duty was taken up, and when that was: they are kept until the
+  // demand is known.
   std::map<ServiceId, int> mAtStart;
   Instant mStartedAt;
 };
@@ -89,7 +90,8 @@
 std::map<AvailabilityZoneId, ZonePlan>
 PlanServers(const ScalingInputs& aInputs, const CatalogueService& aService, int aNeeded);
 
-// Returns how many servers the demand needs in all; not fewer than ran at the start until it is known.
+// Returns how many servers the demand needs in all; not fewer than ran at the start until it is
+// known.
 int
 ServersNeeded(ScalingState& aState,
               const ScalingInputs& aInputs,
--- a/trefoil/steering/scaling_test.cc
+++ b/trefoil/steering/scaling_test.cc
@@ -41,7 +41,9 @@
 }
 
 int
-CountOrdered(const std::vector<ServerOrder>& aOrders, const AvailabilityZoneId& aZone, bool aReclaimable)
+CountOrdered(const std::vector<ServerOrder>& aOrders,
+             const AvailabilityZoneId& aZone,
+             bool aReclaimable)
 {
   const auto found = std::ranges::find_if(aOrders, [&](const ServerOrder& aOrder) {
     return aOrder.mZone == aZone && aOrder.mReclaimable == aReclaimable;
@@ -57,7 +59,10 @@
   ScalingState scaling;
   StartScaling(scaling, kStart);
   AddServers(servers, kZoneA, false, 1);
-  THEN("nothing is ordered yet") { CHECK(DueOrders(scaling, inputs, kStart).empty()); }
+  THEN("nothing is ordered yet")
+  {
+    CHECK(DueOrders(scaling, inputs, kStart).empty());
+  }
   WHEN("the others have registered")
   {
     DueOrders(scaling, inputs, kStart);
@@ -65,7 +70,8 @@
     AddServers(servers, kZoneB, false, 4);
     DueOrders(scaling, inputs, kStart + std::chrono::seconds{ 3 });
     const auto orders = DueOrders(scaling, inputs, kStart + kLater);
-    THEN("reclaimable ones are ordered for all that run, and none is sent away before they are there")
+    THEN(
+      "reclaimable ones are ordered for all that run, and none is sent away before they are there")
     {
       CHECK(CountOrdered(orders, kZoneA, true) == 6);
       CHECK(CountOrdered(orders, kZoneB, true) == 6);
@@ -128,12 +134,18 @@
   {
     NoteDemand(scaling, kHost, kService, 0, kStart + std::chrono::seconds{ 3 });
     NoteDemand(scaling, kHost, kService, 50'000, kStart + std::chrono::seconds{ 4 });
-    THEN("its demand goes on") { CHECK(PeakDemand(scaling, kService) == Approx(100'000)); }
+    THEN("its demand goes on")
+    {
+      CHECK(PeakDemand(scaling, kService) == Approx(100'000));
+    }
   }
   WHEN("the peak is long past")
   {
     NoteDemand(scaling, kHost, kService, 1'200'000, kStart + std::chrono::seconds{ 40 });
-    THEN("it is forgotten") { CHECK(PeakDemand(scaling, kService) == Approx(0)); }
+    THEN("it is forgotten")
+    {
+      CHECK(PeakDemand(scaling, kService) == Approx(0));
+    }
   }
 }
 
--- a/trefoil/steering/usage_duty.h
+++ b/trefoil/steering/usage_duty.h
@@ -3,9 +3,9 @@
 //   for (const UsageAction& action : NextUsageActions(duty, times, wallNow, now, counts)) { ... }
 //   OnRecorded(duty, window, outcome, report);
 //
-// The counts of a window are written to the store once, under the condition that no other host wrote them,
-// and only what stands there is sent, so that every holder of the duty sends the same report. Pure
-// functions; the caller carries out the actions.
+// The counts of a window are written to the store once, under the condition that no other host
+// wrote them, and only what stands there is sent, so that every holder of the duty sends the same
+// report. Pure functions; the caller carries out the actions.
 #pragma once
 
 #include "trefoil/base/name_table.h"
--- a/trefoil/steering/version_moves.cc
+++ b/trefoil/steering/version_moves.cc
@@ -3,14 +3,14 @@
 namespace trefoil {
 namespace {
 
-// The part of a service's requests that a version under trial gets: half of what may be exposed to a
-// bad one.
+// The part of a service's requests that a version under trial gets: half of what may be exposed to
+// a bad one.
 constexpr double kTrialShare = 0.05;
 // Answers of the new version from which it is judged good or bad.
 constexpr std::int64_t kEnoughAnswers = 25;
 constexpr std::int64_t kEnoughFailures = 4;
-// A version is worse if its failures, or the mean time of its answers, exceed those of the version before
-// by so much.
+// A version is worse if its failures, or the mean time of its answers, exceed those of the version
+// before by so much.
 constexpr double kMostExtraFailures = 0.1;
 constexpr double kMostSlowdown = 1.8;
 // The part of the order's time after which a decision is due without further proof.
@@ -29,8 +29,7 @@
 {
   Means means{ .mAnswers = aOutcomes.mServed + aOutcomes.mFailed, .mFailed = aOutcomes.mFailed };
   if (means.mAnswers > 0) {
-    means.mFailures =
-      static_cast<double>(aOutcomes.mFailed) / static_cast<double>(means.mAnswers);
+    means.mFailures = static_cast<double>(aOutcomes.mFailed) / static_cast<double>(means.mAnswers);
   }
   if (aOutcomes.mServed > 0) {
     means.mLatencyMs = aOutcomes.mLatencyMs / static_cast<double>(aOutcomes.mServed);
@@ -61,16 +60,13 @@
   if (found != aMoves.mMoves.end() && found->second.mRevision >= aRevision) {
     return false;
   }
-  aMoves.mMoves[aOrder.mService] = VersionMove{
-    .mOrder = aOrder, .mRevision = aRevision, .mSeenAt = aNow, .mBefore = aOutcomes
-  };
+  aMoves.mMoves[aOrder.mService] =
+    VersionMove{ .mOrder = aOrder, .mRevision = aRevision, .mSeenAt = aNow, .mBefore = aOutcomes };
   return true;
 }
 
 bool
-JudgeMove(VersionMove& aMove,
-          const std::map<VersionId, VersionOutcomes>& aOutcomes,
-          Instant aNow)
+JudgeMove(VersionMove& aMove, const std::map<VersionId, VersionOutcomes>& aOutcomes, Instant aNow)
 {
   if (aMove.mState != VersionMoveState::kRunning) {
     return false;
@@ -79,8 +75,7 @@
   VersionOutcomes others;
   for (const auto& [version, total] : aOutcomes) {
     const auto known = aMove.mBefore.find(version);
-    const VersionOutcomes before =
-      known == aMove.mBefore.end() ? VersionOutcomes{} : known->second;
+    const VersionOutcomes before = known == aMove.mBefore.end() ? VersionOutcomes{} : known->second;
     VersionOutcomes& sum = version == aMove.mOrder.mTarget ? target : others;
     sum.mServed += total.mServed - before.mServed;
     sum.mFailed += total.mFailed - before.mFailed;
@@ -95,8 +90,8 @@
   if (elapsed < kDecideBy * std::chrono::duration<double>(aMove.mOrder.mWithin)) {
     return false;
   }
-  aMove.mState = now.mAnswers >= kEnoughAnswers ? VersionMoveState::kCompleted
-                                                : VersionMoveState::kRolledBack;
+  aMove.mState =
+    now.mAnswers >= kEnoughAnswers ? VersionMoveState::kCompleted : VersionMoveState::kRolledBack;
   return true;
 }
 
--- a/trefoil/steering/version_moves.h
+++ b/trefoil/steering/version_moves.h
@@ -45,9 +45,7 @@
 
 // Decides on a running move by the outcomes since its order. Returns whether its state changed.
 bool
-JudgeMove(VersionMove& aMove,
-          const std::map<VersionId, VersionOutcomes>& aOutcomes,
-          Instant aNow);
+JudgeMove(VersionMove& aMove, const std::map<VersionId, VersionOutcomes>& aOutcomes, Instant aNow);
 
 // Returns how the traffic of the services is steered.
 std::map<ServiceId, VersionSteering>
--- a/trefoil/store/store_channel.cc
+++ b/trefoil/store/store_channel.cc
@@ -14,9 +14,7 @@
 } // namespace
 
 StoreChannel::StoreChannel(EventLoop& aLoop, const Endpoint& aStore, StoreCodec aCodec)
-  : mChannel(aLoop,
-             aStore,
-             { .mSilenceLimit = kStoreSilence, .mConnectLimit = kStoreConnect })
+  : mChannel(aLoop, aStore, { .mSilenceLimit = kStoreSilence, .mConnectLimit = kStoreConnect })
   , mCodec(aCodec)
 {
 }
@@ -24,25 +22,24 @@
 void
 StoreChannel::Call(const StoreCall& aCall, Instant aDeadline, Callback aCallback)
 {
-  mChannel.Send(mCodec.mEncode(aCall),
-                aDeadline,
-                [aCall, callback = std::move(aCallback), decode = mCodec.mDecode](
-                  const HttpReply& aReply) {
-                  if (aReply.mKind != ReplyKind::kAnswered) {
-                    callback({ .mOutcome = aReply.mKind == ReplyKind::kNotSent
-                                             ? StoreOutcome::kRefused
-                                             : StoreOutcome::kUnknown });
-                    return;
-                  }
-                  const auto answer = decode(aCall, aReply.mAnswer);
-                  if (!answer.ok()) {
-                    spdlog::warn("event=store_answer_unreadable reason=\"{}\"",
-                                 std::string{ answer.status().message() });
-                    callback({ .mOutcome = StoreOutcome::kUnknown });
-                    return;
-                  }
-                  callback(*answer);
-                });
+  mChannel.Send(
+    mCodec.mEncode(aCall),
+    aDeadline,
+    [aCall, callback = std::move(aCallback), decode = mCodec.mDecode](const HttpReply& aReply) {
+      if (aReply.mKind != ReplyKind::kAnswered) {
+        callback({ .mOutcome = aReply.mKind == ReplyKind::kNotSent ? StoreOutcome::kRefused
+                                                                   : StoreOutcome::kUnknown });
+        return;
+      }
+      const auto answer = decode(aCall, aReply.mAnswer);
+      if (!answer.ok()) {
+        spdlog::warn("event=store_answer_unreadable reason=\"{}\"",
+                     std::string{ answer.status().message() });
+        callback({ .mOutcome = StoreOutcome::kUnknown });
+        return;
+      }
+      callback(*answer);
+    });
 }
 
 } // namespace trefoil
