--- /dev/null
+++ b/trefoil/dispatch/server_choice_test.cc
@@ -0,0 +1,156 @@
+#include "trefoil/dispatch/retry_fund.h"
+#include "trefoil/dispatch/server_choice.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <set>
+
+namespace trefoil {
+namespace {
+
+const Instant kNow{ std::chrono::hours{ 1 } };
+const AvailabilityZoneId kZoneA{ "a" };
+const AvailabilityZoneId kZoneB{ "b" };
+
+struct Servers
+{
+  explicit Servers(std::size_t aCount)
+    : mServers(aCount)
+    , mStandings(aCount)
+  {
+    for (std::size_t i = 0; i < aCount; ++i) {
+      mServers[i].mId = BackendServerId{ fmt::format("engine-{}", i) };
+      mServers[i].mZone = i % 2 == 0 ? kZoneA : kZoneB;
+    }
+  }
+
+  std::vector<ServerCandidate> Candidates() const
+  {
+    std::vector<ServerCandidate> candidates;
+    for (std::size_t i = 0; i < mServers.size(); ++i) {
+      candidates.push_back({ .mServer = &mServers[i], .mStanding = &mStandings[i] });
+    }
+    return candidates;
+  }
+
+  std::vector<RegisteredServer> mServers;
+  std::vector<ServerStanding> mStandings;
+};
+
+SCENARIO("requests of one session reach several hosts")
+{
+  Servers servers{ 18 };
+  const ChoiceTerms terms{ .mZone = kZoneA, .mCacheKey = "session", .mSharedTokens = 13'000 };
+  const std::size_t first = *ChooseServer(servers.Candidates(), terms, kNow);
+  THEN("all hosts choose the same server, whatever they draw")
+  {
+    ChoiceTerms other = terms;
+    other.mZone = kZoneB;
+    other.mDraw = 7;
+    CHECK(ChooseServer(servers.Candidates(), other, kNow) == first);
+  }
+  WHEN("more waits there than reading the session's parts elsewhere costs")
+  {
+    servers.mStandings[first].mPendingTokens = 40'000;
+    THEN("another server takes the request")
+    {
+      CHECK(ChooseServer(servers.Candidates(), terms, kNow) != first);
+    }
+  }
+  WHEN("less waits there")
+  {
+    servers.mStandings[first].mPendingTokens = 8'000;
+    THEN("the request stays")
+    {
+      CHECK(ChooseServer(servers.Candidates(), terms, kNow) == first);
+    }
+  }
+  WHEN("the server broke off")
+  {
+    CHECK(NoteOutcome(servers.mStandings[first], DispatchOutcome::kBroken, kNow));
+    THEN("it is left out for a while")
+    {
+      CHECK(ChooseServer(servers.Candidates(), terms, kNow) != first);
+      CHECK(ChooseServer(servers.Candidates(), terms, kNow + std::chrono::seconds{ 1 }) == first);
+    }
+  }
+  WHEN("all servers broke off")
+  {
+    for (ServerStanding& standing : servers.mStandings) {
+      NoteOutcome(standing, DispatchOutcome::kBroken, kNow);
+    }
+    THEN("one is tried all the same")
+    {
+      CHECK(ChooseServer(servers.Candidates(), terms, kNow).has_value());
+    }
+  }
+}
+
+SCENARIO("a plain request is sent to the least loaded server near by")
+{
+  Servers servers{ 4 };
+  const ChoiceTerms terms{ .mZone = kZoneB, .mDraw = 2 };
+  CHECK(servers.mServers[*ChooseServer(servers.Candidates(), terms, kNow)].mZone == kZoneB);
+  WHEN("those of the zone are busy")
+  {
+    servers.mStandings[1].mInFlight = 3;
+    servers.mStandings[3].mInFlight = 3;
+    THEN("another zone takes it")
+    {
+      CHECK(servers.mServers[*ChooseServer(servers.Candidates(), terms, kNow)].mZone == kZoneA);
+    }
+  }
+  WHEN("there are none")
+  {
+    THEN("none is chosen")
+    {
+      CHECK_FALSE(ChooseServer({}, terms, kNow).has_value());
+    }
+  }
+}
+
+SCENARIO("the servers of a zone break off together")
+{
+  ZoneStanding zone;
+  CHECK_FALSE(NoteZoneOutcome(zone, BackendServerId{ "e1" }, DispatchOutcome::kBroken, kNow));
+  CHECK_FALSE(NoteZoneOutcome(zone, BackendServerId{ "e1" }, DispatchOutcome::kBroken, kNow));
+  WHEN("a second one does")
+  {
+    CHECK(NoteZoneOutcome(zone, BackendServerId{ "e2" }, DispatchOutcome::kBroken, kNow));
+    THEN("the zone is avoided for a while")
+    {
+      CHECK_FALSE(HasPassed(zone.mAvoidUntil, kNow));
+    }
+  }
+  WHEN("one answers in between")
+  {
+    NoteZoneOutcome(zone, BackendServerId{ "e3" }, DispatchOutcome::kServed, kNow);
+    THEN("the second one alone is not the zone")
+    {
+      CHECK_FALSE(NoteZoneOutcome(zone, BackendServerId{ "e2" }, DispatchOutcome::kBroken, kNow));
+    }
+  }
+}
+
+SCENARIO("nine hosts repeat requests")
+{
+  const ServiceId service{ "reviews" };
+  RetryFund fund =
+    MakeRetryFund({ .mRatio = 0.2, .mSlack = 58, .mWindow = std::chrono::seconds{ 10 } });
+  for (int i = 0; i < 100; ++i) {
+    CountRequest(fund, service, kNow);
+  }
+  int repeats = 0;
+  while (TakeRepeat(fund, service, 9, kNow)) {
+    ++repeats;
+  }
+  THEN("each spends its requests' share and a ninth of the slack")
+  {
+    CHECK(repeats == 26);
+    CHECK_FALSE(TakeRepeat(fund, service, 9, kNow + std::chrono::seconds{ 9 }));
+    CHECK(TakeRepeat(fund, service, 9, kNow + std::chrono::seconds{ 11 }));
+  }
+}
+
+} // namespace
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/http/message_reader_test.cc
@@ -0,0 +1,97 @@
+#include "trefoil/http/message_reader.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <string>
+
+namespace trefoil {
+namespace {
+
+ReadState
+ReadRequest(const std::string& aBytes, MessageLimits aLimits = {})
+{
+  MessageReader reader = MessageReader::ForRequest(aLimits);
+  std::string bytes = aBytes;
+  return reader.Consume(bytes);
+}
+
+SCENARIO("a request arrives in pieces")
+{
+  const std::string head = "POST /a/b?c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string body = "4\r\nlate\r\n1;ext=1\r\nr\r\n0\r\nTrailer: t\r\n\r\n";
+  GIVEN("any way to cut it")
+  {
+    CHECK(rc::check("the message is the same however it is cut", [&](std::size_t aSeed) {
+      const std::string all = head + body + "GET / HTTP/1.1\r\n";
+      MessageReader reader = MessageReader::ForRequest({});
+      std::string bytes;
+      ReadState state = ReadState::kHead;
+      for (std::size_t at = 0; at < all.size();) {
+        const std::size_t count = 1 + (aSeed + at) % 7;
+        bytes += all.substr(at, count);
+        at += count;
+        state = reader.Consume(bytes);
+      }
+      RC_ASSERT(state == ReadState::kComplete);
+      RC_ASSERT(reader.Request().mTarget == "/a/b?c");
+      RC_ASSERT(reader.Body() == "later");
+      RC_ASSERT(bytes == "GET / HTTP/1.1\r\n");
+    }));
+  }
+}
+
+SCENARIO("a request leaves open where it ends")
+{
+  const std::string start = "POST / HTTP/1.1\r\nHost: x\r\n";
+  THEN("it is malformed")
+  {
+    CHECK(ReadRequest(start + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n") ==
+          ReadState::kMalformed);
+    CHECK(ReadRequest(start + "Transfer-Encoding: chunked\r\n\r\nzz\r\n") == ReadState::kMalformed);
+    CHECK(ReadRequest(start + "Content-Length: -1\r\n\r\n") == ReadState::kMalformed);
+    CHECK(ReadRequest(start + "Content-Length : 1\r\n\r\na") == ReadState::kMalformed);
+    CHECK(ReadRequest(start + "X: a\r\n b\r\n\r\n") == ReadState::kMalformed);
+    CHECK(ReadRequest("GET / HTTP/1.1\nHost: x\n\n") == ReadState::kMalformed);
+  }
+}
+
+SCENARIO("a request exceeds a limit")
+{
+  const MessageLimits limits{ .mMostHeadBytes = 100, .mMostBodyBytes = 10 };
+  THEN("the limit is told")
+  {
+    CHECK(ReadRequest("GET /" + std::string(200, 'a') + " HTTP/1.1\r\n\r\n", limits) ==
+          ReadState::kHeadTooLarge);
+    CHECK(ReadRequest("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n", limits) ==
+          ReadState::kBodyTooLarge);
+  }
+}
+
+SCENARIO("an answer has no length")
+{
+  MessageReader reader = MessageReader::ForAnswer({});
+  std::string bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nwhole";
+  CHECK(reader.Consume(bytes) == ReadState::kBody);
+  THEN("it is whole once its connection has ended cleanly, and only then")
+  {
+    CHECK(reader.Answer().mStatus == 200);
+    CHECK(reader.State() == ReadState::kBody);
+    CHECK(reader.ConsumeEnd() == ReadState::kComplete);
+    CHECK(reader.Body() == "whole");
+    CHECK_FALSE(reader.KeepsAlive());
+  }
+}
+
+SCENARIO("an answer breaks off")
+{
+  MessageReader reader = MessageReader::ForAnswer({});
+  std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf";
+  CHECK(reader.Consume(bytes) == ReadState::kBody);
+  THEN("the end of its connection does not make it whole")
+  {
+    CHECK(reader.ConsumeEnd() == ReadState::kBody);
+  }
+}
+
+} // namespace
+} // namespace trefoil
