Keep quotas as buckets shared by all hosts, and use doubtful servers last

Cause: a window of 8 s let a tenant of six times its usual use all of it in the first seconds and nothing for the rest, while what is owed to it comes by its rate.

Change: each host keeps a copy of each account's bucket and takes out what others report; the last of a quota is drawn for; most of the allowed overage is used. The record in the store holds the buckets' levels. Servers whose entries went after an outage are used only where no other is.

--- a/cmd/trefoil_gateway.cc
+++ b/cmd/trefoil_gateway.cc
@@ -36,8 +36,10 @@
 constexpr trefoil::Milliseconds kStopMargin{ 700 };
 // Calls to the platform and among hosts have connections of their own.
 constexpr std::int64_t kOtherConnections = 16;
-// The part of the quotas' slack that hosts use on purpose; the rest is for news that come late.
-constexpr double kQuotaSlackUsed = 0.3;
+// The parts of what the platform allows beyond a quota that hosts use; the rest is for news that
+// come late.
+constexpr double kQuotaOverageUsed = 0.8;
+constexpr double kQuotaSlackUsed = 0.2;
 // A request with a key is refused this long before its key might be refused late.
 constexpr trefoil::Milliseconds kRevokeMargin{ 1'000 };
 
@@ -53,7 +55,7 @@
            .mRetries = { .mRatio = aSettings.mRetryRatio,
                          .mSlack = static_cast<double>(aSettings.mRetrySlack),
                          .mWindow = aSettings.mRetryWindow },
-           .mQuotaWindow = aSettings.mQuotaWindow,
+           .mQuotaOverage = kQuotaOverageUsed * aSettings.mQuotaOverage,
            .mQuotaSlack = kQuotaSlackUsed * static_cast<double>(aSettings.mQuotaSlack),
            .mUsageWindow = aSettings.mUsageWindow,
            .mMostConfigurationAge = aSettings.mRevokeWithin - kRevokeMargin,
--- a/trefoil/catalogue/server_registry.h
+++ b/trefoil/catalogue/server_registry.h
@@ -44,6 +44,9 @@
   ServerPhase mPhase = ServerPhase::kReady;
   // May be taken away, together with all others of its kind in the zone.
   bool mReclaimable = false;
+  // Its entry has gone after an outage of the store, and may come back: used only where no other
+  // server is.
+  bool mDoubtful = false;
   // How long the server stays after its notice, if it says so.
   std::optional<Milliseconds> mLeavesIn;
   // How much longer the server is slow after its start.
--- a/trefoil/dispatch/quota.cc
+++ b/trefoil/dispatch/quota.cc
@@ -1,6 +1,7 @@
 #include "trefoil/dispatch/quota.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace trefoil {
 namespace {
@@ -8,45 +9,28 @@
 // A host may spend more of what is left than its share so far, for a demand that moves between
 // hosts.
 constexpr double kShareGrowth = 1.5;
+// The weight of the newest period in the moving means: the last second or so counts.
+constexpr double kMeanWeight = 0.2;
 
 // Returns the part of what is left of a quota that this host may spend until the next news.
 double
-PartOfRest(AccountUse& aUse, const QuotaTerms& aTerms, Instant aNow)
+PartOfRest(const AccountUse& aUse, const QuotaTerms& aTerms)
 {
-  const double all = Sum(aUse.mWindow, aNow);
   const double even = 1.0 / std::max(1, aTerms.mHostsInTouch);
-  const double used = all > 0 ? Sum(aUse.mOwnWindow, aNow) / all : even;
+  const double used = aUse.mAllMean > 0 ? aUse.mOwnMean / aUse.mAllMean : even;
   return std::min(1.0, kShareGrowth * std::max(even, used));
 }
 
 void
-Count(AccountUse& aUse, double aCost, Instant aNow)
+Count(AccountUse& aUse, double aCost)
 {
-  Add(aUse.mWindow, aCost, aNow);
-  Add(aUse.mOwnWindow, aCost, aNow);
+  aUse.mBucket.mTokens -= aCost;
   aUse.mSinceNews += aCost;
   aUse.mOwnTotal += aCost;
 }
 
-AccountUse&
-UseOf(QuotaState& aState, const ClientAccountId& aAccount)
-{
-  const auto [entry, fresh] = aState.mAccounts.try_emplace(aAccount);
-  if (fresh) {
-    entry->second.mWindow = MakeSlidingCount(aState.mWindow);
-    entry->second.mOwnWindow = MakeSlidingCount(aState.mWindow);
-  }
-  return entry->second;
-}
-
 } // namespace
 
-QuotaState
-MakeQuotaState(Instant::duration aWindow)
-{
-  return { .mWindow = aWindow };
-}
-
 double
 QuotaCost(const ClientAccount& aAccount, std::int64_t aTokens)
 {
@@ -63,38 +47,59 @@
           const QuotaTerms& aTerms,
           Instant aNow)
 {
-  AccountUse& use = UseOf(aState, aAccount.mName);
-  QuotaDecision decision{ .mUsed = Sum(use.mWindow, aNow) };
+  const auto [entry, fresh] = aState.mAccounts.try_emplace(aAccount.mName);
+  AccountUse& use = entry->second;
+  QuotaDecision decision;
   if (aAccount.mRatePerSecond > 0) {
-    const double seconds = std::chrono::duration<double>(aState.mWindow).count();
-    decision.mLimit =
-      (aAccount.mRatePerSecond * seconds + aAccount.mBurst + aTerms.mSlack) * aTerms.mShare;
-    const double restAtNews = decision.mLimit - (decision.mUsed - use.mSinceNews);
-    decision.mAllowed = use.mSinceNews + aCost <= restAtNews * PartOfRest(use, aTerms, aNow);
+    const double burst = (aAccount.mBurst + aTerms.mSlack) * aTerms.mShare;
+    const double rate = aAccount.mRatePerSecond * (1 + aTerms.mOverage) * aTerms.mShare;
+    if (fresh || use.mBucket.mRefilledAt == Instant{}) {
+      use.mBucket.mTokens += burst;
+      use.mBucket.mRefilledAt = aNow;
+    }
+    Refill(use.mBucket, { .mPerSecond = rate, .mMost = burst }, aNow);
+    decision.mLevel = use.mBucket.mTokens;
+    const double part = (decision.mLevel + use.mSinceNews) * PartOfRest(use, aTerms);
+    decision.mMost = part - use.mSinceNews;
+    // A request that is larger than the part may take all that is there, as often as makes the part
+    // its mean. One that is larger than the burst takes a full bucket.
+    const bool fits = decision.mLevel >= std::min(aCost, burst) && aTerms.mDraw * aCost < part;
+    decision.mAllowed = aCost <= decision.mMost || (use.mSinceNews <= 0 && fits);
   }
   if (decision.mAllowed) {
-    Count(use, aCost, aNow);
+    Count(use, aCost);
   }
   return decision;
 }
 
 void
-ReturnQuota(QuotaState& aState, const ClientAccount& aAccount, double aCost, Instant aNow)
+ReturnQuota(QuotaState& aState, const ClientAccountId& aAccount, double aCost)
+{
+  Count(aState.mAccounts[aAccount], -aCost);
+}
+
+void
+AddUsedElsewhere(QuotaState& aState, const ClientAccountId& aAccount, double aCost)
 {
-  Count(UseOf(aState, aAccount.mName), -aCost, aNow);
+  AccountUse& use = aState.mAccounts[aAccount];
+  use.mBucket.mTokens -= aCost;
+  use.mElsewhereSinceNews += aCost;
 }
 
 void
-AddUsedElsewhere(QuotaState& aState, const ClientAccountId& aAccount, double aCost, Instant aNow)
+SetQuotaLevel(QuotaState& aState, const ClientAccountId& aAccount, double aLevel, Instant aNow)
 {
-  Add(UseOf(aState, aAccount).mWindow, aCost, aNow);
+  aState.mAccounts[aAccount].mBucket = { .mTokens = aLevel, .mRefilledAt = aNow };
 }
 
 void
 OnQuotaNews(QuotaState& aState)
 {
   for (auto& [account, use] : aState.mAccounts) {
-    use.mSinceNews = 0;
+    const double own = std::exchange(use.mSinceNews, 0.0);
+    const double all = own + std::exchange(use.mElsewhereSinceNews, 0.0);
+    use.mOwnMean += kMeanWeight * (own - use.mOwnMean);
+    use.mAllMean += kMeanWeight * (all - use.mAllMean);
   }
 }
 
--- a/trefoil/dispatch/quota.h
+++ b/trefoil/dispatch/quota.h
@@ -1,18 +1,19 @@
 // Quotas of client accounts, summed over all entry hosts.
 //
-//   QuotaState quotas = MakeQuotaState(window);
+//   QuotaState quotas;
 //   if (TakeQuota(quotas, account, tokens, { .mShare = 1.0 }, now)) { ... dispatch ... }
-//   AddUsedElsewhere(quotas, account, tokens, now);
+//   AddUsedElsewhere(quotas, account, tokens);
+//   OnQuotaNews(quotas);
 //
-// Hosts tell each other what they let through. Each host allows what the account's quota leaves of
-// the window after all that it knows of. What is left near the end of a quota is divided among the
-// hosts until the next news, by how much each of them uses, so that they do not all spend it at
-// once. A host that hears only some of the others allows their share of the quota, so that the
-// parts of a divided system stay inside the quota together. Pure functions.
+// Each host keeps a copy of the account's bucket, which fills at the account's rate up to its
+// burst, and takes out what any host lets through as it learns of it. What is left is divided among
+// the hosts until the next news, by how much each of them uses, so that they do not all spend it at
+// once. A host that hears only some of the others fills its copy by their share of the rate, so
+// that the parts of a divided system stay inside the quota together. Pure functions.
 #pragma once
 
+#include "trefoil/admission/token_bucket.h"
 #include "trefoil/catalogue/catalogue.h"
-#include "trefoil/dispatch/sliding_count.h"
 
 #include <map>
 
@@ -20,19 +21,19 @@
 
 struct AccountUse
 {
-  // Tokens (or requests) let through by all hosts in the window.
-  SlidingCount mWindow;
-  // The part of it that this host let through.
-  SlidingCount mOwnWindow;
-  // Let through by this host since the last news of the others.
-  double mSinceNews = 0;
-  // What this host has let through since its start.
+  TokenBucket mBucket;
+  // Let through by this host since its start.
   double mOwnTotal = 0;
+  // Let through by this host, and by all, since the last news of the others.
+  double mSinceNews = 0;
+  // Moving means of what this host and all hosts let through between two news.
+  double mOwnMean = 0;
+  double mAllMean = 0;
+  double mElsewhereSinceNews = 0;
 };
 
 struct QuotaState
 {
-  Instant::duration mWindow{ 0 };
   std::map<ClientAccountId, AccountUse> mAccounts;
 };
 
@@ -42,24 +43,25 @@
   double mShare = 1;
   // Hosts in touch with this one, itself included.
   int mHostsInTouch = 1;
-  // Tokens (or requests) beyond the quota that a window may hold.
+  // What the platform allows beyond the quota: a part of the rate, and tokens (or requests) of the
+  // burst.
+  double mOverage = 0;
   double mSlack = 0;
+  // A random number from 0 to 1: hosts that want the last of a quota do not take it all at once.
+  double mDraw = 0;
 };
 
 // What a decision was based on.
 struct QuotaDecision
 {
   bool mAllowed = true;
-  // Let through by all hosts in the window, and what may be.
-  double mUsed = 0;
-  double mLimit = 0;
+  // What the bucket held, and how much this host might have taken.
+  double mLevel = 0;
+  double mMost = 0;
 
   explicit operator bool() const { return mAllowed; }
 };
 
-QuotaState
-MakeQuotaState(Instant::duration aWindow);
-
 // Returns what a request counts against its account's quota. `aTokens` is 0 if the request does not
 // say.
 double
@@ -75,10 +77,14 @@
 
 // Gives back what a request took that was then not sent.
 void
-ReturnQuota(QuotaState& aState, const ClientAccount& aAccount, double aCost, Instant aNow);
+ReturnQuota(QuotaState& aState, const ClientAccountId& aAccount, double aCost);
+
+void
+AddUsedElsewhere(QuotaState& aState, const ClientAccountId& aAccount, double aCost);
 
+// Sets what an account's bucket holds, as found by a host that starts.
 void
-AddUsedElsewhere(QuotaState& aState, const ClientAccountId& aAccount, double aCost, Instant aNow);
+SetQuotaLevel(QuotaState& aState, const ClientAccountId& aAccount, double aLevel, Instant aNow);
 
 // The news of the other hosts are taken in; what is left is divided anew.
 void
--- a/trefoil/dispatch/server_choice.cc
+++ b/trefoil/dispatch/server_choice.cc
@@ -35,7 +35,7 @@
 bool
 IsAvoided(const ServerCandidate& aCandidate, Instant aNow)
 {
-  return aCandidate.mZoneAvoided || !HasPassed(aCandidate.mStanding->mAvoidUntil, aNow);
+  return aCandidate.mAvoided || !HasPassed(aCandidate.mStanding->mAvoidUntil, aNow);
 }
 
 double
--- a/trefoil/dispatch/server_choice.h
+++ b/trefoil/dispatch/server_choice.h
@@ -52,8 +52,8 @@
   const ServerStanding* mStanding = nullptr;
   // A request of this host has read the shared parts there, not long ago.
   bool mHoldsCache = false;
-  // The server's zone is avoided.
-  bool mZoneAvoided = false;
+  // Used only where all others are avoided too: its zone is, or it may be gone.
+  bool mAvoided = false;
 };
 
 struct ChoiceTerms
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -146,7 +146,9 @@
                                mQuotaCost,
                                { .mShare = mState.mView->mQuotaShare,
                                  .mHostsInTouch = mState.mView->mHostsInTouch,
-                                 .mSlack = mState.mOptions.mQuotaSlack },
+                                 .mOverage = mState.mOptions.mQuotaOverage,
+                                 .mSlack = mState.mOptions.mQuotaSlack,
+                                 .mDraw = std::generate_canonical<double, 32>(mState.mRandom) },
                                mArrivedAt);
     if (!mQuotaDecision.mAllowed) {
       Refuse(kTooManyRequests, RefusalReason::kOverQuota, RetryAfter(kRetryOverQuota));
@@ -208,7 +210,8 @@
       { .mServer = server,
         .mStanding = &StandingOf(server->mId),
         .mHoldsCache = !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, server->mId, now),
-        .mZoneAvoided = !HasPassed(mState.mZones[server->mZone].mAvoidUntil, now) });
+        .mAvoided =
+          server->mDoubtful || !HasPassed(mState.mZones[server->mZone].mAvoidUntil, now) });
   }
   const auto chosen = ChooseServer(candidates,
                                    { .mZone = mState.mOptions.mZone,
@@ -744,7 +747,7 @@
     LogWeight::kNotable,
     LogEvent::kRequestRefused,
     "id={} route={} account={} service={} status={} reason={} dispatches={} version={} "
-    "proof_age_ms={} quota_cost={:.0f} quota_used={:.0f} quota_limit={:.0f} "
+    "proof_age_ms={} quota_cost={:.0f} quota_level={:.0f} quota_most={:.0f} "
     "quota_share={:.2f} ms={}",
     mFacts.mRequestId,
     mRoute == nullptr ? "" : mRoute->mName,
@@ -756,12 +759,12 @@
     mCatalogue ? mCatalogue->mCatalogue.mVersion : 0,
     mState.mView ? (SuspendAwareNow() - mState.mView->mProvenAt) / Milliseconds{ 1 } : 0,
     mQuotaCost,
-    mQuotaDecision.mUsed,
-    mQuotaDecision.mLimit,
+    mQuotaDecision.mLevel,
+    mQuotaDecision.mMost,
     mState.mView ? mState.mView->mQuotaShare : 0,
     (SuspendAwareNow() - mArrivedAt) / Milliseconds{ 1 });
   if (mQuotaTaken && mDispatches == 0) {
-    ReturnQuota(mState.mQuotas, *mAccount, mQuotaCost, SuspendAwareNow());
+    ReturnQuota(mState.mQuotas, mAccount->mName, mQuotaCost);
   }
   mSession->SendWhole(
     { .mStatus = aStatus,
--- a/trefoil/forward/traffic.cc
+++ b/trefoil/forward/traffic.cc
@@ -41,7 +41,6 @@
   , mLog(aLog)
   , mMetrics(aMetrics)
   , mPool(mLoop)
-  , mQuotas(MakeQuotaState(mOptions.mQuotaWindow))
   , mRetries(MakeRetryFund(mOptions.mRetries))
   , mRandom(std::random_device{}())
 {
@@ -199,11 +198,11 @@
 Traffic::Impl::TakeNews(const PeerNews& aNews)
 {
   const Instant now = SuspendAwareNow();
-  for (const PastUse& use : aNews.mPastUses) {
-    AddUsedElsewhere(mState.mQuotas, use.mAccount, use.mCost, now - use.mAge);
+  for (const auto& [account, level] : aNews.mQuotaLevels) {
+    SetQuotaLevel(mState.mQuotas, account, level, now);
   }
   for (const auto& [account, used] : aNews.mQuotaUsed) {
-    AddUsedElsewhere(mState.mQuotas, account, used, now);
+    AddUsedElsewhere(mState.mQuotas, account, used);
   }
   OnQuotaNews(mState.mQuotas);
   for (const CrashCount& crash : aNews.mCrashes) {
@@ -222,11 +221,8 @@
                         .mCrashes = std::exchange(mState.mCrashNews, {}),
                         .mLoads = mState.mLoads,
                         .mOutcomes = mState.mOutcomes };
-  const Instant now = SuspendAwareNow();
-  for (auto& [account, use] : mState.mQuotas.mAccounts) {
-    report.mQuotaUsed[account] = { .mTotal = use.mOwnTotal,
-                                   .mWindow = Sum(use.mOwnWindow, now),
-                                   .mAllHosts = use.mWindow };
+  for (const auto& [account, use] : mState.mQuotas.mAccounts) {
+    report.mQuotaUsed[account] = { .mTotal = use.mOwnTotal, .mLevel = use.mBucket.mTokens };
   }
   for (const auto& [server, standing] : mState.mStandings) {
     if (standing.mPendingTokens > 0) {
--- a/trefoil/forward/traffic.h
+++ b/trefoil/forward/traffic.h
@@ -34,8 +34,9 @@
   std::optional<Endpoint> mMetrics;
   ForwardCodec mCodec;
   RetryTerms mRetries;
-  Milliseconds mQuotaWindow{ 0 };
-  // Tokens (or requests) beyond a quota that a window may hold.
+  // What may be let through beyond a quota: a part of its rate, and tokens (or requests) of its
+  // burst.
+  double mQuotaOverage = 0;
   double mQuotaSlack = 0;
   Milliseconds mUsageWindow{ 0 };
   // A request with a key is refused once the configuration was not proven current for so long.
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -6,7 +6,6 @@
 #include "trefoil/catalogue/catalogue.h"
 #include "trefoil/catalogue/server_registry.h"
 #include "trefoil/dispatch/server_choice.h"
-#include "trefoil/dispatch/sliding_count.h"
 #include "trefoil/request/crash_ledger.h"
 
 #include <cstdint>
@@ -46,19 +45,11 @@
   std::map<ServiceId, VersionSteering> mSteering;
 };
 
-// What some host let through of an account's quota some time ago.
-struct PastUse
-{
-  ClientAccountId mAccount;
-  double mCost = 0;
-  Milliseconds mAge{ 0 };
-};
-
 // News of other hosts for the traffic thread.
 struct PeerNews
 {
-  // From before the start of this host.
-  std::vector<PastUse> mPastUses;
+  // What the accounts' buckets held before the start of this host.
+  std::map<ClientAccountId, double> mQuotaLevels;
   std::map<ClientAccountId, double> mQuotaUsed;
   std::vector<CrashCount> mCrashes;
   // Pending prompt tokens at each server, summed over the other hosts.
@@ -87,15 +78,13 @@
   int mInFlight = 0;
 };
 
-// What a host let through of an account's quota.
+// A host's part in an account's quota.
 struct QuotaUse
 {
-  // Since the start of the host.
+  // Let through by the host since its start.
   double mTotal = 0;
-  // In the newest window.
-  double mWindow = 0;
-  // What all hosts let through in the window, as far as this one knows.
-  SlidingCount mAllHosts;
+  // What the account's bucket holds, as far as the host knows.
+  double mLevel = 0;
 };
 
 // What the traffic thread tells the control thread.
--- a/trefoil/settings/gateway_settings.cc
+++ b/trefoil/settings/gateway_settings.cc
@@ -17,7 +17,6 @@
 constexpr std::int64_t kDefaultRetrySlack = 50;
 constexpr std::int64_t kMostRetrySlack = 1'000'000;
 constexpr std::int64_t kDefaultRetryWindowMs = 10'000;
-constexpr std::int64_t kDefaultQuotaWindowMs = 8'000;
 constexpr std::int64_t kMostQuotaSlack = 1'000'000'000;
 constexpr std::int64_t kDefaultUsageWindowMs = 5'000;
 constexpr std::int64_t kDefaultUsageLateMs = 10'000;
@@ -60,7 +59,7 @@
   settings.mRetrySlack = reader.OptionalInt(
     "retry_slack", kDefaultRetrySlack, { .mLeast = 0, .mMost = kMostRetrySlack });
   settings.mRetryWindow = ReadDuration(reader, "retry_window_ms", kDefaultRetryWindowMs);
-  settings.mQuotaWindow = ReadDuration(reader, "quota_window_ms", kDefaultQuotaWindowMs);
+  settings.mQuotaOverage = reader.OptionalNumber("quota_overage", 0);
   settings.mQuotaSlack =
     reader.OptionalInt("quota_slack", 0, { .mLeast = 0, .mMost = kMostQuotaSlack });
   settings.mUsageWindow = ReadDuration(reader, "usage_window_ms", kDefaultUsageWindowMs);
@@ -68,6 +67,9 @@
   if (settings.mRetryRatio < 0 || settings.mRetryRatio > 1) {
     reader.Fault("retry_ratio", "must be between 0 and 1");
   }
+  if (settings.mQuotaOverage < 0 || settings.mQuotaOverage > 1) {
+    reader.Fault("quota_overage", "must be between 0 and 1");
+  }
   if ((settings.mReportsUsage || settings.mOrdersServers) && !settings.mCloud.has_value()) {
     reader.Fault("cloud", "is needed to report usage or order servers");
   }
--- a/trefoil/settings/gateway_settings.h
+++ b/trefoil/settings/gateway_settings.h
@@ -39,8 +39,9 @@
   double mRetryRatio = 0;
   std::int64_t mRetrySlack = 0;
   Milliseconds mRetryWindow{ 0 };
-  Milliseconds mQuotaWindow{ 0 };
-  // Tokens (or requests) beyond an account's quota that a window may hold.
+  // What the platform allows beyond a quota: a part of its rate, and tokens (or requests) in a
+  // window.
+  double mQuotaOverage = 0;
   std::int64_t mQuotaSlack = 0;
   Milliseconds mUsageWindow{ 0 };
   Milliseconds mUsageLateAfter{ 0 };
--- a/trefoil/steering/control.cc
+++ b/trefoil/steering/control.cc
@@ -39,10 +39,8 @@
                     .mHoldsDuties = aState.mHoldsDuties,
                     .mLeaving = aState.mLeaving };
   for (const auto& [account, used] : aState.mReport.mQuotaUsed) {
-    news.mQuotas.push_back({ .mAccount = account,
-                             .mUsed = static_cast<std::uint64_t>(std::max(0.0, used.mTotal)),
-                             .mUsedInWindow = static_cast<std::uint64_t>(
-                               std::clamp(used.mWindow, 0.0, std::max(0.0, used.mTotal))) });
+    news.mQuotas.push_back(
+      { .mAccount = account, .mUsed = static_cast<std::uint64_t>(std::max(0.0, used.mTotal)) });
   }
   std::size_t windows = 0;
   for (auto window = aState.mReport.mUsage.rbegin();
--- a/trefoil/steering/internal/store_news.cc
+++ b/trefoil/steering/internal/store_news.cc
@@ -114,7 +114,14 @@
 void
 PublishServers(ControlState& aState)
 {
-  aState.mView.mServers = std::make_shared<const ServerRegistry>(aState.mServers);
+  ServerRegistry servers = aState.mServers;
+  for (const auto& [id, revision] : aState.mDoubtfulRemovals) {
+    const auto server = servers.mServers.find(id);
+    if (server != servers.mServers.end()) {
+      server->second.mDoubtful = true;
+    }
+  }
+  aState.mView.mServers = std::make_shared<const ServerRegistry>(std::move(servers));
   PublishView(aState);
 }
 
@@ -141,8 +148,7 @@
   const bool doubtful =
     aState.mServersRegainedAt.has_value() && now - *aState.mServersRegainedAt < kServersReturn;
   if (doubtful && aState.mServers.mServers.contains(aId)) {
-    aState.mDoubtfulRemovals[aId] = aRevision;
-    return false;
+    return aState.mDoubtfulRemovals.insert_or_assign(aId, aRevision).second;
   }
   const bool removed = Forget(aState.mServers, aId, aRevision);
   if (removed) {
@@ -174,7 +180,7 @@
   if (aItem.mRemoved) {
     return RemoveServer(aState, id, aItem.mRevision);
   }
-  aState.mDoubtfulRemovals.erase(id);
+  const bool returned = aState.mDoubtfulRemovals.erase(id) > 0;
   const auto server = aState.mOptions.mCodec.mReadServer(aItem);
   if (!server.ok()) {
     aState.mLog.Write(LogWeight::kNotable,
@@ -189,7 +195,7 @@
   if (changed) {
     LogServer(aState, *server);
   }
-  return changed;
+  return changed || returned;
 }
 
 void
@@ -299,8 +305,7 @@
   if (aAnswer.mOutcome == StoreOutcome::kDone && !aAnswer.mItems.empty()) {
     const auto record = ParseQuotaRecord(aAnswer.mItems.front().mValue);
     if (record.ok()) {
-      PeerNews news{ .mPastUses = PastUses(*record, WallNow()) };
-      aState.mPeers.mRecordTakenAt = SuspendAwareNow();
+      PeerNews news{ .mQuotaLevels = *record };
       aState.mTraffic.Tell(std::move(news));
     } else {
       aState.mLog.Write(LogWeight::kNotable,
@@ -324,12 +329,15 @@
   if (!first || aState.mReport.mQuotaUsed.empty()) {
     return;
   }
-  aState.mStore.Call(Commit{ .mWrites = { { .mKey = kQuotaKey,
-                                            .mValue = RenderQuotaRecord(MakeQuotaRecord(
-                                              aState.mReport.mQuotaUsed, WallNow())) } } },
-                     now + kHostsLimit,
-                     // A record that is not written is followed by the next one.
-                     [](const StoreAnswer& /*aAnswer*/) {});
+  QuotaRecord record;
+  for (const auto& [account, use] : aState.mReport.mQuotaUsed) {
+    record[account] = use.mLevel;
+  }
+  aState.mStore.Call(
+    Commit{ .mWrites = { { .mKey = kQuotaKey, .mValue = RenderQuotaRecord(record) } } },
+    now + kHostsLimit,
+    // A record that is not written is followed by the next one.
+    [](const StoreAnswer& /*aAnswer*/) {});
 }
 
 void
--- a/trefoil/steering/peer_book.cc
+++ b/trefoil/steering/peer_book.cc
@@ -7,8 +7,6 @@
 
 // A host that was not heard of for so long is out of touch: four of its messages are missing.
 constexpr Milliseconds kSilentAfter{ 1'000 };
-// All running hosts are heard of within this after the start.
-constexpr Milliseconds kRecordCovers{ 2'000 };
 // A host that the store does not list is forgotten after this; a store's outage is shorter.
 constexpr Milliseconds kForgetAfter{ 15'000 };
 
@@ -37,16 +35,15 @@
     return {};
   }
   PeerNews news;
-  const bool inRecord =
-    aBook.mRecordTakenAt.has_value() && aNow - *aBook.mRecordTakenAt < kRecordCovers;
-  // Nothing is known of what an unknown incarnation let through before its window.
-  const auto before = sameLife ? QuotasOf(peer.mNews) : std::map<ClientAccountId, std::uint64_t>{};
-  for (const AccountTotal& total : aNews.mQuotas) {
-    const auto known = before.find(total.mAccount);
-    const std::uint64_t used = sameLife ? (known == before.end() ? 0 : known->second)
-                                        : total.mUsed - (inRecord ? 0 : total.mUsedInWindow);
-    if (total.mUsed > used) {
-      news.mQuotaUsed[total.mAccount] = static_cast<double>(total.mUsed - used);
+  // A host that was out of touch, or is new, used its own share meanwhile.
+  if (sameLife && aNow - peer.mHeardAt < kSilentAfter) {
+    const auto before = QuotasOf(peer.mNews);
+    for (const AccountTotal& total : aNews.mQuotas) {
+      const auto known = before.find(total.mAccount);
+      const std::uint64_t used = known == before.end() ? 0 : known->second;
+      if (total.mUsed > used) {
+        news.mQuotaUsed[total.mAccount] = static_cast<double>(total.mUsed - used);
+      }
     }
   }
   for (const CrashReport& crash : aNews.mCrashes) {
--- a/trefoil/steering/peer_book.h
+++ b/trefoil/steering/peer_book.h
@@ -10,7 +10,6 @@
 #include "trefoil/wire/traffic_message.h"
 
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -28,9 +27,6 @@
   // The hosts that the store lists, this one included, and where they listen.
   std::map<HostId, Endpoint> mListed;
   std::map<HostId, Peer> mPeers;
-  // When the store's record of the quotas was taken in, at the start. Peers that are heard of for
-  // the first time just after it are part of it.
-  std::optional<Instant> mRecordTakenAt;
   // Usage of earlier incarnations and of hosts that are gone, by window.
   std::map<HostId, std::map<std::uint64_t, UsageWindows>> mUsage;
 };
--- a/trefoil/wire/traffic_message.h
+++ b/trefoil/wire/traffic_message.h
@@ -19,14 +19,13 @@
 struct AccountTotal
 {
   ClientAccountId mAccount;
-  // Since the start of the host, and in the newest window.
+  // Since the start of the host.
   std::uint64_t mUsed = 0;
-  std::uint64_t mUsedInWindow = 0;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mAccount, mUsed, mUsedInWindow);
+    aArchive(mAccount, mUsed);
   }
 };
 
