Divide quotas only near their end, and send news more rarely among many hosts

Change: the interval of the news grows with the hosts up to a second; counts of usage go with one message a second; news are passed to the traffic thread once an interval; what is left of a quota is divided only when it lasts for less than two rounds.

--- a/trefoil/dispatch/quota.cc
+++ b/trefoil/dispatch/quota.cc
@@ -9,6 +9,8 @@
 // A host may spend more of what is left than its share so far, for a demand that moves between
 // hosts.
 constexpr double kShareGrowth = 1.5;
+// What is left is not divided while it lasts for so many rounds of news.
+constexpr double kAmpleRounds = 2;
 // The weight of the newest period in the moving means: the last second or so counts.
 constexpr double kMeanWeight = 0.2;
 
@@ -64,7 +66,8 @@
     // A request that is larger than the part may take all that is there, as often as makes the part
     // its mean. One that is larger than the burst takes a full bucket.
     const bool fits = decision.mLevel >= std::min(aCost, burst) && aTerms.mDraw * aCost < part;
-    decision.mAllowed = aCost <= decision.mMost || (use.mSinceNews <= 0 && fits);
+    const bool ample = decision.mLevel - aCost >= kAmpleRounds * use.mAllMean;
+    decision.mAllowed = ample || aCost <= decision.mMost || (use.mSinceNews <= 0 && fits);
   }
   if (decision.mAllowed) {
     Count(use, aCost);
--- a/trefoil/dispatch/quota.h
+++ b/trefoil/dispatch/quota.h
@@ -6,10 +6,11 @@
 //   OnQuotaNews(quotas);
 //
 // Each host keeps a copy of the account's bucket, which fills at the account's rate up to its
-// burst, and takes out what any host lets through as it learns of it. What is left is divided among
-// the hosts until the next news, by how much each of them uses, so that they do not all spend it at
-// once. A host that hears only some of the others fills its copy by their share of the rate, so
-// that the parts of a divided system stay inside the quota together. Pure functions.
+// burst, and takes out what any host lets through as it learns of it. Once what is left lasts for a
+// few rounds of news only, it is divided among the hosts until the next one, by how much each of
+// them uses, so that they do not all spend it at once. A host that hears only some of the others
+// fills its copy by their share of the rate, so that the parts of a divided system stay inside the
+// quota together. Pure functions.
 #pragma once
 
 #include "trefoil/admission/token_bucket.h"
@@ -86,7 +87,8 @@
 void
 SetQuotaLevel(QuotaState& aState, const ClientAccountId& aAccount, double aLevel, Instant aNow);
 
-// The news of the other hosts are taken in; what is left is divided anew.
+// A round of news of the other hosts was taken in; what is left is divided anew. Called at the
+// interval of the news.
 void
 OnQuotaNews(QuotaState& aState);
 
--- a/trefoil/dispatch/quota_test.cc
+++ b/trefoil/dispatch/quota_test.cc
@@ -133,6 +133,19 @@
   }
 }
 
+SCENARIO("an account that is far from its quota asks at many hosts")
+{
+  const ClientAccount account = Account();
+  QuotaState host;
+  const QuotaTerms terms{ .mHostsInTouch = 72, .mDraw = 0.99 };
+  THEN("a host lets its few requests through, though they are more than its part")
+  {
+    CHECK(TakeQuota(host, account, 90'000, terms, kStart));
+    OnQuotaNews(host);
+    CHECK(TakeQuota(host, account, 60'000, terms, kStart + kNews));
+  }
+}
+
 SCENARIO("a request is larger than the burst")
 {
   const ClientAccount account = Account();
--- a/trefoil/forward/traffic.cc
+++ b/trefoil/forward/traffic.cc
@@ -204,7 +204,6 @@
   for (const auto& [account, used] : aNews.mQuotaUsed) {
     AddUsedElsewhere(mState.mQuotas, account, used);
   }
-  OnQuotaNews(mState.mQuotas);
   for (const CrashCount& crash : aNews.mCrashes) {
     Merge(mState.mCrashes, crash, now);
   }
@@ -217,6 +216,7 @@
 TrafficReport
 Traffic::Impl::MakeReport()
 {
+  OnQuotaNews(mState.mQuotas);
   TrafficReport report{ .mUsage = mState.mUsage,
                         .mCrashes = std::exchange(mState.mCrashNews, {}),
                         .mLoads = mState.mLoads,
--- a/trefoil/steering/control.cc
+++ b/trefoil/steering/control.cc
@@ -15,10 +15,11 @@
 namespace trefoil {
 namespace {
 
-// News are sent so often: a quota is overrun by at most what comes in that time and a way.
-constexpr Milliseconds kNewsEvery{ 250 };
-// A record of the quotas is written once for so many news: every half a second.
-constexpr std::uint64_t kNewsPerQuotaRecord = 2;
+// The counts of usage are sent so often; a report waits longer for them.
+constexpr Milliseconds kUsageEvery{ 1'000 };
+// The record of the quotas is written so often: what it lacks after a kill of all hosts is within
+// the slack.
+constexpr Milliseconds kQuotaRecordEvery{ 500 };
 // The store's list of hosts is read so often.
 constexpr Milliseconds kHostsEvery{ 5'000 };
 // Crashes are repeated in the news for so long, since a message may be lost.
@@ -43,8 +44,12 @@
       { .mAccount = account, .mUsed = static_cast<std::uint64_t>(std::max(0.0, used.mTotal)) });
   }
   std::size_t windows = 0;
+  const bool tellsUsage = now - aState.mUsageToldAt >= kUsageEvery;
+  if (tellsUsage) {
+    aState.mUsageToldAt = now;
+  }
   for (auto window = aState.mReport.mUsage.rbegin();
-       window != aState.mReport.mUsage.rend() && windows < kUsageWindowsSent;
+       tellsUsage && window != aState.mReport.mUsage.rend() && windows < kUsageWindowsSent;
        ++window, ++windows) {
     for (const auto& [account, requests] : window->second) {
       news.mUsage.push_back(
@@ -95,7 +100,7 @@
                                 static_cast<int>(bytes.size()),
                                 Poco::Net::SocketAddress{ to.mAddress, to.mPort });
     } catch (const Poco::Exception& error) {
-      // News are sent anew every kNewsEvery.
+      // News are sent anew at the next interval.
       aState.mLog.Write(LogWeight::kRoutine,
                         LogEvent::kInputRejected,
                         "input=news_to peer={} reason=\"{}\"",
@@ -119,14 +124,15 @@
     return;
   }
   const bool unknown = IsUnknown(aState.mPeers, *news);
-  PeerNews added = TakeNews(aState.mPeers, *news, SuspendAwareNow());
+  const PeerNews added = TakeNews(aState.mPeers, *news, SuspendAwareNow());
   if (news->mHoldsDuties && news->mHost != aState.mOptions.mHost) {
     OnHolderHeard(aState);
   }
-  if (!added.mQuotaUsed.empty() || !added.mCrashes.empty()) {
-    added.mPendingTokens = PendingElsewhere(aState.mPeers, SuspendAwareNow());
-    aState.mTraffic.Tell(std::move(added));
+  for (const auto& [account, used] : added.mQuotaUsed) {
+    aState.mPeerNews.mQuotaUsed[account] += used;
   }
+  aState.mPeerNews.mCrashes.insert(
+    aState.mPeerNews.mCrashes.end(), added.mCrashes.begin(), added.mCrashes.end());
   if (unknown) {
     // A host that has just started learns of this one at once.
     SendNews(aState);
@@ -176,11 +182,14 @@
     aState.mCrashes.emplace_back(now, crash);
   }
   aState.mReport = std::move(aReport);
+  aState.mPeerNews.mPendingTokens = PendingElsewhere(aState.mPeers, now);
+  aState.mTraffic.Tell(std::exchange(aState.mPeerNews, {}));
   SendNews(aState);
   NoteTouch(aState);
   PublishView(aState);
   WorkOnDuties(aState);
-  if (aState.mSequence % kNewsPerQuotaRecord == 0) {
+  if (now - aState.mQuotaWrittenAt >= kQuotaRecordEvery) {
+    aState.mQuotaWrittenAt = now;
     WriteQuotaRecord(aState);
   }
 }
@@ -192,7 +201,8 @@
     aState.mLoop.Post(
       [&aState, report = std::move(aReport)]() mutable { OnReport(aState, std::move(report)); });
   });
-  aState.mLoop.CallAt(SuspendAwareNow() + kNewsEvery, [&aState] { Tick(aState); });
+  const Instant now = SuspendAwareNow();
+  aState.mLoop.CallAt(now + NewsInterval(aState.mPeers, now), [&aState] { Tick(aState); });
 }
 
 void
--- a/trefoil/steering/control_state.h
+++ b/trefoil/steering/control_state.h
@@ -45,6 +45,10 @@
   std::optional<Instant> mServersRegainedAt;
 
   PeerBook mPeers;
+  // What peers told since it was last passed on to the traffic thread.
+  PeerNews mPeerNews;
+  Instant mUsageToldAt;
+  Instant mQuotaWrittenAt;
   std::size_t mPeersInTouch = 0;
   TrafficReport mReport;
   // Own counts of crashes, newest last, repeated in each message for a while.
--- a/trefoil/steering/internal/store_news.cc
+++ b/trefoil/steering/internal/store_news.cc
@@ -14,7 +14,7 @@
 constexpr Milliseconds kServerWait{ 5'000 };
 // Servers that start or leave together are read by one call. Well below the time in which a leaving
 // server must get no more requests.
-constexpr Milliseconds kServerGather{ 250 };
+constexpr Milliseconds kServerGather{ 500 };
 constexpr Milliseconds kOperatorGather{ 100 };
 // Servers that the store dropped during its outage register again within two seconds of its return.
 constexpr Milliseconds kServersReturn{ 2'200 };
--- a/trefoil/steering/peer_book.cc
+++ b/trefoil/steering/peer_book.cc
@@ -5,8 +5,14 @@
 namespace trefoil {
 namespace {
 
-// A host that was not heard of for so long is out of touch: four of its messages are missing.
-constexpr Milliseconds kSilentAfter{ 1'000 };
+// A host is out of touch once so many of its messages are missing.
+constexpr int kMissingNews = 4;
+// News are sent so often among a few hosts: a quota is overrun by at most what comes in that time
+// and a way.
+constexpr Milliseconds kShortestInterval{ 250 };
+// The messages that a host takes in a second, which bounds their cost, and the longest interval.
+constexpr int kNewsPerSecond = 64;
+constexpr Milliseconds kLongestInterval{ 1'000 };
 // A host that the store does not list is forgotten after this; a store's outage is shorter.
 constexpr Milliseconds kForgetAfter{ 15'000 };
 
@@ -36,7 +42,7 @@
   }
   PeerNews news;
   // A host that was out of touch, or is new, used its own share meanwhile.
-  if (sameLife && aNow - peer.mHeardAt < kSilentAfter) {
+  if (sameLife && aNow - peer.mHeardAt < kMissingNews * NewsInterval(aBook, aNow)) {
     const auto before = QuotasOf(peer.mNews);
     for (const AccountTotal& total : aNews.mQuotas) {
       const auto known = before.find(total.mAccount);
@@ -70,12 +76,26 @@
          (peer == aBook.mPeers.end() || peer->second.mNews.mIncarnation < aNews.mIncarnation);
 }
 
+Milliseconds
+NewsInterval(const PeerBook& aBook, Instant aNow)
+{
+  std::size_t hosts = aBook.mListed.size();
+  for (const auto& [host, peer] : aBook.mPeers) {
+    const bool recent = aNow - peer.mHeardAt < kForgetAfter;
+    hosts += recent && !aBook.mListed.contains(host) ? 1 : 0;
+  }
+  constexpr std::int64_t kMsPerSecond = 1'000;
+  const Milliseconds wanted{ static_cast<std::int64_t>(hosts) * kMsPerSecond / kNewsPerSecond };
+  return std::clamp(wanted, kShortestInterval, kLongestInterval);
+}
+
 std::vector<HostId>
 LivePeers(const PeerBook& aBook, Instant aNow)
 {
+  const Milliseconds silent = kMissingNews * NewsInterval(aBook, aNow);
   std::vector<HostId> live;
   for (const auto& [host, peer] : aBook.mPeers) {
-    if (aNow - peer.mHeardAt < kSilentAfter && !peer.mNews.mLeaving) {
+    if (aNow - peer.mHeardAt < silent && !peer.mNews.mLeaving) {
       live.push_back(host);
     }
   }
--- a/trefoil/steering/peer_book.h
+++ b/trefoil/steering/peer_book.h
@@ -51,6 +51,11 @@
 double
 QuotaShare(const PeerBook& aBook, Instant aNow);
 
+// Returns how often hosts send their news: the more hosts there are the more rarely, since all
+// receive those of all.
+Milliseconds
+NewsInterval(const PeerBook& aBook, Instant aNow);
+
 // Returns where news are sent.
 std::set<Endpoint>
 Recipients(const PeerBook& aBook, Instant aNow);
--- a/trefoil/steering/peer_book_test.cc
+++ b/trefoil/steering/peer_book_test.cc
@@ -101,6 +101,22 @@
   }
 }
 
+SCENARIO("there are many hosts")
+{
+  PeerBook book{ .mSelf = HostId{ "host-1" } };
+  CHECK(NewsInterval(book, kNow) == Milliseconds{ 250 });
+  for (int host = 0; host < 72; ++host) {
+    book.mListed[HostId{ std::to_string(host) }] = {};
+  }
+  THEN("each is heard of more rarely, and missed later")
+  {
+    CHECK(NewsInterval(book, kNow) == Milliseconds{ 1'000 });
+    TakeNews(book, News(1, 1, 0), kNow);
+    CHECK(LivePeers(book, kNow + std::chrono::seconds{ 3 }).size() == 1);
+    CHECK(LivePeers(book, kNow + std::chrono::seconds{ 5 }).empty());
+  }
+}
+
 SCENARIO("usage of a window is summed over hosts and their incarnations")
 {
   PeerBook book{ .mSelf = HostId{ "host-1" } };
