Count one crash for each death of a server, over all hosts

Change: crashes are counted by server, those that several hosts saw once; breaks within a second are one crash. A stopping host sends its last report; counts of usage go with each message again.

Ruled out: a limit on counts by time alone, which would let a request crash three servers at once.

--- a/cmd/trefoil_gateway.cc
+++ b/cmd/trefoil_gateway.cc
@@ -160,7 +160,7 @@
     trefoil::LogWeight::kNotable, trefoil::LogEvent::kStop, "signal={} state=begun", signal);
   (*control)->Leave();
   const int cutOff = (*traffic)->Stop(deadline);
-  (*control)->Stop();
+  (*control)->TellLast((*traffic)->LastReport());
   log.Write(
     trefoil::LogWeight::kNotable, trefoil::LogEvent::kStop, "state=ended cut_off={}", cutOff);
   return 0;
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -682,8 +682,8 @@
 void
 Exchange::NoteCrash()
 {
-  mState.mCrashNews.push_back(
-    RecordCrash(mState.mCrashes, mState.mOptions.mHost, Digest(), SuspendAwareNow()));
+  mState.mCrashNews.push_back(RecordCrash(
+    mState.mCrashes, mState.mOptions.mHost, Digest(), mAttempt->mServer.mId, SuspendAwareNow()));
 }
 
 void
--- a/trefoil/forward/traffic.cc
+++ b/trefoil/forward/traffic.cc
@@ -344,4 +344,10 @@
   return mImpl->mCutOff;
 }
 
+TrafficReport
+Traffic::LastReport()
+{
+  return mImpl->MakeReport();
+}
+
 } // namespace trefoil
--- a/trefoil/forward/traffic.h
+++ b/trefoil/forward/traffic.h
@@ -64,6 +64,8 @@
   // have ended or `aDeadline`, and ends the thread. Returns the number of requests that were cut
   // off.
   int Stop(Instant aDeadline);
+  // What was not reported yet; called after Stop.
+  TrafficReport LastReport();
 
 private:
   struct Impl;
--- a/trefoil/node/internal/crash_board.cc
+++ b/trefoil/node/internal/crash_board.cc
@@ -1,5 +1,7 @@
 #include "trefoil/node/internal/crash_board.h"
 
+#include "trefoil/wire/crash_exchange.h"
+
 #include <utility>
 
 namespace trefoil {
@@ -36,7 +38,7 @@
       return;
     }
     Expire(mLedger, Now());
-    count = RecordCrash(mLedger, mHost, aDigest, Now());
+    count = RecordCrash(mLedger, mHost, aDigest, aServer, Now());
   }
   Tell(count);
 }
@@ -57,10 +59,7 @@
 void
 CrashBoard::Tell(const CrashCount& aCount) const
 {
-  mTellHosts(CrashReport{ .mHost = aCount.mHost,
-                          .mDigest = aCount.mDigest.Value(),
-                          .mCrashes = aCount.mCrashes.mCrashes,
-                          .mCleared = aCount.mCrashes.mCleared });
+  mTellHosts(ToCrashReport(aCount));
 }
 
 void
@@ -126,11 +125,7 @@
 {
   if (const auto* report = std::get_if<CrashReport>(&aMessage)) {
     const absl::MutexLock lock{ &mMutex };
-    Merge(mLedger,
-          { .mHost = report->mHost,
-            .mDigest = RequestDigest{ report->mDigest },
-            .mCrashes = { .mCrashes = report->mCrashes, .mCleared = report->mCleared } },
-          Now());
+    Merge(mLedger, ToCrashCount(*report), Now());
     return true;
   }
   if (const auto* reservation = std::get_if<ServerReservation>(&aMessage)) {
--- a/trefoil/request/crash_ledger.cc
+++ b/trefoil/request/crash_ledger.cc
@@ -31,12 +31,29 @@
   return aLedger.mByDigest[aDigest];
 }
 
+// Returns the crashes of all servers. Hosts that saw the same server crash saw the same crash.
 std::int64_t
 CrashesOf(const CrashEntry& aEntry)
 {
-  std::int64_t crashes = 0;
+  std::map<BackendServerId, std::int64_t> byServer;
   for (const auto& [host, count] : aEntry.mByHost) {
-    crashes += count.mCrashes;
+    for (const auto& [server, crashes] : count.mByServer) {
+      byServer[server] = std::max(byServer[server], crashes);
+    }
+  }
+  std::int64_t crashes = 0;
+  for (const auto& [server, count] : byServer) {
+    crashes += count;
+  }
+  return crashes;
+}
+
+std::int64_t
+SumOf(const HostCrashes& aCount)
+{
+  std::int64_t crashes = 0;
+  for (const auto& [server, count] : aCount.mByServer) {
+    crashes += count;
   }
   return crashes;
 }
@@ -46,7 +63,7 @@
 IsLater(const HostCrashes& aLeft, const HostCrashes& aRight)
 {
   return aLeft.mCleared != aRight.mCleared ? aLeft.mCleared > aRight.mCleared
-                                           : aLeft.mCrashes > aRight.mCrashes;
+                                           : SumOf(aLeft) > SumOf(aRight);
 }
 
 } // namespace
@@ -63,12 +80,20 @@
 }
 
 CrashCount
-RecordCrash(CrashLedger& aLedger, const HostId& aHost, const RequestDigest& aDigest, Instant aNow)
+RecordCrash(CrashLedger& aLedger,
+            const HostId& aHost,
+            const RequestDigest& aDigest,
+            const BackendServerId& aServer,
+            Instant aNow)
 {
   CrashEntry& entry = EntryOf(aLedger, aDigest);
   entry.mForgetAt = aNow + kMemory;
   HostCrashes& count = entry.mByHost[aHost];
-  ++count.mCrashes;
+  const auto seen = entry.mSeenAt.find(aServer);
+  if (seen == entry.mSeenAt.end() || aNow - seen->second >= kOneCrash) {
+    ++count.mByServer[aServer];
+  }
+  entry.mSeenAt[aServer] = aNow;
   return { .mHost = aHost, .mDigest = aDigest, .mCrashes = count };
 }
 
@@ -80,8 +105,9 @@
     return {};
   }
   for (auto& [host, count] : found->second.mByHost) {
-    count.mCrashes = 0;
+    count.mByServer.clear();
   }
+  found->second.mSeenAt.clear();
   HostCrashes& own = found->second.mByHost[aHost];
   ++own.mCleared;
   return { .mHost = aHost, .mDigest = aDigest, .mCrashes = own };
@@ -103,7 +129,7 @@
   }
   for (auto& [host, count] : entry.mByHost) {
     if (host != aCount.mHost) {
-      count.mCrashes = 0;
+      count.mByServer.clear();
     }
   }
 }
--- a/trefoil/request/crash_ledger.h
+++ b/trefoil/request/crash_ledger.h
@@ -1,13 +1,14 @@
 // Finds the request that crashes the servers which run it, and stops it.
 //
 //   CrashLedger ledger;
-//   RecordCrash(ledger, host, digest, aNow);
+//   RecordCrash(ledger, host, digest, server, aNow);
 //   if (Judge(ledger, digest, aNow) == CrashJudgement::kRefuse) { ... }
 //
 // A request is known by the digest of its client account, service and body. Every request that was
-// on a server when it crashed counts one crash. One with kSuspectCrashes runs alone on a server;
-// one with kRefuseCrashes is refused by all hosts for a time. A request that completes is cleared,
-// so that one which was merely on the same server is not blamed for good.
+// on a server when it crashed counts one crash, however many times it ran there and however many
+// hosts had sent it. One with kSuspectCrashes runs alone on a server; one with kRefuseCrashes is
+// refused by all hosts for a time. A request that completes is cleared, so that one which was
+// merely on the same server is not blamed for good.
 //
 // Each host counts for itself and tells the others its count. Counts of one host only go up until
 // they are cleared, so that reports may come late or twice. Plain data and pure functions.
@@ -29,11 +30,13 @@
 inline constexpr std::int64_t kSuspectCrashes = 2;
 // After so many crashes, a request is refused.
 inline constexpr std::int64_t kRefuseCrashes = 3;
+// A crashed server takes longer than this to be back.
+inline constexpr Milliseconds kOneCrash{ 1'000 };
 
 // The crashes that one host saw while it ran a request.
 struct HostCrashes
 {
-  std::int64_t mCrashes = 0;
+  std::map<BackendServerId, std::int64_t> mByServer;
   // Rises each time that the request completed on the host; its crashes start anew.
   std::int64_t mCleared = 0;
 
@@ -43,6 +46,8 @@
 struct CrashEntry
 {
   std::map<HostId, HostCrashes> mByHost;
+  // When this host saw each server crash last.
+  std::map<BackendServerId, Instant> mSeenAt;
   // When the entry is dropped unless another crash follows.
   Instant mForgetAt;
 };
@@ -78,9 +83,14 @@
 RequestDigest
 DigestOf(const ClientAccountId& aAccount, const ServiceId& aService, std::string_view aBody);
 
-// Counts a crash that `aHost` saw and returns its count for the other hosts.
+// Counts a crash of a server that `aHost` saw and returns its counts for the other hosts. Breaks of
+// one server that follow each other within kOneCrash are one crash.
 CrashCount
-RecordCrash(CrashLedger& aLedger, const HostId& aHost, const RequestDigest& aDigest, Instant aNow);
+RecordCrash(CrashLedger& aLedger,
+            const HostId& aHost,
+            const RequestDigest& aDigest,
+            const BackendServerId& aServer,
+            Instant aNow);
 
 // Notes that a request completed on `aHost`, and returns what the other hosts should know; its
 // digest is empty if nothing was held against the request.
--- a/trefoil/request/crash_ledger_test.cc
+++ b/trefoil/request/crash_ledger_test.cc
@@ -10,25 +10,42 @@
 const Instant kStart{};
 const HostId kHere{ "h1" };
 const HostId kThere{ "h2" };
+const BackendServerId kFirst{ "e1" };
+const BackendServerId kSecond{ "e2" };
+const BackendServerId kThird{ "e3" };
 
 TEST_CASE("A request crashes the servers that run it")
 {
   const RequestDigest digest = DigestOf(ClientAccountId{ "a" }, ServiceId{ "rules" }, "poison");
   CrashLedger ledger;
   CHECK(Judge(ledger, digest, kStart) == CrashJudgement::kRun);
-  RecordCrash(ledger, kHere, digest, kStart);
+  RecordCrash(ledger, kHere, digest, kFirst, kStart);
   CHECK(Judge(ledger, digest, kStart) == CrashJudgement::kRun);
 
+  SECTION("the request ran there several times, through several hosts, and that is one crash")
+  {
+    RecordCrash(ledger, kHere, digest, kFirst, kStart + Milliseconds{ 5 });
+    CrashLedger other;
+    Merge(ledger, RecordCrash(other, kThere, digest, kFirst, kStart), kStart);
+    CHECK(Judge(ledger, digest, kStart) == CrashJudgement::kRun);
+
+    SECTION("until the server has come back and crashes again")
+    {
+      const Instant later = kStart + std::chrono::seconds{ 5 };
+      RecordCrash(ledger, kHere, digest, kFirst, later);
+      CHECK(Judge(ledger, digest, later) == CrashJudgement::kRunAlone);
+    }
+  }
   SECTION("after the second crash it runs alone")
   {
-    const CrashCount second = RecordCrash(ledger, kHere, digest, kStart);
+    const CrashCount second = RecordCrash(ledger, kHere, digest, kSecond, kStart);
     CHECK(Judge(ledger, digest, kStart) == CrashJudgement::kRunAlone);
 
     SECTION("and if it completes there, it is cleared on all hosts")
     {
       CrashLedger other;
       Merge(other, second, kStart);
-      RecordCrash(other, kThere, digest, kStart);
+      RecordCrash(other, kThere, digest, kThird, kStart);
       CHECK(Judge(other, digest, kStart) == CrashJudgement::kRefuse);
       Merge(other, RecordCompletion(ledger, kHere, digest), kStart);
       CHECK(Judge(ledger, digest, kStart) == CrashJudgement::kRun);
@@ -42,7 +59,7 @@
     }
     SECTION("after the third it is refused, on a host that only heard of it, too")
     {
-      const CrashCount third = RecordCrash(ledger, kHere, digest, kStart);
+      const CrashCount third = RecordCrash(ledger, kHere, digest, kThird, kStart);
       CrashLedger other;
       Merge(other, third, kStart);
       CHECK(Judge(other, digest, kStart) == CrashJudgement::kRefuse);
@@ -57,8 +74,8 @@
   }
   SECTION("another account's request with the same body is not touched")
   {
-    RecordCrash(ledger, kHere, digest, kStart);
-    RecordCrash(ledger, kHere, digest, kStart);
+    RecordCrash(ledger, kHere, digest, kSecond, kStart);
+    RecordCrash(ledger, kHere, digest, kThird, kStart);
     const auto innocent = DigestOf(ClientAccountId{ "b" }, ServiceId{ "rules" }, "poison");
     CHECK(Judge(ledger, innocent, kStart) == CrashJudgement::kRun);
   }
@@ -77,7 +94,11 @@
       const auto host = static_cast<std::size_t>(step % 3);
       if (step < 3 && Judge(ledgers[host], digest, kStart) != CrashJudgement::kRefuse) {
         ++servers;
-        sent.push_back(RecordCrash(ledgers[host], HostId{ std::to_string(host) }, digest, kStart));
+        sent.push_back(RecordCrash(ledgers[host],
+                                   HostId{ std::to_string(host) },
+                                   digest,
+                                   BackendServerId{ std::to_string(servers) },
+                                   kStart));
       }
       if (step >= 3 && !sent.empty()) {
         Merge(ledgers[host], sent[*rc::gen::inRange<std::size_t>(0, sent.size())], kStart);
--- a/trefoil/steering/control.cc
+++ b/trefoil/steering/control.cc
@@ -4,6 +4,7 @@
 #include "trefoil/steering/internal/duties.h"
 #include "trefoil/steering/internal/store_news.h"
 #include "trefoil/wire/codec.h"
+#include "trefoil/wire/crash_exchange.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -15,8 +16,6 @@
 namespace trefoil {
 namespace {
 
-// The counts of usage are sent so often; a report waits longer for them.
-constexpr Milliseconds kUsageEvery{ 1'000 };
 // The record of the quotas is written so often: what it lacks after a kill of all hosts is within
 // the slack.
 constexpr Milliseconds kQuotaRecordEvery{ 500 };
@@ -24,8 +23,8 @@
 constexpr Milliseconds kHostsEvery{ 5'000 };
 // Crashes are repeated in the news for so long, since a message may be lost.
 constexpr Milliseconds kRepeatCrashes{ 3'000 };
-// Windows of usage in a message: the running one and those that may still be reported.
-constexpr std::size_t kUsageWindowsSent = 4;
+// Windows of usage in a message: the running one and those that may still be counted.
+constexpr std::size_t kUsageWindowsSent = 3;
 constexpr Milliseconds kCloudSilence{ 1'500 };
 constexpr int kMostDatagram = 65'507;
 
@@ -44,12 +43,8 @@
       { .mAccount = account, .mUsed = static_cast<std::uint64_t>(std::max(0.0, used.mTotal)) });
   }
   std::size_t windows = 0;
-  const bool tellsUsage = now - aState.mUsageToldAt >= kUsageEvery;
-  if (tellsUsage) {
-    aState.mUsageToldAt = now;
-  }
   for (auto window = aState.mReport.mUsage.rbegin();
-       tellsUsage && window != aState.mReport.mUsage.rend() && windows < kUsageWindowsSent;
+       window != aState.mReport.mUsage.rend() && windows < kUsageWindowsSent;
        ++window, ++windows) {
     for (const auto& [account, requests] : window->second) {
       news.mUsage.push_back(
@@ -60,10 +55,7 @@
     aState.mCrashes.pop_front();
   }
   for (const auto& [seenAt, crash] : aState.mCrashes) {
-    news.mCrashes.push_back({ .mHost = crash.mHost,
-                              .mDigest = crash.mDigest.Value(),
-                              .mCrashes = crash.mCrashes.mCrashes,
-                              .mCleared = crash.mCrashes.mCleared });
+    news.mCrashes.push_back(ToCrashReport(crash));
   }
   for (const auto& [server, tokens] : aState.mReport.mPendingTokens) {
     news.mPending.push_back(
@@ -291,6 +283,18 @@
   });
 }
 
+void
+Control::TellLast(TrafficReport aReport)
+{
+  ControlState& state = mImpl->mState;
+  state.mLoop.Post([&state, report = std::move(aReport)]() mutable {
+    state.mReport = std::move(report);
+    SendNews(state);
+    state.mLoop.Stop();
+  });
+  mImpl->mThread.join();
+}
+
 void
 Control::Stop()
 {
--- a/trefoil/steering/control.h
+++ b/trefoil/steering/control.h
@@ -47,6 +47,8 @@
 
   // Gives up duties and tells the other hosts that this one stops. The thread goes on.
   void Leave();
+  // Tells the other hosts what traffic has reported last.
+  void TellLast(TrafficReport aReport);
   // Ends the thread.
   void Stop();
 
--- a/trefoil/steering/control_state.h
+++ b/trefoil/steering/control_state.h
@@ -47,7 +47,6 @@
   PeerBook mPeers;
   // What peers told since it was last passed on to the traffic thread.
   PeerNews mPeerNews;
-  Instant mUsageToldAt;
   Instant mQuotaWrittenAt;
   std::size_t mPeersInTouch = 0;
   TrafficReport mReport;
--- a/trefoil/steering/peer_book.cc
+++ b/trefoil/steering/peer_book.cc
@@ -1,5 +1,7 @@
 #include "trefoil/steering/peer_book.h"
 
+#include "trefoil/wire/crash_exchange.h"
+
 #include <algorithm>
 
 namespace trefoil {
@@ -53,10 +55,7 @@
     }
   }
   for (const CrashReport& crash : aNews.mCrashes) {
-    news.mCrashes.push_back(
-      { .mHost = crash.mHost,
-        .mDigest = RequestDigest{ crash.mDigest },
-        .mCrashes = { .mCrashes = crash.mCrashes, .mCleared = crash.mCleared } });
+    news.mCrashes.push_back(ToCrashCount(crash));
   }
   UsageWindows& usage = aBook.mUsage[aNews.mHost][aNews.mIncarnation];
   for (const WindowCount& count : aNews.mUsage) {
