Test the request path against scripted servers, and wait on streams without a goal

Cause: the new test of a resumed stream failed: a route without goals had a silence limit of 0 ms, so that each attempt was given up at once.

Change: streams are silent after 1.2 s at the least; above 24 hosts watches of operators' keys wait 1.6 s and changes of servers are gathered for 1.1 s.

--- /dev/null
+++ b/tests/forward_path/forward_path_test.cc
@@ -0,0 +1,469 @@
+// Requests through a traffic thread to scripted backend servers.
+#include "platform/forward_codec.h"
+#include "tests/forward_path/scripted_server.h"
+#include "trefoil/forward/traffic.h"
+#include "trefoil/http/message_reader.h"
+
+#include <Poco/Net/SocketAddress.h>
+#include <array>
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <memory>
+
+namespace trefoil {
+namespace {
+
+// A generous limit for what happens at once.
+constexpr Milliseconds kSoon{ 10'000 };
+
+Endpoint
+FreeEndpoint()
+{
+  const Poco::Net::ServerSocket socket{ Poco::Net::SocketAddress{ "127.0.0.1", 0 } };
+  return { .mAddress = "127.0.0.1", .mPort = socket.address().port() };
+}
+
+// What a client sees of an answer.
+struct Seen
+{
+  int mStatus = 0;
+  HttpHeaders mHeaders;
+  std::string mBody;
+  // Whether the answer ended as it should.
+  bool mWhole = false;
+};
+
+class Client
+{
+public:
+  explicit Client(const Endpoint& aTo)
+    : mSocket(Poco::Net::SocketAddress{ aTo.mAddress, aTo.mPort })
+  {
+  }
+
+  void Send(const std::string& aBytes)
+  {
+    mSocket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
+  }
+
+  Seen Read()
+  {
+    MessageReader reader = MessageReader::ForAnswer({});
+    mSocket.setReceiveTimeout(Poco::Timespan{ std::chrono::microseconds{ kSoon }.count() });
+    ReadState state = reader.Consume(mReceived);
+    while (state == ReadState::kHead || state == ReadState::kBody) {
+      std::array<char, 4096> buffer{};
+      const int count = mSocket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+      if (count <= 0) {
+        break;
+      }
+      mReceived.append(buffer.data(), static_cast<std::size_t>(count));
+      state = reader.Consume(mReceived);
+    }
+    Seen seen{ .mWhole = state == ReadState::kComplete };
+    if (reader.HeadDone()) {
+      seen.mStatus = reader.Answer().mStatus;
+      seen.mHeaders = reader.Answer().mHeaders;
+      seen.mBody = reader.Body();
+    }
+    return seen;
+  }
+
+private:
+  Poco::Net::StreamSocket mSocket;
+  std::string mReceived;
+};
+
+// A traffic thread with one route of each kind, before the servers of a test.
+class Gateway
+{
+public:
+  Gateway()
+  {
+    mOptions = { .mHost = HostId{ "host-1" },
+                 .mZone = AvailabilityZoneId{ "a" },
+                 .mListen = FreeEndpoint(),
+                 .mReadiness = FreeEndpoint(),
+                 .mCodec = platform::MakeForwardCodec(),
+                 .mRetries = { .mRatio = 0.2, .mSlack = 50, .mWindow = std::chrono::seconds{ 10 } },
+                 .mUsageWindow = Milliseconds{ 5'000 },
+                 .mMostConfigurationAge = Milliseconds{ 60'000 },
+                 .mMostConnections = 100 };
+    mTraffic = std::move(Traffic::Start(mOptions, mLog, mMetrics).value());
+    const auto route = [this](const char* aName, RouteKind aKind, bool aResumable) {
+      mCatalogue.mRoutes.push_back({ .mName = aName,
+                                     .mHost = "h.example",
+                                     .mPathPrefix = fmt::format("/{}/", aName),
+                                     .mKind = aKind,
+                                     .mTimeout = Milliseconds{ 8'000 },
+                                     .mTargets = { { .mService = ServiceId{ "s" } } },
+                                     .mAttempts = 2,
+                                     .mResumable = aResumable });
+    };
+    route("read", RouteKind::kIdempotent, false);
+    route("write", RouteKind::kNonIdempotent, false);
+    route("live", RouteKind::kStream, false);
+    route("talk", RouteKind::kStream, true);
+    mCatalogue.mAccounts = { { .mName = ClientAccountId{ "club" }, .mKeys = { "k" } } };
+  }
+
+  void Add(const char* aName, const ScriptedServer& aServer)
+  {
+    Learn(mServers,
+          { .mId = BackendServerId{ aName },
+            .mService = ServiceId{ "s" },
+            .mEndpoint = aServer.Where(),
+            .mZone = AvailabilityZoneId{ "a" },
+            .mRevision = 1 });
+  }
+
+  void Publish(Instant aProvenAt = SuspendAwareNow())
+  {
+    mTraffic->Publish(std::make_shared<TrafficView>(
+      TrafficView{ .mCatalogue = std::make_shared<PublishedCatalogue>(
+                     PublishedCatalogue{ mCatalogue, IndexRoutes(mCatalogue) }),
+                   .mServers = std::make_shared<ServerRegistry>(mServers),
+                   .mProvenAt = aProvenAt }));
+  }
+
+  Client Connect() const { return Client{ mOptions.mListen }; }
+  Client ConnectToReadiness() const { return Client{ mOptions.mReadiness }; }
+  Traffic& Thread() { return *mTraffic; }
+
+  Catalogue mCatalogue;
+  ServerRegistry mServers;
+
+private:
+  EventLog mLog{ "host-1" };
+  Metrics mMetrics;
+  TrafficOptions mOptions;
+  std::unique_ptr<Traffic> mTraffic;
+};
+
+std::string
+Request(const std::string& aRoute,
+        const std::string& aId,
+        const std::string& aKey = "k",
+        int aDeadlineMs = 8'000)
+{
+  return fmt::format(
+    "POST /{}/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\nAuthorization: Token "
+    "{}\r\nDeadline-Milliseconds: {}\r\nContent-Length: 4\r\n\r\nbody",
+    aRoute,
+    aId,
+    aKey,
+    aDeadlineMs);
+}
+
+Reply
+Served(const SeenRequest& aRequest)
+{
+  return { .mBytes = SealedAnswer(aRequest, 200, "done") };
+}
+
+SCENARIO("a request is passed to a backend server")
+{
+  ScriptedServer server{ Served };
+  Gateway gateway;
+  gateway.Add("e1", server);
+  gateway.Publish();
+  Client client = gateway.Connect();
+  client.Send(Request("write", "id-1"));
+  const Seen seen = client.Read();
+  CHECK(seen.mStatus == 200);
+  CHECK(seen.mBody == "done");
+  CHECK(HeaderValue(seen.mHeaders, "Response-Seal") == "s");
+  THEN("the server saw it as the client sent it, with what the system adds")
+  {
+    const HttpRequest request = server.Seen().at(0);
+    CHECK(request.mTarget == "/write/x");
+    CHECK(request.mBody == "body");
+    CHECK(HeaderValue(request.mHeaders, "Tenant") == "club");
+    CHECK(HeaderValue(request.mHeaders, "Expected-Instance") == "e1");
+    CHECK(HeaderValue(request.mHeaders, "Authorization").empty());
+  }
+  THEN("the client's connection carries further requests")
+  {
+    client.Send(Request("read", "id-2"));
+    CHECK(client.Read().mStatus == 200);
+  }
+}
+
+SCENARIO("a request is not allowed")
+{
+  ScriptedServer server{ Served };
+  Gateway gateway;
+  gateway.Add("e1", server);
+  Client client = gateway.Connect();
+  GIVEN("no configuration yet")
+  {
+    client.Send(Request("read", "id-1"));
+    THEN("it has not run, and the client may come again")
+    {
+      CHECK(client.Read().mStatus == 503);
+    }
+  }
+  GIVEN("a configuration")
+  {
+    gateway.Publish();
+    THEN("an unknown key is refused")
+    {
+      client.Send(Request("read", "id-1", "other"));
+      CHECK(client.Read().mStatus == 401);
+    }
+    THEN("an unknown route is refused")
+    {
+      client.Send(Request("none", "id-1"));
+      CHECK(client.Read().mStatus == 404);
+    }
+    THEN("a request that leaves open where it ends is refused and the connection closed")
+    {
+      client.Send("POST /read/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/y HTTP/1.1\r\n\r\n");
+      CHECK(client.Read().mStatus == 400);
+      CHECK(client.Read().mStatus == 0);
+    }
+    CHECK(server.Seen().empty());
+  }
+  GIVEN("a configuration that was not proven current for long")
+  {
+    gateway.Publish(SuspendAwareNow() - std::chrono::minutes{ 2 });
+    THEN("no key is trusted")
+    {
+      client.Send(Request("read", "id-1"));
+      CHECK(client.Read().mStatus == 503);
+      CHECK(server.Seen().empty());
+    }
+  }
+}
+
+SCENARIO("a backend server breaks off")
+{
+  ScriptedServer broken{ [](const SeenRequest&) { return Reply{ .mClose = true }; } };
+  ScriptedServer good{ Served };
+  Gateway gateway;
+  gateway.Add("e1", broken);
+  GIVEN("a request that must not run twice")
+  {
+    gateway.Publish();
+    Client client = gateway.Connect();
+    client.Send(Request("write", "id-1"));
+    THEN("it is sent once, and the answer does not say that it has not run")
+    {
+      CHECK(client.Read().mStatus == 502);
+      CHECK(broken.Seen().size() == 1);
+    }
+  }
+  GIVEN("one that may, and another server")
+  {
+    gateway.Publish();
+    Client client = gateway.Connect();
+    client.Send(Request("read", "id-1"));
+    CHECK(client.Read().mStatus == 502);
+    gateway.Add("e2", good);
+    gateway.Publish();
+    client.Send(Request("read", "id-2"));
+    THEN("it runs on the other one")
+    {
+      CHECK(client.Read().mStatus == 200);
+    }
+  }
+}
+
+SCENARIO("backend servers turn requests away")
+{
+  const auto full = [](const SeenRequest& aRequest) {
+    return Reply{ .mBytes = fmt::format("HTTP/1.1 503 X\r\nRequest-Id: {}\r\nNot-Executed: "
+                                        "1\r\nContent-Length: 0\r\n\r\n",
+                                        HeaderValue(aRequest.mRequest.mHeaders, "Request-Id")) };
+  };
+  ScriptedServer first{ full };
+  Gateway gateway;
+  gateway.Add("e1", first);
+  GIVEN("only full ones")
+  {
+    gateway.Publish();
+    Client client = gateway.Connect();
+    client.Send(Request("write", "id-1", "k", 900));
+    const Seen seen = client.Read();
+    THEN("the request has not run, and the client is told when to come again")
+    {
+      CHECK(seen.mStatus == 503);
+      CHECK(std::stod(std::string{ HeaderValue(seen.mHeaders, "Retry-After") }) <= 0.3);
+    }
+  }
+  GIVEN("one with room")
+  {
+    ScriptedServer second{ Served };
+    gateway.Add("e2", second);
+    gateway.Publish();
+    Client client = gateway.Connect();
+    for (int request = 0; request < 4; ++request) {
+      client.Send(Request("write", fmt::format("id-{}", request)));
+      CHECK(client.Read().mStatus == 200);
+    }
+    THEN("all run there, also those that must not run twice")
+    {
+      CHECK(second.Seen().size() == 4);
+    }
+  }
+}
+
+SCENARIO("a backend server sends a second answer")
+{
+  ScriptedServer server{ [](const SeenRequest& aRequest) {
+    Reply reply = Served(aRequest);
+    if (aRequest.mNumber == 0) {
+      reply.mBytes += SealedAnswer(aRequest, 200, "again");
+    }
+    return reply;
+  } };
+  Gateway gateway;
+  gateway.Add("e1", server);
+  gateway.Publish();
+  Client client = gateway.Connect();
+  client.Send(Request("read", "id-1"));
+  CHECK(client.Read().mBody == "done");
+  THEN("it never reaches the next request")
+  {
+    client.Send(Request("read", "id-2"));
+    const Seen seen = client.Read();
+    CHECK(seen.mBody == "done");
+    CHECK(HeaderValue(seen.mHeaders, "Request-Id") == "id-2");
+  }
+}
+
+SCENARIO("a success is not vouched for")
+{
+  ScriptedServer server{ [](const SeenRequest& aRequest) {
+    return Reply{ .mBytes =
+                    fmt::format("HTTP/1.1 200 X\r\nRequest-Id: {}\r\nContent-Length: 2\r\n\r\nno",
+                                HeaderValue(aRequest.mRequest.mHeaders, "Request-Id")) };
+  } };
+  Gateway gateway;
+  gateway.Add("e1", server);
+  gateway.Publish();
+  Client client = gateway.Connect();
+  client.Send(Request("write", "id-1"));
+  THEN("the client does not get it")
+  {
+    CHECK(client.Read().mStatus == 502);
+  }
+}
+
+SCENARIO("a stream breaks off in the middle")
+{
+  ScriptedServer first{ [](const SeenRequest& aRequest) {
+    // The third event is cut.
+    return Reply{ .mBytes =
+                    StreamStart(aRequest) + EventChunk(1) + EventChunk(2) + "9\r\nid: 3\nda",
+                  .mClose = true };
+  } };
+  Gateway gateway;
+  gateway.Add("e1", first);
+  GIVEN("a route whose streams cannot be resumed")
+  {
+    gateway.Publish();
+    Client client = gateway.Connect();
+    client.Send(Request("live", "id-1"));
+    const Seen seen = client.Read();
+    THEN("the client sees the whole events, and that the answer is not whole")
+    {
+      CHECK(seen.mBody == "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n");
+      CHECK_FALSE(seen.mWhole);
+    }
+  }
+  GIVEN("one whose streams can, and another server")
+  {
+    ScriptedServer second{ [](const SeenRequest& aRequest) {
+      const bool resumed = HeaderValue(aRequest.mRequest.mHeaders, "Last-Event-Id") == "2";
+      return Reply{ .mBytes = StreamStart(aRequest) +
+                              (resumed ? "" : EventChunk(1) + EventChunk(2)) + EventChunk(3) +
+                              EventChunk(4) + kStreamEnd };
+    } };
+    gateway.Publish();
+    Client client = gateway.Connect();
+    client.Send(Request("talk", "id-1"));
+    CHECK_FALSE(client.Read().mWhole);
+    gateway.Add("e2", second);
+    gateway.Publish();
+    Client again = gateway.Connect();
+    again.Send(Request("talk", "id-2"));
+    const Seen seen = again.Read();
+    THEN("the client sees each event once and no seam")
+    {
+      CHECK(seen.mBody ==
+            "id: 1\ndata: d1\n\nid: 2\ndata: d2\n\nid: 3\ndata: d3\n\nid: 4\ndata: d4\n\n");
+      CHECK(seen.mWhole);
+    }
+  }
+}
+
+SCENARIO("a backend server does not answer")
+{
+  ScriptedServer server{ [](const SeenRequest&) { return Reply{ .mHang = true }; } };
+  Gateway gateway;
+  gateway.Add("e1", server);
+  gateway.Publish();
+  GIVEN("a client that waits for a short time")
+  {
+    Client client = gateway.Connect();
+    client.Send(Request("write", "id-1", "k", 300));
+    THEN("it is told at its deadline, and that the request may have run")
+    {
+      CHECK(client.Read().mStatus == 504);
+    }
+  }
+  GIVEN("a client that leaves")
+  {
+    {
+      Client client = gateway.Connect();
+      client.Send(Request("live", "id-1"));
+      const Instant deadline = SuspendAwareNow() + kSoon;
+      while (server.Seen().empty() && !HasPassed(deadline, SuspendAwareNow())) {
+        std::this_thread::sleep_for(Milliseconds{ 5 });
+      }
+    }
+    THEN("the server is told to stop its work")
+    {
+      const Instant deadline = SuspendAwareNow() + kSoon;
+      while (server.Abandoned() == 0 && !HasPassed(deadline, SuspendAwareNow())) {
+        std::this_thread::sleep_for(Milliseconds{ 5 });
+      }
+      CHECK(server.Abandoned() == 1);
+    }
+  }
+}
+
+SCENARIO("the host stops")
+{
+  ScriptedServer server{ [](const SeenRequest& aRequest) {
+    std::this_thread::sleep_for(Milliseconds{ 300 });
+    return Served(aRequest);
+  } };
+  Gateway gateway;
+  gateway.Add("e1", server);
+  gateway.Publish();
+  Client ready = gateway.ConnectToReadiness();
+  ready.Send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(ready.Read().mStatus == 200);
+  Client client = gateway.Connect();
+  client.Send(Request("write", "id-1"));
+  const Instant deadline = SuspendAwareNow() + kSoon;
+  while (server.Seen().empty() && !HasPassed(deadline, SuspendAwareNow())) {
+    std::this_thread::sleep_for(Milliseconds{ 5 });
+  }
+  int cutOff = -1;
+  std::thread stopping{ [&] { cutOff = gateway.Thread().Stop(deadline); } };
+  const Seen seen = client.Read();
+  stopping.join();
+  THEN("the request under way is answered, and the client is told to close")
+  {
+    CHECK(seen.mStatus == 200);
+    CHECK(HeaderValue(seen.mHeaders, "Connection") == "close");
+    CHECK(cutOff == 0);
+  }
+}
+
+} // namespace
+} // namespace trefoil
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -30,6 +30,8 @@
 // A repeatable request without an answer goes to another server after this many times its goal.
 constexpr int kSilentGoals = 2;
 constexpr Milliseconds kLeastSilence{ 200 };
+// A long prompt is read for up to a second before the first event.
+constexpr Milliseconds kLeastStreamSilence{ 1'200 };
 // A resumable stream is silent after this many of its longest pauses.
 constexpr int kSilentPauses = 4;
 // Bytes of one answer kept for a client that does not take them.
@@ -327,7 +329,8 @@
   }
   const Milliseconds limit =
     mRoute->mKind == RouteKind::kStream
-      ? std::max(mRoute->mPauseGoal * kSilentPauses, mRoute->mGoal * kSilentGoals)
+      ? std::max(
+          { mRoute->mPauseGoal * kSilentPauses, mRoute->mGoal * kSilentGoals, kLeastStreamSilence })
       : std::max(mRoute->mGoal * kSilentGoals, kLeastSilence);
   mSilenceTimer = mState.mLoop.CallAt(SuspendAwareNow() + limit, [self = shared_from_this()] {
     self->mSilenceTimer = 0;
--- a/trefoil/forward/server_pool.cc
+++ b/trefoil/forward/server_pool.cc
@@ -110,16 +110,16 @@
   for (auto entry = mIdle.begin(); entry != mIdle.end();) {
     const auto server = aServers.mServers.find(entry->first);
     Connections& idle = entry->second;
-    const auto kept = std::ranges::partition(idle, [&](const auto& aItem) {
+    const auto dropped = std::partition(idle.begin(), idle.end(), [&](const auto& aItem) {
       return server != aServers.mServers.end() &&
              server->second.mIncarnation == aItem->mIncarnation &&
              !HasPassed(aItem->mUseUntil, aNow);
     });
-    for (const auto& connection : kept) {
-      connection->mStream->Close();
+    for (auto connection = dropped; connection != idle.end(); ++connection) {
+      (*connection)->mStream->Close();
       --mIdleCount;
     }
-    idle.erase(kept.begin(), kept.end());
+    idle.erase(dropped, idle.end());
     entry = idle.empty() ? mIdle.erase(entry) : std::next(entry);
   }
 }
--- a/trefoil/reactor/byte_stream.cc
+++ b/trefoil/reactor/byte_stream.cc
@@ -31,9 +31,9 @@
 
 } // namespace
 
-ByteStream::ByteStream(EventLoop& aLoop, Poco::Net::StreamSocket aSocket)
+ByteStream::ByteStream(EventLoop& aLoop, const Poco::Net::StreamSocket& aSocket)
   : mLoop(aLoop)
-  , mSocket(std::move(aSocket))
+  , mSocket(aSocket)
 {
 }
 
--- a/trefoil/reactor/byte_stream.h
+++ b/trefoil/reactor/byte_stream.h
@@ -65,7 +65,7 @@
                                            const Poco::Net::StreamSocket& aSocket,
                                            StreamOptions aOptions);
 
-  ByteStream(EventLoop& aLoop, Poco::Net::StreamSocket aSocket);
+  ByteStream(EventLoop& aLoop, const Poco::Net::StreamSocket& aSocket);
 
   // Replaces the callbacks. Bytes that wait in Received() are not reported again.
   void SetCallbacks(StreamCallbacks aCallbacks) { mCallbacks = std::move(aCallbacks); }
--- a/trefoil/steering/internal/store_news.cc
+++ b/trefoil/steering/internal/store_news.cc
@@ -12,6 +12,10 @@
 // the configuration is the newest, so it is well below the age at which keys are refused.
 constexpr Milliseconds kOperatorWait{ 1'000 };
 constexpr Milliseconds kServerWait{ 5'000 };
+// The calls of many hosts add up: above this number of hosts each calls more rarely.
+constexpr int kManyHosts = 24;
+constexpr Milliseconds kOperatorWaitOfMany{ 1'600 };
+constexpr Milliseconds kServerGatherOfMany{ 1'100 };
 // Servers that start or leave together are read by one call. Well below the time in which a leaving
 // server must get no more requests.
 constexpr Milliseconds kServerGather{ 500 };
@@ -278,6 +282,9 @@
     aState.mLog.Write(LogWeight::kNotable, LogEvent::kPeersChanged, "listed={}", listed.size());
   }
   aState.mPeers.mListed = std::move(listed);
+  const bool many = HostCount(aState.mPeers, SuspendAwareNow()) > kManyHosts;
+  aState.mOperatorWatch->SetPace(many ? kOperatorWaitOfMany : kOperatorWait, kOperatorGather);
+  aState.mServerWatch->SetPace(kServerWait, many ? kServerGatherOfMany : kServerGather);
 }
 
 void
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -50,6 +50,12 @@
               PrefixWatchCallbacks aCallbacks);
 
   void Start() { List({}); }
+  // Changes how long watches wait and how long changes are gathered, from the next call on.
+  void SetPace(Milliseconds aWait, Milliseconds aGather)
+  {
+    mOptions.mWait = aWait;
+    mOptions.mGather = aGather;
+  }
   bool IsLost() const { return mLost; }
 
 private:
