--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -240,8 +240,7 @@
                         mRoute->mName,
                         NameOf(kRefusalReasonNames, RefusalReason::kNoServer),
                         mDispatches);
-      mSession->Abort();
-      End();
+      CutOff();
       return;
     }
     if (mServerError.has_value()) {
@@ -452,8 +451,8 @@
   }
   mSession->SendBody(events);
   if (mSession->Unsent() > kMostUnsentBytes) {
+    // The client takes nothing: it counts as gone.
     mSession->Abort();
-    OnClientGone();
     return;
   }
   ArmSilenceTimer();
@@ -498,8 +497,7 @@
 {
   if (mStreaming) {
     // A resumed stream cannot end with another status.
-    mSession->Abort();
-    End();
+    CutOff();
     return;
   }
   aAnswer.mHeaders = mState.mOptions.mCodec.mClientHeaders(aAnswer.mHeaders);
@@ -656,8 +654,7 @@
                       NameOf(kAttemptEndNames, aEnd),
                       mDispatches,
                       mEvents.mLastId);
-    mSession->Abort();
-    End();
+    CutOff();
     return;
   }
   if (mServerError.has_value()) {
@@ -708,8 +705,7 @@
                       mRoute->mName,
                       NameOf(kRefusalReasonNames, RefusalReason::kOutOfTime),
                       mEvents.mLastId);
-    mSession->Abort();
-    End();
+    CutOff();
     return;
   }
   Refuse(mRuns > 0 ? kGatewayTimeout : kUnavailable, RefusalReason::kOutOfTime, std::nullopt);
@@ -776,6 +772,15 @@
   End();
 }
 
+// Closes the client's connection in the middle of the answer.
+void
+Exchange::CutOff()
+{
+  const auto session = mSession;
+  End();
+  session->Abort();
+}
+
 void
 Exchange::End()
 {
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -135,6 +135,7 @@
 
   void OnDeadline();
   void Refuse(int aStatus, RefusalReason aReason, std::optional<Milliseconds> aRetryAfter);
+  void CutOff();
   void End();
   Milliseconds TimeLeft() const;
   Milliseconds RetryAfter(Milliseconds aWanted) const;
