Correct calendars that jumped by the middle one of all hosts

Change: news carry the sender's calendar; a host takes the middle one of those it hears. Incarnations are told apart and no longer ordered.

Ruled out: keeping the calendar of the start, which may be the wrong one.

--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -422,7 +422,8 @@
   }
   mState.mMetrics.Observe(stream ? Summary::kFirstToken : Summary::kPlainAnswer, latency);
   if (mAccount != nullptr) {
-    const std::int64_t window = UnixMilliseconds(WallNow()) / mState.mOptions.mUsageWindow.count();
+    const std::int64_t window = UnixMilliseconds(WallNow() + mState.mView->mClockCorrection) /
+                                mState.mOptions.mUsageWindow.count();
     ++mState.mUsage[window][mAccount->mName];
   }
 }
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -42,6 +42,8 @@
   // Entry hosts, in touch or not; at least 1.
   int mHosts = 1;
   int mHostsInTouch = 1;
+  // What to add to this host's calendar.
+  Milliseconds mClockCorrection{ 0 };
   std::map<ServiceId, VersionSteering> mSteering;
 };
 
--- a/trefoil/steering/control.cc
+++ b/trefoil/steering/control.cc
@@ -36,6 +36,7 @@
                     .mIncarnation = aState.mIncarnation,
                     .mSequence = ++aState.mSequence,
                     .mEndpoint = aState.mOptions.mPeerEndpoint,
+                    .mWallMs = UnixMilliseconds(WallNow()),
                     .mHoldsDuties = aState.mHoldsDuties,
                     .mLeaving = aState.mLeaving };
   for (const auto& [account, used] : aState.mReport.mQuotaUsed) {
@@ -117,6 +118,7 @@
   }
   const bool unknown = IsUnknown(aState.mPeers, *news);
   const PeerNews added = TakeNews(aState.mPeers, *news, SuspendAwareNow());
+  NoteClock(aState.mPeers, *news, WallNow());
   if (news->mHoldsDuties && news->mHost != aState.mOptions.mHost) {
     OnHolderHeard(aState);
   }
--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -285,7 +285,7 @@
                      { .mWindow = aState.mOptions.mUsageWindow,
                        .mSettle = kUsageSettle,
                        .mLateAfter = aState.mOptions.mUsageLateAfter },
-                     WallNow(),
+                     WallNow() + ClockCorrection(aState.mPeers, SuspendAwareNow()),
                      SuspendAwareNow(),
                      kCallLimit,
                      [&aState](std::int64_t aWindow) { return CountsOf(aState, aWindow); });
--- a/trefoil/steering/peer_book.cc
+++ b/trefoil/steering/peer_book.cc
@@ -7,6 +7,8 @@
 namespace trefoil {
 namespace {
 
+// Calendars that differ by less agree.
+constexpr Milliseconds kClockNoise{ 100 };
 // A host is out of touch once so many of its messages are missing.
 constexpr int kMissingNews = 4;
 // News are sent so often among a few hosts: a quota is overrun by at most what comes in that time
@@ -38,8 +40,11 @@
   }
   Peer& peer = aBook.mPeers[aNews.mHost];
   const bool sameLife = peer.mNews.mIncarnation == aNews.mIncarnation;
-  if (aNews.mIncarnation < peer.mNews.mIncarnation ||
-      (sameLife && aNews.mSequence <= peer.mNews.mSequence)) {
+  // Incarnations are not ordered, since the calendar of a host may have jumped back at its start.
+  const auto lives = aBook.mUsage.find(aNews.mHost);
+  const bool formerLife =
+    !sameLife && lives != aBook.mUsage.end() && lives->second.contains(aNews.mIncarnation);
+  if (formerLife || (sameLife && aNews.mSequence <= peer.mNews.mSequence)) {
     return {};
   }
   PeerNews news;
@@ -72,7 +77,29 @@
 {
   const auto peer = aBook.mPeers.find(aNews.mHost);
   return aNews.mHost != aBook.mSelf &&
-         (peer == aBook.mPeers.end() || peer->second.mNews.mIncarnation < aNews.mIncarnation);
+         (peer == aBook.mPeers.end() || peer->second.mNews.mIncarnation != aNews.mIncarnation);
+}
+
+void
+NoteClock(PeerBook& aBook, const TrafficNews& aNews, WallTime aWallNow)
+{
+  const auto peer = aBook.mPeers.find(aNews.mHost);
+  if (peer != aBook.mPeers.end()) {
+    peer->second.mClockAhead = Milliseconds{ aNews.mWallMs - UnixMilliseconds(aWallNow) };
+  }
+}
+
+Milliseconds
+ClockCorrection(const PeerBook& aBook, Instant aNow)
+{
+  std::vector<Milliseconds> ahead{ Milliseconds{ 0 } };
+  for (const HostId& host : LivePeers(aBook, aNow)) {
+    ahead.push_back(aBook.mPeers.at(host).mClockAhead);
+  }
+  const auto middle = ahead.begin() + static_cast<std::ptrdiff_t>(ahead.size() / 2);
+  std::nth_element(ahead.begin(), middle, ahead.end());
+  // The ways of the messages differ by as much.
+  return std::chrono::abs(*middle) < kClockNoise ? Milliseconds{ 0 } : *middle;
 }
 
 Milliseconds
--- a/trefoil/steering/peer_book.h
+++ b/trefoil/steering/peer_book.h
@@ -19,6 +19,8 @@
 {
   TrafficNews mNews;
   Instant mHeardAt;
+  // How far the peer's calendar was ahead of this host's.
+  Milliseconds mClockAhead{ 0 };
 };
 
 struct PeerBook
@@ -39,6 +41,15 @@
 bool
 IsUnknown(const PeerBook& aBook, const TrafficNews& aNews);
 
+// Takes in what a message says of its sender's calendar. Called after TakeNews.
+void
+NoteClock(PeerBook& aBook, const TrafficNews& aNews, WallTime aWallNow);
+
+// Returns what to add to this host's calendar so that it agrees with the middle one of all hosts:
+// the calendar of some may have jumped.
+Milliseconds
+ClockCorrection(const PeerBook& aBook, Instant aNow);
+
 // Returns the hosts that were heard of lately, without this one.
 std::vector<HostId>
 LivePeers(const PeerBook& aBook, Instant aNow);
--- a/trefoil/steering/peer_book_test.cc
+++ b/trefoil/steering/peer_book_test.cc
@@ -101,6 +101,54 @@
   }
 }
 
+SCENARIO("the calendar of some hosts jumps")
+{
+  PeerBook book{ .mSelf = HostId{ "host-1" } };
+  const WallTime wall = FromUnixMilliseconds(1'772'000'000'000);
+  const auto hear = [&](const char* aHost, std::int64_t aAheadMs) {
+    TrafficNews news = News(1, 1, 0);
+    news.mHost = HostId{ aHost };
+    news.mWallMs = UnixMilliseconds(wall) + aAheadMs;
+    TakeNews(book, news, kNow);
+    NoteClock(book, news, wall);
+  };
+  GIVEN("one of five hosts ahead by two seconds")
+  {
+    hear("host-2", 2'000);
+    hear("host-3", 3);
+    hear("host-4", -8);
+    hear("host-5", 1);
+    THEN("the others keep their time")
+    {
+      CHECK(ClockCorrection(book, kNow) == Milliseconds{ 0 });
+    }
+  }
+  GIVEN("this host behind the others")
+  {
+    hear("host-2", 2'000);
+    hear("host-3", 2'003);
+    hear("host-4", 1'998);
+    THEN("it takes the time of the others")
+    {
+      CHECK(ClockCorrection(book, kNow) >= Milliseconds{ 1'998 });
+      CHECK(ClockCorrection(book, kNow) <= Milliseconds{ 2'003 });
+    }
+  }
+  GIVEN("a host that starts again while its calendar is back")
+  {
+    TakeNews(book, News(50, 9, 0), kNow);
+    CHECK(IsUnknown(book, News(40, 1, 0)));
+    TakeNews(book, News(40, 1, 0), kNow);
+    const PeerNews next = TakeNews(book, News(40, 2, 500), kNow + Milliseconds{ 250 });
+    THEN("it is heard, and a late message of its former life is not")
+    {
+      CHECK(next.mQuotaUsed.at(kAccount) == 500);
+      TakeNews(book, News(50, 10, 9'000), kNow + Milliseconds{ 300 });
+      CHECK(book.mPeers.at(kPeer).mNews.mIncarnation == 40);
+    }
+  }
+}
+
 SCENARIO("there are many hosts")
 {
   PeerBook book{ .mSelf = HostId{ "host-1" } };
--- a/trefoil/wire/traffic_message.h
+++ b/trefoil/wire/traffic_message.h
@@ -95,6 +95,8 @@
   std::uint64_t mIncarnation = 0;
   std::uint64_t mSequence = 0;
   Endpoint mEndpoint;
+  // The sender's calendar time, in Unix milliseconds.
+  std::int64_t mWallMs = 0;
   // The sender carries out the duties.
   bool mHoldsDuties = false;
   // The sender stops and will take no further requests.
@@ -113,6 +115,7 @@
              mIncarnation,
              mSequence,
              mEndpoint,
+             mWallMs,
              mHoldsDuties,
              mLeaving,
              mQuotas,
