--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <future>
 #include <memory>
 
 namespace trefoil {
@@ -126,6 +127,19 @@
                    .mProvenAt = aProvenAt }));
   }
 
+  // Returns the requests of an account that were counted so far.
+  std::int64_t Usage(const ClientAccountId& aAccount)
+  {
+    std::promise<TrafficReport> report;
+    mTraffic->Report([&report](TrafficReport aReport) { report.set_value(std::move(aReport)); });
+    std::int64_t requests = 0;
+    for (const auto& [window, counts] : report.get_future().get().mUsage) {
+      const auto found = counts.find(aAccount);
+      requests += found == counts.end() ? 0 : found->second;
+    }
+    return requests;
+  }
+
   Client Connect() const { return Client{ mOptions.mListen }; }
   Client ConnectToReadiness() const { return Client{ mOptions.mReadiness }; }
   Traffic& Thread() { return *mTraffic; }
@@ -253,6 +267,11 @@
       CHECK(client.Read().mStatus == 502);
       CHECK(broken.Seen().size() == 1);
     }
+    THEN("it counts for the usage of its account, since it may have run")
+    {
+      client.Read();
+      CHECK(gateway.Usage(ClientAccountId{ "club" }) == 1);
+    }
   }
   GIVEN("one that may, and another server")
   {
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -421,7 +421,14 @@
     ++mState.mLoads[mService].mSlow;
   }
   mState.mMetrics.Observe(stream ? Summary::kFirstToken : Summary::kPlainAnswer, latency);
-  if (mAccount != nullptr) {
+  CountUsage();
+}
+
+// Counts the request for the usage of its account, once.
+void
+Exchange::CountUsage()
+{
+  if (mAccount != nullptr && !std::exchange(mUsageCounted, true)) {
     const std::int64_t window = UnixMilliseconds(WallNow() + mState.mView->mClockCorrection) /
                                 mState.mOptions.mUsageWindow.count();
     ++mState.mUsage[window][mAccount->mName];
@@ -627,6 +634,11 @@
   if (aEnd == AttemptEnd::kBroken && !mRequest.mBody.empty()) {
     NoteCrash();
   }
+  const bool plain = mRoute->mKind != RouteKind::kStream;
+  if (aEnd == AttemptEnd::kBroken || (aEnd == AttemptEnd::kSilent && plain)) {
+    // The server most likely ran it and lost the answer.
+    CountUsage();
+  }
   FinishAttempt(outcome, aEnd == AttemptEnd::kServerError);
   if (mayHaveRun) {
     ++mRuns;
@@ -696,6 +708,9 @@
   }
   if (mAttempt.has_value()) {
     ++mRuns;
+    if (mRoute->mKind != RouteKind::kStream) {
+      CountUsage();
+    }
     FinishAttempt(DispatchOutcome::kFailed, false);
   }
   if (mStreaming) {
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -125,6 +125,7 @@
   bool CheckHead();
   void Relay();
   void NoteBegun();
+  void CountUsage();
   void OnWholeAnswer();
   void DeliverAnswer(HttpAnswer aAnswer);
   void FinishAttempt(DispatchOutcome aOutcome, bool aKeepConnection);
@@ -157,6 +158,7 @@
   bool mQuotaTaken = false;
   QuotaDecision mQuotaDecision;
   bool mDemandNoted = false;
+  bool mUsageCounted = false;
   std::string mCacheKey;
   std::int64_t mSharedTokens = 0;
   Instant mArrivedAt;
