Split the life of a request by concern, and let a full host's listener rest

Change: checks, attempts and answers in a file each, one way to give up; a listener that cannot accept is not watched for 20 ms.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -79,7 +79,7 @@
 class Gateway
 {
 public:
-  Gateway()
+  explicit Gateway(std::size_t aMostConnections = 100)
   {
     mOptions = { .mHost = HostId{ "host-1" },
                  .mZone = AvailabilityZoneId{ "a" },
@@ -89,7 +89,7 @@
                  .mRetries = { .mRatio = 0.2, .mSlack = 50, .mWindow = std::chrono::seconds{ 10 } },
                  .mUsageWindow = Milliseconds{ 5'000 },
                  .mMostConfigurationAge = Milliseconds{ 60'000 },
-                 .mMostConnections = 100 };
+                 .mMostConnections = aMostConnections };
     mTraffic = std::move(Traffic::Start(mOptions, mLog, mMetrics).value());
     const auto route = [this](const char* aName, RouteKind aKind, bool aResumable) {
       mCatalogue.mRoutes.push_back({ .mName = aName,
@@ -454,6 +454,30 @@
   }
 }
 
+SCENARIO("as many clients are connected as the host takes")
+{
+  ScriptedServer server{ Served };
+  Gateway gateway{ 2 };
+  gateway.Add("e1", server);
+  gateway.Publish();
+  auto first = std::make_unique<Client>(gateway.Connect());
+  Client second = gateway.Connect();
+  for (Client* client : { first.get(), &second }) {
+    client->Send("GET /none/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: x\r\n\r\n");
+    CHECK(client->Read().mStatus == 404);
+  }
+  Client third = gateway.Connect();
+  third.Send("GET /none/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: y\r\n\r\n");
+  WHEN("one of them leaves")
+  {
+    first.reset();
+    THEN("the one that waits is served")
+    {
+      CHECK(third.Read().mStatus == 404);
+    }
+  }
+}
+
 SCENARIO("the host stops")
 {
   ScriptedServer server{ [](const SeenRequest& aRequest) {
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -131,7 +131,7 @@
   void FinishAttempt(DispatchOutcome aOutcome, bool aKeepConnection);
   void AttemptFailed(AttemptEnd aEnd);
   bool MayTryAgain(AttemptEnd aEnd);
-  void GiveUp(AttemptEnd aEnd);
+  void GiveUp(RefusalReason aNotRun);
   void ArmSilenceTimer();
 
   void OnDeadline();
--- /dev/null
+++ b/trefoil/forward/exchange_attempt.cc
@@ -0,0 +1,325 @@
+#include "trefoil/forward/exchange.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <iterator>
+#include <utility>
+
+namespace trefoil {
+namespace {
+
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+// Dispatches beyond a route's attempts that servers may turn away.
+constexpr int kMostTurnedAway = 2;
+// When a client should come again: after the time in which a full server frees a place, or in which
+// an account's window moves on.
+constexpr Milliseconds kRetryWhenFull{ 200 };
+// A repeatable request without an answer goes to another server after this many times its goal.
+constexpr int kSilentGoals = 2;
+constexpr Milliseconds kLeastSilence{ 200 };
+// A long prompt is read for up to a second before the first event.
+constexpr Milliseconds kLeastStreamSilence{ 1'200 };
+// A resumable stream is silent after this many of its longest pauses.
+constexpr int kSilentPauses = 4;
+constexpr MessageLimits kAnswerLimits{};
+
+} // namespace
+
+ServerStanding&
+Exchange::StandingOf(const BackendServerId& aServer)
+{
+  return mState.mStandings[aServer];
+}
+
+VersionId
+Exchange::PickVersion()
+{
+  const auto steering = mState.mView->mSteering.find(mService);
+  if (steering == mState.mView->mSteering.end()) {
+    return {};
+  }
+  constexpr double kDraws = 10'000;
+  const double draw = static_cast<double>(mState.mRandom() % static_cast<std::uint64_t>(kDraws));
+  return draw < steering->second.mTargetShare * kDraws ? steering->second.mTarget : VersionId{};
+}
+
+std::optional<RegisteredServer>
+Exchange::PickServer()
+{
+  const auto found = mState.mServers.find(mService);
+  if (found == mState.mServers.end()) {
+    return std::nullopt;
+  }
+  const Instant now = SuspendAwareNow();
+  const auto steering = mState.mView->mSteering.find(mService);
+  const bool steered = steering != mState.mView->mSteering.end();
+  const VersionId wanted = PickVersion();
+  std::vector<ServerCandidate> candidates;
+  for (const RegisteredServer* server : found->second) {
+    const bool ofTarget = steered && server->mVersion == steering->second.mTarget;
+    if (server->mPhase != ServerPhase::kReady || mTried.contains(server->mId) ||
+        (steered && ofTarget != !wanted.Empty())) {
+      continue;
+    }
+    candidates.push_back(
+      { .mServer = server,
+        .mStanding = &StandingOf(server->mId),
+        .mHoldsCache = !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, server->mId, now),
+        .mAvoided =
+          server->mDoubtful || !HasPassed(mState.mZones[server->mZone].mAvoidUntil, now) });
+  }
+  const auto chosen = ChooseServer(candidates,
+                                   { .mZone = mState.mOptions.mZone,
+                                     .mCacheKey = mCacheKey,
+                                     .mSharedTokens = mSharedTokens,
+                                     .mDraw = mState.mRandom() },
+                                   now);
+  if (!chosen.has_value()) {
+    return std::nullopt;
+  }
+  return *candidates[*chosen].mServer;
+}
+
+void
+Exchange::TryServer()
+{
+  const auto server = PickServer();
+  if (!server.has_value()) {
+    GiveUp(mTried.empty() ? RefusalReason::kNoServer : RefusalReason::kServersFull);
+    return;
+  }
+  SendTo(*server);
+}
+
+std::string
+Exchange::RequestBytes(const RegisteredServer& aServer, Milliseconds aLeft) const
+{
+  DispatchFacts dispatch{ .mServer = aServer.mId,
+                          .mAccount = mAccount == nullptr ? ClientAccountId{} : mAccount->mName,
+                          .mTimeLeft = aLeft,
+                          .mAfterEventId =
+                            mEvents.mLastId.empty() ? mFacts.mLastEventId : mEvents.mLastId };
+  if (mRoute->mFollowsCache) {
+    dispatch.mUrgency = mAccount != nullptr && mAccount->mPriority.has_value()
+                          ? *mAccount->mPriority
+                          : mRoute->mPriority;
+  }
+  std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", mRequest.mMethod, mRequest.mTarget);
+  for (const HttpHeader& header :
+       mState.mOptions.mCodec.mServerHeaders(mRequest.mHeaders, dispatch)) {
+    fmt::format_to(std::back_inserter(bytes), "{}: {}\r\n", header.mName, header.mValue);
+  }
+  const bool hasLength = !HeaderValue(mRequest.mHeaders, "Content-Length").empty() ||
+                         !HeaderValue(mRequest.mHeaders, "Transfer-Encoding").empty();
+  if (hasLength) {
+    fmt::format_to(std::back_inserter(bytes), "Content-Length: {}\r\n", mRequest.mBody.size());
+  }
+  bytes += "\r\n";
+  bytes += mRequest.mBody;
+  return bytes;
+}
+
+void
+Exchange::SendTo(const RegisteredServer& aServer)
+{
+  const ReuseRule rule = MayRepeat() ? ReuseRule::kAny : ReuseRule::kFresh;
+  const Instant now = SuspendAwareNow();
+  const double hinted = !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, aServer.mId, now)
+                          ? static_cast<double>(mSharedTokens)
+                          : 0.0;
+  mAttempt =
+    Attempt{ .mServer = aServer,
+             .mConnection = mState.mPool.Take(aServer, rule),
+             .mReader = MessageReader::ForAnswer(kAnswerLimits, mRequest.mMethod != "HEAD"),
+             .mSentAt = now,
+             .mPendingTokens = static_cast<double>(mFacts.mPromptTokens) - hinted };
+  ++mDispatches;
+  mTried.insert(aServer.mId);
+  ServerStanding& standing = StandingOf(aServer.mId);
+  ++standing.mInFlight;
+  standing.mPendingTokens += mAttempt->mPendingTokens;
+  ++mState.mLoads[mService].mInFlight;
+  mState.mMetrics.Add(Counter::kAttempts, 1);
+  if (!mCacheKey.empty()) {
+    NoteRead(mState.mCacheHints, mCacheKey, aServer.mId, now);
+  }
+  mAttempt->mConnection->mStream->SetCallbacks(
+    { .mOnBytes = [self = shared_from_this()] { self->OnServerBytes(); },
+      .mOnEnd = [self = shared_from_this()](StreamEnd aEnd) { self->OnServerEnd(aEnd); } });
+  mAttempt->mConnection->mStream->Send(RequestBytes(aServer, TimeLeft()));
+  ArmSilenceTimer();
+}
+
+void
+Exchange::ArmSilenceTimer()
+{
+  mState.mLoop.Cancel(mSilenceTimer);
+  mSilenceTimer = 0;
+  if (!MayRepeat() || mRuns + 1 >= mRoute->mAttempts) {
+    return;
+  }
+  const Milliseconds limit =
+    mRoute->mKind == RouteKind::kStream
+      ? std::max(
+          { mRoute->mPauseGoal * kSilentPauses, mRoute->mGoal * kSilentGoals, kLeastStreamSilence })
+      : std::max(mRoute->mGoal * kSilentGoals, kLeastSilence);
+  mSilenceTimer = mState.mLoop.CallAt(SuspendAwareNow() + limit, [self = shared_from_this()] {
+    self->mSilenceTimer = 0;
+    if (self->mAttempt.has_value()) {
+      self->AttemptFailed(AttemptEnd::kSilent);
+    }
+  });
+}
+
+void
+Exchange::FinishAttempt(DispatchOutcome aOutcome, bool aKeepConnection)
+{
+  Attempt attempt = std::move(*mAttempt);
+  mAttempt.reset();
+  mState.mLoop.Cancel(std::exchange(mSilenceTimer, 0));
+  ServerStanding& standing = StandingOf(attempt.mServer.mId);
+  --standing.mInFlight;
+  standing.mPendingTokens -= attempt.mPendingTokens;
+  --mState.mLoads[mService].mInFlight;
+  const Instant now = SuspendAwareNow();
+  if (NoteOutcome(standing, aOutcome, now)) {
+    mState.mLog.Write(LogWeight::kNotable,
+                      LogEvent::kServerAvoided,
+                      "server={} service={} failures={} share={:.2f} ms={}",
+                      attempt.mServer.mId.Value(),
+                      mService.Value(),
+                      standing.mFailuresInRow,
+                      standing.mFailureShare,
+                      Remaining(standing.mAvoidUntil, now).count());
+  }
+  if (NoteZoneOutcome(mState.mZones[attempt.mServer.mZone], attempt.mServer.mId, aOutcome, now)) {
+    mState.mLog.Write(LogWeight::kNotable,
+                      LogEvent::kServerAvoided,
+                      "zone={} service={}",
+                      attempt.mServer.mZone.Value(),
+                      mService.Value());
+  }
+  VersionOutcomes& outcomes = mState.mOutcomes[mService][attempt.mServer.mVersion];
+  if (aOutcome == DispatchOutcome::kServed) {
+    ++outcomes.mServed;
+    outcomes.mLatencyMs += std::chrono::duration<double, std::milli>(now - attempt.mSentAt).count();
+  } else if (aOutcome != DispatchOutcome::kTurnedAway) {
+    ++outcomes.mFailed;
+  }
+  ByteStream& stream = *attempt.mConnection->mStream;
+  if (aKeepConnection && !attempt.mSpoiled && attempt.mReader->State() == ReadState::kComplete &&
+      attempt.mReader->KeepsAlive() && stream.Received().empty() && stream.Unsent() == 0) {
+    mState.mPool.Give(attempt.mConnection, attempt.mFacts.mKeepsIdle);
+    return;
+  }
+  stream.Close();
+}
+
+bool
+Exchange::MayRepeat() const
+{
+  return mRoute->mKind == RouteKind::kIdempotent ||
+         (mRoute->mKind == RouteKind::kStream && mRoute->mResumable);
+}
+
+bool
+Exchange::MayTryAgain(AttemptEnd aEnd)
+{
+  const Instant now = SuspendAwareNow();
+  if (HasPassed(mDeadline, now) || mDispatches >= mRoute->mAttempts + kMostTurnedAway) {
+    return false;
+  }
+  const bool notRun = aEnd == AttemptEnd::kConnectFailed || aEnd == AttemptEnd::kTurnedAway ||
+                      aEnd == AttemptEnd::kOtherServer;
+  if (!notRun && (!MayRepeat() || mRuns >= mRoute->mAttempts)) {
+    return false;
+  }
+  // A connection that never stood brought no arrival.
+  return aEnd == AttemptEnd::kConnectFailed ||
+         TakeRepeat(mState.mRetries, mService, mState.mView->mHosts, now);
+}
+
+void
+Exchange::AttemptFailed(AttemptEnd aEnd)
+{
+  mState.mMetrics.Add(Counter::kAttemptsFailed, 1);
+  const bool mayHaveRun =
+    aEnd == AttemptEnd::kBroken || aEnd == AttemptEnd::kSilent || aEnd == AttemptEnd::kServerError;
+  mState.mLog.Write(LogWeight::kNotable,
+                    LogEvent::kAttemptFailed,
+                    "id={} route={} server={} end={} reused={} ms={} last_event={}",
+                    mFacts.mRequestId,
+                    mRoute->mName,
+                    mAttempt->mServer.mId.Value(),
+                    NameOf(kAttemptEndNames, aEnd),
+                    mAttempt->mConnection->mReused,
+                    (SuspendAwareNow() - mAttempt->mSentAt) / Milliseconds{ 1 },
+                    mEvents.mLastId);
+  DispatchOutcome outcome = DispatchOutcome::kBroken;
+  if (aEnd == AttemptEnd::kTurnedAway) {
+    outcome = DispatchOutcome::kTurnedAway;
+  } else if (aEnd == AttemptEnd::kServerError) {
+    outcome = DispatchOutcome::kFailed;
+  }
+  if (aEnd == AttemptEnd::kBroken && !mRequest.mBody.empty()) {
+    NoteCrash();
+  }
+  const bool plain = mRoute->mKind != RouteKind::kStream;
+  if (aEnd == AttemptEnd::kBroken || (aEnd == AttemptEnd::kSilent && plain)) {
+    // The server most likely ran it and lost the answer.
+    CountUsage();
+  }
+  FinishAttempt(outcome, aEnd == AttemptEnd::kServerError);
+  if (mayHaveRun) {
+    ++mRuns;
+  }
+  // What came of an unfinished event comes again with the next run.
+  mEvents.mRest.clear();
+  if (MayTryAgain(aEnd)) {
+    if (mStreaming) {
+      mState.mMetrics.Add(Counter::kStreamsResumed, 1);
+    }
+    TryServer();
+    return;
+  }
+  GiveUp(aEnd == AttemptEnd::kConnectFailed ? RefusalReason::kServerUnreachable
+                                            : RefusalReason::kServersFull);
+}
+
+// Ends the request with the best answer there is. `aNotRun` is the reason if no server can have run
+// it.
+void
+Exchange::GiveUp(RefusalReason aNotRun)
+{
+  if (mStreaming) {
+    mState.mLog.Write(LogWeight::kNotable,
+                      LogEvent::kRequestFailed,
+                      "id={} route={} reason={} dispatches={} last_event={}",
+                      mFacts.mRequestId,
+                      mRoute->mName,
+                      NameOf(kRefusalReasonNames, RefusalReason::kBrokenAnswer),
+                      mDispatches,
+                      mEvents.mLastId);
+    CutOff();
+    return;
+  }
+  if (mServerError.has_value()) {
+    DeliverAnswer(std::move(*mServerError));
+    return;
+  }
+  if (mRuns > 0) {
+    Refuse(kBadGateway, RefusalReason::kBrokenAnswer, std::nullopt);
+    return;
+  }
+  Refuse(kUnavailable, aNotRun, RetryAfter(kRetryWhenFull));
+}
+
+void
+Exchange::NoteCrash()
+{
+  mState.mCrashNews.push_back(RecordCrash(
+    mState.mCrashes, mState.mOptions.mHost, Digest(), mAttempt->mServer.mId, SuspendAwareNow()));
+}
+
+} // namespace trefoil
--- a/trefoil/forward/traffic.cc
+++ b/trefoil/forward/traffic.cc
@@ -14,6 +14,8 @@
 
 // Connections that wait to be accepted: a herd of clients that reconnect at once.
 constexpr int kBacklog = 512;
+// New connections are looked for again after this once the most are open.
+constexpr Milliseconds kAcceptPause{ 20 };
 // Idle connections to servers are looked through so often.
 constexpr Milliseconds kSweepEvery{ 1'000 };
 // The platform sends new connections until it has missed two readiness questions, one a second.
@@ -25,7 +27,7 @@
 constexpr int kNotReady = 503;
 
 Poco::Net::ServerSocket
-Listen(const Endpoint& aEndpoint)
+OpenListener(const Endpoint& aEndpoint)
 {
   Poco::Net::ServerSocket socket;
   socket.bind(Poco::Net::SocketAddress{ aEndpoint.mAddress, aEndpoint.mPort }, true);
@@ -56,7 +58,10 @@
   }
 
   void Bind();
-  void Accept(Poco::Net::ServerSocket& aListener,
+  void Listen(const std::shared_ptr<Poco::Net::ServerSocket>& aListener,
+              const std::shared_ptr<const SessionCallbacks>& aCallbacks);
+  // Returns whether the listener may be asked again at once.
+  bool Accept(Poco::Net::ServerSocket& aListener,
               const std::shared_ptr<const SessionCallbacks>& aCallbacks);
   std::shared_ptr<SessionCallbacks> BaseCallbacks();
   std::shared_ptr<const SessionCallbacks> FrontCallbacks();
@@ -138,11 +143,9 @@
   const TrafficOptions& options = mState.mOptions;
   const auto add = [this](const Endpoint& aEndpoint,
                           const std::shared_ptr<const SessionCallbacks>& aCallbacks) {
-    auto listener = std::make_shared<Poco::Net::ServerSocket>(Listen(aEndpoint));
+    auto listener = std::make_shared<Poco::Net::ServerSocket>(OpenListener(aEndpoint));
     mListeners.push_back(*listener);
-    mState.mLoop.Watch(*listener, kReadable, [this, listener, aCallbacks](unsigned /*aReady*/) {
-      Accept(*listener, aCallbacks);
-    });
+    Listen(listener, aCallbacks);
   };
   add(options.mListen, FrontCallbacks());
   add(options.mReadiness, PlainCallbacks([this](const HttpRequest& /*aRequest*/) {
@@ -158,6 +161,24 @@
 }
 
 void
+Traffic::Impl::Listen(const std::shared_ptr<Poco::Net::ServerSocket>& aListener,
+                      const std::shared_ptr<const SessionCallbacks>& aCallbacks)
+{
+  mState.mLoop.Watch(*aListener, kReadable, [this, aListener, aCallbacks](unsigned /*aReady*/) {
+    if (Accept(*aListener, aCallbacks)) {
+      return;
+    }
+    // Not watched meanwhile, so that connections that wait do not keep the thread awake.
+    mState.mLoop.Unwatch(*aListener);
+    mState.mLoop.CallAt(SuspendAwareNow() + kAcceptPause, [this, aListener, aCallbacks] {
+      if (!mListeners.empty()) {
+        Listen(aListener, aCallbacks);
+      }
+    });
+  });
+}
+
+bool
 Traffic::Impl::Accept(Poco::Net::ServerSocket& aListener,
                       const std::shared_ptr<const SessionCallbacks>& aCallbacks)
 {
@@ -172,9 +193,10 @@
                         LogEvent::kInputRejected,
                         "input=connection reason=\"{}\"",
                         error.displayText());
-      return;
+      return false;
     }
   }
+  return mSessions.size() + mState.mPool.Idle() < mState.mOptions.mMostConnections;
 }
 
 void
