Soak the gateway as processes, with stand-ins of the platform

Change: standin-platform and standin-platform-server speak the platform's store and engine protocol; tests/soak starts them with three hosts, injects faults by a seed and joins what callers saw with what servers ran.

--- /dev/null
+++ b/standin/platform_store.cc
@@ -0,0 +1,322 @@
+#include "standin/platform_store.h"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/StreamCopier.h>
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace trefoil::standin {
+namespace {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 412;
+// Expired keys and leases are looked for so often while a watch waits.
+constexpr Milliseconds kLookEvery{ 50 };
+
+std::string
+ToBase64(const std::string& aBytes)
+{
+  std::ostringstream text;
+  Poco::Base64Encoder encoder{ text };
+  encoder.rdbuf()->setLineLength(0);
+  encoder << aBytes;
+  encoder.close();
+  return text.str();
+}
+
+std::string
+FromBase64(const std::string& aText)
+{
+  std::istringstream text{ aText };
+  Poco::Base64Decoder decoder{ text };
+  std::string bytes;
+  Poco::StreamCopier::copyToString(decoder, bytes);
+  return bytes;
+}
+
+HttpAnswer
+JsonAnswer(const Object& aObject, int aStatus = 200)
+{
+  std::ostringstream text;
+  aObject.stringify(text);
+  return { .mStatus = aStatus,
+           .mHeaders = { { "Content-Type", "application/json" } },
+           .mBody = text.str() };
+}
+
+std::int64_t
+NumberOf(const HttpRequest& aRequest, std::string_view aKey)
+{
+  const std::string text = QueryValue(aRequest.mTarget, aKey);
+  return text.empty() ? 0 : std::stoll(text);
+}
+
+Object
+ParseBody(const HttpRequest& aRequest)
+{
+  return *Poco::JSON::Parser{}.parse(aRequest.mBody).extract<Object::Ptr>();
+}
+
+} // namespace
+
+void
+PlatformStore::Serve(HttpExchange& aExchange)
+{
+  const HttpRequest& request = aExchange.Request();
+  const bool admin = PathOf(request.mTarget).starts_with("/admin/");
+  HttpAnswer answer;
+  bool down = false;
+  {
+    const absl::MutexLock lock{ &mMutex };
+    down = mDown && !admin;
+    try {
+      Expire();
+      answer = down ? HttpAnswer{} : (admin ? Admin(request) : Answer(request));
+    } catch (const std::exception& error) {
+      answer = { .mStatus = kBadRequest, .mBody = error.what() };
+    }
+  }
+  if (down) {
+    aExchange.Abort();
+    return;
+  }
+  aExchange.Answer(answer);
+}
+
+HttpAnswer
+PlatformStore::Admin(const HttpRequest& aRequest)
+{
+  if (PathOf(aRequest.mTarget) == "/admin/fault") {
+    mDown = NumberOf(aRequest, "Down") != 0;
+    return {};
+  }
+  Item item{ .mValue = aRequest.mBody };
+  const std::int64_t lasts = NumberOf(aRequest, "LastsMs");
+  if (lasts > 0) {
+    item.mGoesAt = Now() + Milliseconds{ lasts };
+  }
+  Put(QueryValue(aRequest.mTarget, "Key"), std::move(item));
+  return {};
+}
+
+HttpAnswer
+PlatformStore::Answer(const HttpRequest& aRequest)
+{
+  const std::string path{ PathOf(aRequest.mTarget) };
+  constexpr std::string_view kKeep = "/trefoillb/kv-keep/";
+  constexpr std::string_view kEnd = "/trefoillb/kv-lease-end/";
+  if (path == "/trefoillb/kv-range" || path == "/trefoillb/kv-key") {
+    return Range(aRequest);
+  }
+  if (path == "/trefoillb/kv-watch") {
+    return Watch(aRequest);
+  }
+  if (path == "/trefoillb/kv-txn") {
+    return Commit(aRequest);
+  }
+  if (path == "/trefoillb/kv-lease") {
+    return Grant(aRequest);
+  }
+  if (path.starts_with(kKeep)) {
+    return Renew(path.substr(kKeep.size()));
+  }
+  if (path.starts_with(kEnd)) {
+    const auto lease = mLeases.find(std::stoull(path.substr(kEnd.size())));
+    if (lease != mLeases.end()) {
+      lease->second.mEndsAt = Now();
+      Expire();
+    }
+    return {};
+  }
+  if (path == "/usage" || path == "/scale") {
+    return {};
+  }
+  return { .mStatus = kNotFound };
+}
+
+HttpAnswer
+PlatformStore::Range(const HttpRequest& aRequest)
+{
+  const std::string key = QueryValue(aRequest.mTarget, "Key");
+  const auto render = [](const std::string& aKey, const Item& aItem) {
+    Object::Ptr object = new Object;
+    object->set("Key", aKey);
+    object->set("Value", ToBase64(aItem.mValue));
+    object->set("Revision", aItem.mRevision);
+    return object;
+  };
+  if (!key.empty()) {
+    const auto found = mItems.find(key);
+    return found == mItems.end() ? HttpAnswer{ .mStatus = kNotFound }
+                                 : JsonAnswer(*render(key, found->second));
+  }
+  const std::string prefix = QueryValue(aRequest.mTarget, "PathPrefix");
+  Array items;
+  for (const auto& [name, item] : mItems) {
+    if (name.starts_with(prefix)) {
+      items.add(render(name, item));
+    }
+  }
+  Object object;
+  object.set("Items", items);
+  object.set("HasMore", false);
+  object.set("At", mRevision);
+  return JsonAnswer(object);
+}
+
+std::vector<PlatformStore::Change>
+PlatformStore::ChangesAfter(const std::string& aPrefix, std::int64_t aRevision) const
+{
+  std::vector<Change> changes;
+  for (const Change& change : mChanges) {
+    if (change.mItem.mRevision > aRevision && change.mKey.starts_with(aPrefix)) {
+      changes.push_back(change);
+    }
+  }
+  return changes;
+}
+
+HttpAnswer
+PlatformStore::Watch(const HttpRequest& aRequest)
+{
+  const std::string prefix = QueryValue(aRequest.mTarget, "PathPrefix");
+  const std::int64_t after = NumberOf(aRequest, "After");
+  const Instant deadline = Now() + Milliseconds{ NumberOf(aRequest, "WaitMs") };
+  std::vector<Change> changes = ChangesAfter(prefix, after);
+  while (changes.empty() && !mDown && !HasPassed(deadline, Now())) {
+    mMutex.AwaitWithTimeout(absl::Condition(
+                              +[](bool* aDown) { return *aDown; }, &mDown),
+                            absl::FromChrono(kLookEvery));
+    Expire();
+    changes = ChangesAfter(prefix, after);
+  }
+  Array events;
+  for (const Change& change : changes) {
+    Object event;
+    event.set("Key", change.mKey);
+    event.set("Revision", change.mItem.mRevision);
+    if (change.mRemoved) {
+      event.set("WasRemoved", true);
+    } else {
+      event.set("Value", ToBase64(change.mItem.mValue));
+    }
+    events.add(event);
+  }
+  Object object;
+  object.set("events", events);
+  object.set("At", mRevision);
+  return JsonAnswer(object);
+}
+
+HttpAnswer
+PlatformStore::Commit(const HttpRequest& aRequest)
+{
+  const Object body = ParseBody(aRequest);
+  Array standing;
+  bool holds = true;
+  const auto expected = body.getArray("ExpectedRevision");
+  for (unsigned i = 0; !expected.isNull() && i < expected->size(); ++i) {
+    const auto row = expected->getObject(i);
+    const auto key = row->getValue<std::string>("Key");
+    const auto found = mItems.find(key);
+    const std::int64_t revision = found == mItems.end() ? 0 : found->second.mRevision;
+    holds = holds && revision == row->getValue<std::int64_t>("Revision");
+    if (found != mItems.end()) {
+      Object object;
+      object.set("Key", key);
+      object.set("Value", ToBase64(found->second.mValue));
+      object.set("Revision", revision);
+      standing.add(object);
+    }
+  }
+  Object answer;
+  if (!holds) {
+    answer.set("Items", standing);
+    return JsonAnswer(answer, kConflict);
+  }
+  const auto writes = body.getArray("Writes");
+  for (unsigned i = 0; !writes.isNull() && i < writes->size(); ++i) {
+    const auto row = writes->getObject(i);
+    const auto lease = row->optValue<std::uint64_t>("Lease", 0);
+    if (lease != 0 && !mLeases.contains(lease)) {
+      return { .mStatus = kNotFound };
+    }
+    Put(row->getValue<std::string>("Key"),
+        { .mValue = FromBase64(row->getValue<std::string>("Value")), .mLease = lease });
+  }
+  answer.set("Revision", mRevision);
+  return JsonAnswer(answer);
+}
+
+HttpAnswer
+PlatformStore::Grant(const HttpRequest& aRequest)
+{
+  const Milliseconds time{ ParseBody(aRequest).getValue<std::int64_t>("TtlMs") };
+  mLeases[++mLastLease] = { .mTime = time, .mEndsAt = Now() + time };
+  Object object;
+  object.set("Lease", mLastLease);
+  object.set("TtlMs", time.count());
+  return JsonAnswer(object);
+}
+
+HttpAnswer
+PlatformStore::Renew(const std::string& aLease)
+{
+  const auto lease = mLeases.find(std::stoull(aLease));
+  if (lease == mLeases.end()) {
+    return { .mStatus = kNotFound };
+  }
+  lease->second.mEndsAt = Now() + lease->second.mTime;
+  Object object;
+  object.set("TtlMs", lease->second.mTime.count());
+  return JsonAnswer(object);
+}
+
+void
+PlatformStore::Put(const std::string& aKey, Item aItem)
+{
+  const auto found = mItems.find(aKey);
+  if (found != mItems.end() && found->second.mValue == aItem.mValue && aItem.mGoesAt.has_value()) {
+    // A heartbeat without news is no change.
+    found->second.mGoesAt = aItem.mGoesAt;
+    return;
+  }
+  aItem.mRevision = ++mRevision;
+  mItems[aKey] = aItem;
+  mChanges.push_back({ .mKey = aKey, .mItem = std::move(aItem) });
+}
+
+void
+PlatformStore::Remove(const std::string& aKey)
+{
+  mItems.erase(aKey);
+  mChanges.push_back({ .mKey = aKey, .mItem = { .mRevision = ++mRevision }, .mRemoved = true });
+}
+
+void
+PlatformStore::Expire()
+{
+  const Instant now = Now();
+  std::erase_if(mLeases, [now](const auto& aItem) { return HasPassed(aItem.second.mEndsAt, now); });
+  std::vector<std::string> gone;
+  for (const auto& [key, item] : mItems) {
+    const bool lapsed = item.mGoesAt.has_value() && HasPassed(*item.mGoesAt, now);
+    if (lapsed || (item.mLease != 0 && !mLeases.contains(item.mLease))) {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& key : gone) {
+    Remove(key);
+  }
+}
+
+} // namespace trefoil::standin
--- /dev/null
+++ b/tests/soak/soak_client.cc
@@ -0,0 +1,174 @@
+// Sends requests of three kinds to entry hosts for a while and prints how each ended.
+#include "trefoil/base/endpoint.h"
+#include "trefoil/base/instant.h"
+#include "trefoil/command_line/command_line.h"
+#include "trefoil/http/message_reader.h"
+
+#include "absl/synchronization/mutex.h"
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <array>
+#include <cstdio>
+#include <fmt/format.h>
+#include <memory>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace trefoil;
+
+constexpr const char* kUsage = R"(soak-client, callers of trefoil-gateway for the soak.
+
+Usage:
+  soak-client --seconds=N --seed=N HOST...
+
+Prints a line for each request: id, kind, status (0: the connection ended without an answer), whether the answer was
+whole, and whether its body was the right one.
+)";
+constexpr int kCallers = 8;
+constexpr int kDeadlineMs = 3'000;
+constexpr int kMostOnConnection = 6;
+constexpr std::array<const char*, 3> kKinds{ "write", "read", "talk" };
+// The events of the stand-in's streams.
+constexpr int kEvents = 10;
+
+struct Outcome
+{
+  int mStatus = 0;
+  bool mWhole = false;
+  bool mRight = false;
+};
+
+std::string
+RightBody(const std::string& aKind, const std::string& aId)
+{
+  if (aKind != "talk") {
+    return "answer to " + aId;
+  }
+  std::string body;
+  for (int event = 1; event <= kEvents; ++event) {
+    body += fmt::format("id: {}\ndata: {}\n\n", event, event);
+  }
+  return body;
+}
+
+class Caller
+{
+public:
+  Caller(std::vector<Endpoint> aHosts, std::uint32_t aSeed, int aNumber)
+    : mHosts(std::move(aHosts))
+    , mRandom(aSeed * kCallers + static_cast<std::uint32_t>(aNumber))
+    , mNumber(aNumber)
+  {
+  }
+
+  void Run(Instant aUntil)
+  {
+    for (int request = 0; !HasPassed(aUntil, Now()); ++request) {
+      const std::string kind = kKinds[mRandom() % kKinds.size()];
+      const std::string id = fmt::format("{}-{}", mNumber, request);
+      const Outcome outcome = Send(kind, id);
+      fmt::print("{} {} {} {} {}\n", id, kind, outcome.mStatus, outcome.mWhole, outcome.mRight);
+      std::this_thread::sleep_for(Milliseconds{ 5 + mRandom() % 30 });
+    }
+  }
+
+private:
+  Outcome Send(const std::string& aKind, const std::string& aId)
+  {
+    try {
+      if (!mSocket || mOnConnection >= kMostOnConnection) {
+        const Endpoint& host = mHosts[mRandom() % mHosts.size()];
+        mSocket = std::make_unique<Poco::Net::StreamSocket>();
+        mSocket->connect(Poco::Net::SocketAddress{ host.mAddress, host.mPort },
+                         Poco::Timespan{ 1, 0 });
+        mSocket->setReceiveTimeout(Poco::Timespan{ 5, 0 });
+        mOnConnection = 0;
+      }
+      ++mOnConnection;
+      const std::string bytes = fmt::format(
+        "POST /{}/x HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: {}\r\nAuthorization: Token "
+        "key\r\nDeadline-Milliseconds: {}\r\nContent-Length: {}\r\n\r\n{}",
+        aKind,
+        aId,
+        kDeadlineMs,
+        aId.size(),
+        aId);
+      mSocket->sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+      return Read(aKind, aId);
+    } catch (const Poco::Exception&) {
+      mSocket.reset();
+      return {};
+    }
+  }
+
+  Outcome Read(const std::string& aKind, const std::string& aId)
+  {
+    MessageReader reader = MessageReader::ForAnswer({});
+    std::string received;
+    ReadState state = ReadState::kHead;
+    while (state == ReadState::kHead || state == ReadState::kBody) {
+      std::array<char, 4096> buffer{};
+      const int count = mSocket->receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+      if (count <= 0) {
+        break;
+      }
+      received.append(buffer.data(), static_cast<std::size_t>(count));
+      state = reader.Consume(received);
+    }
+    Outcome outcome{ .mWhole = state == ReadState::kComplete };
+    if (reader.HeadDone()) {
+      outcome.mStatus = reader.Answer().mStatus;
+      outcome.mRight = reader.Body() == RightBody(aKind, aId) &&
+                       HeaderValue(reader.Answer().mHeaders, "Request-Id") == aId;
+    }
+    if (!outcome.mWhole || !reader.KeepsAlive()) {
+      mSocket.reset();
+    }
+    return outcome;
+  }
+
+  std::vector<Endpoint> mHosts;
+  std::mt19937 mRandom;
+  int mNumber;
+  std::unique_ptr<Poco::Net::StreamSocket> mSocket;
+  int mOnConnection = 0;
+};
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  const auto line =
+    ParseCommandLine({ .mUsage = kUsage, .mVersion = "soak-client 0.1.0" }, aCount, aValues);
+  if (line.mExit.has_value()) {
+    return *line.mExit;
+  }
+  std::vector<Endpoint> hosts;
+  for (const std::string& text : line.mArguments.at("HOST").asStringList()) {
+    const auto host = ParseEndpoint(text);
+    if (!host.ok()) {
+      fmt::print(stderr, "{}: {}\n", text, std::string{ host.status().message() });
+      return kExitBadInput;
+    }
+    hosts.push_back(*host);
+  }
+  const auto seed = static_cast<std::uint32_t>(std::stoul(line.mArguments.at("--seed").asString()));
+  const Instant until =
+    Now() + std::chrono::seconds{ std::stol(line.mArguments.at("--seconds").asString()) };
+  std::vector<std::thread> callers;
+  for (int number = 0; number < kCallers; ++number) {
+    callers.emplace_back([&hosts, seed, number, until] {
+      Caller{ hosts, seed, number }.Run(until);
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  return 0;
+}
