--- a/standin/platform_server_main.cc
+++ b/standin/platform_server_main.cc
@@ -13,7 +13,6 @@
 
 namespace {
 
-using trefoil::HttpAnswer;
 using trefoil::HttpExchange;
 using trefoil::HttpHeaders;
 using trefoil::HttpRequest;
