Let one piece serve where the gateway wrote things twice, and drop what nothing reads

The load of a server was taken off in two places, headers were written and 2xx tested in three, base64 stood in the adapter and in its stand-in, the log line of a rejected input in six places, that of a served request in two, and the site of two process tests in both scripts.

Change: Exchange::ReleaseAttempt and LogDone, AppendHeaders and IsSuccess in trefoil/http, trefoil/base/base64, RejectInput, start_rules_site in scripts/processes.sh. The steering of a request is looked up once; a change of operators' keys publishes one view instead of two.

Ruled out: one main for both daemons and one for the stand-ins (they share the shape of a command line, not logic).

--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -79,4 +79,28 @@
 END
 }
 
+# start_rules_site SITE ENGINES: starts a store, so many engines of the service `rules` and three entry hosts, on addresses of
+# their own for each SITE (a digit); waits until the hosts are ready. The credential is `secret`.
+start_rules_site() {
+  local site=$1 engines=$2 i
+  local store=127.0.0.1:19${site}00
+  start store build/standin/standin-store $store
+  {
+    printf 'service = "rules"\n[[version]]\nversion = "v1"\nshare_percent = 100\n'
+    printf '[[account]]\naccount = "directors"\ncredential_sha256 = "%s"\n' "$(sha256_of secret)"
+  } >"$work/rules.toml"
+  for i in $(seq "$engines"); do
+    start "engine-$i" build/standin/standin-engine "engine-$i" "127.0.0.1:19${site}1$i" --token-ms=20
+    printf '[[backend_server]]\nserver = "engine-%s"\nendpoint = "127.0.0.1:19%s1%s"\n' "$i" "$site" "$i" >>"$work/rules.toml"
+    printf 'availability_zone = "zone-a"\nversion = "v1"\n' >>"$work/rules.toml"
+  done
+  wait_for_url "http://$store/v1/list?prefix=none"
+  build/cmd/trefoilctl put "$work/rules.toml" --store=$store
+  for i in 1 2 3; do
+    host_settings "host-$i" "zone-$i" "127.0.$site.$i" $store "127.0.$site.1:17000"
+    start "host-$i" build/cmd/trefoild "$work/host-$i.toml"
+  done
+  for i in 1 2 3; do wait_for_url "http://127.0.$site.$i:18080/readyz"; done
+}
+
 sha256_of() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
--- a/standin/platform_store.cc
+++ b/standin/platform_store.cc
@@ -1,11 +1,9 @@
 #include "standin/platform_store.h"
 
-#include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
-#include <Poco/Exception.h>
+#include "trefoil/base/base64.h"
+
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/StreamCopier.h>
 #include <algorithm>
 #include <sstream>
 #include <utility>
@@ -22,27 +20,6 @@
 // Expired keys and leases are looked for so often while a watch waits.
 constexpr Milliseconds kLookEvery{ 50 };
 
-std::string
-ToBase64(const std::string& aBytes)
-{
-  std::ostringstream text;
-  Poco::Base64Encoder encoder{ text };
-  encoder.rdbuf()->setLineLength(0);
-  encoder << aBytes;
-  encoder.close();
-  return text.str();
-}
-
-std::string
-FromBase64(const std::string& aText)
-{
-  std::istringstream text{ aText };
-  Poco::Base64Decoder decoder{ text };
-  std::string bytes;
-  Poco::StreamCopier::copyToString(decoder, bytes);
-  return bytes;
-}
-
 HttpAnswer
 JsonAnswer(const Object& aObject, int aStatus = 200)
 {
--- a/trefoil/dispatch/sliding_count.cc
+++ b/trefoil/dispatch/sliding_count.cc
@@ -35,14 +35,11 @@
 }
 
 void
-Add(SlidingCount& aCount, double aAmount, Instant aWhen)
+Add(SlidingCount& aCount, double aAmount, Instant aNow)
 {
-  Advance(aCount, aWhen);
-  const std::int64_t slice = aWhen.time_since_epoch() / aCount.mSlice;
+  Advance(aCount, aNow);
   const auto size = static_cast<std::int64_t>(aCount.mSlices.size());
-  if (aCount.mNewest - slice < size) {
-    aCount.mSlices[static_cast<std::size_t>(slice % size)] += aAmount;
-  }
+  aCount.mSlices[static_cast<std::size_t>(aCount.mNewest % size)] += aAmount;
 }
 
 double
--- a/trefoil/dispatch/sliding_count.h
+++ b/trefoil/dispatch/sliding_count.h
@@ -26,9 +26,8 @@
 SlidingCount
 MakeSlidingCount(Instant::duration aWindow);
 
-// Adds what happened at a time, which may be past.
 void
-Add(SlidingCount& aCount, double aAmount, Instant aWhen);
+Add(SlidingCount& aCount, double aAmount, Instant aNow);
 
 double
 Sum(SlidingCount& aCount, Instant aNow);
--- a/trefoil/forward/client_session.cc
+++ b/trefoil/forward/client_session.cc
@@ -5,7 +5,6 @@
 
 #include <Poco/String.h>
 #include <fmt/format.h>
-#include <iterator>
 #include <utility>
 
 namespace trefoil {
@@ -137,8 +136,8 @@
   mLoop.Cancel(mTimer);
   mTimer = 0;
   mStream->Close();
-  const bool waited = std::exchange(mWaiting, false);
-  mCallbacks->mOnClosed(keep, waited);
+  mWaiting = false;
+  mCallbacks->mOnClosed(keep);
 }
 
 void
@@ -157,9 +156,7 @@
 ClientSession::SendHead(const HttpAnswer& aHead, std::string_view aFraming)
 {
   std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n", aHead.mStatus, StatusText(aHead.mStatus));
-  for (const HttpHeader& header : aHead.mHeaders) {
-    fmt::format_to(std::back_inserter(bytes), "{}: {}\r\n", header.mName, header.mValue);
-  }
+  AppendHeaders(bytes, aHead.mHeaders);
   mCloseAfter = mCloseAfter || mCallbacks->mStopping();
   if (mCloseAfter) {
     bytes += "Connection: close\r\n";
@@ -222,7 +219,7 @@
     // What the client sends from here on is not read.
     mStream->SetCallbacks({});
     mStream->CloseAfterSending();
-    mCallbacks->mOnClosed(keep, false);
+    mCallbacks->mOnClosed(keep);
     return;
   }
   SetTimer(mCallbacks->mLimits().mIdleTimeout);
--- a/trefoil/forward/client_session.h
+++ b/trefoil/forward/client_session.h
@@ -24,8 +24,8 @@
 {
   // A whole request has arrived; it is answered by SendWhole or FinishAnswer.
   std::function<void(const std::shared_ptr<ClientSession>&, HttpRequest)> mOnRequest;
-  // The client has left; `aWaited` tells whether a request was not yet answered.
-  std::function<void(const std::shared_ptr<ClientSession>&, bool aWaited)> mOnClosed;
+  // The connection is closed; a request that was not answered yet has lost its client.
+  std::function<void(const std::shared_ptr<ClientSession>&)> mOnClosed;
   // Bytes that are no request were answered and the connection closed.
   std::function<void(int aStatus, std::string_view aReason)> mOnMalformed;
   // The limits in force.
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -13,9 +13,7 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
-// When a client should come again: after the time in which a full server frees a place, or in which
-// an account's window moves on.
-constexpr Milliseconds kRetryWhenFull{ 200 };
+// When a client should come again: after the time in which an account's bucket fills for a request.
 constexpr Milliseconds kRetryOverQuota{ 500 };
 // Clients heed a time to come back up to this part of what they have left.
 constexpr int kRetryAfterPart = 3;
@@ -141,11 +139,7 @@
 void
 Exchange::NoteDemand()
 {
-  if (!std::exchange(mDemandNoted, true)) {
-    ServiceLoad& load = mState.mLoads[mService];
-    ++load.mRequests;
-    load.mPromptTokens += static_cast<double>(mFacts.mPromptTokens);
-  }
+  mState.mPromptTokens[mService] += static_cast<double>(mFacts.mPromptTokens);
 }
 
 RequestDigest
@@ -192,13 +186,7 @@
   }
   if (mAttempt.has_value()) {
     // Closing the connection ends the work at the server. Its outcome says nothing of the server.
-    const BackendServerId server = mAttempt->mServer.mId;
-    ServerStanding& standing = StandingOf(server);
-    --standing.mInFlight;
-    standing.mPendingTokens -= mAttempt->mPendingTokens;
-    --mState.mLoads[mService].mInFlight;
-    mAttempt->mConnection->mStream->Close();
-    mAttempt.reset();
+    ReleaseAttempt().mConnection->mStream->Close();
   }
   mState.mLog.Write(LogWeight::kRoutine,
                     LogEvent::kRequestCancelled,
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -72,6 +72,9 @@
   { AttemptEnd::kServerError, "server_error" },
 } };
 
+// When a client should come again: after the time in which a full server frees a place.
+inline constexpr Milliseconds kRetryWhenFull{ 200 };
+
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
@@ -116,7 +119,6 @@
   void NoteDemand();
   void TryServer();
   std::optional<RegisteredServer> PickServer();
-  VersionId PickVersion();
   void SendTo(const RegisteredServer& aServer);
   std::string RequestBytes(const RegisteredServer& aServer, Milliseconds aLeft) const;
 
@@ -128,6 +130,8 @@
   void CountUsage();
   void OnWholeAnswer();
   void DeliverAnswer(HttpAnswer aAnswer);
+  void LogDone(int aStatus);
+  Attempt ReleaseAttempt();
   void FinishAttempt(DispatchOutcome aOutcome, bool aKeepConnection);
   void AttemptFailed(AttemptEnd aEnd);
   bool MayTryAgain(AttemptEnd aEnd);
@@ -157,7 +161,6 @@
   double mQuotaCost = 0;
   bool mQuotaTaken = false;
   QuotaDecision mQuotaDecision;
-  bool mDemandNoted = false;
   bool mUsageCounted = false;
   std::string mCacheKey;
   std::int64_t mSharedTokens = 0;
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -6,17 +6,8 @@
 namespace {
 
 constexpr int kFirstServerError = 500;
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
 // Bytes of one answer kept for a client that does not take them.
 constexpr std::size_t kMostUnsentBytes = std::size_t{ 4 } * 1024 * 1024;
-constexpr MessageLimits kAnswerLimits{};
-
-bool
-IsSuccess(int aStatus)
-{
-  return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
-}
 
 } // namespace
 
@@ -35,7 +26,7 @@
       return;
     }
     if (mAttempt->mSkipping && state == ReadState::kComplete) {
-      mAttempt->mReader = MessageReader::ForAnswer(kAnswerLimits, mRequest.mMethod != "HEAD");
+      mAttempt->mReader = MessageReader::ForAnswer({}, mRequest.mMethod != "HEAD");
       mAttempt->mHeadChecked = false;
       mAttempt->mSkipping = false;
       continue;
@@ -98,9 +89,6 @@
   ServerStanding& standing = StandingOf(mAttempt->mServer.mId);
   standing.mPendingTokens -= std::exchange(mAttempt->mPendingTokens, 0.0);
   const auto latency = SuspendAwareNow() - mArrivedAt;
-  if (mRoute->mGoal > Milliseconds{ 0 } && latency > mRoute->mGoal) {
-    ++mState.mLoads[mService].mSlow;
-  }
   mState.mMetrics.Observe(stream ? Summary::kFirstToken : Summary::kPlainAnswer, latency);
   CountUsage();
 }
@@ -159,15 +147,7 @@
     }
     FinishAttempt(DispatchOutcome::kServed, true);
     mSession->FinishAnswer();
-    mState.mLog.Write(LogWeight::kRoutine,
-                      LogEvent::kRequestDone,
-                      "id={} route={} service={} status={} dispatches={} ms={}",
-                      mFacts.mRequestId,
-                      mRoute->mName,
-                      mService.Value(),
-                      answer.mStatus,
-                      mDispatches,
-                      (SuspendAwareNow() - mArrivedAt) / Milliseconds{ 1 });
+    LogDone(answer.mStatus);
     End();
     return;
   }
@@ -191,16 +171,22 @@
   }
   aAnswer.mHeaders = mState.mOptions.mCodec.mClientHeaders(aAnswer.mHeaders);
   mSession->SendWhole(aAnswer);
+  LogDone(aAnswer.mStatus);
+  End();
+}
+
+void
+Exchange::LogDone(int aStatus)
+{
   mState.mLog.Write(LogWeight::kRoutine,
                     LogEvent::kRequestDone,
                     "id={} route={} service={} status={} dispatches={} ms={}",
                     mFacts.mRequestId,
                     mRoute->mName,
                     mService.Value(),
-                    aAnswer.mStatus,
+                    aStatus,
                     mDispatches,
                     (SuspendAwareNow() - mArrivedAt) / Milliseconds{ 1 });
-  End();
 }
 
 void
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -12,9 +12,6 @@
 constexpr int kUnavailable = 503;
 // Dispatches beyond a route's attempts that servers may turn away.
 constexpr int kMostTurnedAway = 2;
-// When a client should come again: after the time in which a full server frees a place, or in which
-// an account's window moves on.
-constexpr Milliseconds kRetryWhenFull{ 200 };
 // A repeatable request without an answer goes to another server after this many times its goal.
 constexpr int kSilentGoals = 2;
 constexpr Milliseconds kLeastSilence{ 200 };
@@ -22,7 +19,6 @@
 constexpr Milliseconds kLeastStreamSilence{ 1'200 };
 // A resumable stream is silent after this many of its longest pauses.
 constexpr int kSilentPauses = 4;
-constexpr MessageLimits kAnswerLimits{};
 
 } // namespace
 
@@ -32,18 +28,6 @@
   return mState.mStandings[aServer];
 }
 
-VersionId
-Exchange::PickVersion()
-{
-  const auto steering = mState.mView->mSteering.find(mService);
-  if (steering == mState.mView->mSteering.end()) {
-    return {};
-  }
-  constexpr double kDraws = 10'000;
-  const double draw = static_cast<double>(mState.mRandom() % static_cast<std::uint64_t>(kDraws));
-  return draw < steering->second.mTargetShare * kDraws ? steering->second.mTarget : VersionId{};
-}
-
 std::optional<RegisteredServer>
 Exchange::PickServer()
 {
@@ -54,12 +38,13 @@
   const Instant now = SuspendAwareNow();
   const auto steering = mState.mView->mSteering.find(mService);
   const bool steered = steering != mState.mView->mSteering.end();
-  const VersionId wanted = PickVersion();
+  const bool wantsTarget =
+    steered && std::generate_canonical<double, 32>(mState.mRandom) < steering->second.mTargetShare;
   std::vector<ServerCandidate> candidates;
   for (const RegisteredServer* server : found->second) {
     const bool ofTarget = steered && server->mVersion == steering->second.mTarget;
     if (server->mPhase != ServerPhase::kReady || mTried.contains(server->mId) ||
-        (steered && ofTarget != !wanted.Empty())) {
+        ofTarget != wantsTarget) {
       continue;
     }
     candidates.push_back(
@@ -106,10 +91,7 @@
                           : mRoute->mPriority;
   }
   std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", mRequest.mMethod, mRequest.mTarget);
-  for (const HttpHeader& header :
-       mState.mOptions.mCodec.mServerHeaders(mRequest.mHeaders, dispatch)) {
-    fmt::format_to(std::back_inserter(bytes), "{}: {}\r\n", header.mName, header.mValue);
-  }
+  AppendHeaders(bytes, mState.mOptions.mCodec.mServerHeaders(mRequest.mHeaders, dispatch));
   const bool hasLength = !HeaderValue(mRequest.mHeaders, "Content-Length").empty() ||
                          !HeaderValue(mRequest.mHeaders, "Transfer-Encoding").empty();
   if (hasLength) {
@@ -128,18 +110,16 @@
   const double hinted = !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, aServer.mId, now)
                           ? static_cast<double>(mSharedTokens)
                           : 0.0;
-  mAttempt =
-    Attempt{ .mServer = aServer,
-             .mConnection = mState.mPool.Take(aServer, rule),
-             .mReader = MessageReader::ForAnswer(kAnswerLimits, mRequest.mMethod != "HEAD"),
-             .mSentAt = now,
-             .mPendingTokens = static_cast<double>(mFacts.mPromptTokens) - hinted };
+  mAttempt = Attempt{ .mServer = aServer,
+                      .mConnection = mState.mPool.Take(aServer, rule),
+                      .mReader = MessageReader::ForAnswer({}, mRequest.mMethod != "HEAD"),
+                      .mSentAt = now,
+                      .mPendingTokens = static_cast<double>(mFacts.mPromptTokens) - hinted };
   ++mDispatches;
   mTried.insert(aServer.mId);
   ServerStanding& standing = StandingOf(aServer.mId);
   ++standing.mInFlight;
   standing.mPendingTokens += mAttempt->mPendingTokens;
-  ++mState.mLoads[mService].mInFlight;
   mState.mMetrics.Add(Counter::kAttempts, 1);
   if (!mCacheKey.empty()) {
     NoteRead(mState.mCacheHints, mCacheKey, aServer.mId, now);
@@ -172,8 +152,9 @@
   });
 }
 
-void
-Exchange::FinishAttempt(DispatchOutcome aOutcome, bool aKeepConnection)
+// Takes the attempt out and off the load of its server. The connection is the caller's to close.
+Exchange::Attempt
+Exchange::ReleaseAttempt()
 {
   Attempt attempt = std::move(*mAttempt);
   mAttempt.reset();
@@ -181,7 +162,14 @@
   ServerStanding& standing = StandingOf(attempt.mServer.mId);
   --standing.mInFlight;
   standing.mPendingTokens -= attempt.mPendingTokens;
-  --mState.mLoads[mService].mInFlight;
+  return attempt;
+}
+
+void
+Exchange::FinishAttempt(DispatchOutcome aOutcome, bool aKeepConnection)
+{
+  const Attempt attempt = ReleaseAttempt();
+  ServerStanding& standing = StandingOf(attempt.mServer.mId);
   const Instant now = SuspendAwareNow();
   if (NoteOutcome(standing, aOutcome, now)) {
     mState.mLog.Write(LogWeight::kNotable,
--- a/trefoil/forward/server_pool.cc
+++ b/trefoil/forward/server_pool.cc
@@ -64,7 +64,6 @@
                         aServer.mEndpoint,
                         {},
                         { .mSilenceLimit = kServerSilence, .mConnectLimit = kConnectLimit });
-  ++mOpened;
   return connection;
 }
 
--- a/trefoil/forward/server_pool.h
+++ b/trefoil/forward/server_pool.h
@@ -59,7 +59,6 @@
   // those that are too old.
   void Sweep(const ServerRegistry& aServers, Instant aNow);
   std::size_t Idle() const { return mIdleCount; }
-  std::uint64_t Opened() const { return mOpened; }
 
 private:
   using Connections = std::vector<std::shared_ptr<ServerConnection>>;
@@ -69,7 +68,6 @@
   EventLoop& mLoop;
   std::map<BackendServerId, Connections> mIdle;
   std::size_t mIdleCount = 0;
-  std::uint64_t mOpened = 0;
 };
 
 } // namespace trefoil
--- a/trefoil/forward/traffic.cc
+++ b/trefoil/forward/traffic.cc
@@ -86,7 +86,7 @@
 Traffic::Impl::BaseCallbacks()
 {
   auto callbacks = std::make_shared<SessionCallbacks>();
-  callbacks->mOnClosed = [this](const std::shared_ptr<ClientSession>& aSession, bool /*aWaited*/) {
+  callbacks->mOnClosed = [this](const std::shared_ptr<ClientSession>& aSession) {
     mSessions.erase(aSession);
     const auto found = mExchanges.find(aSession.get());
     if (found != mExchanges.end()) {
@@ -241,7 +241,7 @@
   OnQuotaNews(mState.mQuotas);
   TrafficReport report{ .mUsage = mState.mUsage,
                         .mCrashes = std::exchange(mState.mCrashNews, {}),
-                        .mLoads = mState.mLoads,
+                        .mPromptTokens = mState.mPromptTokens,
                         .mOutcomes = mState.mOutcomes };
   for (const auto& [account, use] : mState.mQuotas.mAccounts) {
     report.mQuotaUsed[account] = { .mTotal = use.mOwnTotal, .mLevel = use.mBucket.mTokens };
@@ -273,9 +273,6 @@
 void
 Traffic::Impl::StopListening()
 {
-  if (mListeners.empty()) {
-    return;
-  }
   for (Poco::Net::ServerSocket& listener : mListeners) {
     mState.mLoop.Unwatch(listener);
     listener.close();
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -35,7 +35,8 @@
   std::vector<CrashCount> mCrashNews;
   CacheHints mCacheHints;
   UsageWindows mUsage;
-  std::map<ServiceId, ServiceLoad> mLoads;
+  // Prompt tokens of the requests to each service since the start.
+  std::map<ServiceId, double> mPromptTokens;
   std::map<ServiceId, std::map<VersionId, VersionOutcomes>> mOutcomes;
   std::mt19937_64 mRandom;
   bool mStopping = false;
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -70,16 +70,6 @@
   double mLatencyMs = 0;
 };
 
-struct ServiceLoad
-{
-  // Since the start of the host.
-  std::int64_t mRequests = 0;
-  double mPromptTokens = 0;
-  // Requests turned away or late to their first event.
-  std::int64_t mSlow = 0;
-  int mInFlight = 0;
-};
-
 // A host's part in an account's quota.
 struct QuotaUse
 {
@@ -97,7 +87,8 @@
   UsageWindows mUsage;
   std::vector<CrashCount> mCrashes;
   std::map<BackendServerId, double> mPendingTokens;
-  std::map<ServiceId, ServiceLoad> mLoads;
+  // Prompt tokens of the requests to each service since the start of the host.
+  std::map<ServiceId, double> mPromptTokens;
   std::map<ServiceId, std::map<VersionId, VersionOutcomes>> mOutcomes;
 };
 
--- a/trefoil/http/http_channel.cc
+++ b/trefoil/http/http_channel.cc
@@ -12,9 +12,7 @@
 {
   std::string bytes =
     fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", aRequest.mMethod, aRequest.mTarget, ToText(aTo));
-  for (const HttpHeader& header : aRequest.mHeaders) {
-    fmt::format_to(std::back_inserter(bytes), "{}: {}\r\n", header.mName, header.mValue);
-  }
+  AppendHeaders(bytes, aRequest.mHeaders);
   if (!aRequest.mBody.empty() || aRequest.mMethod == "POST") {
     fmt::format_to(std::back_inserter(bytes), "Content-Length: {}\r\n", aRequest.mBody.size());
   }
--- a/trefoil/http/http_channel.h
+++ b/trefoil/http/http_channel.h
@@ -55,7 +55,6 @@
   void Send(const HttpRequest& aRequest, Instant aDeadline, Callback aCallback);
   // Drops all requests without their callbacks and closes the connection.
   void Reset();
-  std::size_t Waiting() const { return mCalls.size(); }
 
 private:
   struct Call
--- a/trefoil/http/message.cc
+++ b/trefoil/http/message.cc
@@ -4,6 +4,7 @@
 #include <Poco/URI.h>
 #include <algorithm>
 #include <cctype>
+#include <fmt/format.h>
 #include <iterator>
 
 namespace trefoil {
@@ -35,6 +36,22 @@
   aHeaders.push_back({ .mName = std::string{ aName }, .mValue = std::string{ aValue } });
 }
 
+void
+AppendHeaders(std::string& aHead, const HttpHeaders& aHeaders)
+{
+  for (const HttpHeader& header : aHeaders) {
+    fmt::format_to(std::back_inserter(aHead), "{}: {}\r\n", header.mName, header.mValue);
+  }
+}
+
+bool
+IsSuccess(int aStatus)
+{
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
+}
+
 bool
 IsHopByHop(std::string_view aName)
 {
--- a/trefoil/http/message.h
+++ b/trefoil/http/message.h
@@ -46,6 +46,14 @@
 void
 SetHeader(HttpHeaders& aHeaders, std::string_view aName, std::string_view aValue);
 
+// Appends the headers as lines of a message's head.
+void
+AppendHeaders(std::string& aHead, const HttpHeaders& aHeaders);
+
+// Returns whether a status says that the request was served (2xx).
+bool
+IsSuccess(int aStatus);
+
 // Returns whether a proxy must not forward the header (RFC 9110, section 7.6.1).
 bool
 IsHopByHop(std::string_view aName);
--- a/trefoil/reactor/byte_stream.cc
+++ b/trefoil/reactor/byte_stream.cc
@@ -133,12 +133,7 @@
       return;
     }
     mConnected = true;
-    if (mCallbacks.mOnConnected) {
-      mCallbacks.mOnConnected();
-    }
-    if (mOpen) {
-      Flush();
-    }
+    Flush();
     if (mOpen) {
       Watch();
     }
@@ -167,7 +162,6 @@
     return true;
   }
   if (count == 0) {
-    mPeerEnded = true;
     End(StreamEnd::kClosedByPeer);
     return false;
   }
--- a/trefoil/reactor/byte_stream.h
+++ b/trefoil/reactor/byte_stream.h
@@ -40,8 +40,6 @@
   // Bytes have arrived and were appended to Received().
   std::function<void()> mOnBytes;
   std::function<void(StreamEnd)> mOnEnd;
-  // The connection stands; for Connect only, may be empty.
-  std::function<void()> mOnConnected;
 };
 
 struct StreamOptions
@@ -81,8 +79,6 @@
   bool IsOpen() const { return mOpen; }
   bool IsConnected() const { return mConnected; }
   std::size_t Unsent() const { return mUnsent.size(); }
-  // Whether the last bytes came together with the peer's end.
-  bool PeerEnded() const { return mPeerEnded; }
 
 private:
   void Watch();
@@ -100,7 +96,6 @@
   bool mConnected = false;
   bool mWatchesWrite = false;
   bool mCloseWhenSent = false;
-  bool mPeerEnded = false;
   EventLoop::TimerId mConnectTimer = 0;
 };
 
--- a/trefoil/steering/control.cc
+++ b/trefoil/steering/control.cc
@@ -62,12 +62,9 @@
     news.mPending.push_back(
       { .mServer = server, .mTokens = static_cast<std::uint64_t>(std::max(0.0, tokens)) });
   }
-  for (const auto& [service, load] : aState.mReport.mLoads) {
-    news.mServices.push_back({ .mService = service,
-                               .mRequests = load.mRequests,
-                               .mPromptTokens = static_cast<std::uint64_t>(load.mPromptTokens),
-                               .mSlow = load.mSlow,
-                               .mInFlight = load.mInFlight });
+  for (const auto& [service, tokens] : aState.mReport.mPromptTokens) {
+    news.mServices.push_back(
+      { .mService = service, .mPromptTokens = static_cast<std::uint64_t>(tokens) });
   }
   if (!aState.mMoves.mMoves.empty()) {
     for (const auto& [service, versions] : aState.mReport.mOutcomes) {
--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -4,6 +4,7 @@
 #include "trefoil/duty/holder_record.h"
 #include "trefoil/steering/internal/store_news.h"
 
+#include <fmt/format.h>
 #include <utility>
 
 namespace trefoil {
@@ -18,8 +19,6 @@
 // After the end of a usage window, the news of all hosts with its last counts have come, and
 // requests that began in it have shown their first byte.
 constexpr Milliseconds kUsageSettle{ 2'000 };
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
 // Hosts that stand ready wait longer the lower they rank; ranks beyond this wait alike.
 constexpr int kMostRank = 8;
 
@@ -201,8 +200,7 @@
 bool
 IsAccepted(const HttpReply& aReply)
 {
-  return aReply.mKind == ReplyKind::kAnswered && aReply.mAnswer.mStatus >= kFirstSuccess &&
-         aReply.mAnswer.mStatus < kFirstRedirect;
+  return aReply.mKind == ReplyKind::kAnswered && IsSuccess(aReply.mAnswer.mStatus);
 }
 
 // Returns the requests of a window over all hosts, as far as they are known here.
@@ -235,27 +233,24 @@
 void
 ReadUsage(ControlState& aState, std::int64_t aWindow)
 {
-  aState.mStore.Call(ReadKey{ .mKey = UsageKey(aWindow) },
-                     SuspendAwareNow() + kCallLimit,
-                     [&aState, aWindow](const StoreAnswer& aAnswer) {
-                       UsageReport report;
-                       StoreOutcome outcome = aAnswer.mOutcome;
-                       if (outcome == StoreOutcome::kDone) {
-                         const auto parsed = ParseUsage(aAnswer.mItems.front().mValue);
-                         if (parsed.ok()) {
-                           report = *parsed;
-                         } else {
-                           aState.mLog.Write(LogWeight::kNotable,
-                                             LogEvent::kInputRejected,
-                                             "input=usage window={} reason=\"{}\"",
-                                             aWindow,
-                                             std::string{ parsed.status().message() });
-                           outcome = StoreOutcome::kUnknown;
-                         }
-                       }
-                       OnUsageRead(aState.mUsage, aWindow, outcome, report, SuspendAwareNow());
-                       WorkOnDuties(aState);
-                     });
+  aState.mStore.Call(
+    ReadKey{ .mKey = UsageKey(aWindow) },
+    SuspendAwareNow() + kCallLimit,
+    [&aState, aWindow](const StoreAnswer& aAnswer) {
+      UsageReport report;
+      StoreOutcome outcome = aAnswer.mOutcome;
+      if (outcome == StoreOutcome::kDone) {
+        const auto parsed = ParseUsage(aAnswer.mItems.front().mValue);
+        if (parsed.ok()) {
+          report = *parsed;
+        } else {
+          RejectInput(aState, fmt::format("input=usage window={}", aWindow), parsed.status());
+          outcome = StoreOutcome::kUnknown;
+        }
+      }
+      OnUsageRead(aState.mUsage, aWindow, outcome, report, SuspendAwareNow());
+      WorkOnDuties(aState);
+    });
 }
 
 void
@@ -316,8 +311,8 @@
   const ScalingInputs inputs{ .mCatalogue = &aState.mView.mCatalogue->mCatalogue,
                               .mServers = &aState.mServers,
                               .mZones = aState.mOptions.mZones };
-  for (const auto& [service, load] : aState.mReport.mLoads) {
-    NoteDemand(aState.mScaling, aState.mOptions.mHost, service, load.mPromptTokens, now);
+  for (const auto& [service, tokens] : aState.mReport.mPromptTokens) {
+    NoteDemand(aState.mScaling, aState.mOptions.mHost, service, tokens, now);
   }
   for (const auto& [host, peer] : aState.mPeers.mPeers) {
     for (const ServiceTotal& total : peer.mNews.mServices) {
--- a/trefoil/steering/internal/store_news.cc
+++ b/trefoil/steering/internal/store_news.cc
@@ -3,6 +3,7 @@
 #include "trefoil/steering/quota_record.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace trefoil {
@@ -33,11 +34,8 @@
   }
   auto catalogue = aState.mOptions.mCodec.mReadCatalogue(aItem.mValue);
   if (!catalogue.ok()) {
-    aState.mLog.Write(LogWeight::kNotable,
-                      LogEvent::kInputRejected,
-                      "input=configuration revision={} reason=\"{}\"",
-                      aItem.mRevision,
-                      std::string{ catalogue.status().message() });
+    RejectInput(
+      aState, fmt::format("input=configuration revision={}", aItem.mRevision), catalogue.status());
     return;
   }
   aState.mCatalogueRevision = aItem.mRevision;
@@ -73,11 +71,7 @@
   }
   const auto order = aState.mOptions.mCodec.mReadVersionOrder(aItem.mValue);
   if (!order.ok()) {
-    aState.mLog.Write(LogWeight::kNotable,
-                      LogEvent::kInputRejected,
-                      "input=version_order key={} reason=\"{}\"",
-                      aItem.mKey,
-                      std::string{ order.status().message() });
+    RejectInput(aState, fmt::format("input=version_order key={}", aItem.mKey), order.status());
     return;
   }
   if (OnOrder(aState.mMoves,
@@ -112,7 +106,6 @@
   if (newest != nullptr) {
     TakeCatalogue(aState, *newest);
   }
-  PublishView(aState);
 }
 
 void
@@ -187,12 +180,9 @@
   const bool returned = aState.mDoubtfulRemovals.erase(id) > 0;
   const auto server = aState.mOptions.mCodec.mReadServer(aItem);
   if (!server.ok()) {
-    aState.mLog.Write(LogWeight::kNotable,
-                      LogEvent::kInputRejected,
-                      "input=server key={} revision={} reason=\"{}\"",
-                      aItem.mKey,
-                      aItem.mRevision,
-                      std::string{ server.status().message() });
+    RejectInput(aState,
+                fmt::format("input=server key={} revision={}", aItem.mKey, aItem.mRevision),
+                server.status());
     return Forget(aState.mServers, id, aItem.mRevision);
   }
   const bool changed = Learn(aState.mServers, *server);
@@ -271,11 +261,7 @@
     if (endpoint.ok()) {
       listed[HostId{ item.mKey.substr(std::string_view{ kHostPrefix }.size()) }] = *endpoint;
     } else {
-      aState.mLog.Write(LogWeight::kNotable,
-                        LogEvent::kInputRejected,
-                        "input=host key={} reason=\"{}\"",
-                        item.mKey,
-                        std::string{ endpoint.status().message() });
+      RejectInput(aState, fmt::format("input=host key={}", item.mKey), endpoint.status());
     }
   }
   if (listed != aState.mPeers.mListed) {
@@ -315,10 +301,7 @@
       PeerNews news{ .mQuotaLevels = *record };
       aState.mTraffic.Tell(std::move(news));
     } else {
-      aState.mLog.Write(LogWeight::kNotable,
-                        LogEvent::kInputRejected,
-                        "input=quota_record reason=\"{}\"",
-                        std::string{ record.status().message() });
+      RejectInput(aState, "input=quota_record", record.status());
     }
   }
   aState.mOperatorWatch->Start();
@@ -326,6 +309,16 @@
 
 } // namespace
 
+void
+RejectInput(ControlState& aState, std::string_view aWhat, const absl::Status& aReason)
+{
+  aState.mLog.Write(LogWeight::kNotable,
+                    LogEvent::kInputRejected,
+                    "{} reason=\"{}\"",
+                    aWhat,
+                    std::string{ aReason.message() });
+}
+
 void
 WriteQuotaRecord(ControlState& aState)
 {
--- a/trefoil/steering/internal/store_news.h
+++ b/trefoil/steering/internal/store_news.h
@@ -5,6 +5,10 @@
 
 namespace trefoil {
 
+// Logs that something was not taken in, and why. `aWhat` is in the form of log fields.
+void
+RejectInput(ControlState& aState, std::string_view aWhat, const absl::Status& aReason);
+
 // Starts to follow the operators' and the backend servers' keys.
 void
 FollowStore(ControlState& aState);
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -56,7 +56,6 @@
     mOptions.mWait = aWait;
     mOptions.mGather = aGather;
   }
-  bool IsLost() const { return mLost; }
 
 private:
   void List(const std::string& aAfterKey);
--- a/trefoil/wire/traffic_message.h
+++ b/trefoil/wire/traffic_message.h
@@ -56,19 +56,16 @@
   }
 };
 
-// What a host forwarded to a service since its start.
+// What a host was asked to forward to a service since its start.
 struct ServiceTotal
 {
   ServiceId mService;
-  std::int64_t mRequests = 0;
   std::uint64_t mPromptTokens = 0;
-  std::int64_t mSlow = 0;
-  std::int64_t mInFlight = 0;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mService, mRequests, mPromptTokens, mSlow, mInFlight);
+    aArchive(mService, mPromptTokens);
   }
 };
 
