Read bounds and times that are not whole numbers

Cause: the small twin of a grown deployment states a retry slack with a fraction; the gateway refused its settings and never listened ("retry_slack: must be a whole number", 40 processes ended). The template pasted "000" behind bounds in seconds, so that any fraction of a second would have failed too, and a bound that a deployment leaves out gave an empty value.

Ruled out: rounding in the template (it can only paste).

Times in the operators' documents may have fractions of a millisecond.

--- a/cmd/trefoil_gateway.cc
+++ b/cmd/trefoil_gateway.cc
@@ -53,10 +53,10 @@
            .mMetrics = aSettings.mMetrics,
            .mCodec = trefoil::platform::MakeForwardCodec(),
            .mRetries = { .mRatio = aSettings.mRetryRatio,
-                         .mSlack = static_cast<double>(aSettings.mRetrySlack),
+                         .mSlack = aSettings.mRetrySlack,
                          .mWindow = aSettings.mRetryWindow },
            .mQuotaOverage = kQuotaOverageUsed * aSettings.mQuotaOverage,
-           .mQuotaSlack = kQuotaSlackUsed * static_cast<double>(aSettings.mQuotaSlack),
+           .mQuotaSlack = kQuotaSlackUsed * aSettings.mQuotaSlack,
            .mUsageWindow = aSettings.mUsageWindow,
            .mMostConfigurationAge = aSettings.mRevokeWithin - kRevokeMargin,
            .mMostConnections =
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -55,7 +55,7 @@
 store = "$platform"
 cloud = "$platform"
 report_usage = true
-stop_notice_ms = 8000
+stop_notice_s = 8
 END
   host_up "$i"
   addresses+=("127.0.5.$i:18080")
--- a/trefoil/settings/gateway_settings.cc
+++ b/trefoil/settings/gateway_settings.cc
@@ -3,28 +3,45 @@
 #include "trefoil/settings/endpoint_settings.h"
 #include "trefoil/settings/toml_reader.h"
 
+#include <fmt/format.h>
+
 namespace trefoil {
 namespace {
 
 constexpr std::int64_t kMostOpenConnections = 100'000;
 constexpr std::int64_t kDefaultMostConnections = 2'000;
-constexpr std::int64_t kDefaultStopNoticeMs = 25'000;
-constexpr std::int64_t kLongestMs = 3'600'000;
-constexpr IntBounds kDurationBounds{ .mLeast = 1, .mMost = kLongestMs };
+constexpr double kLongestS = 3'600;
 // Defaults for a platform that states no bounds of its own.
-constexpr std::int64_t kDefaultRevokeMs = 5'000;
+constexpr double kDefaultStopNoticeS = 25;
+constexpr double kDefaultRevokeMs = 5'000;
 constexpr double kDefaultRetryRatio = 0.2;
-constexpr std::int64_t kDefaultRetrySlack = 50;
-constexpr std::int64_t kMostRetrySlack = 1'000'000;
-constexpr std::int64_t kDefaultRetryWindowMs = 10'000;
-constexpr std::int64_t kMostQuotaSlack = 1'000'000'000;
-constexpr std::int64_t kDefaultUsageWindowMs = 5'000;
-constexpr std::int64_t kDefaultUsageLateMs = 10'000;
+constexpr double kDefaultRetrySlack = 50;
+constexpr double kMostRetrySlack = 1e6;
+constexpr double kDefaultRetryWindowS = 10;
+constexpr double kMostQuotaSlack = 1e9;
+constexpr double kDefaultUsageWindowS = 5;
+constexpr double kDefaultUsageLateS = 10;
+constexpr double kMsPerSecond = 1'000;
 
+double
+ReadNumber(TomlReader& aReader, std::string_view aKey, double aDefault, double aLeast, double aMost)
+{
+  const double number = aReader.OptionalNumber(aKey, aDefault);
+  // Written so that a value that is not a number is out of bounds.
+  if (!(number >= aLeast && number <= aMost)) {
+    aReader.Fault(aKey, fmt::format("must be from {} to {}", aLeast, aMost));
+    return aDefault;
+  }
+  return number;
+}
+
+// Reads a time of at least a millisecond, given in a unit of so many milliseconds.
 Milliseconds
-ReadDuration(TomlReader& aReader, std::string_view aKey, std::int64_t aDefault)
+ReadDuration(TomlReader& aReader, std::string_view aKey, double aDefault, double aUnitMs)
 {
-  return Milliseconds{ aReader.OptionalInt(aKey, aDefault, kDurationBounds) };
+  const double number =
+    ReadNumber(aReader, aKey, aDefault, 1 / aUnitMs, kLongestS * kMsPerSecond / aUnitMs);
+  return Milliseconds{ static_cast<std::int64_t>(number * aUnitMs) };
 }
 
 } // namespace
@@ -53,23 +70,18 @@
   settings.mOrdersServers = reader.OptionalBool("order_servers", false);
   settings.mMostConnections = reader.OptionalInt(
     "most_connections", kDefaultMostConnections, { .mLeast = 1, .mMost = kMostOpenConnections });
-  settings.mStopNotice = ReadDuration(reader, "stop_notice_ms", kDefaultStopNoticeMs);
-  settings.mRevokeWithin = ReadDuration(reader, "revoke_within_ms", kDefaultRevokeMs);
-  settings.mRetryRatio = reader.OptionalNumber("retry_ratio", kDefaultRetryRatio);
-  settings.mRetrySlack = reader.OptionalInt(
-    "retry_slack", kDefaultRetrySlack, { .mLeast = 0, .mMost = kMostRetrySlack });
-  settings.mRetryWindow = ReadDuration(reader, "retry_window_ms", kDefaultRetryWindowMs);
-  settings.mQuotaOverage = reader.OptionalNumber("quota_overage", 0);
-  settings.mQuotaSlack =
-    reader.OptionalInt("quota_slack", 0, { .mLeast = 0, .mMost = kMostQuotaSlack });
-  settings.mUsageWindow = ReadDuration(reader, "usage_window_ms", kDefaultUsageWindowMs);
-  settings.mUsageLateAfter = ReadDuration(reader, "usage_late_after_ms", kDefaultUsageLateMs);
-  if (settings.mRetryRatio < 0 || settings.mRetryRatio > 1) {
-    reader.Fault("retry_ratio", "must be between 0 and 1");
-  }
-  if (settings.mQuotaOverage < 0 || settings.mQuotaOverage > 1) {
-    reader.Fault("quota_overage", "must be between 0 and 1");
-  }
+  settings.mStopNotice = ReadDuration(reader, "stop_notice_s", kDefaultStopNoticeS, kMsPerSecond);
+  settings.mRevokeWithin = ReadDuration(reader, "revoke_within_ms", kDefaultRevokeMs, 1);
+  settings.mRetryRatio = ReadNumber(reader, "retry_ratio", kDefaultRetryRatio, 0, 1);
+  settings.mRetrySlack = ReadNumber(reader, "retry_slack", kDefaultRetrySlack, 0, kMostRetrySlack);
+  settings.mRetryWindow =
+    ReadDuration(reader, "retry_window_s", kDefaultRetryWindowS, kMsPerSecond);
+  settings.mQuotaOverage = ReadNumber(reader, "quota_overage", 0, 0, 1);
+  settings.mQuotaSlack = ReadNumber(reader, "quota_slack", 0, 0, kMostQuotaSlack);
+  settings.mUsageWindow =
+    ReadDuration(reader, "usage_window_s", kDefaultUsageWindowS, kMsPerSecond);
+  settings.mUsageLateAfter =
+    ReadDuration(reader, "usage_late_after_s", kDefaultUsageLateS, kMsPerSecond);
   if ((settings.mReportsUsage || settings.mOrdersServers) && !settings.mCloud.has_value()) {
     reader.Fault("cloud", "is needed to report usage or order servers");
   }
--- a/trefoil/settings/gateway_settings.h
+++ b/trefoil/settings/gateway_settings.h
@@ -37,12 +37,12 @@
   // Keys that were taken away must be refused after this.
   Milliseconds mRevokeWithin{ 0 };
   double mRetryRatio = 0;
-  std::int64_t mRetrySlack = 0;
+  double mRetrySlack = 0;
   Milliseconds mRetryWindow{ 0 };
   // What the platform allows beyond a quota: a part of its rate, and tokens (or requests) in a
   // window.
   double mQuotaOverage = 0;
-  std::int64_t mQuotaSlack = 0;
+  double mQuotaSlack = 0;
   Milliseconds mUsageWindow{ 0 };
   Milliseconds mUsageLateAfter{ 0 };
 
--- a/trefoil/settings/gateway_settings_test.cc
+++ b/trefoil/settings/gateway_settings_test.cc
@@ -36,8 +36,26 @@
     THEN("file, line and reason are told")
     {
       CHECK_THAT(fault("nonsense = 1\n"), Catch::Contains("gateway.toml:12"));
-      CHECK_THAT(fault("retry_window_ms = 0\n"), Catch::Contains("retry_window_ms"));
+      CHECK_THAT(fault("retry_window_s = 0\n"), Catch::Contains("retry_window_s"));
       CHECK_THAT(fault("retry_slack = \"x\"\n"), Catch::Contains("retry_slack"));
+      CHECK_THAT(fault("quota_slack = -1\n"), Catch::Contains("quota_slack"));
+      CHECK_THAT(fault("stop_notice_s = 1e9\n"), Catch::Contains("stop_notice_s"));
+    }
+  }
+  WHEN("times, slacks and limits are not whole")
+  {
+    const auto read = ParseGatewaySettings(kGood + "stop_notice_s = 2.5\nretry_window_s = 7.25\n"
+                                                   "retry_slack = 38.3\nquota_slack = 12.5\n"
+                                                   "revoke_within_ms = 4999.5\n",
+                                           "gateway.toml");
+    THEN("they are taken as they are, times to the millisecond")
+    {
+      REQUIRE(read.ok());
+      CHECK(read->mStopNotice == Milliseconds{ 2'500 });
+      CHECK(read->mRetryWindow == Milliseconds{ 7'250 });
+      CHECK(read->mRetrySlack == 38.3);
+      CHECK(read->mQuotaSlack == 12.5);
+      CHECK(read->mRevokeWithin == Milliseconds{ 4'999 });
     }
   }
   WHEN("duties are asked for without an endpoint")
