Keep a session's requests at three servers, and let news of the load fade

Cause: among 72 hosts news of the waiting prompt tokens are a second old, longer than a server needs to read them. All hosts moved requests to the one server that was idle then, which was the busiest a moment later; their shared parts were read again there.

Change: a key's requests go to one of the first three servers in its rendezvous order, and what other hosts reported counts half after each 200 ms.

The new sections of dispatch_test fail without the change.

--- a/trefoil/dispatch/server_choice.cc
+++ b/trefoil/dispatch/server_choice.cc
@@ -3,7 +3,11 @@
 #include "trefoil/base/digest.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
+#include <iterator>
 #include <limits>
+#include <utility>
 
 namespace trefoil {
 namespace {
@@ -31,6 +35,11 @@
 constexpr double kFailureLoad = 4.0;
 // What an unused server of a lower rank must save, in tokens, before a key is moved to it.
 constexpr double kMoveTokens = 2'000;
+// A key's servers: hosts whose news of the load are old must not all move to the one that was idle
+// then, and few servers read the same parts.
+constexpr std::size_t kRanks = 3;
+// Half of what waits at a server is read in about this time: a long prompt takes twice as long.
+constexpr Milliseconds kHalfRead{ 200 };
 
 bool
 IsAvoided(const ServerCandidate& aCandidate, Instant aNow)
@@ -48,10 +57,11 @@
 
 // Returns the tokens that are read before the request's own part if it goes to the candidate.
 double
-CacheCost(const ServerCandidate& aCandidate, const ChoiceTerms& aTerms, bool aIsFirst)
+CacheCost(const ServerCandidate& aCandidate, const ChoiceTerms& aTerms, bool aIsFirst, Instant aNow)
 {
+  const ServerStanding& standing = *aCandidate.mStanding;
   const double waiting =
-    aCandidate.mStanding->mPendingTokens + aCandidate.mStanding->mPendingElsewhere;
+    standing.mPendingTokens + FadedTokens(standing.mPendingElsewhere, aNow - standing.mElsewhereAt);
   if (aIsFirst) {
     return waiting;
   }
@@ -59,55 +69,56 @@
   return waiting + kMoveTokens + (aCandidate.mHoldsCache ? 0 : shared);
 }
 
-// Returns the candidate that owns the key among those that may be used.
-std::size_t
-FirstByRank(const std::vector<ServerCandidate>& aCandidates,
-            const ChoiceTerms& aTerms,
-            bool aUseAvoided,
-            Instant aNow)
+// Returns the candidates of the first ranks for the key among those that may be used, the first one
+// first.
+std::vector<std::size_t>
+FirstRanks(const std::vector<ServerCandidate>& aCandidates,
+           const ChoiceTerms& aTerms,
+           bool aUseAvoided,
+           Instant aNow)
 {
-  std::size_t first = aCandidates.size();
-  std::uint64_t highest = 0;
+  std::vector<std::pair<std::uint64_t, std::size_t>> ranks;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    if (!aUseAvoided && IsAvoided(aCandidates[i], aNow)) {
-      continue;
-    }
-    const std::uint64_t score =
-      RendezvousScore(aCandidates[i].mServer->mId.Value(), aTerms.mCacheKey);
-    if (first == aCandidates.size() || score > highest) {
-      first = i;
-      highest = score;
+    if (aUseAvoided || !IsAvoided(aCandidates[i], aNow)) {
+      ranks.emplace_back(RendezvousScore(aCandidates[i].mServer->mId.Value(), aTerms.mCacheKey), i);
     }
   }
+  const auto last = ranks.begin() + static_cast<std::ptrdiff_t>(std::min(kRanks, ranks.size()));
+  std::partial_sort(ranks.begin(), last, ranks.end(), std::greater<>{});
+  std::vector<std::size_t> first;
+  std::transform(
+    ranks.begin(), last, std::back_inserter(first), [](const auto& aRank) { return aRank.second; });
   return first;
 }
 
-} // namespace
+std::size_t
+ChooseByCache(const std::vector<ServerCandidate>& aCandidates,
+              const ChoiceTerms& aTerms,
+              bool aUseAvoided,
+              Instant aNow)
+{
+  const std::vector<std::size_t> ranks = FirstRanks(aCandidates, aTerms, aUseAvoided, aNow);
+  return *std::ranges::min_element(ranks, {}, [&](std::size_t aPosition) {
+    return CacheCost(aCandidates[aPosition], aTerms, aPosition == ranks.front(), aNow);
+  });
+}
 
-std::optional<std::size_t>
-ChooseServer(const std::vector<ServerCandidate>& aCandidates,
+std::size_t
+ChooseByLoad(const std::vector<ServerCandidate>& aCandidates,
              const ChoiceTerms& aTerms,
+             bool aUseAvoided,
              Instant aNow)
 {
-  if (aCandidates.empty()) {
-    return std::nullopt;
-  }
-  const bool useAvoided = std::ranges::all_of(
-    aCandidates, [aNow](const ServerCandidate& aItem) { return IsAvoided(aItem, aNow); });
-  const std::size_t first = aTerms.mCacheKey.empty()
-                              ? aCandidates.size()
-                              : FirstByRank(aCandidates, aTerms, useAvoided, aNow);
-  std::optional<std::size_t> best;
+  std::size_t best = 0;
   double least = std::numeric_limits<double>::max();
   const std::size_t start = aTerms.mDraw % aCandidates.size();
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const std::size_t position = (start + i) % aCandidates.size();
     const ServerCandidate& candidate = aCandidates[position];
-    if (!useAvoided && IsAvoided(candidate, aNow)) {
+    if (!aUseAvoided && IsAvoided(candidate, aNow)) {
       continue;
     }
-    const double cost = aTerms.mCacheKey.empty() ? LoadCost(candidate, aTerms)
-                                                 : CacheCost(candidate, aTerms, position == first);
+    const double cost = LoadCost(candidate, aTerms);
     if (cost < least) {
       least = cost;
       best = position;
@@ -116,6 +127,29 @@
   return best;
 }
 
+} // namespace
+
+double
+FadedTokens(double aTokens, std::chrono::nanoseconds aAge)
+{
+  return aTokens *
+         std::exp2(-std::chrono::duration<double>(aAge) / std::chrono::duration<double>(kHalfRead));
+}
+
+std::optional<std::size_t>
+ChooseServer(const std::vector<ServerCandidate>& aCandidates,
+             const ChoiceTerms& aTerms,
+             Instant aNow)
+{
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
+  const bool useAvoided = std::ranges::all_of(
+    aCandidates, [aNow](const ServerCandidate& aItem) { return IsAvoided(aItem, aNow); });
+  return aTerms.mCacheKey.empty() ? ChooseByLoad(aCandidates, aTerms, useAvoided, aNow)
+                                  : ChooseByCache(aCandidates, aTerms, useAvoided, aNow);
+}
+
 bool
 NoteZoneOutcome(ZoneStanding& aZone,
                 const BackendServerId& aServer,
--- a/trefoil/dispatch/server_choice.h
+++ b/trefoil/dispatch/server_choice.h
@@ -5,9 +5,10 @@
 //
 // Requests that follow a cache go to the servers that probably hold the shared parts of their
 // prompt: all hosts rank the servers of a key alike by rendezvous hash, so that they agree without
-// a message, and move on to the next rank only where the work that waits at the first costs more
-// than reading the parts again. Other requests go to the server with the least work, those of the
-// own zone first. Servers that failed lately are left out while others can serve. Pure functions.
+// a message, and move on to one of the next ranks only where the work that waits at the first costs
+// more than reading the parts again. Other requests go to the server with the least work, those of
+// the own zone first. Servers that failed lately are left out while others can serve. Pure
+// functions.
 #pragma once
 
 #include "trefoil/catalogue/server_registry.h"
@@ -29,6 +30,8 @@
   // this host, and of the others by their reports.
   double mPendingTokens = 0;
   double mPendingElsewhere = 0;
+  // When what the others reported was brought up to date.
+  Instant mElsewhereAt;
   // A moving mean of outcomes: 0 all good, 1 all failed.
   double mFailureShare = 0;
   int mFailuresInRow = 0;
@@ -66,6 +69,11 @@
   std::uint64_t mDraw = 0;
 };
 
+// Returns what probably waits still of tokens that waited a while ago: servers read on meanwhile, and
+// what came since is not known.
+double
+FadedTokens(double aTokens, std::chrono::nanoseconds aAge);
+
 // Returns the position of the chosen candidate, nothing if there are none.
 std::optional<std::size_t>
 ChooseServer(const std::vector<ServerCandidate>& aCandidates,
--- a/trefoil/dispatch/server_choice_test.cc
+++ b/trefoil/dispatch/server_choice_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <map>
 #include <set>
 
 namespace trefoil {
@@ -86,6 +87,66 @@
   }
 }
 
+SCENARIO("news of the load grow old")
+{
+  Servers servers{ 18 };
+  const ChoiceTerms terms{ .mZone = kZoneA, .mCacheKey = "session", .mSharedTokens = 13'000 };
+  const std::size_t first = *ChooseServer(servers.Candidates(), terms, kNow);
+  ServerStanding& busy = servers.mStandings[first];
+  busy.mPendingElsewhere = 40'000;
+  busy.mElsewhereAt = kNow;
+  THEN("fresh ones move a request")
+  {
+    CHECK(ChooseServer(servers.Candidates(), terms, kNow) != first);
+  }
+  THEN("old ones do not: the server has read on")
+  {
+    CHECK(ChooseServer(servers.Candidates(), terms, kNow + std::chrono::seconds{ 1 }) == first);
+    CHECK(FadedTokens(40'000, std::chrono::seconds{ 1 }) < 2'000);
+  }
+}
+
+SCENARIO("many hosts with old news of the load overflow from busy servers")
+{
+  Servers servers{ 40 };
+  // All hosts believe that one server is idle and all others have much to read.
+  for (ServerStanding& standing : servers.mStandings) {
+    standing.mPendingElsewhere = 50'000;
+    standing.mElsewhereAt = kNow;
+  }
+  servers.mStandings[5].mPendingElsewhere = 0;
+  WHEN("requests of many sessions come")
+  {
+    std::map<std::size_t, int> taken;
+    constexpr int kSessions = 400;
+    for (int session = 0; session < kSessions; ++session) {
+      const ChoiceTerms terms{ .mZone = kZoneA,
+                               .mCacheKey = fmt::format("session-{}", session),
+                               .mSharedTokens = 13'000 };
+      ++taken[*ChooseServer(servers.Candidates(), terms, kNow)];
+    }
+    THEN("they do not all move to the idle one")
+    {
+      CHECK(taken[5] < kSessions / 8);
+    }
+  }
+  WHEN("requests of one session come and its first servers get busier in turn")
+  {
+    const ChoiceTerms terms{ .mZone = kZoneA, .mCacheKey = "session", .mSharedTokens = 13'000 };
+    std::set<std::size_t> readers;
+    constexpr int kRequests = 60;
+    for (int request = 0; request < kRequests; ++request) {
+      const std::size_t chosen = *ChooseServer(servers.Candidates(), terms, kNow);
+      servers.mStandings[chosen].mPendingTokens += 17'000;
+      readers.insert(chosen);
+    }
+    THEN("few servers read its shared parts")
+    {
+      CHECK(readers.size() <= 3);
+    }
+  }
+}
+
 SCENARIO("a plain request is sent to the least loaded server near by")
 {
   Servers servers{ 4 };
--- a/trefoil/forward/traffic.cc
+++ b/trefoil/forward/traffic.cc
@@ -232,6 +232,7 @@
   for (auto& [server, standing] : mState.mStandings) {
     const auto pending = aNews.mPendingTokens.find(server);
     standing.mPendingElsewhere = pending == aNews.mPendingTokens.end() ? 0 : pending->second;
+    standing.mElsewhereAt = now;
   }
 }
 
--- a/trefoil/steering/peer_book.cc
+++ b/trefoil/steering/peer_book.cc
@@ -1,5 +1,6 @@
 #include "trefoil/steering/peer_book.h"
 
+#include "trefoil/dispatch/server_choice.h"
 #include "trefoil/wire/crash_exchange.h"
 
 #include <algorithm>
@@ -203,8 +204,9 @@
 {
   std::map<BackendServerId, double> pending;
   for (const HostId& host : LivePeers(aBook, aNow)) {
-    for (const PendingAtServer& item : aBook.mPeers.at(host).mNews.mPending) {
-      pending[item.mServer] += static_cast<double>(item.mTokens);
+    const Peer& peer = aBook.mPeers.at(host);
+    for (const PendingAtServer& item : peer.mNews.mPending) {
+      pending[item.mServer] += FadedTokens(static_cast<double>(item.mTokens), aNow - peer.mHeardAt);
     }
   }
   return pending;
--- a/trefoil/steering/peer_book.h
+++ b/trefoil/steering/peer_book.h
@@ -79,7 +79,7 @@
 void
 DropUsageBefore(PeerBook& aBook, std::int64_t aWindow);
 
-// Returns the pending prompt tokens at each server over the live peers.
+// Returns the prompt tokens that probably wait at each server still, over the live peers.
 std::map<BackendServerId, double>
 PendingElsewhere(const PeerBook& aBook, Instant aNow);
 
