Let two hosts of a zone follow the store for the others

Cause: each of 72 hosts watched the operators' and the servers' keys for itself.

Ruled out: longer waits alone (the age at which keys are refused bounds them, and changes wake each watch anyway); proofs of time in the hosts' news to all (their way is not bounded in time, so that a host that was frozen would take an old one for new).

Change: in a zone of four hosts or more the two first by rendezvous rank watch; the others ask one of these every 800 ms and are told of changes at once. Servers' entries come along, a configuration is read by each host. A proof counts from when the question was sent, less its age; a host that hears nothing for 2 s asks the store itself. Zones of fewer hosts do as before, and the longer waits of many hosts are gone.

--- a/trefoil/steering/control.cc
+++ b/trefoil/steering/control.cc
@@ -1,7 +1,9 @@
 #include "trefoil/steering/control.h"
 
 #include "trefoil/steering/control_state.h"
+#include "trefoil/steering/internal/datagrams.h"
 #include "trefoil/steering/internal/duties.h"
+#include "trefoil/steering/internal/relaying.h"
 #include "trefoil/steering/internal/store_news.h"
 #include "trefoil/wire/codec.h"
 #include "trefoil/wire/crash_exchange.h"
@@ -21,6 +23,9 @@
 constexpr Milliseconds kQuotaRecordEvery{ 500 };
 // The store's list of hosts is read so often.
 constexpr Milliseconds kHostsEvery{ 5'000 };
+// Hosts that do not follow the store ask so often: keys that were taken away, and a configuration,
+// are known within it and the wait of a watch.
+constexpr Milliseconds kRelayEvery{ 800 };
 // Crashes are repeated in the news for so long, since a message may be lost.
 constexpr Milliseconds kRepeatCrashes{ 3'000 };
 // Windows of usage in a message: the running one and those that may still be counted.
@@ -36,6 +41,7 @@
                     .mIncarnation = aState.mIncarnation,
                     .mSequence = ++aState.mSequence,
                     .mEndpoint = aState.mOptions.mPeerEndpoint,
+                    .mZone = aState.mOptions.mZone,
                     .mWallMs = UnixMilliseconds(WallNow()),
                     .mHoldsDuties = aState.mHoldsDuties,
                     .mLeaving = aState.mLeaving };
@@ -85,38 +91,17 @@
 {
   const std::string bytes = Encode(MakeNews(aState));
   for (const Endpoint& to : Recipients(aState.mPeers, SuspendAwareNow())) {
-    try {
-      aState.mPeerSocket.sendTo(bytes.data(),
-                                static_cast<int>(bytes.size()),
-                                Poco::Net::SocketAddress{ to.mAddress, to.mPort });
-    } catch (const Poco::Exception& error) {
-      // News are sent anew at the next interval.
-      aState.mLog.Write(LogWeight::kRoutine,
-                        LogEvent::kInputRejected,
-                        "input=news_to peer={} reason=\"{}\"",
-                        ToText(to),
-                        error.displayText());
-    }
+    SendBytes(aState, to, bytes);
   }
 }
 
 void
-TakeDatagram(ControlState& aState, std::string_view aBytes)
+TakeNewsOf(ControlState& aState, const TrafficNews& aNews)
 {
-  const auto message = Decode(aBytes);
-  const TrafficNews* news = message.ok() ? std::get_if<TrafficNews>(&*message) : nullptr;
-  if (news == nullptr) {
-    aState.mLog.Write(LogWeight::kNotable,
-                      LogEvent::kInputRejected,
-                      "input=news bytes={} reason=\"{}\"",
-                      aBytes.size(),
-                      std::string{ message.status().message() });
-    return;
-  }
-  const bool unknown = IsUnknown(aState.mPeers, *news);
-  const PeerNews added = TakeNews(aState.mPeers, *news, SuspendAwareNow());
-  NoteClock(aState.mPeers, *news, WallNow());
-  if (news->mHoldsDuties && news->mHost != aState.mOptions.mHost) {
+  const bool unknown = IsUnknown(aState.mPeers, aNews);
+  const PeerNews added = TakeNews(aState.mPeers, aNews, SuspendAwareNow());
+  NoteClock(aState.mPeers, aNews, WallNow());
+  if (aNews.mHoldsDuties && aNews.mHost != aState.mOptions.mHost) {
     OnHolderHeard(aState);
   }
   for (const auto& [account, used] : added.mQuotaUsed) {
@@ -130,6 +115,32 @@
   }
 }
 
+void
+TakeDatagram(ControlState& aState, std::string_view aBytes)
+{
+  const auto message = Decode(aBytes);
+  if (!message.ok()) {
+    aState.mLog.Write(LogWeight::kNotable,
+                      LogEvent::kInputRejected,
+                      "input=message bytes={} reason=\"{}\"",
+                      aBytes.size(),
+                      std::string{ message.status().message() });
+    return;
+  }
+  if (const auto* news = std::get_if<TrafficNews>(&*message)) {
+    TakeNewsOf(aState, *news);
+  } else if (const auto* query = std::get_if<StoreQuery>(&*message)) {
+    OnStoreQuery(aState, *query);
+  } else if (const auto* reply = std::get_if<StoreReply>(&*message)) {
+    OnStoreReply(aState, *reply);
+  } else {
+    aState.mLog.Write(LogWeight::kNotable,
+                      LogEvent::kInputRejected,
+                      "input=message bytes={} reason=\"not for a gateway\"",
+                      aBytes.size());
+  }
+}
+
 void
 ReadPeers(ControlState& aState)
 {
@@ -196,6 +207,13 @@
   aState.mLoop.CallAt(now + NewsInterval(aState.mPeers, now), [&aState] { Tick(aState); });
 }
 
+void
+RelayRegularly(ControlState& aState)
+{
+  RelayStore(aState);
+  aState.mLoop.CallAt(SuspendAwareNow() + kRelayEvery, [&aState] { RelayRegularly(aState); });
+}
+
 void
 RefreshHostsRegularly(ControlState& aState)
 {
@@ -265,6 +283,7 @@
     FollowStore(state);
     JoinDuties(state);
     RefreshHostsRegularly(state);
+    RelayRegularly(state);
     Tick(state);
     state.mLoop.Run();
   } };
--- a/trefoil/steering/control_state.h
+++ b/trefoil/steering/control_state.h
@@ -7,6 +7,7 @@
 #include "trefoil/steering/peer_book.h"
 #include "trefoil/steering/prefix_watch.h"
 #include "trefoil/steering/scaling.h"
+#include "trefoil/steering/store_relay.h"
 #include "trefoil/steering/usage_duty.h"
 #include "trefoil/steering/version_moves.h"
 
@@ -45,6 +46,7 @@
   std::optional<Instant> mServersRegainedAt;
 
   PeerBook mPeers;
+  StoreRelay mRelay;
   // What peers told since it was last passed on to the traffic thread.
   PeerNews mPeerNews;
   Instant mQuotaWrittenAt;
--- /dev/null
+++ b/trefoil/steering/internal/relaying.cc
@@ -0,0 +1,98 @@
+#include "trefoil/steering/internal/relaying.h"
+
+#include "trefoil/steering/internal/datagrams.h"
+#include "trefoil/steering/internal/store_news.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoil {
+namespace {
+
+StoreReply
+MakeReply(const ControlState& aState, std::uint64_t aNumber, std::int64_t aServersKnown)
+{
+  const Instant now = SuspendAwareNow();
+  StoreReply reply{ .mHost = aState.mOptions.mHost,
+                    .mNumber = aNumber,
+                    // A configuration may be larger than a datagram: the hosts read it themselves.
+                    .mOperators =
+                      ToRelayed(aState.mOperatorWatch->Record(), { .mWithItems = false }, now),
+                    .mServers =
+                      ToRelayed(aState.mServerWatch->Record(), { .mSince = aServersKnown }, now) };
+  if (aState.mServersRegainedAt.has_value()) {
+    reply.mRegainedMs =
+      std::chrono::duration_cast<Milliseconds>(now - *aState.mServersRegainedAt).count();
+  }
+  return reply;
+}
+
+} // namespace
+
+void
+RelayStore(ControlState& aState)
+{
+  const Instant now = SuspendAwareNow();
+  StoreRelay& relay = aState.mRelay;
+  DropSilentSubscribers(relay, now);
+  std::vector<HostId> watchers = StoreWatchers(aState.mPeers, aState.mOptions.mZone, now);
+  if (aState.mLeaving || std::ranges::find(watchers, aState.mOptions.mHost) != watchers.end()) {
+    watchers.clear();
+  }
+  if (watchers != relay.mWatchers) {
+    relay.mWatchers = std::move(watchers);
+    aState.mLog.Write(LogWeight::kNotable,
+                      LogEvent::kPeersChanged,
+                      "store_followed_by={} also={}",
+                      relay.mWatchers.empty() ? aState.mOptions.mHost.Value()
+                                              : relay.mWatchers.front().Value(),
+                      relay.mWatchers.empty() ? std::string{} : relay.mWatchers.back().Value());
+    // The hosts of a zone divide between those that they ask.
+    relay.mAsked = aState.mRandom() % 2;
+  }
+  aState.mOperatorWatch->SetRelayed(!relay.mWatchers.empty());
+  aState.mServerWatch->SetRelayed(!relay.mWatchers.empty());
+  const auto asked = NextQuestion(relay, now);
+  if (!asked.has_value()) {
+    return;
+  }
+  SendDatagram(aState,
+               aState.mPeers.mPeers.at(*asked).mNews.mEndpoint,
+               StoreQuery{ .mHost = aState.mOptions.mHost,
+                           .mEndpoint = aState.mOptions.mPeerEndpoint,
+                           .mNumber = relay.mNumber,
+                           .mServerRevision = aState.mServerWatch->Record().mRevision });
+}
+
+void
+OnStoreQuery(ControlState& aState, const StoreQuery& aQuery)
+{
+  aState.mRelay.mSubscribers[aQuery.mHost] = {
+    .mEndpoint = aQuery.mEndpoint,
+    .mServerRevision = std::max(aQuery.mServerRevision, aState.mServerWatch->Record().mRevision),
+    .mHeardAt = SuspendAwareNow()
+  };
+  SendDatagram(aState, aQuery.mEndpoint, MakeReply(aState, aQuery.mNumber, aQuery.mServerRevision));
+}
+
+void
+OnStoreReply(ControlState& aState, const StoreReply& aReply)
+{
+  const auto askedAt = OnRelayReply(aState.mRelay, aReply.mNumber);
+  if (aReply.mRegainedMs >= 0) {
+    NoteServersRegained(aState, SuspendAwareNow() - Milliseconds{ aReply.mRegainedMs });
+  }
+  aState.mOperatorWatch->TakeNews(FromRelayed(aReply.mOperators, askedAt));
+  aState.mServerWatch->TakeNews(FromRelayed(aReply.mServers, askedAt));
+}
+
+void
+PushStoreChanges(ControlState& aState)
+{
+  for (auto& [host, subscriber] : aState.mRelay.mSubscribers) {
+    SendDatagram(aState, subscriber.mEndpoint, MakeReply(aState, 0, subscriber.mServerRevision));
+    subscriber.mServerRevision = aState.mServerWatch->Record().mRevision;
+  }
+}
+
+} // namespace trefoil
--- a/trefoil/steering/internal/store_news.cc
+++ b/trefoil/steering/internal/store_news.cc
@@ -1,5 +1,6 @@
 #include "trefoil/steering/internal/store_news.h"
 
+#include "trefoil/steering/internal/relaying.h"
 #include "trefoil/steering/quota_record.h"
 
 #include <algorithm>
@@ -13,10 +14,10 @@
 // the configuration is the newest, so it is well below the age at which keys are refused.
 constexpr Milliseconds kOperatorWait{ 1'000 };
 constexpr Milliseconds kServerWait{ 5'000 };
-// The calls of many hosts add up: above this number of hosts each calls more rarely.
-constexpr int kManyHosts = 24;
-constexpr Milliseconds kOperatorWaitOfMany{ 1'600 };
-constexpr Milliseconds kServerGatherOfMany{ 1'100 };
+// Other hosts' proofs of the configuration and news of the servers replace own calls up to this
+// age: the first is well below the age at which keys are refused, the second is above kServerWait.
+constexpr Milliseconds kMostOperatorAge{ 2'200 };
+constexpr Milliseconds kMostServerAge{ 7'000 };
 // Servers that start or leave together are read by one call. Well below the time in which a leaving
 // server must get no more requests.
 constexpr Milliseconds kServerGather{ 500 };
@@ -268,9 +269,6 @@
     aState.mLog.Write(LogWeight::kNotable, LogEvent::kPeersChanged, "listed={}", listed.size());
   }
   aState.mPeers.mListed = std::move(listed);
-  const bool many = HostCount(aState.mPeers, SuspendAwareNow()) > kManyHosts;
-  aState.mOperatorWatch->SetPace(many ? kOperatorWaitOfMany : kOperatorWait, kOperatorGather);
-  aState.mServerWatch->SetPace(kServerWait, many ? kServerGatherOfMany : kServerGather);
 }
 
 void
@@ -319,6 +317,19 @@
                     std::string{ aReason.message() });
 }
 
+void
+NoteServersRegained(ControlState& aState, Instant aWhen)
+{
+  // Hosts learn of one return at slightly different times.
+  const bool known =
+    aState.mServersRegainedAt.has_value() && aWhen - *aState.mServersRegainedAt < kServersReturn;
+  if (known || SuspendAwareNow() - aWhen >= kServersReturn) {
+    return;
+  }
+  aState.mServersRegainedAt = aWhen;
+  aState.mLoop.CallAt(aWhen + kServersReturn, [&aState] { SettleDoubtfulRemovals(aState); });
+}
+
 void
 WriteQuotaRecord(ControlState& aState)
 {
@@ -350,6 +361,7 @@
   };
   operators.mOnChanges = [&aState](const std::vector<StoreItem>& aItems) {
     OnOperatorItems(aState, aItems);
+    PushStoreChanges(aState);
   };
   operators.mOnCurrent = [&aState](Instant aWhen) {
     aState.mView.mProvenAt = std::max(aState.mView.mProvenAt, aWhen);
@@ -360,7 +372,8 @@
                                 codec.mStore,
                                 PrefixWatchOptions{ .mPrefix = codec.mOperatorPrefix,
                                                     .mWait = kOperatorWait,
-                                                    .mGather = kOperatorGather },
+                                                    .mGather = kOperatorGather,
+                                                    .mMostAge = kMostOperatorAge },
                                 std::move(operators));
   aState.mStore.Call(ReadKey{ .mKey = kQuotaKey },
                      SuspendAwareNow() + kHostsLimit,
@@ -372,20 +385,21 @@
   };
   servers.mOnChanges = [&aState](const std::vector<StoreItem>& aItems) {
     OnServerItems(aState, aItems);
+    PushStoreChanges(aState);
   };
   servers.mOnCurrent = [](Instant /*aWhen*/) {};
   servers.mOnRegained = [&aState, log = servers.mOnRegained] {
     log();
-    aState.mServersRegainedAt = SuspendAwareNow();
-    aState.mLoop.CallAt(*aState.mServersRegainedAt + kServersReturn,
-                        [&aState] { SettleDoubtfulRemovals(aState); });
+    NoteServersRegained(aState, SuspendAwareNow());
   };
   aState.mServerWatch.emplace(aState.mLoop,
                               aState.mOptions.mStore,
                               codec.mStore,
                               PrefixWatchOptions{ .mPrefix = codec.mServerPrefix,
                                                   .mWait = kServerWait,
-                                                  .mGather = kServerGather },
+                                                  .mGather = kServerGather,
+                                                  .mKeepsChanges = true,
+                                                  .mMostAge = kMostServerAge },
                               std::move(servers));
   aState.mServerWatch->Start();
 }
--- a/trefoil/steering/internal/store_news.h
+++ b/trefoil/steering/internal/store_news.h
@@ -13,6 +13,10 @@
 void
 FollowStore(ControlState& aState);
 
+// Notes when the store came back after an outage, if that is news.
+void
+NoteServersRegained(ControlState& aState, Instant aWhen);
+
 // Asks the store for the entry hosts that it lists, and writes this one's entry where it is
 // missing.
 void
--- a/trefoil/steering/prefix_watch.cc
+++ b/trefoil/steering/prefix_watch.cc
@@ -13,6 +13,10 @@
 constexpr Milliseconds kFirstPause{ 80 };
 constexpr Milliseconds kLongestPause{ 500 };
 constexpr int kMostDoublings = 3;
+// The store is asked after other hosts were silent for so long: two of their replies are missing.
+constexpr Milliseconds kSilence{ 2'000 };
+// A call that other hosts' news should have made needless does not wait for changes for long.
+constexpr Milliseconds kOverdueWait{ 100 };
 
 } // namespace
 
@@ -42,7 +46,7 @@
                 [this, first = aAfterKey.empty()](const StoreAnswer& aAnswer) {
                   if (first) {
                     // Changes during the further pages come with the first watch.
-                    mRevision = aAnswer.mRevision;
+                    mListRevision = aAnswer.mRevision;
                   }
                   OnPage(aAnswer, mListSentAt);
                 });
@@ -61,19 +65,87 @@
     return;
   }
   Regained();
-  mCallbacks.mOnList(mPages, mRevision);
+  mHeardAt = SuspendAwareNow();
+  NoteList(mRecord, mListRevision, aSentAt);
+  mCallbacks.mOnList(mPages, mListRevision);
   mPages.clear();
   mCallbacks.mOnCurrent(aSentAt);
-  Watch();
+  WatchNext();
+}
+
+// When the store is asked next if other hosts tell nothing further.
+Instant
+PrefixWatch::OwnCallAt() const
+{
+  return std::min(mHeardAt + kSilence, mRecord.mCurrentAt + mOptions.mMostAge);
+}
+
+void
+PrefixWatch::WatchNext()
+{
+  if (mRelayed) {
+    CallLater(OwnCallAt(), false);
+  } else {
+    Watch();
+  }
+}
+
+void
+PrefixWatch::CallLater(Instant aWhen, bool aList)
+{
+  mNextCall = mLoop.CallAt(aWhen, [this, aList] {
+    mNextCall = 0;
+    if (mRelayed && !HasPassed(OwnCallAt(), SuspendAwareNow())) {
+      CallLater(OwnCallAt(), aList);
+    } else if (aList) {
+      List({});
+    } else {
+      Watch();
+    }
+  });
+}
+
+void
+PrefixWatch::SetRelayed(bool aRelayed)
+{
+  if (std::exchange(mRelayed, aRelayed) && !aRelayed && mNextCall != 0 && !mLost) {
+    mLoop.Cancel(std::exchange(mNextCall, 0));
+    Watch();
+  }
+}
+
+void
+PrefixWatch::TakeNews(const PrefixNews& aNews)
+{
+  if (mRecord.mRevision == 0) {
+    // The first list says more.
+    return;
+  }
+  const NewsOutcome outcome = NoteNews(mRecord, aNews, mOptions.mKeepsChanges);
+  if (outcome == NewsOutcome::kBehind) {
+    if (mNextCall != 0 && !mLost) {
+      mLoop.Cancel(std::exchange(mNextCall, 0));
+      Watch();
+    }
+    return;
+  }
+  if (outcome == NewsOutcome::kChanged) {
+    mCallbacks.mOnChanges(aNews.mItems);
+  }
+  if (aNews.mCurrentAt.has_value()) {
+    mHeardAt = SuspendAwareNow();
+    mCallbacks.mOnCurrent(mRecord.mCurrentAt);
+  }
 }
 
 void
 PrefixWatch::Watch()
 {
   const Instant now = SuspendAwareNow();
+  const Milliseconds wait = mRelayed ? kOverdueWait : mOptions.mWait;
   mChannel.Call(
-    WatchKeys{ .mPrefix = mOptions.mPrefix, .mAfterRevision = mRevision, .mWait = mOptions.mWait },
-    now + mOptions.mWait + mOptions.mMargin,
+    WatchKeys{ .mPrefix = mOptions.mPrefix, .mAfterRevision = mRecord.mRevision, .mWait = wait },
+    now + wait + mOptions.mMargin,
     [this, now](const StoreAnswer& aAnswer) { OnWatched(aAnswer, now); });
 }
 
@@ -89,16 +161,17 @@
     return;
   }
   Regained();
-  mRevision = std::max(mRevision, aAnswer.mRevision);
+  mHeardAt = SuspendAwareNow();
+  NoteChanges(mRecord, aAnswer.mItems, aAnswer.mRevision, aSentAt, mOptions.mKeepsChanges);
   if (!aAnswer.mItems.empty()) {
     mCallbacks.mOnChanges(aAnswer.mItems);
   }
-  mCallbacks.mOnCurrent(aSentAt);
+  mCallbacks.mOnCurrent(mRecord.mCurrentAt);
   if (aAnswer.mItems.empty() || mOptions.mGather == Milliseconds{ 0 }) {
-    Watch();
+    WatchNext();
     return;
   }
-  mLoop.CallAt(SuspendAwareNow() + mOptions.mGather, [this] { Watch(); });
+  CallLater(SuspendAwareNow() + mOptions.mGather, false);
 }
 
 void
@@ -113,13 +186,7 @@
   ++mFailures;
   const auto drawn =
     static_cast<std::int64_t>(mRandom() % static_cast<std::uint64_t>(pause.count() / 2 + 1));
-  mLoop.CallAt(SuspendAwareNow() + pause / 2 + Milliseconds{ drawn }, [this, aList] {
-    if (aList) {
-      List({});
-    } else {
-      Watch();
-    }
-  });
+  CallLater(SuspendAwareNow() + pause / 2 + Milliseconds{ drawn }, aList);
 }
 
 void
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -1,5 +1,6 @@
 // Keeps up with the keys of one prefix in the store: a list, then watches, and a new list when the
-// store has dropped the changes in between.
+// store has dropped the changes in between. While other hosts tell what they know of the keys, the
+// store is asked only for what they lack.
 //
 //   PrefixWatch watch(loop, channel, { .mPrefix = "servers/" }, callbacks);
 //   watch.Start();
@@ -8,6 +9,7 @@
 #pragma once
 
 #include "trefoil/reactor/event_loop.h"
+#include "trefoil/store/prefix_record.h"
 #include "trefoil/store/store_channel.h"
 
 #include <cstdint>
@@ -27,6 +29,10 @@
   Milliseconds mGather{ 0 };
   // A call without an answer for so much longer is given up.
   Milliseconds mMargin{ 1'500 };
+  // Keeps the changes for other hosts.
+  bool mKeepsChanges = false;
+  // Knowledge of other hosts that is older does not replace asking the store.
+  Milliseconds mMostAge{ 0 };
 };
 
 struct PrefixWatchCallbacks
@@ -50,16 +56,18 @@
               PrefixWatchCallbacks aCallbacks);
 
   void Start() { List({}); }
-  // Changes how long watches wait and how long changes are gathered, from the next call on.
-  void SetPace(Milliseconds aWait, Milliseconds aGather)
-  {
-    mOptions.mWait = aWait;
-    mOptions.mGather = aGather;
-  }
+  // Whether other hosts are asked instead of the store.
+  void SetRelayed(bool aRelayed);
+  // Takes in what another host knows.
+  void TakeNews(const PrefixNews& aNews);
+  const PrefixRecord& Record() const { return mRecord; }
 
 private:
   void List(const std::string& aAfterKey);
   void OnPage(const StoreAnswer& aAnswer, Instant aSentAt);
+  void WatchNext();
+  void CallLater(Instant aWhen, bool aList);
+  Instant OwnCallAt() const;
   void Watch();
   void OnWatched(const StoreAnswer& aAnswer, Instant aSentAt);
   void RetryLater(StoreOutcome aOutcome, bool aList);
@@ -71,8 +79,13 @@
   PrefixWatchCallbacks mCallbacks;
   std::vector<StoreItem> mPages;
   Instant mListSentAt;
-  // Changes up to this revision are known.
-  std::int64_t mRevision = 0;
+  std::int64_t mListRevision = 0;
+  PrefixRecord mRecord;
+  bool mRelayed = false;
+  // When another host, or the store, told of the keys last.
+  Instant mHeardAt;
+  // The next call, while none is under way.
+  EventLoop::TimerId mNextCall = 0;
   int mFailures = 0;
   bool mLost = false;
   std::mt19937_64 mRandom;
--- /dev/null
+++ b/trefoil/steering/store_relay.cc
@@ -0,0 +1,123 @@
+#include "trefoil/steering/store_relay.h"
+
+#include "trefoil/base/digest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoil {
+namespace {
+
+// Hosts of a zone that follow the store, so that the loss of one leaves another.
+constexpr std::size_t kWatchersInZone = 2;
+// In a zone of fewer hosts each follows the store: the calls saved cost less than the delay.
+constexpr std::size_t kLeastHosts = 4;
+constexpr const char* kRankKey = "store";
+// A host that has asked for longer than several of its intervals asks no more.
+constexpr Milliseconds kSubscribed{ 3'000 };
+// What fits a datagram beside the rest of the message.
+constexpr std::size_t kMostRelayedBytes = 48'000;
+
+std::size_t
+BytesOf(const std::vector<StoreItem>& aItems)
+{
+  std::size_t bytes = 0;
+  for (const StoreItem& item : aItems) {
+    bytes += sizeof(StoreItem) + item.mKey.size() + item.mValue.size();
+  }
+  return bytes;
+}
+
+} // namespace
+
+std::vector<HostId>
+StoreWatchers(const PeerBook& aBook, const AvailabilityZoneId& aZone, Instant aNow)
+{
+  std::vector<HostId> hosts{ aBook.mSelf };
+  for (const HostId& host : LivePeers(aBook, aNow)) {
+    if (aBook.mPeers.at(host).mNews.mZone == aZone) {
+      hosts.push_back(host);
+    }
+  }
+  if (hosts.size() < kLeastHosts) {
+    return {};
+  }
+  std::ranges::sort(hosts, std::greater<>{}, [](const HostId& aHost) {
+    return std::pair{ RendezvousScore(aHost.Value(), kRankKey), aHost };
+  });
+  hosts.resize(kWatchersInZone);
+  return hosts;
+}
+
+std::optional<HostId>
+NextQuestion(StoreRelay& aRelay, Instant aNow)
+{
+  if (aRelay.mWatchers.empty()) {
+    return std::nullopt;
+  }
+  if (!std::exchange(aRelay.mAnswered, false)) {
+    ++aRelay.mAsked;
+  }
+  ++aRelay.mNumber;
+  aRelay.mAskedAt = aNow;
+  return aRelay.mWatchers[aRelay.mAsked % aRelay.mWatchers.size()];
+}
+
+std::optional<Instant>
+OnRelayReply(StoreRelay& aRelay, std::uint64_t aNumber)
+{
+  if (aNumber == 0 || aNumber != aRelay.mNumber) {
+    return std::nullopt;
+  }
+  aRelay.mAnswered = true;
+  return aRelay.mAskedAt;
+}
+
+void
+DropSilentSubscribers(StoreRelay& aRelay, Instant aNow)
+{
+  std::erase_if(aRelay.mSubscribers,
+                [aNow](const auto& aItem) { return aNow - aItem.second.mHeardAt > kSubscribed; });
+}
+
+RelayedPrefix
+ToRelayed(const PrefixRecord& aRecord, const RelayTerms& aTerms, Instant aNow)
+{
+  RelayedPrefix relayed{
+    .mRevision = aRecord.mRevision,
+    .mLastChange = aRecord.mLastChange,
+    .mAgeMs = std::chrono::duration_cast<Milliseconds>(aNow - aRecord.mCurrentAt).count()
+  };
+  const auto changes = aTerms.mWithItems ? ChangesSince(aRecord, aTerms.mSince) : std::nullopt;
+  if (!changes.has_value() || BytesOf(*changes) > kMostRelayedBytes) {
+    return relayed;
+  }
+  relayed.mComplete = true;
+  for (const StoreItem& item : *changes) {
+    relayed.mItems.push_back({ .mKey = item.mKey,
+                               .mValue = item.mValue,
+                               .mRevision = item.mRevision,
+                               .mRemoved = item.mRemoved });
+  }
+  return relayed;
+}
+
+PrefixNews
+FromRelayed(const RelayedPrefix& aRelayed, std::optional<Instant> aAskedAt)
+{
+  PrefixNews news{ .mRevision = aRelayed.mRevision,
+                   .mLastChange = aRelayed.mLastChange,
+                   .mComplete = aRelayed.mComplete };
+  for (const RelayedItem& item : aRelayed.mItems) {
+    news.mItems.push_back({ .mKey = item.mKey,
+                            .mValue = item.mValue,
+                            .mRevision = item.mRevision,
+                            .mRemoved = item.mRemoved });
+  }
+  if (aAskedAt.has_value() && aRelayed.mAgeMs >= 0) {
+    news.mCurrentAt = *aAskedAt - Milliseconds{ aRelayed.mAgeMs };
+  }
+  return news;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/store/prefix_record.cc
@@ -0,0 +1,79 @@
+#include "trefoil/store/prefix_record.h"
+
+#include <algorithm>
+
+namespace trefoil {
+namespace {
+
+// Several times the servers that change in the seconds for which a host may be out of touch.
+constexpr std::size_t kMostChanges = 2'000;
+
+} // namespace
+
+void
+NoteList(PrefixRecord& aRecord, std::int64_t aRevision, Instant aSentAt)
+{
+  // A list does not say which keys were removed before it.
+  aRecord.mChanges.clear();
+  aRecord.mKeptSince = aRevision;
+  aRecord.mRevision = std::max(aRecord.mRevision, aRevision);
+  aRecord.mLastChange = aRecord.mRevision;
+  aRecord.mCurrentAt = std::max(aRecord.mCurrentAt, aSentAt);
+}
+
+void
+NoteChanges(PrefixRecord& aRecord,
+            const std::vector<StoreItem>& aItems,
+            std::int64_t aRevision,
+            Instant aSentAt,
+            bool aKeep)
+{
+  for (const StoreItem& item : aItems) {
+    aRecord.mLastChange = std::max(aRecord.mLastChange, item.mRevision);
+    if (!aKeep) {
+      continue;
+    }
+    StoreItem& kept = aRecord.mChanges[item.mKey];
+    if (kept.mRevision < item.mRevision) {
+      kept = item;
+    }
+  }
+  aRecord.mRevision = std::max({ aRecord.mRevision, aRevision, aRecord.mLastChange });
+  aRecord.mCurrentAt = std::max(aRecord.mCurrentAt, aSentAt);
+  if (!aKeep || aRecord.mChanges.size() > kMostChanges) {
+    aRecord.mChanges.clear();
+    aRecord.mKeptSince = aRecord.mRevision;
+  }
+}
+
+NewsOutcome
+NoteNews(PrefixRecord& aRecord, const PrefixNews& aNews, bool aKeep)
+{
+  const Instant currentAt = aNews.mCurrentAt.value_or(Instant{});
+  if (aNews.mLastChange <= aRecord.mRevision) {
+    aRecord.mCurrentAt = std::max(aRecord.mCurrentAt, currentAt);
+    return NewsOutcome::kCurrent;
+  }
+  if (!aNews.mComplete) {
+    return NewsOutcome::kBehind;
+  }
+  NoteChanges(aRecord, aNews.mItems, aNews.mRevision, currentAt, aKeep);
+  return NewsOutcome::kChanged;
+}
+
+std::optional<std::vector<StoreItem>>
+ChangesSince(const PrefixRecord& aRecord, std::int64_t aRevision)
+{
+  if (aRecord.mRevision == 0 || aRevision < aRecord.mKeptSince) {
+    return std::nullopt;
+  }
+  std::vector<StoreItem> changes;
+  for (const auto& [key, item] : aRecord.mChanges) {
+    if (item.mRevision > aRevision) {
+      changes.push_back(item);
+    }
+  }
+  return changes;
+}
+
+} // namespace trefoil
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -12,6 +12,7 @@
 #include "trefoil/wire/gossip_message.h"
 #include "trefoil/wire/health_message.h"
 #include "trefoil/wire/move_message.h"
+#include "trefoil/wire/store_relay_message.h"
 #include "trefoil/wire/stream_messages.h"
 #include "trefoil/wire/traffic_message.h"
 
@@ -40,7 +41,9 @@
                              StreamTokens,
                              StreamHandOver,
                              StreamHandOverReply,
-                             TrafficNews>;
+                             TrafficNews,
+                             StoreQuery,
+                             StoreReply>;
 
 // A message and where it goes.
 struct Datagram
--- a/trefoil/wire/traffic_message.h
+++ b/trefoil/wire/traffic_message.h
@@ -92,6 +92,7 @@
   std::uint64_t mIncarnation = 0;
   std::uint64_t mSequence = 0;
   Endpoint mEndpoint;
+  AvailabilityZoneId mZone;
   // The sender's calendar time, in Unix milliseconds.
   std::int64_t mWallMs = 0;
   // The sender carries out the duties.
@@ -112,6 +113,7 @@
              mIncarnation,
              mSequence,
              mEndpoint,
+             mZone,
              mWallMs,
              mHoldsDuties,
              mLeaving,
