Tell other hosts of broken servers, and say in the logs what a choice was based on

Cause: each of 72 hosts sends a server a request every ten seconds or so, and learned by its own failures alone that it had crashed or hangs. A request that must not run twice waits at a hanging server until its deadline, and nothing was learned of it before that.

Ruled out: ending such a request sooner (it may run there).

Change: a server that has not begun to answer such a request after two goals (1.2 s at least; four goals of a plain one) is avoided for a second and counts as broken, like one that broke off or was not reached. Hosts' news name these servers; where two hosts agree it is left out, unless that would be most of a service's servers or it has just answered this host. request_done and attempt_failed say which server was chosen with what load in mind, how old that was, and when the answer began.

New sections of dispatch_test, steering_test and forward_path_test.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -127,13 +127,18 @@
                    .mProvenAt = aProvenAt }));
   }
 
-  // Returns the requests of an account that were counted so far.
-  std::int64_t Usage(const ClientAccountId& aAccount)
+  TrafficReport Report()
   {
     std::promise<TrafficReport> report;
     mTraffic->Report([&report](TrafficReport aReport) { report.set_value(std::move(aReport)); });
+    return report.get_future().get();
+  }
+
+  // Returns the requests of an account that were counted so far.
+  std::int64_t Usage(const ClientAccountId& aAccount)
+  {
     std::int64_t requests = 0;
-    for (const auto& [window, counts] : report.get_future().get().mUsage) {
+    for (const auto& [window, counts] : Report().mUsage) {
       const auto found = counts.find(aAccount);
       requests += found == counts.end() ? 0 : found->second;
     }
@@ -478,6 +483,54 @@
   }
 }
 
+SCENARIO("a server stays silent on a request that must not run twice")
+{
+  ScriptedServer silent{ [](const SeenRequest&) { return Reply{ .mHang = true }; } };
+  ScriptedServer good{ Served };
+  Gateway gateway;
+  gateway.Add("e1", silent);
+  gateway.Publish();
+  Client waiting = gateway.Connect();
+  waiting.Send(Request("write", "id-1"));
+  const Instant deadline = SuspendAwareNow() + kSoon;
+  std::vector<BackendServerId> broken;
+  while (broken.empty() && !HasPassed(deadline, SuspendAwareNow())) {
+    std::this_thread::sleep_for(Milliseconds{ 10 });
+    broken = gateway.Report().mBroken;
+  }
+  THEN("other hosts can be told before its deadline, and the request stays with the server")
+  {
+    CHECK(broken == std::vector{ BackendServerId{ "e1" } });
+    CHECK(silent.Abandoned() == 0);
+  }
+  WHEN("another server comes")
+  {
+    gateway.Add("e2", good);
+    gateway.Publish();
+    THEN("further requests go there")
+    {
+      for (int i = 0; i < 3; ++i) {
+        Client client = gateway.Connect();
+        client.Send(Request("write", fmt::format("id-{}", i + 2)));
+        CHECK(client.Read().mStatus == 200);
+      }
+      CHECK(silent.Seen().size() == 1);
+    }
+  }
+  WHEN("other hosts say so of the other server too")
+  {
+    gateway.Add("e2", good);
+    gateway.Publish();
+    gateway.Thread().Tell({ .mBroken = { BackendServerId{ "e1" }, BackendServerId{ "e2" } } });
+    THEN("they are not believed, since no server would be left")
+    {
+      Client client = gateway.Connect();
+      client.Send(Request("write", "id-2"));
+      CHECK(client.Read().mStatus == 200);
+    }
+  }
+}
+
 SCENARIO("the host stops")
 {
   ScriptedServer server{ [](const SeenRequest& aRequest) {
--- a/trefoil/dispatch/server_choice.cc
+++ b/trefoil/dispatch/server_choice.cc
@@ -21,6 +21,12 @@
 // that in which a restarted one is back.
 constexpr Milliseconds kBrokenPause{ 250 };
 constexpr int kMostDoublings = 4;
+// A silent server is left out for as long as it took to find out, about.
+constexpr Milliseconds kSilentPause{ 1'000 };
+// Others are told of a broken server for so long: twice the longest interval of the news.
+constexpr Milliseconds kBrokenMemory{ 2'000 };
+// A server that answered this host within this is not broken, whatever others say.
+constexpr Milliseconds kServedLately{ 1'000 };
 // From this share of failures on, a server is left out while others can serve.
 constexpr double kPoorShare = 0.4;
 // A poor server is tried again after this, with one request.
@@ -150,6 +156,34 @@
                                   : ChooseByCache(aCandidates, aTerms, useAvoided, aNow);
 }
 
+void
+AvoidBrokenElsewhere(std::vector<ServerCandidate>& aCandidates, Instant aNow)
+{
+  const auto isBroken = [aNow](const ServerCandidate& aItem) {
+    return aItem.mStanding->mBrokenElsewhere && aNow - aItem.mStanding->mServedAt > kServedLately;
+  };
+  const auto broken = static_cast<std::size_t>(std::ranges::count_if(aCandidates, isBroken));
+  if (broken > aCandidates.size() / 2) {
+    return;
+  }
+  for (ServerCandidate& candidate : aCandidates) {
+    candidate.mAvoided = candidate.mAvoided || isBroken(candidate);
+  }
+}
+
+void
+NoteSilence(ServerStanding& aStanding, Instant aNow)
+{
+  aStanding.mBrokenAt = aNow;
+  aStanding.mAvoidUntil = std::max(aStanding.mAvoidUntil, aNow + kSilentPause);
+}
+
+bool
+IsBroken(const ServerStanding& aStanding, Instant aNow)
+{
+  return aStanding.mBrokenAt.has_value() && aNow - *aStanding.mBrokenAt < kBrokenMemory;
+}
+
 bool
 NoteZoneOutcome(ZoneStanding& aZone,
                 const BackendServerId& aServer,
@@ -181,8 +215,14 @@
     return false;
   }
   aStanding.mFailureShare += kOutcomeWeight * ((good ? 0.0 : 1.0) - aStanding.mFailureShare);
+  if (aOutcome == DispatchOutcome::kBroken) {
+    aStanding.mBrokenAt = aNow;
+  } else {
+    aStanding.mBrokenAt.reset();
+  }
   if (good) {
     aStanding.mFailuresInRow = 0;
+    aStanding.mServedAt = aNow;
     return false;
   }
   ++aStanding.mFailuresInRow;
--- a/trefoil/dispatch/server_choice.h
+++ b/trefoil/dispatch/server_choice.h
@@ -37,6 +37,11 @@
   int mFailuresInRow = 0;
   // No requests until then if another server can take them.
   Instant mAvoidUntil;
+  // When it broke off, was not reached or stayed silent last, if it has not answered since.
+  std::optional<Instant> mBrokenAt;
+  Instant mServedAt;
+  // Several other hosts say that it is broken.
+  bool mBrokenElsewhere = false;
 };
 
 // What this host knows of the way to a zone: when its servers break off together, the zone is
@@ -59,6 +64,12 @@
   bool mAvoided = false;
 };
 
+// Leaves out the candidates that other hosts say are broken, unless that would leave out most: then
+// the hosts' ways are more likely at fault, or the rest would be overloaded. A server that has
+// answered this host lately is not left out.
+void
+AvoidBrokenElsewhere(std::vector<ServerCandidate>& aCandidates, Instant aNow);
+
 struct ChoiceTerms
 {
   AvailabilityZoneId mZone;
@@ -69,8 +80,8 @@
   std::uint64_t mDraw = 0;
 };
 
-// Returns what probably waits still of tokens that waited a while ago: servers read on meanwhile, and
-// what came since is not known.
+// Returns what probably waits still of tokens that waited a while ago: servers read on meanwhile,
+// and what came since is not known.
 double
 FadedTokens(double aTokens, std::chrono::nanoseconds aAge);
 
@@ -105,6 +116,14 @@
                 DispatchOutcome aOutcome,
                 Instant aNow);
 
+// Takes in that a server has not begun to answer a request for so long that it probably never will.
+void
+NoteSilence(ServerStanding& aStanding, Instant aNow);
+
+// Returns whether other hosts are told that a server is broken.
+bool
+IsBroken(const ServerStanding& aStanding, Instant aNow);
+
 // Takes in how an attempt ended. Returns whether the server is avoided from now on.
 bool
 NoteOutcome(ServerStanding& aStanding, DispatchOutcome aOutcome, Instant aNow);
--- a/trefoil/dispatch/server_choice_test.cc
+++ b/trefoil/dispatch/server_choice_test.cc
@@ -1,6 +1,7 @@
 #include "trefoil/dispatch/retry_fund.h"
 #include "trefoil/dispatch/server_choice.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <map>
@@ -106,6 +107,70 @@
   }
 }
 
+SCENARIO("other hosts say that servers are broken")
+{
+  Servers servers{ 9 };
+  for (std::size_t i = 0; i < 3; ++i) {
+    servers.mStandings[i].mBrokenElsewhere = true;
+  }
+  const auto avoided = [&servers] {
+    std::vector<ServerCandidate> candidates = servers.Candidates();
+    AvoidBrokenElsewhere(candidates, kNow);
+    return std::ranges::count_if(candidates,
+                                 [](const ServerCandidate& aItem) { return aItem.mAvoided; });
+  };
+  THEN("they are left out")
+  {
+    CHECK(avoided() == 3);
+  }
+  WHEN("one of them has just answered this host")
+  {
+    NoteOutcome(servers.mStandings[1], DispatchOutcome::kServed, kNow);
+    THEN("it is used")
+    {
+      CHECK(avoided() == 2);
+    }
+  }
+  WHEN("that is most of them")
+  {
+    for (ServerStanding& standing : servers.mStandings) {
+      standing.mBrokenElsewhere = true;
+    }
+    THEN("none is left out")
+    {
+      CHECK(avoided() == 0);
+    }
+  }
+}
+
+SCENARIO("a host finds that a server is broken")
+{
+  ServerStanding standing;
+  WHEN("it stays silent")
+  {
+    NoteSilence(standing, kNow);
+    THEN("others are told, for a while")
+    {
+      CHECK(IsBroken(standing, kNow));
+      CHECK_FALSE(HasPassed(standing.mAvoidUntil, kNow));
+      CHECK_FALSE(IsBroken(standing, kNow + std::chrono::seconds{ 2 }));
+    }
+  }
+  WHEN("it breaks off")
+  {
+    NoteOutcome(standing, DispatchOutcome::kBroken, kNow);
+    CHECK(IsBroken(standing, kNow));
+    AND_WHEN("it answers, be it with a failure")
+    {
+      NoteOutcome(standing, DispatchOutcome::kFailed, kNow);
+      THEN("others are not told")
+      {
+        CHECK_FALSE(IsBroken(standing, kNow));
+      }
+    }
+  }
+}
+
 SCENARIO("many hosts with old news of the load overflow from busy servers")
 {
   Servers servers{ 40 };
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -75,6 +75,20 @@
 // When a client should come again: after the time in which a full server frees a place.
 inline constexpr Milliseconds kRetryWhenFull{ 200 };
 
+// What was known of a server when a request was sent to it.
+struct DispatchBasis
+{
+  BackendServerId mServer;
+  AvailabilityZoneId mZone;
+  int mInFlight = 0;
+  // Prompt tokens that waited there, of this host and of the others as far as is known.
+  double mWaiting = 0;
+  double mWaitingElsewhere = 0;
+  // How old the others' news were.
+  Milliseconds mNewsAge{ 0 };
+  bool mHoldsCache = false;
+};
+
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
@@ -137,6 +151,9 @@
   bool MayTryAgain(AttemptEnd aEnd);
   void GiveUp(RefusalReason aNotRun);
   void ArmSilenceTimer();
+  void NoteSilentServer();
+  void NoteBasis(const RegisteredServer& aServer, bool aHoldsCache, Instant aNow);
+  std::string BasisText() const;
 
   void OnDeadline();
   void Refuse(int aStatus, RefusalReason aReason, std::optional<Milliseconds> aRetryAfter);
@@ -175,6 +192,9 @@
   int mDispatches = 0;
   EventSplitter mEvents;
   bool mStreaming = false;
+  // What was known of the last server when it was chosen, and when it began to answer.
+  DispatchBasis mBasis;
+  std::optional<Instant> mBegunAt;
   // A failure that a server answered with, passed on if no other attempt does better.
   std::optional<HttpAnswer> mServerError;
   bool mOver = false;
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -88,6 +88,9 @@
   mAttempt->mBegun = true;
   ServerStanding& standing = StandingOf(mAttempt->mServer.mId);
   standing.mPendingTokens -= std::exchange(mAttempt->mPendingTokens, 0.0);
+  if (!mBegunAt.has_value()) {
+    mBegunAt = SuspendAwareNow();
+  }
   const auto latency = SuspendAwareNow() - mArrivedAt;
   mState.mMetrics.Observe(stream ? Summary::kFirstToken : Summary::kPlainAnswer, latency);
   CountUsage();
@@ -178,15 +181,21 @@
 void
 Exchange::LogDone(int aStatus)
 {
+  const Instant now = SuspendAwareNow();
   mState.mLog.Write(LogWeight::kRoutine,
                     LogEvent::kRequestDone,
-                    "id={} route={} service={} status={} dispatches={} ms={}",
+                    "id={} route={} service={} status={} dispatches={} {} prompt={} shared={} "
+                    "first_ms={} ms={}",
                     mFacts.mRequestId,
                     mRoute->mName,
                     mService.Value(),
                     aStatus,
                     mDispatches,
-                    (SuspendAwareNow() - mArrivedAt) / Milliseconds{ 1 });
+                    BasisText(),
+                    mFacts.mPromptTokens,
+                    mSharedTokens,
+                    (mBegunAt.value_or(now) - mArrivedAt) / Milliseconds{ 1 },
+                    (now - mArrivedAt) / Milliseconds{ 1 });
 }
 
 void
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -15,6 +15,9 @@
 // A repeatable request without an answer goes to another server after this many times its goal.
 constexpr int kSilentGoals = 2;
 constexpr Milliseconds kLeastSilence{ 200 };
+// A plain request that may not be repeated shows that its server is lost after this many times its
+// goal: the slowest answers of a loaded service take about three.
+constexpr int kLostGoals = 4;
 // A long prompt is read for up to a second before the first event.
 constexpr Milliseconds kLeastStreamSilence{ 1'200 };
 // A resumable stream is silent after this many of its longest pauses.
@@ -54,6 +57,7 @@
         .mAvoided =
           server->mDoubtful || !HasPassed(mState.mZones[server->mZone].mAvoidUntil, now) });
   }
+  AvoidBrokenElsewhere(candidates, now);
   const auto chosen = ChooseServer(candidates,
                                    { .mZone = mState.mOptions.mZone,
                                      .mCacheKey = mCacheKey,
@@ -107,9 +111,10 @@
 {
   const ReuseRule rule = MayRepeat() ? ReuseRule::kAny : ReuseRule::kFresh;
   const Instant now = SuspendAwareNow();
-  const double hinted = !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, aServer.mId, now)
-                          ? static_cast<double>(mSharedTokens)
-                          : 0.0;
+  const bool holdsCache =
+    !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, aServer.mId, now);
+  const double hinted = holdsCache ? static_cast<double>(mSharedTokens) : 0.0;
+  NoteBasis(aServer, holdsCache, now);
   mAttempt = Attempt{ .mServer = aServer,
                       .mConnection = mState.mPool.Take(aServer, rule),
                       .mReader = MessageReader::ForAnswer({}, mRequest.mMethod != "HEAD"),
@@ -131,25 +136,74 @@
   ArmSilenceTimer();
 }
 
+void
+Exchange::NoteBasis(const RegisteredServer& aServer, bool aHoldsCache, Instant aNow)
+{
+  const ServerStanding& standing = StandingOf(aServer.mId);
+  mBasis = { .mServer = aServer.mId,
+             .mZone = aServer.mZone,
+             .mInFlight = standing.mInFlight,
+             .mWaiting = standing.mPendingTokens,
+             .mWaitingElsewhere = standing.mPendingElsewhere,
+             .mNewsAge = std::chrono::duration_cast<Milliseconds>(aNow - standing.mElsewhereAt),
+             .mHoldsCache = aHoldsCache };
+}
+
+std::string
+Exchange::BasisText() const
+{
+  return fmt::format(
+    "server={} server_zone={} in_flight={} waiting={:.0f} waiting_elsewhere={:.0f} news_ms={} "
+    "cached={}",
+    mBasis.mServer.Value(),
+    mBasis.mZone.Value(),
+    mBasis.mInFlight,
+    mBasis.mWaiting,
+    mBasis.mWaitingElsewhere,
+    mBasis.mNewsAge.count(),
+    mBasis.mHoldsCache);
+}
+
 void
 Exchange::ArmSilenceTimer()
 {
   mState.mLoop.Cancel(mSilenceTimer);
   mSilenceTimer = 0;
-  if (!MayRepeat() || mRuns + 1 >= mRoute->mAttempts) {
+  const bool repeats = MayRepeat() && mRuns + 1 < mRoute->mAttempts;
+  if (!repeats && mAttempt->mBegun) {
     return;
   }
   const Milliseconds limit =
     mRoute->mKind == RouteKind::kStream
       ? std::max(
           { mRoute->mPauseGoal * kSilentPauses, mRoute->mGoal * kSilentGoals, kLeastStreamSilence })
-      : std::max(mRoute->mGoal * kSilentGoals, kLeastSilence);
-  mSilenceTimer = mState.mLoop.CallAt(SuspendAwareNow() + limit, [self = shared_from_this()] {
-    self->mSilenceTimer = 0;
-    if (self->mAttempt.has_value()) {
-      self->AttemptFailed(AttemptEnd::kSilent);
-    }
-  });
+      : std::max(mRoute->mGoal * (repeats ? kSilentGoals : kLostGoals), kLeastSilence);
+  mSilenceTimer =
+    mState.mLoop.CallAt(SuspendAwareNow() + limit, [self = shared_from_this(), repeats] {
+      self->mSilenceTimer = 0;
+      if (!self->mAttempt.has_value()) {
+        return;
+      }
+      if (repeats) {
+        self->AttemptFailed(AttemptEnd::kSilent);
+      } else if (!self->mAttempt->mBegun) {
+        self->NoteSilentServer();
+      }
+    });
+}
+
+// The request stays where it is, since it may run there, but others need not follow it.
+void
+Exchange::NoteSilentServer()
+{
+  NoteSilence(StandingOf(mAttempt->mServer.mId), SuspendAwareNow());
+  mState.mLog.Write(LogWeight::kNotable,
+                    LogEvent::kServerAvoided,
+                    "server={} service={} reason=silent id={} ms={}",
+                    mAttempt->mServer.mId.Value(),
+                    mService.Value(),
+                    mFacts.mRequestId,
+                    (SuspendAwareNow() - mAttempt->mSentAt) / Milliseconds{ 1 });
 }
 
 // Takes the attempt out and off the load of its server. The connection is the caller's to close.
@@ -236,10 +290,10 @@
     aEnd == AttemptEnd::kBroken || aEnd == AttemptEnd::kSilent || aEnd == AttemptEnd::kServerError;
   mState.mLog.Write(LogWeight::kNotable,
                     LogEvent::kAttemptFailed,
-                    "id={} route={} server={} end={} reused={} ms={} last_event={}",
+                    "id={} route={} {} end={} reused={} ms={} last_event={}",
                     mFacts.mRequestId,
                     mRoute->mName,
-                    mAttempt->mServer.mId.Value(),
+                    BasisText(),
                     NameOf(kAttemptEndNames, aEnd),
                     mAttempt->mConnection->mReused,
                     (SuspendAwareNow() - mAttempt->mSentAt) / Milliseconds{ 1 },
--- a/trefoil/forward/traffic.cc
+++ b/trefoil/forward/traffic.cc
@@ -229,16 +229,21 @@
   for (const CrashCount& crash : aNews.mCrashes) {
     Merge(mState.mCrashes, crash, now);
   }
+  for (const BackendServerId& server : aNews.mBroken) {
+    mState.mStandings.try_emplace(server);
+  }
   for (auto& [server, standing] : mState.mStandings) {
     const auto pending = aNews.mPendingTokens.find(server);
     standing.mPendingElsewhere = pending == aNews.mPendingTokens.end() ? 0 : pending->second;
     standing.mElsewhereAt = now;
+    standing.mBrokenElsewhere = aNews.mBroken.contains(server);
   }
 }
 
 TrafficReport
 Traffic::Impl::MakeReport()
 {
+  const Instant now = SuspendAwareNow();
   OnQuotaNews(mState.mQuotas);
   TrafficReport report{ .mUsage = mState.mUsage,
                         .mCrashes = std::exchange(mState.mCrashNews, {}),
@@ -251,6 +256,9 @@
     if (standing.mPendingTokens > 0) {
       report.mPendingTokens[server] = standing.mPendingTokens;
     }
+    if (IsBroken(standing, now)) {
+      report.mBroken.push_back(server);
+    }
   }
   while (mState.mUsage.size() > kMostUsageWindows) {
     mState.mUsage.erase(mState.mUsage.begin());
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -56,6 +57,8 @@
   std::vector<CrashCount> mCrashes;
   // Pending prompt tokens at each server, summed over the other hosts.
   std::map<BackendServerId, double> mPendingTokens;
+  // Servers that several other hosts say are broken.
+  std::set<BackendServerId> mBroken;
 };
 
 // Requests of each account that began to run, by number of the usage window.
@@ -87,6 +90,8 @@
   UsageWindows mUsage;
   std::vector<CrashCount> mCrashes;
   std::map<BackendServerId, double> mPendingTokens;
+  // Servers that broke off, were not reached or stayed silent, and have not answered since.
+  std::vector<BackendServerId> mBroken;
   // Prompt tokens of the requests to each service since the start of the host.
   std::map<ServiceId, double> mPromptTokens;
   std::map<ServiceId, std::map<VersionId, VersionOutcomes>> mOutcomes;
--- a/trefoil/steering/control.cc
+++ b/trefoil/steering/control.cc
@@ -44,7 +44,8 @@
                     .mZone = aState.mOptions.mZone,
                     .mWallMs = UnixMilliseconds(WallNow()),
                     .mHoldsDuties = aState.mHoldsDuties,
-                    .mLeaving = aState.mLeaving };
+                    .mLeaving = aState.mLeaving,
+                    .mBroken = aState.mReport.mBroken };
   for (const auto& [account, used] : aState.mReport.mQuotaUsed) {
     news.mQuotas.push_back(
       { .mAccount = account, .mUsed = static_cast<std::uint64_t>(std::max(0.0, used.mTotal)) });
@@ -185,6 +186,7 @@
   }
   aState.mReport = std::move(aReport);
   aState.mPeerNews.mPendingTokens = PendingElsewhere(aState.mPeers, now);
+  aState.mPeerNews.mBroken = BrokenElsewhere(aState.mPeers, now);
   aState.mTraffic.Tell(std::exchange(aState.mPeerNews, {}));
   SendNews(aState);
   NoteTouch(aState);
--- a/trefoil/steering/peer_book.cc
+++ b/trefoil/steering/peer_book.cc
@@ -12,6 +12,8 @@
 constexpr Milliseconds kClockNoise{ 100 };
 // A host is out of touch once so many of its messages are missing.
 constexpr int kMissingNews = 4;
+// Hosts that must agree that a server is broken: one alone may have lost its own way to it.
+constexpr int kAgreeing = 2;
 // News are sent so often among a few hosts: a quota is overrun by at most what comes in that time
 // and a way.
 constexpr Milliseconds kShortestInterval{ 250 };
@@ -212,4 +214,22 @@
   return pending;
 }
 
+std::set<BackendServerId>
+BrokenElsewhere(const PeerBook& aBook, Instant aNow)
+{
+  std::map<BackendServerId, int> told;
+  for (const HostId& host : LivePeers(aBook, aNow)) {
+    for (const BackendServerId& server : aBook.mPeers.at(host).mNews.mBroken) {
+      ++told[server];
+    }
+  }
+  std::set<BackendServerId> broken;
+  for (const auto& [server, hosts] : told) {
+    if (hosts >= kAgreeing) {
+      broken.insert(server);
+    }
+  }
+  return broken;
+}
+
 } // namespace trefoil
--- a/trefoil/steering/peer_book.h
+++ b/trefoil/steering/peer_book.h
@@ -83,4 +83,8 @@
 std::map<BackendServerId, double>
 PendingElsewhere(const PeerBook& aBook, Instant aNow);
 
+// Returns the servers that several live peers say are broken.
+std::set<BackendServerId>
+BrokenElsewhere(const PeerBook& aBook, Instant aNow);
+
 } // namespace trefoil
--- a/trefoil/steering/peer_book_test.cc
+++ b/trefoil/steering/peer_book_test.cc
@@ -185,5 +185,28 @@
   }
 }
 
+SCENARIO("hosts tell of broken servers")
+{
+  PeerBook book{ .mSelf = HostId{ "host-0" } };
+  const auto tell = [&book](const char* aHost, std::vector<BackendServerId> aServers) {
+    TakeNews(book,
+             { .mHost = HostId{ aHost },
+               .mIncarnation = 1,
+               .mSequence = 1,
+               .mBroken = std::move(aServers) },
+             kNow);
+  };
+  tell("host-1", { BackendServerId{ "e1" }, BackendServerId{ "e2" } });
+  tell("host-2", { BackendServerId{ "e2" } });
+  THEN("what one alone says may be its own way")
+  {
+    CHECK(BrokenElsewhere(book, kNow) == std::set{ BackendServerId{ "e2" } });
+  }
+  THEN("what they said long ago counts no more")
+  {
+    CHECK(BrokenElsewhere(book, kNow + std::chrono::seconds{ 10 }).empty());
+  }
+}
+
 } // namespace
 } // namespace trefoil
--- a/trefoil/wire/traffic_message.h
+++ b/trefoil/wire/traffic_message.h
@@ -103,6 +103,8 @@
   std::vector<WindowCount> mUsage;
   std::vector<CrashReport> mCrashes;
   std::vector<PendingAtServer> mPending;
+  // Servers that broke off, were not reached or stayed silent, and have not answered since.
+  std::vector<BackendServerId> mBroken;
   std::vector<ServiceTotal> mServices;
   std::vector<VersionTotal> mVersions;
 
@@ -121,6 +123,7 @@
              mUsage,
              mCrashes,
              mPending,
+             mBroken,
              mServices,
              mVersions);
   }
