Tell other hosts of long prompts when they are sent

Change: a dispatch of 3,000 prompt tokens and more is told to all hosts within 10 ms, with the key of its shared parts. Each host keeps a backlog of each server that drains at the rate at which the service's servers were seen to read, and knows which servers have read the parts of a session for others. The pending tokens in the regular news, and their fading, are gone. Protocol version 6.

Sections of dispatch_test; the one on moving a session now says which servers have read its parts, since that is no longer taken for granted.

--- a/trefoil/dispatch/server_choice.cc
+++ b/trefoil/dispatch/server_choice.cc
@@ -3,7 +3,6 @@
 #include "trefoil/base/digest.h"
 
 #include <algorithm>
-#include <cmath>
 #include <functional>
 #include <iterator>
 #include <limits>
@@ -41,11 +40,9 @@
 constexpr double kFailureLoad = 4.0;
 // What an unused server of a lower rank must save, in tokens, before a key is moved to it.
 constexpr double kMoveTokens = 2'000;
-// A key's servers: hosts whose news of the load are old must not all move to the one that was idle
-// then, and few servers read the same parts.
+// A key's servers: few read the same parts, and hosts that do not know of the latest requests do
+// not all move to one that was idle.
 constexpr std::size_t kRanks = 3;
-// Half of what waits at a server is read in about this time: a long prompt takes twice as long.
-constexpr Milliseconds kHalfRead{ 200 };
 
 bool
 IsAvoided(const ServerCandidate& aCandidate, Instant aNow)
@@ -65,14 +62,9 @@
 double
 CacheCost(const ServerCandidate& aCandidate, const ChoiceTerms& aTerms, bool aIsFirst, Instant aNow)
 {
-  const ServerStanding& standing = *aCandidate.mStanding;
-  const double waiting =
-    standing.mPendingTokens + FadedTokens(standing.mPendingElsewhere, aNow - standing.mElsewhereAt);
-  if (aIsFirst) {
-    return waiting;
-  }
   const double shared = static_cast<double>(aTerms.mSharedTokens);
-  return waiting + kMoveTokens + (aCandidate.mHoldsCache ? 0 : shared);
+  return WaitingAt(*aCandidate.mStanding, aTerms.mReadRate, aNow) + (aIsFirst ? 0 : kMoveTokens) +
+         (aCandidate.mHoldsCache ? 0 : shared);
 }
 
 // Returns the candidates of the first ranks for the key among those that may be used, the first one
@@ -136,10 +128,10 @@
 } // namespace
 
 double
-FadedTokens(double aTokens, std::chrono::nanoseconds aAge)
+WaitingAt(const ServerStanding& aStanding, double aReadRate, Instant aNow)
 {
-  return aTokens *
-         std::exp2(-std::chrono::duration<double>(aAge) / std::chrono::duration<double>(kHalfRead));
+  // A server that is slower than others has not read this host's requests, whatever its backlog.
+  return std::max(aStanding.mPendingTokens, Left(aStanding.mBacklog, aReadRate, aNow));
 }
 
 std::optional<std::size_t>
--- a/trefoil/dispatch/server_choice.h
+++ b/trefoil/dispatch/server_choice.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "trefoil/catalogue/server_registry.h"
+#include "trefoil/dispatch/backlog.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -26,12 +27,11 @@
 struct ServerStanding
 {
   int mInFlight = 0;
-  // Prompt tokens of requests that wait for their first event, as far as they are not cached; of
-  // this host, and of the others by their reports.
+  // Prompt tokens of this host's requests that wait for their first event, as far as they are not
+  // cached.
   double mPendingTokens = 0;
-  double mPendingElsewhere = 0;
-  // When what the others reported was brought up to date.
-  Instant mElsewhereAt;
+  // What all hosts have sent it and it has probably not read yet.
+  Backlog mBacklog;
   // A moving mean of outcomes: 0 all good, 1 all failed.
   double mFailureShare = 0;
   int mFailuresInRow = 0;
@@ -58,7 +58,7 @@
 {
   const RegisteredServer* mServer = nullptr;
   const ServerStanding* mStanding = nullptr;
-  // A request of this host has read the shared parts there, not long ago.
+  // A request has read the shared parts there, not long ago.
   bool mHoldsCache = false;
   // Used only where all others are avoided too: its zone is, or it may be gone.
   bool mAvoided = false;
@@ -76,14 +76,15 @@
   // Names the shared parts of the prompt; empty for requests without.
   std::string mCacheKey;
   std::int64_t mSharedTokens = 0;
+  // What a server reads, in tokens a second.
+  double mReadRate = 0;
   // Breaks ties.
   std::uint64_t mDraw = 0;
 };
 
-// Returns what probably waits still of tokens that waited a while ago: servers read on meanwhile,
-// and what came since is not known.
+// Returns the prompt tokens that wait at a server.
 double
-FadedTokens(double aTokens, std::chrono::nanoseconds aAge);
+WaitingAt(const ServerStanding& aStanding, double aReadRate, Instant aNow);
 
 // Returns the position of the chosen candidate, nothing if there are none.
 std::optional<std::size_t>
--- a/trefoil/dispatch/server_choice_test.cc
+++ b/trefoil/dispatch/server_choice_test.cc
@@ -30,13 +30,17 @@
   {
     std::vector<ServerCandidate> candidates;
     for (std::size_t i = 0; i < mServers.size(); ++i) {
-      candidates.push_back({ .mServer = &mServers[i], .mStanding = &mStandings[i] });
+      candidates.push_back({ .mServer = &mServers[i],
+                             .mStanding = &mStandings[i],
+                             .mHoldsCache = mHolders.contains(i) });
     }
     return candidates;
   }
 
   std::vector<RegisteredServer> mServers;
   std::vector<ServerStanding> mStandings;
+  // Servers that have read the shared parts.
+  std::set<std::size_t> mHolders;
 };
 
 SCENARIO("requests of one session reach several hosts")
@@ -62,10 +66,21 @@
   WHEN("less waits there")
   {
     servers.mStandings[first].mPendingTokens = 8'000;
-    THEN("the request stays")
+    THEN("the request stays where the parts were read")
     {
+      servers.mHolders = { first };
       CHECK(ChooseServer(servers.Candidates(), terms, kNow) == first);
     }
+    THEN("it moves if they were read nowhere yet")
+    {
+      CHECK(ChooseServer(servers.Candidates(), terms, kNow) != first);
+    }
+    THEN("it moves if another of the session's servers has read them too")
+    {
+      const std::size_t second = *ChooseServer(servers.Candidates(), terms, kNow);
+      servers.mHolders = { first, second };
+      CHECK(ChooseServer(servers.Candidates(), terms, kNow) == second);
+    }
   }
   WHEN("the server broke off")
   {
@@ -88,22 +103,55 @@
   }
 }
 
-SCENARIO("news of the load grow old")
+SCENARIO("a server reads on")
 {
   Servers servers{ 18 };
-  const ChoiceTerms terms{ .mZone = kZoneA, .mCacheKey = "session", .mSharedTokens = 13'000 };
+  ChoiceTerms terms{
+    .mZone = kZoneA, .mCacheKey = "session", .mSharedTokens = 13'000, .mReadRate = 50'000
+  };
   const std::size_t first = *ChooseServer(servers.Candidates(), terms, kNow);
   ServerStanding& busy = servers.mStandings[first];
-  busy.mPendingElsewhere = 40'000;
-  busy.mElsewhereAt = kNow;
-  THEN("fresh ones move a request")
+  Add(busy.mBacklog, 40'000, terms.mReadRate, kNow);
+  THEN("what was sent to it moves a request, and after a while no more")
   {
     CHECK(ChooseServer(servers.Candidates(), terms, kNow) != first);
+    CHECK(ChooseServer(servers.Candidates(), terms, kNow + std::chrono::seconds{ 1 }) == first);
   }
-  THEN("old ones do not: the server has read on")
+  WHEN("this host's requests still wait there")
   {
-    CHECK(ChooseServer(servers.Candidates(), terms, kNow + std::chrono::seconds{ 1 }) == first);
-    CHECK(FadedTokens(40'000, std::chrono::seconds{ 1 }) < 2'000);
+    busy.mPendingTokens = 40'000;
+    THEN("it is slower than others, and the request moves all the same")
+    {
+      CHECK(ChooseServer(servers.Candidates(), terms, kNow + std::chrono::seconds{ 1 }) != first);
+    }
+  }
+}
+
+SCENARIO("what a server has to read is known from what all hosts sent it")
+{
+  constexpr double kRate = 60'000;
+  Backlog backlog;
+  Add(backlog, 30'000, kRate, kNow);
+  Add(backlog, 30'000, kRate, kNow + Milliseconds{ 250 });
+  THEN("it adds up and is read in time")
+  {
+    CHECK(Left(backlog, kRate, kNow + Milliseconds{ 250 }) == Approx(45'000));
+    CHECK(Left(backlog, kRate, kNow + Milliseconds{ 500 }) == Approx(30'000));
+    CHECK(Left(backlog, kRate, kNow + std::chrono::seconds{ 5 }) == 0);
+  }
+}
+
+SCENARIO("the rate of the servers is learned")
+{
+  ReadRate rate;
+  CHECK(RateOf(rate) == Approx(50'000));
+  for (int i = 0; i < 500; ++i) {
+    NoteRead(rate, 20'000, std::chrono::seconds{ 1 });
+    NoteRead(rate, 500, std::chrono::seconds{ 2 });
+  }
+  THEN("long reads show it, short ones do not count")
+  {
+    CHECK(RateOf(rate) == Approx(20'000).epsilon(0.05));
   }
 }
 
@@ -176,10 +224,9 @@
   Servers servers{ 40 };
   // All hosts believe that one server is idle and all others have much to read.
   for (ServerStanding& standing : servers.mStandings) {
-    standing.mPendingElsewhere = 50'000;
-    standing.mElsewhereAt = kNow;
+    Add(standing.mBacklog, 50'000, 0, kNow);
   }
-  servers.mStandings[5].mPendingElsewhere = 0;
+  servers.mStandings[5].mBacklog = {};
   WHEN("requests of many sessions come")
   {
     std::map<std::size_t, int> taken;
--- a/trefoil/forward/cache_hints.h
+++ b/trefoil/forward/cache_hints.h
@@ -1,4 +1,4 @@
-// Which servers have lately read the shared parts of a prompt for this host.
+// Which servers have lately read the shared parts of a prompt.
 //
 //   CacheHints hints;
 //   NoteRead(hints, key, server, now);
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -81,11 +81,13 @@
   BackendServerId mServer;
   AvailabilityZoneId mZone;
   int mInFlight = 0;
-  // Prompt tokens that waited there, of this host and of the others as far as is known.
+  // Prompt tokens that waited there, of all hosts, and when the newest were heard of.
   double mWaiting = 0;
-  double mWaitingElsewhere = 0;
-  // How old the others' news were.
-  Milliseconds mNewsAge{ 0 };
+  Milliseconds mWaitingAge{ 0 };
+  // What the servers of the service read, in tokens a second.
+  double mReadRate = 0;
+  // Tokens of the request itself that were to be read there.
+  double mOwnTokens = 0;
   bool mHoldsCache = false;
 };
 
@@ -152,7 +154,8 @@
   void GiveUp(RefusalReason aNotRun);
   void ArmSilenceTimer();
   void NoteSilentServer();
-  void NoteBasis(const RegisteredServer& aServer, bool aHoldsCache, Instant aNow);
+  void NoteBasis(const RegisteredServer& aServer, Instant aNow);
+  void NoteDispatch();
   std::string BasisText() const;
 
   void OnDeadline();
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -88,6 +88,11 @@
   mAttempt->mBegun = true;
   ServerStanding& standing = StandingOf(mAttempt->mServer.mId);
   standing.mPendingTokens -= std::exchange(mAttempt->mPendingTokens, 0.0);
+  if (stream && !mCacheKey.empty()) {
+    NoteRead(mState.mReadRates[mService],
+             mBasis.mWaiting + mBasis.mOwnTokens,
+             SuspendAwareNow() - mAttempt->mSentAt);
+  }
   if (!mBegunAt.has_value()) {
     mBegunAt = SuspendAwareNow();
   }
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -18,6 +18,11 @@
 // A plain request that may not be repeated shows that its server is lost after this many times its
 // goal: the slowest answers of a loaded service take about three.
 constexpr int kLostGoals = 4;
+// Other hosts are told of requests for which a server reads for some 50 ms and more: the others
+// hardly delay what comes behind them.
+constexpr double kLeastTokensTold = 3'000;
+// Dispatches within this are told in one message.
+constexpr Milliseconds kGatherDispatches{ 10 };
 // A long prompt is read for up to a second before the first event.
 constexpr Milliseconds kLeastStreamSilence{ 1'200 };
 // A resumable stream is silent after this many of its longest pauses.
@@ -62,6 +67,7 @@
                                    { .mZone = mState.mOptions.mZone,
                                      .mCacheKey = mCacheKey,
                                      .mSharedTokens = mSharedTokens,
+                                     .mReadRate = RateOf(mState.mReadRates[mService]),
                                      .mDraw = mState.mRandom() },
                                    now);
   if (!chosen.has_value()) {
@@ -111,15 +117,12 @@
 {
   const ReuseRule rule = MayRepeat() ? ReuseRule::kAny : ReuseRule::kFresh;
   const Instant now = SuspendAwareNow();
-  const bool holdsCache =
-    !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, aServer.mId, now);
-  const double hinted = holdsCache ? static_cast<double>(mSharedTokens) : 0.0;
-  NoteBasis(aServer, holdsCache, now);
+  NoteBasis(aServer, now);
   mAttempt = Attempt{ .mServer = aServer,
                       .mConnection = mState.mPool.Take(aServer, rule),
                       .mReader = MessageReader::ForAnswer({}, mRequest.mMethod != "HEAD"),
                       .mSentAt = now,
-                      .mPendingTokens = static_cast<double>(mFacts.mPromptTokens) - hinted };
+                      .mPendingTokens = mBasis.mOwnTokens };
   ++mDispatches;
   mTried.insert(aServer.mId);
   ServerStanding& standing = StandingOf(aServer.mId);
@@ -129,6 +132,7 @@
   if (!mCacheKey.empty()) {
     NoteRead(mState.mCacheHints, mCacheKey, aServer.mId, now);
   }
+  NoteDispatch();
   mAttempt->mConnection->mStream->SetCallbacks(
     { .mOnBytes = [self = shared_from_this()] { self->OnServerBytes(); },
       .mOnEnd = [self = shared_from_this()](StreamEnd aEnd) { self->OnServerEnd(aEnd); } });
@@ -137,31 +141,55 @@
 }
 
 void
-Exchange::NoteBasis(const RegisteredServer& aServer, bool aHoldsCache, Instant aNow)
+Exchange::NoteBasis(const RegisteredServer& aServer, Instant aNow)
 {
   const ServerStanding& standing = StandingOf(aServer.mId);
+  const double rate = RateOf(mState.mReadRates[mService]);
+  const bool holdsCache =
+    !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, aServer.mId, aNow);
   mBasis = { .mServer = aServer.mId,
              .mZone = aServer.mZone,
              .mInFlight = standing.mInFlight,
-             .mWaiting = standing.mPendingTokens,
-             .mWaitingElsewhere = standing.mPendingElsewhere,
-             .mNewsAge = std::chrono::duration_cast<Milliseconds>(aNow - standing.mElsewhereAt),
-             .mHoldsCache = aHoldsCache };
+             .mWaiting = WaitingAt(standing, rate, aNow),
+             .mWaitingAge = std::chrono::duration_cast<Milliseconds>(aNow - standing.mBacklog.mAt),
+             .mReadRate = rate,
+             .mOwnTokens = static_cast<double>(mFacts.mPromptTokens) -
+                           (holdsCache ? static_cast<double>(mSharedTokens) : 0.0),
+             .mHoldsCache = holdsCache };
+}
+
+// Takes what the server has to read into its backlog, and has the other hosts told.
+void
+Exchange::NoteDispatch()
+{
+  if (mCacheKey.empty()) {
+    return;
+  }
+  const DispatchNote note{ .mServer = mBasis.mServer,
+                           .mCacheKey = mCacheKey,
+                           .mTokens = mBasis.mOwnTokens };
+  Add(StandingOf(note.mServer).mBacklog, note.mTokens, mBasis.mReadRate, SuspendAwareNow());
+  if (note.mTokens < kLeastTokensTold || !mState.mOnDispatches) {
+    return;
+  }
+  if (mState.mDispatches.empty()) {
+    mState.mLoop.CallAt(SuspendAwareNow() + kGatherDispatches, [&state = mState] {
+      state.mOnDispatches(std::exchange(state.mDispatches, {}));
+    });
+  }
+  mState.mDispatches.push_back(note);
 }
 
 std::string
 Exchange::BasisText() const
 {
-  return fmt::format(
-    "server={} server_zone={} in_flight={} waiting={:.0f} waiting_elsewhere={:.0f} news_ms={} "
-    "cached={}",
-    mBasis.mServer.Value(),
-    mBasis.mZone.Value(),
-    mBasis.mInFlight,
-    mBasis.mWaiting,
-    mBasis.mWaitingElsewhere,
-    mBasis.mNewsAge.count(),
-    mBasis.mHoldsCache);
+  return fmt::format("server={} server_zone={} in_flight={} waiting={:.0f} waiting_ms={} cached={}",
+                     mBasis.mServer.Value(),
+                     mBasis.mZone.Value(),
+                     mBasis.mInFlight,
+                     mBasis.mWaiting,
+                     mBasis.mWaitingAge.count(),
+                     mBasis.mHoldsCache);
 }
 
 void
--- a/trefoil/forward/traffic.cc
+++ b/trefoil/forward/traffic.cc
@@ -69,6 +69,7 @@
   std::shared_ptr<const SessionCallbacks> PlainCallbacks(AnswerRequest aAnswer);
   void TakeView(std::shared_ptr<const TrafficView> aView);
   void TakeNews(const PeerNews& aNews);
+  void TakeDispatches(const std::vector<DispatchNote>& aDispatches);
   TrafficReport MakeReport();
   void Sweep();
   void StopListening();
@@ -233,13 +234,31 @@
     mState.mStandings.try_emplace(server);
   }
   for (auto& [server, standing] : mState.mStandings) {
-    const auto pending = aNews.mPendingTokens.find(server);
-    standing.mPendingElsewhere = pending == aNews.mPendingTokens.end() ? 0 : pending->second;
-    standing.mElsewhereAt = now;
     standing.mBrokenElsewhere = aNews.mBroken.contains(server);
   }
 }
 
+void
+Traffic::Impl::TakeDispatches(const std::vector<DispatchNote>& aDispatches)
+{
+  const Instant now = SuspendAwareNow();
+  if (!mState.mView || !mState.mView->mServers) {
+    return;
+  }
+  for (const DispatchNote& note : aDispatches) {
+    const auto server = mState.mView->mServers->mServers.find(note.mServer);
+    if (server == mState.mView->mServers->mServers.end()) {
+      // Its entry may come a moment later.
+      continue;
+    }
+    const double rate = RateOf(mState.mReadRates[server->second.mService]);
+    Add(mState.mStandings[note.mServer].mBacklog, note.mTokens, rate, now);
+    if (!note.mCacheKey.empty()) {
+      NoteRead(mState.mCacheHints, note.mCacheKey, note.mServer, now);
+    }
+  }
+}
+
 TrafficReport
 Traffic::Impl::MakeReport()
 {
@@ -253,9 +272,6 @@
     report.mQuotaUsed[account] = { .mTotal = use.mOwnTotal, .mLevel = use.mBucket.mTokens };
   }
   for (const auto& [server, standing] : mState.mStandings) {
-    if (standing.mPendingTokens > 0) {
-      report.mPendingTokens[server] = standing.mPendingTokens;
-    }
     if (IsBroken(standing, now)) {
       report.mBroken.push_back(server);
     }
@@ -354,6 +370,22 @@
     [state = mImpl.get(), news = std::move(aNews)] { state->TakeNews(news); });
 }
 
+void
+Traffic::TellDispatches(std::function<void(std::vector<DispatchNote>)> aCallback)
+{
+  mImpl->mState.mLoop.Post([state = mImpl.get(), callback = std::move(aCallback)]() mutable {
+    state->mState.mOnDispatches = std::move(callback);
+  });
+}
+
+void
+Traffic::TakeDispatches(std::vector<DispatchNote> aDispatches)
+{
+  mImpl->mState.mLoop.Post([state = mImpl.get(), dispatches = std::move(aDispatches)] {
+    state->TakeDispatches(dispatches);
+  });
+}
+
 void
 Traffic::Report(std::function<void(TrafficReport)> aCallback)
 {
--- a/trefoil/forward/traffic.h
+++ b/trefoil/forward/traffic.h
@@ -57,6 +57,11 @@
   // Thread-safe.
   void Publish(std::shared_ptr<const TrafficView> aView);
   void Tell(PeerNews aNews);
+  // Has each dispatch of a request with a long prompt handed to `aCallback`, on the traffic thread,
+  // soon after it was made.
+  void TellDispatches(std::function<void(std::vector<DispatchNote>)> aCallback);
+  // Takes in what other hosts have dispatched.
+  void TakeDispatches(std::vector<DispatchNote> aDispatches);
   // Has the report made on the traffic thread and handed to `aCallback` there.
   void Report(std::function<void(TrafficReport)> aCallback);
 
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -6,6 +6,7 @@
 #include "trefoil/forward/traffic.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -34,6 +35,10 @@
   // Own counts of crashes since the last report.
   std::vector<CrashCount> mCrashNews;
   CacheHints mCacheHints;
+  std::map<ServiceId, ReadRate> mReadRates;
+  // Requests that the other hosts were not told of yet, and how they are told.
+  std::vector<DispatchNote> mDispatches;
+  std::function<void(std::vector<DispatchNote>)> mOnDispatches;
   UsageWindows mUsage;
   // Prompt tokens of the requests to each service since the start.
   std::map<ServiceId, double> mPromptTokens;
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -55,8 +55,6 @@
   std::map<ClientAccountId, double> mQuotaLevels;
   std::map<ClientAccountId, double> mQuotaUsed;
   std::vector<CrashCount> mCrashes;
-  // Pending prompt tokens at each server, summed over the other hosts.
-  std::map<BackendServerId, double> mPendingTokens;
   // Servers that several other hosts say are broken.
   std::set<BackendServerId> mBroken;
 };
@@ -89,7 +87,6 @@
   std::map<ClientAccountId, QuotaUse> mQuotaUsed;
   UsageWindows mUsage;
   std::vector<CrashCount> mCrashes;
-  std::map<BackendServerId, double> mPendingTokens;
   // Servers that broke off, were not reached or stayed silent, and have not answered since.
   std::vector<BackendServerId> mBroken;
   // Prompt tokens of the requests to each service since the start of the host.
--- a/trefoil/steering/control.cc
+++ b/trefoil/steering/control.cc
@@ -26,6 +26,8 @@
 // Hosts that do not follow the store ask so often: keys that were taken away, and a configuration,
 // are known within it and the wait of a watch.
 constexpr Milliseconds kRelayEvery{ 800 };
+// Dispatches of other hosts that come within this are taken in at once.
+constexpr Milliseconds kGatherHeard{ 10 };
 // Crashes are repeated in the news for so long, since a message may be lost.
 constexpr Milliseconds kRepeatCrashes{ 3'000 };
 // Windows of usage in a message: the running one and those that may still be counted.
@@ -65,10 +67,6 @@
   for (const auto& [seenAt, crash] : aState.mCrashes) {
     news.mCrashes.push_back(ToCrashReport(crash));
   }
-  for (const auto& [server, tokens] : aState.mReport.mPendingTokens) {
-    news.mPending.push_back(
-      { .mServer = server, .mTokens = static_cast<std::uint64_t>(std::max(0.0, tokens)) });
-  }
   for (const auto& [service, tokens] : aState.mReport.mPromptTokens) {
     news.mServices.push_back(
       { .mService = service, .mPromptTokens = static_cast<std::uint64_t>(tokens) });
@@ -121,6 +119,32 @@
   }
 }
 
+// Tells the other hosts of requests with long prompts at once: what they know of a server's backlog
+// would be too old by the next regular news.
+void
+SendDispatches(ControlState& aState, std::vector<DispatchNote> aDispatches)
+{
+  const std::string bytes =
+    Encode(DispatchNews{ .mHost = aState.mOptions.mHost, .mDispatches = std::move(aDispatches) });
+  for (const auto& [to, wantsUsage] :
+       Recipients(aState.mPeers, aState.mOptions.mZone, SuspendAwareNow())) {
+    SendBytes(aState, to, bytes);
+  }
+}
+
+// Passes on what comes in a short time at once, so that the traffic thread wakes up less often.
+void
+TakeDispatches(ControlState& aState, const DispatchNews& aNews)
+{
+  if (aState.mHeardDispatches.empty()) {
+    aState.mLoop.CallAt(SuspendAwareNow() + kGatherHeard, [&aState] {
+      aState.mTraffic.TakeDispatches(std::exchange(aState.mHeardDispatches, {}));
+    });
+  }
+  aState.mHeardDispatches.insert(
+    aState.mHeardDispatches.end(), aNews.mDispatches.begin(), aNews.mDispatches.end());
+}
+
 void
 TakeDatagram(ControlState& aState, std::string_view aBytes)
 {
@@ -139,6 +163,8 @@
     OnStoreQuery(aState, *query);
   } else if (const auto* reply = std::get_if<StoreReply>(&*message)) {
     OnStoreReply(aState, *reply);
+  } else if (const auto* dispatches = std::get_if<DispatchNews>(&*message)) {
+    TakeDispatches(aState, *dispatches);
   } else {
     aState.mLog.Write(LogWeight::kNotable,
                       LogEvent::kInputRejected,
@@ -190,7 +216,6 @@
     aState.mCrashes.emplace_back(now, crash);
   }
   aState.mReport = std::move(aReport);
-  aState.mPeerNews.mPendingTokens = PendingElsewhere(aState.mPeers, now);
   aState.mPeerNews.mBroken = BrokenElsewhere(aState.mPeers, now);
   aState.mTraffic.Tell(std::exchange(aState.mPeerNews, {}));
   SendNews(aState);
@@ -287,6 +312,11 @@
   impl->mThread = std::thread{ [&state] {
     state.mLoop.Watch(
       state.mPeerSocket, kReadable, [&state](unsigned /*aReady*/) { ReadPeers(state); });
+    state.mTraffic.TellDispatches([&state](std::vector<DispatchNote> aDispatches) {
+      state.mLoop.Post([&state, dispatches = std::move(aDispatches)]() mutable {
+        SendDispatches(state, std::move(dispatches));
+      });
+    });
     FollowStore(state);
     JoinDuties(state);
     RefreshHostsRegularly(state);
--- a/trefoil/steering/control_state.h
+++ b/trefoil/steering/control_state.h
@@ -49,6 +49,7 @@
   StoreRelay mRelay;
   // What peers told since it was last passed on to the traffic thread.
   PeerNews mPeerNews;
+  std::vector<DispatchNote> mHeardDispatches;
   Instant mQuotaWrittenAt;
   std::size_t mPeersInTouch = 0;
   TrafficReport mReport;
--- a/trefoil/steering/peer_book.cc
+++ b/trefoil/steering/peer_book.cc
@@ -1,6 +1,5 @@
 #include "trefoil/steering/peer_book.h"
 
-#include "trefoil/dispatch/server_choice.h"
 #include "trefoil/wire/crash_exchange.h"
 
 #include <algorithm>
@@ -201,19 +200,6 @@
   std::erase_if(aBook.mUsage, [](const auto& aItem) { return aItem.second.empty(); });
 }
 
-std::map<BackendServerId, double>
-PendingElsewhere(const PeerBook& aBook, Instant aNow)
-{
-  std::map<BackendServerId, double> pending;
-  for (const HostId& host : LivePeers(aBook, aNow)) {
-    const Peer& peer = aBook.mPeers.at(host);
-    for (const PendingAtServer& item : peer.mNews.mPending) {
-      pending[item.mServer] += FadedTokens(static_cast<double>(item.mTokens), aNow - peer.mHeardAt);
-    }
-  }
-  return pending;
-}
-
 std::set<BackendServerId>
 BrokenElsewhere(const PeerBook& aBook, Instant aNow)
 {
--- a/trefoil/steering/peer_book.h
+++ b/trefoil/steering/peer_book.h
@@ -81,10 +81,6 @@
 void
 DropUsageBefore(PeerBook& aBook, std::int64_t aWindow);
 
-// Returns the prompt tokens that probably wait at each server still, over the live peers.
-std::map<BackendServerId, double>
-PendingElsewhere(const PeerBook& aBook, Instant aNow);
-
 // Returns the servers that several live peers say are broken.
 std::set<BackendServerId>
 BrokenElsewhere(const PeerBook& aBook, Instant aNow);
--- a/trefoil/wire/codec.h
+++ b/trefoil/wire/codec.h
@@ -16,7 +16,7 @@
 
 namespace trefoil {
 
-inline constexpr unsigned char kProtocolVersion = 5;
+inline constexpr unsigned char kProtocolVersion = 6;
 // The longest encoded message that is decoded.
 inline constexpr std::size_t kMostMessageBytes = std::size_t{ 72 } << 20;
 
--- /dev/null
+++ b/trefoil/wire/dispatch_message.h
@@ -0,0 +1,26 @@
+// What an entry host tells the others at once of requests that it has sent to servers.
+//
+//   DispatchNews news{ .mHost = self, .mDispatches = notes };
+//
+// Plain structs: only the codec knows their bytes.
+#pragma once
+
+#include "trefoil/dispatch/backlog.h"
+
+#include <vector>
+
+namespace trefoil {
+
+struct DispatchNews
+{
+  HostId mHost;
+  std::vector<DispatchNote> mDispatches;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mHost, mDispatches);
+  }
+};
+
+} // namespace trefoil
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -9,6 +9,7 @@
 #include "trefoil/wire/admission_message.h"
 #include "trefoil/wire/config_message.h"
 #include "trefoil/wire/crash_report.h"
+#include "trefoil/wire/dispatch_message.h"
 #include "trefoil/wire/gossip_message.h"
 #include "trefoil/wire/health_message.h"
 #include "trefoil/wire/move_message.h"
@@ -43,7 +44,8 @@
                              StreamHandOverReply,
                              TrafficNews,
                              StoreQuery,
-                             StoreReply>;
+                             StoreReply,
+                             DispatchNews>;
 
 // A message and where it goes.
 struct Datagram
--- a/trefoil/wire/traffic_message.h
+++ b/trefoil/wire/traffic_message.h
@@ -43,19 +43,6 @@
   }
 };
 
-// Prompt tokens of a host's requests that a server has not read yet.
-struct PendingAtServer
-{
-  BackendServerId mServer;
-  std::uint64_t mTokens = 0;
-
-  template<typename Archive>
-  void serialize(Archive& aArchive)
-  {
-    aArchive(mServer, mTokens);
-  }
-};
-
 // What a host was asked to forward to a service since its start.
 struct ServiceTotal
 {
@@ -102,7 +89,6 @@
   std::vector<AccountTotal> mQuotas;
   std::vector<WindowCount> mUsage;
   std::vector<CrashReport> mCrashes;
-  std::vector<PendingAtServer> mPending;
   // Servers that broke off, were not reached or stayed silent, and have not answered since.
   std::vector<BackendServerId> mBroken;
   std::vector<ServiceTotal> mServices;
@@ -122,7 +108,6 @@
              mQuotas,
              mUsage,
              mCrashes,
-             mPending,
              mBroken,
              mServices,
              mVersions);
