Relay the operators' documents as well, and notice lost messages

Cause: each host read each configuration from the store. And a host that relays assumed that what it had pushed had arrived: when a message was lost, or said only that there were changes, the next one's changes were taken for all that the receiver lacked.

Ruled out: stale answers of the store (each host's own list came before).

Change: relayed changes say after which revision they begin; a host that knows less asks the store. Configurations of up to 30 kB come along.

The new section of store_test fails without the check.

--- a/trefoil/steering/internal/relaying.cc
+++ b/trefoil/steering/internal/relaying.cc
@@ -10,16 +10,15 @@
 namespace {
 
 StoreReply
-MakeReply(const ControlState& aState, std::uint64_t aNumber, std::int64_t aServersKnown)
+MakeReply(const ControlState& aState, std::uint64_t aNumber, const RelaySubscriber& aTo)
 {
   const Instant now = SuspendAwareNow();
   StoreReply reply{ .mHost = aState.mOptions.mHost,
                     .mNumber = aNumber,
-                    // A configuration may be larger than a datagram: the hosts read it themselves.
                     .mOperators =
-                      ToRelayed(aState.mOperatorWatch->Record(), { .mWithItems = false }, now),
+                      ToRelayed(aState.mOperatorWatch->Record(), aTo.mOperatorRevision, now),
                     .mServers =
-                      ToRelayed(aState.mServerWatch->Record(), { .mSince = aServersKnown }, now) };
+                      ToRelayed(aState.mServerWatch->Record(), aTo.mServerRevision, now) };
   if (aState.mServersRegainedAt.has_value()) {
     reply.mRegainedMs =
       std::chrono::duration_cast<Milliseconds>(now - *aState.mServersRegainedAt).count();
@@ -27,6 +26,15 @@
   return reply;
 }
 
+void
+NoteTold(const ControlState& aState, RelaySubscriber& aSubscriber)
+{
+  aSubscriber.mOperatorRevision =
+    std::max(aSubscriber.mOperatorRevision, aState.mOperatorWatch->Record().mRevision);
+  aSubscriber.mServerRevision =
+    std::max(aSubscriber.mServerRevision, aState.mServerWatch->Record().mRevision);
+}
+
 } // namespace
 
 void
@@ -61,18 +69,20 @@
                StoreQuery{ .mHost = aState.mOptions.mHost,
                            .mEndpoint = aState.mOptions.mPeerEndpoint,
                            .mNumber = relay.mNumber,
+                           .mOperatorRevision = aState.mOperatorWatch->Record().mRevision,
                            .mServerRevision = aState.mServerWatch->Record().mRevision });
 }
 
 void
 OnStoreQuery(ControlState& aState, const StoreQuery& aQuery)
 {
-  aState.mRelay.mSubscribers[aQuery.mHost] = {
-    .mEndpoint = aQuery.mEndpoint,
-    .mServerRevision = std::max(aQuery.mServerRevision, aState.mServerWatch->Record().mRevision),
-    .mHeardAt = SuspendAwareNow()
-  };
-  SendDatagram(aState, aQuery.mEndpoint, MakeReply(aState, aQuery.mNumber, aQuery.mServerRevision));
+  RelaySubscriber subscriber{ .mEndpoint = aQuery.mEndpoint,
+                              .mOperatorRevision = aQuery.mOperatorRevision,
+                              .mServerRevision = aQuery.mServerRevision,
+                              .mHeardAt = SuspendAwareNow() };
+  SendDatagram(aState, aQuery.mEndpoint, MakeReply(aState, aQuery.mNumber, subscriber));
+  NoteTold(aState, subscriber);
+  aState.mRelay.mSubscribers[aQuery.mHost] = subscriber;
 }
 
 void
@@ -90,8 +100,8 @@
 PushStoreChanges(ControlState& aState)
 {
   for (auto& [host, subscriber] : aState.mRelay.mSubscribers) {
-    SendDatagram(aState, subscriber.mEndpoint, MakeReply(aState, 0, subscriber.mServerRevision));
-    subscriber.mServerRevision = aState.mServerWatch->Record().mRevision;
+    SendDatagram(aState, subscriber.mEndpoint, MakeReply(aState, 0, subscriber));
+    NoteTold(aState, subscriber);
   }
 }
 
--- a/trefoil/steering/internal/store_news.cc
+++ b/trefoil/steering/internal/store_news.cc
@@ -373,6 +373,7 @@
                                 PrefixWatchOptions{ .mPrefix = codec.mOperatorPrefix,
                                                     .mWait = kOperatorWait,
                                                     .mGather = kOperatorGather,
+                                                    .mKeepsChanges = true,
                                                     .mMostAge = kMostOperatorAge },
                                 std::move(operators));
   aState.mStore.Call(ReadKey{ .mKey = kQuotaKey },
--- a/trefoil/steering/store_relay.cc
+++ b/trefoil/steering/store_relay.cc
@@ -15,8 +15,8 @@
 constexpr const char* kRankKey = "store";
 // A host that has asked for longer than several of its intervals asks no more.
 constexpr Milliseconds kSubscribed{ 3'000 };
-// What fits a datagram beside the rest of the message.
-constexpr std::size_t kMostRelayedBytes = 48'000;
+// The changes of two prefixes fit a datagram of 64 KB.
+constexpr std::size_t kMostRelayedBytes = 30'000;
 
 std::size_t
 BytesOf(const std::vector<StoreItem>& aItems)
@@ -81,18 +81,18 @@
 }
 
 RelayedPrefix
-ToRelayed(const PrefixRecord& aRecord, const RelayTerms& aTerms, Instant aNow)
+ToRelayed(const PrefixRecord& aRecord, std::int64_t aSince, Instant aNow)
 {
   RelayedPrefix relayed{
     .mRevision = aRecord.mRevision,
     .mLastChange = aRecord.mLastChange,
     .mAgeMs = std::chrono::duration_cast<Milliseconds>(aNow - aRecord.mCurrentAt).count()
   };
-  const auto changes = aTerms.mWithItems ? ChangesSince(aRecord, aTerms.mSince) : std::nullopt;
+  const auto changes = ChangesSince(aRecord, aSince);
   if (!changes.has_value() || BytesOf(*changes) > kMostRelayedBytes) {
     return relayed;
   }
-  relayed.mComplete = true;
+  relayed.mItemsSince = aSince;
   for (const StoreItem& item : *changes) {
     relayed.mItems.push_back({ .mKey = item.mKey,
                                .mValue = item.mValue,
@@ -105,9 +105,10 @@
 PrefixNews
 FromRelayed(const RelayedPrefix& aRelayed, std::optional<Instant> aAskedAt)
 {
-  PrefixNews news{ .mRevision = aRelayed.mRevision,
-                   .mLastChange = aRelayed.mLastChange,
-                   .mComplete = aRelayed.mComplete };
+  PrefixNews news{ .mRevision = aRelayed.mRevision, .mLastChange = aRelayed.mLastChange };
+  if (aRelayed.mItemsSince >= 0) {
+    news.mItemsSince = aRelayed.mItemsSince;
+  }
   for (const RelayedItem& item : aRelayed.mItems) {
     news.mItems.push_back({ .mKey = item.mKey,
                             .mValue = item.mValue,
--- a/trefoil/steering/store_relay.h
+++ b/trefoil/steering/store_relay.h
@@ -1,7 +1,7 @@
 // Which entry hosts of a zone ask the store, and what they tell the others of it.
 //
 //   std::vector<HostId> watchers = StoreWatchers(book, zone, now);
-//   RelayedPrefix told = ToRelayed(record, { .mSince = query.mServerRevision }, now);
+//   RelayedPrefix told = ToRelayed(record, query.mServerRevision, now);
 //
 // Calls to the store are limited and priced over all hosts. In a zone of several hosts, two follow
 // the store and the others ask these; a host that hears nothing asks the store itself. Plain data
@@ -23,6 +23,8 @@
 struct RelaySubscriber
 {
   Endpoint mEndpoint;
+  // It knows the changes up to these revisions.
+  std::int64_t mOperatorRevision = 0;
   std::int64_t mServerRevision = 0;
   Instant mHeardAt;
 };
@@ -56,15 +58,9 @@
 void
 DropSilentSubscribers(StoreRelay& aRelay, Instant aNow);
 
-struct RelayTerms
-{
-  // The receiver knows the changes up to this revision.
-  std::int64_t mSince = 0;
-  bool mWithItems = true;
-};
-
+// Returns what to tell a host that knows the changes up to a revision.
 RelayedPrefix
-ToRelayed(const PrefixRecord& aRecord, const RelayTerms& aTerms, Instant aNow);
+ToRelayed(const PrefixRecord& aRecord, std::int64_t aSince, Instant aNow);
 
 // `aAskedAt` is when the question was sent, nothing if there was none.
 PrefixNews
--- a/trefoil/steering/store_relay_test.cc
+++ b/trefoil/steering/store_relay_test.cc
@@ -103,11 +103,11 @@
   const Instant told = kNow + Milliseconds{ 700 };
   WHEN("with the changes")
   {
-    const RelayedPrefix relayed = ToRelayed(record, { .mSince = 100 }, told);
+    const RelayedPrefix relayed = ToRelayed(record, 100, told);
     THEN("age and changes arrive")
     {
       const PrefixNews news = FromRelayed(relayed, told);
-      CHECK(news.mComplete);
+      CHECK(news.mItemsSince == 100);
       CHECK(news.mItems.size() == 1);
       CHECK(news.mCurrentAt == kNow);
       CHECK_FALSE(FromRelayed(relayed, std::nullopt).mCurrentAt.has_value());
@@ -122,8 +122,8 @@
                 true);
     THEN("the receiver is told to ask the store")
     {
-      const RelayedPrefix relayed = ToRelayed(record, { .mSince = 100 }, told);
-      CHECK_FALSE(relayed.mComplete);
+      const RelayedPrefix relayed = ToRelayed(record, 100, told);
+      CHECK(relayed.mItemsSince == -1);
       CHECK(relayed.mItems.empty());
       CHECK(relayed.mLastChange == 102);
     }
--- a/trefoil/store/prefix_record.cc
+++ b/trefoil/store/prefix_record.cc
@@ -54,7 +54,8 @@
     aRecord.mCurrentAt = std::max(aRecord.mCurrentAt, currentAt);
     return NewsOutcome::kCurrent;
   }
-  if (!aNews.mComplete) {
+  // A message before this one may be lost, so that items are missing in between.
+  if (!aNews.mItemsSince.has_value() || aRecord.mRevision < *aNews.mItemsSince) {
     return NewsOutcome::kBehind;
   }
   NoteChanges(aRecord, aNews.mItems, aNews.mRevision, currentAt, aKeep);
--- a/trefoil/store/prefix_record.h
+++ b/trefoil/store/prefix_record.h
@@ -36,8 +36,8 @@
 {
   std::int64_t mRevision = 0;
   std::int64_t mLastChange = 0;
-  // The items hold all changes that this host lacks.
-  bool mComplete = false;
+  // The items are all changes after this revision; nothing if they are left out.
+  std::optional<std::int64_t> mItemsSince;
   std::vector<StoreItem> mItems;
   // The other host's knowledge was complete then, by this host's clock; nothing if that is unknown.
   std::optional<Instant> mCurrentAt;
--- a/trefoil/store/prefix_record_test.cc
+++ b/trefoil/store/prefix_record_test.cc
@@ -73,7 +73,7 @@
   {
     const PrefixNews news{ .mRevision = 140,
                            .mLastChange = 130,
-                           .mComplete = true,
+                           .mItemsSince = 100,
                            .mItems = { Item("a", 130) },
                            .mCurrentAt = kNow + kLater };
     THEN("they are taken, and can be told further")
@@ -99,7 +99,7 @@
   {
     const auto outcome = NoteNews(
       record,
-      { .mRevision = 140, .mLastChange = 130, .mComplete = true, .mItems = { Item("a", 130) } },
+      { .mRevision = 140, .mLastChange = 130, .mItemsSince = 100, .mItems = { Item("a", 130) } },
       true);
     THEN("they are taken and prove no time")
     {
@@ -109,5 +109,22 @@
   }
 }
 
+SCENARIO("a message with changes is lost")
+{
+  PrefixRecord record;
+  NoteList(record, 100, kNow);
+  WHEN("the next one tells of the changes after it")
+  {
+    const PrefixNews news{
+      .mRevision = 140, .mLastChange = 130, .mItemsSince = 120, .mItems = { Item("a", 130) }
+    };
+    THEN("it is not taken for all that was missed, and the store must be asked")
+    {
+      CHECK(NoteNews(record, news, true) == NewsOutcome::kBehind);
+      CHECK(record.mRevision == 100);
+    }
+  }
+}
+
 } // namespace
 } // namespace trefoil
--- a/trefoil/wire/store_relay_message.h
+++ b/trefoil/wire/store_relay_message.h
@@ -20,13 +20,14 @@
   Endpoint mEndpoint;
   // Comes back with the reply.
   std::uint64_t mNumber = 0;
-  // Changes of the servers' keys up to this revision are known to the sender.
+  // Changes of the operators' and the servers' keys up to these revisions are known to the sender.
+  std::int64_t mOperatorRevision = 0;
   std::int64_t mServerRevision = 0;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mHost, mEndpoint, mNumber, mServerRevision);
+    aArchive(mHost, mEndpoint, mNumber, mOperatorRevision, mServerRevision);
   }
 };
 
@@ -53,14 +54,14 @@
   std::int64_t mLastChange = 0;
   // How long ago, in milliseconds, the sender asked for what made this known.
   std::int64_t mAgeMs = 0;
-  // The items hold all changes that the receiver lacks.
-  bool mComplete = false;
+  // The items are all changes after this revision; -1 if they are left out.
+  std::int64_t mItemsSince = -1;
   std::vector<RelayedItem> mItems;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mRevision, mLastChange, mAgeMs, mComplete, mItems);
+    aArchive(mRevision, mLastChange, mAgeMs, mItemsSince, mItems);
   }
 };
 
