Serve latencies as histograms, and refusals and attempts by reason

Cause: the quantiles of one host cannot be added up over hosts, and the metrics did not say why requests were refused or how old the configuration was.

Change: histograms of Boost.Histogram with buckets about the usual goals; counters of refusals by reason and of attempts by how they ended, labels from the tables of names; gauges of the configuration's version and age, hosts in touch, servers ready. The test of quantiles is replaced by one of the buckets' exact counts.

Ruled out: labels by route or account (their number is the operators', not ours).

--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -203,6 +203,7 @@
 {
   const bool notRun = aStatus == kUnavailable || aStatus == kTooManyRequests;
   mState.mMetrics.Add(notRun ? Counter::kRequestsNotRun : Counter::kRequestsMayHaveRun, 1);
+  mState.mMetrics.AddLabelled(LabelledCounter::kRefusals, NameOf(kRefusalReasonNames, aReason));
   mState.mLog.Write(
     LogWeight::kNotable,
     LogEvent::kRequestRefused,
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -97,7 +97,7 @@
     mBegunAt = SuspendAwareNow();
   }
   const auto latency = SuspendAwareNow() - mArrivedAt;
-  mState.mMetrics.Observe(stream ? Summary::kFirstToken : Summary::kPlainAnswer, latency);
+  mState.mMetrics.Observe(stream ? Latency::kFirstToken : Latency::kPlainAnswer, latency);
   CountUsage();
 }
 
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -314,6 +314,7 @@
 Exchange::AttemptFailed(AttemptEnd aEnd)
 {
   mState.mMetrics.Add(Counter::kAttemptsFailed, 1);
+  mState.mMetrics.AddLabelled(LabelledCounter::kAttemptEnds, NameOf(kAttemptEndNames, aEnd));
   const bool mayHaveRun =
     aEnd == AttemptEnd::kBroken || aEnd == AttemptEnd::kSilent || aEnd == AttemptEnd::kServerError;
   mState.mLog.Write(LogWeight::kNotable,
--- a/trefoil/forward/traffic.cc
+++ b/trefoil/forward/traffic.cc
@@ -5,6 +5,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <algorithm>
 #include <thread>
 #include <unordered_set>
 #include <utility>
@@ -68,6 +69,8 @@
   // Sessions whose requests are answered at once.
   std::shared_ptr<const SessionCallbacks> PlainCallbacks(AnswerRequest aAnswer);
   void TakeView(std::shared_ptr<const TrafficView> aView);
+  // Shows in the metrics what the host believes.
+  void ShowView(Instant aNow) const;
   void TakeNews(const PeerNews& aNews);
   void TakeDispatches(const std::vector<DispatchNote>& aDispatches);
   TrafficReport MakeReport();
@@ -259,10 +262,34 @@
   }
 }
 
+void
+Traffic::Impl::ShowView(Instant aNow) const
+{
+  if (!mState.mView) {
+    return;
+  }
+  const TrafficView& view = *mState.mView;
+  Metrics& metrics = mState.mMetrics;
+  metrics.Set(Gauge::kConfigurationAge,
+              std::chrono::duration<double>(aNow - view.mProvenAt).count());
+  metrics.Set(Gauge::kConfigurationVersion,
+              view.mCatalogue ? static_cast<double>(view.mCatalogue->mCatalogue.mVersion) : 0);
+  metrics.Set(Gauge::kHosts, view.mHosts);
+  metrics.Set(Gauge::kHostsInTouch, view.mHostsInTouch);
+  if (view.mServers) {
+    metrics.Set(
+      Gauge::kServersReady,
+      static_cast<double>(std::ranges::count_if(view.mServers->mServers, [](const auto& aServer) {
+        return aServer.second.mPhase == ServerPhase::kReady;
+      })));
+  }
+}
+
 TrafficReport
 Traffic::Impl::MakeReport()
 {
   const Instant now = SuspendAwareNow();
+  ShowView(now);
   OnQuotaNews(mState.mQuotas);
   TrafficReport report{ .mUsage = mState.mUsage,
                         .mCrashes = std::exchange(mState.mCrashNews, {}),
--- a/trefoil/metrics/metrics.cc
+++ b/trefoil/metrics/metrics.cc
@@ -1,10 +1,6 @@
 #include "trefoil/metrics/metrics.h"
 
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 #include <fmt/format.h>
 #include <fstream>
 #include <sys/resource.h>
@@ -13,15 +9,12 @@
 namespace trefoil {
 namespace {
 
-namespace acc = boost::accumulators;
-
-constexpr std::array<double, 3> kQuantiles{ 0.5, 0.95, 0.99 };
+// Upper ends of the buckets, in seconds: finer about the goals of plain answers (0.1 s) and of
+// first tokens (0.5 to 2 s).
+constexpr std::array<double, 15> kBuckets{ 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5,
+                                           0.8,   1.0,  1.5,   2.0,  3.0, 5.0, 10.0 };
 constexpr double kMicrosecondsPerSecond = 1e6;
 
-using LatencyAccumulator =
-  acc::accumulator_set<double,
-                       acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square>>;
-
 double
 SecondsOf(const timeval& aTime)
 {
@@ -60,15 +53,23 @@
 
 } // namespace
 
-struct Metrics::Accumulator
+struct Metrics::Histogram
 {
-  LatencyAccumulator mSeconds{ acc::extended_p_square_probabilities = kQuantiles };
+  Histogram()
+    : mCounts(boost::histogram::make_histogram(
+        boost::histogram::axis::variable<>(kBuckets.begin(), kBuckets.end())))
+  {
+  }
+
+  // The axis' bins lie between the ends of the buckets; what is below the first end underflows.
+  decltype(boost::histogram::make_histogram(boost::histogram::axis::variable<>{})) mCounts;
+  double mSum = 0;
 };
 
 Metrics::Metrics()
 {
-  for (auto& summary : mSummaries) {
-    summary = std::make_unique<Accumulator>();
+  for (auto& histogram : mHistograms) {
+    histogram = std::make_unique<Histogram>();
   }
 }
 
@@ -87,11 +88,32 @@
 }
 
 void
-Metrics::Observe(Summary aSummary, Instant::duration aLatency)
+Metrics::AddLabelled(LabelledCounter aCounter, std::string_view aLabel)
+{
+  const absl::MutexLock lock{ &mMutex };
+  auto& counts = mLabelled[IndexOf(aCounter)];
+  const auto found = counts.find(aLabel);
+  if (found != counts.end()) {
+    ++found->second;
+  } else {
+    counts.emplace(aLabel, 1);
+  }
+}
+
+void
+Metrics::Set(Gauge aGauge, double aValue)
+{
+  mGauges[IndexOf(aGauge)].store(aValue, std::memory_order_relaxed);
+}
+
+void
+Metrics::Observe(Latency aKind, Instant::duration aLatency)
 {
   const double seconds = std::chrono::duration<double>(aLatency).count();
   const absl::MutexLock lock{ &mMutex };
-  mSummaries[IndexOf(aSummary)]->mSeconds(seconds);
+  Histogram& histogram = *mHistograms[IndexOf(aKind)];
+  histogram.mCounts(seconds);
+  histogram.mSum += seconds;
 }
 
 std::string
@@ -101,18 +123,31 @@
   for (const auto& [counter, name] : kCounterNames) {
     page += fmt::format("# TYPE {0} counter\n{0} {1}\n", name, Count(counter));
   }
+  for (const auto& [gauge, name] : kGaugeNames) {
+    page += fmt::format(
+      "# TYPE {0} gauge\n{0} {1}\n", name, mGauges[IndexOf(gauge)].load(std::memory_order_relaxed));
+  }
   const absl::MutexLock lock{ &mMutex };
-  for (const auto& [summary, name] : kSummaryNames) {
-    const LatencyAccumulator& seconds = mSummaries[IndexOf(summary)]->mSeconds;
-    page += fmt::format("# TYPE {} summary\n", name);
-    for (std::size_t i = 0; i < kQuantiles.size() && acc::count(seconds) > 0; ++i) {
-      page += fmt::format("{}{{quantile=\"{}\"}} {:.6f}\n",
-                          name,
-                          kQuantiles[i],
-                          acc::extended_p_square(seconds)[static_cast<std::ptrdiff_t>(i)]);
+  for (std::size_t i = 0; i < kLabelledCounterNames.size(); ++i) {
+    const auto& [name, label] = kLabelledCounterNames[i];
+    page += fmt::format("# TYPE {} counter\n", name);
+    for (const auto& [value, count] : mLabelled[i]) {
+      page += fmt::format("{}{{{}=\"{}\"}} {}\n", name, label, value, count);
+    }
+  }
+  for (const auto& [kind, name] : kLatencyNames) {
+    const Histogram& histogram = *mHistograms[IndexOf(kind)];
+    page += fmt::format("# TYPE {} histogram\n", name);
+    double below = 0;
+    for (std::size_t i = 0; i < kBuckets.size(); ++i) {
+      below += histogram.mCounts.at(static_cast<int>(i) - 1);
+      page += fmt::format("{}_bucket{{le=\"{}\"}} {:.0f}\n", name, kBuckets[i], below);
     }
-    page +=
-      fmt::format("{0}_sum {1:.6f}\n{0}_count {2}\n", name, acc::sum(seconds), acc::count(seconds));
+    below += histogram.mCounts.at(static_cast<int>(kBuckets.size()) - 1);
+    page += fmt::format("{0}_bucket{{le=\"+Inf\"}} {1:.0f}\n{0}_sum {2:.6f}\n{0}_count {1:.0f}\n",
+                        name,
+                        below,
+                        histogram.mSum);
   }
   return page + RenderProcess();
 }
--- a/trefoil/metrics/metrics.h
+++ b/trefoil/metrics/metrics.h
@@ -1,12 +1,14 @@
-// Counters and latency summaries of a process, in Prometheus' text format.
+// Counters, gauges and latency histograms of a process, in Prometheus' text format.
 //
 //   Metrics metrics;
 //   metrics.Add(Counter::kRequests, 1);
-//   metrics.Observe(Summary::kFirstToken, Now() - start);
+//   metrics.AddLabelled(LabelledCounter::kRefusals, "over_quota");
+//   metrics.Set(Gauge::kConfigurationAge, 1.2);
+//   metrics.Observe(Latency::kFirstToken, Now() - start);
 //   std::string page = metrics.Render();
 //
-// Quantiles are estimated with Boost.Accumulators (P-square: Jain and Chlamtac, 1985), so that
-// memory does not grow with the number of observations. Thread-safe.
+// Memory does not grow with the number of observations; labels must come from fixed tables of
+// names. Thread-safe.
 #pragma once
 
 #include "absl/base/thread_annotations.h"
@@ -18,8 +20,11 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace trefoil {
 
@@ -46,17 +51,55 @@
   { Counter::kStoreFailures, "trefoil_store_failures_total" },
 } };
 
-enum class Summary
+enum class LabelledCounter
+{
+  // Requests that the host refused, by reason.
+  kRefusals,
+  // Attempts at servers, by how they ended.
+  kAttemptEnds,
+};
+
+struct LabelledName
+{
+  const char* mName;
+  const char* mLabel;
+};
+
+inline constexpr std::array<LabelledName, 2> kLabelledCounterNames{ {
+  { "trefoil_refusals_total", "reason" },
+  { "trefoil_attempt_ends_total", "end" },
+} };
+
+enum class Gauge
+{
+  // How long ago the configuration was known to be the newest, in seconds.
+  kConfigurationAge,
+  kConfigurationVersion,
+  kHosts,
+  kHostsInTouch,
+  // Servers of all services that take requests.
+  kServersReady,
+};
+
+inline constexpr NameTable<Gauge, 5> kGaugeNames{ {
+  { Gauge::kConfigurationAge, "trefoil_configuration_age_seconds" },
+  { Gauge::kConfigurationVersion, "trefoil_configuration_version" },
+  { Gauge::kHosts, "trefoil_hosts" },
+  { Gauge::kHostsInTouch, "trefoil_hosts_in_touch" },
+  { Gauge::kServersReady, "trefoil_servers_ready" },
+} };
+
+enum class Latency
 {
   kFirstToken,
   kTokenGap,
   kPlainAnswer,
 };
 
-inline constexpr NameTable<Summary, 3> kSummaryNames{ {
-  { Summary::kFirstToken, "trefoil_first_token_seconds" },
-  { Summary::kTokenGap, "trefoil_token_gap_seconds" },
-  { Summary::kPlainAnswer, "trefoil_plain_answer_seconds" },
+inline constexpr NameTable<Latency, 3> kLatencyNames{ {
+  { Latency::kFirstToken, "trefoil_first_token_seconds" },
+  { Latency::kTokenGap, "trefoil_token_gap_seconds" },
+  { Latency::kPlainAnswer, "trefoil_plain_answer_seconds" },
 } };
 
 class Metrics
@@ -68,18 +111,24 @@
   Metrics& operator=(const Metrics&) = delete;
 
   void Add(Counter aCounter, std::uint64_t aCount);
-  void Observe(Summary aSummary, Instant::duration aLatency);
+  // `aLabel` is one of a fixed table of names.
+  void AddLabelled(LabelledCounter aCounter, std::string_view aLabel);
+  void Set(Gauge aGauge, double aValue);
+  void Observe(Latency aKind, Instant::duration aLatency);
   std::uint64_t Count(Counter aCounter) const;
 
-  // Renders all counters and summaries, and the process's own memory and processor time.
+  // Renders all of them, and the process's own memory and processor time.
   std::string Render() const;
 
 private:
-  struct Accumulator;
+  struct Histogram;
 
   std::array<std::atomic<std::uint64_t>, kCounterNames.size()> mCounters{};
+  std::array<std::atomic<double>, kGaugeNames.size()> mGauges{};
   mutable absl::Mutex mMutex;
-  std::array<std::unique_ptr<Accumulator>, kSummaryNames.size()> mSummaries ABSL_GUARDED_BY(mMutex);
+  std::array<std::map<std::string, std::uint64_t, std::less<>>, kLabelledCounterNames.size()>
+    mLabelled ABSL_GUARDED_BY(mMutex);
+  std::array<std::unique_ptr<Histogram>, kLatencyNames.size()> mHistograms ABSL_GUARDED_BY(mMutex);
 };
 
 } // namespace trefoil
--- a/trefoil/metrics/metrics_test.cc
+++ b/trefoil/metrics/metrics_test.cc
@@ -14,8 +14,8 @@
     for (std::size_t i = 0; i < kCounterNames.size(); ++i) {
       CHECK(static_cast<std::size_t>(kCounterNames[i].mValue) == i);
     }
-    for (std::size_t i = 0; i < kSummaryNames.size(); ++i) {
-      CHECK(static_cast<std::size_t>(kSummaryNames[i].mValue) == i);
+    for (std::size_t i = 0; i < kLatencyNames.size(); ++i) {
+      CHECK(static_cast<std::size_t>(kLatencyNames[i].mValue) == i);
     }
   }
   SECTION("a counter adds up")
@@ -24,18 +24,36 @@
     metrics.Add(Counter::kTokens, 3);
     CHECK(metrics.Render().find("\ntrefoil_tokens_total 5\n") != std::string::npos);
   }
-  SECTION("a summary estimates quantiles")
+  SECTION("counters with labels stand side by side")
   {
-    for (int i = 1; i <= 1000; ++i) {
-      metrics.Observe(Summary::kTokenGap, Milliseconds{ i });
-    }
+    metrics.AddLabelled(LabelledCounter::kRefusals, "over_quota");
+    metrics.AddLabelled(LabelledCounter::kRefusals, "over_quota");
+    metrics.AddLabelled(LabelledCounter::kRefusals, "no_route");
     const std::string page = metrics.Render();
-    CHECK(page.find("trefoil_token_gap_seconds_count 1000\n") != std::string::npos);
-    CHECK(page.find("trefoil_token_gap_seconds{quantile=\"0.95\"} 0.9") != std::string::npos);
+    CHECK(page.find("trefoil_refusals_total{reason=\"over_quota\"} 2\n") != std::string::npos);
+    CHECK(page.find("trefoil_refusals_total{reason=\"no_route\"} 1\n") != std::string::npos);
+  }
+  SECTION("a gauge shows its last value")
+  {
+    metrics.Set(Gauge::kConfigurationAge, 4.5);
+    metrics.Set(Gauge::kConfigurationAge, 1.5);
+    CHECK(metrics.Render().find("\ntrefoil_configuration_age_seconds 1.5\n") != std::string::npos);
   }
-  SECTION("an empty summary has no quantiles")
+  SECTION("a histogram counts what is at most as long as each bucket's end")
   {
-    CHECK(metrics.Render().find("quantile") == std::string::npos);
+    for (int i = 1; i <= 1000; ++i) {
+      metrics.Observe(Latency::kTokenGap, Milliseconds{ 20 * i } - std::chrono::microseconds{ 1 });
+    }
+    const std::string page = metrics.Render();
+    const auto shows = [&page](const std::string& aLine) {
+      return page.find("trefoil_token_gap_seconds_" + aLine + "\n") != std::string::npos;
+    };
+    CHECK(shows("bucket{le=\"0.01\"} 0"));
+    CHECK(shows("bucket{le=\"0.1\"} 5"));
+    CHECK(shows("bucket{le=\"1\"} 50"));
+    CHECK(shows("bucket{le=\"10\"} 500"));
+    CHECK(shows("bucket{le=\"+Inf\"} 1000"));
+    CHECK(shows("count 1000"));
   }
 }
 
--- a/trefoil/node/internal/generation.cc
+++ b/trefoil/node/internal/generation.cc
@@ -86,9 +86,9 @@
   metrics.Add(Counter::kTokens, 1);
   aGeneration.mMeter->Token();
   if (aGeneration.mProgress.mTokens == 1) {
-    metrics.Observe(Summary::kFirstToken, now - aGeneration.mStartedAt);
+    metrics.Observe(Latency::kFirstToken, now - aGeneration.mStartedAt);
   } else {
-    metrics.Observe(Summary::kTokenGap, now - aGeneration.mLastTokenAt);
+    metrics.Observe(Latency::kTokenGap, now - aGeneration.mLastTokenAt);
   }
   aGeneration.mLastTokenAt = now;
 }
--- a/trefoil/node/internal/plain_traffic.cc
+++ b/trefoil/node/internal/plain_traffic.cc
@@ -117,7 +117,7 @@
 {
   const Instant startedAt = Now();
   HttpResult result = CallService(aContext, aCaller, aRequest);
-  aContext.mMetrics->Observe(Summary::kPlainAnswer, Now() - startedAt);
+  aContext.mMetrics->Observe(Latency::kPlainAnswer, Now() - startedAt);
   if (auto* answer = std::get_if<HttpAnswer>(&result)) {
     answer->mHeaders = ForwardedHeaders(answer->mHeaders);
   }
