Explain a request from the log lines of several hosts

Change: `trefoilctl explain ID` reads lines from standard input and prints those of the request in order of true time, with what the hosts believed of its servers before; clocks that are ahead are found from the changes that several hosts logged.

--- a/cmd/trefoilctl.cc
+++ b/cmd/trefoilctl.cc
@@ -3,6 +3,7 @@
 #include "trefoil/audit/trail_codec.h"
 #include "trefoil/base/endpoint.h"
 #include "trefoil/command_line/command_line.h"
+#include "trefoil/eventlog/request_story.h"
 #include "trefoil/http/client.h"
 #include "trefoil/operations/document.h"
 #include "trefoil/platform/store_client.h"
@@ -14,6 +15,7 @@
 #include <cstdlib>
 #include <fmt/format.h>
 #include <fstream>
+#include <iostream>
 #include <map>
 #include <sstream>
 #include <string>
@@ -39,6 +41,7 @@
   trefoilctl status --host=ADDRESS
   trefoilctl complete SERVICE PROMPT --host=ADDRESS --credential=TEXT [--tokens=N]
   trefoilctl call METHOD TARGET [BODY] --host=ADDRESS --credential=TEXT
+  trefoilctl explain ID
   trefoilctl --help
   trefoilctl --version
 
@@ -51,6 +54,8 @@
   status    Print what an entry host sees.
   complete  Send a completion and print the answer as it streams.
   call      Send a request to a plain service and print status, verdict and body.
+  explain   Read log lines of entry hosts from standard input and print those of one request in order of
+            time, with what the hosts believed of its servers. Clocks that differ are corrected.
 
 Options:
   --store=ADDRESS    The key-value service, as IP:PORT.
@@ -274,10 +279,44 @@
   return PrintEvents(stream) ? 0 : Fail("the answer did not come to its end");
 }
 
+int
+Explain(const Arguments& aArguments)
+{
+  std::vector<trefoil::LogLine> lines;
+  std::string text;
+  while (std::getline(std::cin, text)) {
+    auto line = trefoil::ParseLogLine(text);
+    if (line.has_value()) {
+      lines.push_back(std::move(*line));
+    }
+  }
+  const auto story = trefoil::TellStory(lines, Text(aArguments, "ID"));
+  if (story.empty()) {
+    return Fail(fmt::format("none of {} log lines names the request", lines.size()));
+  }
+  for (const auto& [host, ahead] : trefoil::ClocksAhead(lines)) {
+    if (ahead != Milliseconds{ 0 }) {
+      fmt::print("the clock of {} is {} ms ahead\n", host, ahead.count());
+    }
+  }
+  for (const trefoil::StoryLine& line : story) {
+    fmt::print("{} {:+7} ms {} {} {}\n",
+               line.mOfRequest ? '*' : ' ',
+               line.mOffset.count(),
+               line.mLine->mHost,
+               line.mLine->mEvent,
+               line.mLine->mText);
+  }
+  return 0;
+}
+
 int
 Run(const trefoil::CommandLine& aLine)
 {
   const Arguments& arguments = aLine.mArguments;
+  if (arguments.at("explain").asBool()) {
+    return Explain(arguments);
+  }
   const bool usesStore = arguments.at("put").asBool() || arguments.at("show").asBool() ||
                          arguments.at("audit").asBool() || arguments.at("moves").asBool();
   const auto endpoint = trefoil::ParseEndpoint(Text(arguments, usesStore ? "--store" : "--host"));
