--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -16,8 +16,8 @@
 constexpr Milliseconds kCallLimit{ 1'500 };
 // A call that carries out a duty ends within this, or its effect is not waited for.
 constexpr Milliseconds kActLimit{ 1'000 };
-// After the end of a usage window, the news of all hosts with its last counts have come: their longest
-// interval and a margin for late timers.
+// After the end of a usage window, the news of all hosts with its last counts have come: their
+// longest interval and a margin for late timers.
 constexpr Milliseconds kUsageSettle{ 1'400 };
 // Hosts that stand ready wait longer the lower they rank; ranks beyond this wait alike.
 constexpr int kMostRank = 8;
--- a/trefoil/steering/scaling.cc
+++ b/trefoil/steering/scaling.cc
@@ -169,8 +169,9 @@
         if (wanted >= state.mAccepted) {
           state.mLowerSince = aNow;
         }
-        // Lasting servers only stand in for reclaimable ones, which suffice again.
-        const bool relieved = !reclaimable && plan.mLasting <= LeastLasting(*service.mScaling);
+        // Before there is work, lasting servers go as soon as reclaimable ones are there. Later
+        // they stay for a while, since zones are often reclaimed one after the other.
+        const bool relieved = !reclaimable && PeakDemand(aState, name) <= 0;
         const bool lower =
           wanted < state.mAccepted && (relieved || aNow - state.mLowerSince >= kLowerAfter);
         if (!(wanted > state.mAccepted || lower || lost) || !HasPassed(state.mNextAt, aNow)) {
