Take a request without a length to have no body

Cause: the server of trefoild and of the stand-ins read the body of a POST without Content-Length or chunks until the connection ended, so that a client that keeps its connection open was answered after 15 s. Found when the soak's orders by `curl -X POST` waited; the soak's outages of the platform had waited too, and so it drew fewer faults than it meant to.

Ruled out: the proxy that the soak now uses (its GET orders were answered).

Change: such a request has no body (RFC 9112, 6.3). trefoil-gateway reads requests with Boost.Beast and is not concerned.

Figures: http_test fails without the change (no answer in 7 s) and passes with it.

--- a/trefoil/http/malformed_test.cc
+++ b/trefoil/http/malformed_test.cc
@@ -16,6 +16,7 @@
 
 constexpr Milliseconds kGenerousLimit{ 20'000 };
 constexpr Poco::Timespan::TimeDiff kReadLimitMicroseconds = 20'000'000;
+constexpr Poco::Timespan::TimeDiff kSoonMicroseconds = 7'000'000;
 
 // Sends bytes as they are and returns what comes back until the server closes.
 std::string
@@ -60,6 +61,24 @@
   return std::move(*server);
 }
 
+TEST_CASE("A request without a length has no body")
+{
+  HttpServer server = EchoServer();
+  SECTION("it is answered while its client keeps the connection open")
+  {
+    Poco::Net::StreamSocket socket{ Poco::Net::SocketAddress{ "127.0.0.1", server.Port() } };
+    // Well below the server's limit for idle connections.
+    socket.setReceiveTimeout(Poco::Timespan{ kSoonMicroseconds });
+    const std::string request = "POST / HTTP/1.1\r\nHost: a\r\n\r\n";
+    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    std::array<char, 4096> buffer{};
+    const int bytes = socket.receiveBytes(buffer.data(), buffer.size());
+    REQUIRE(bytes > 0);
+    CHECK(
+      std::string{ buffer.data(), static_cast<std::size_t>(bytes) }.starts_with("HTTP/1.1 200"));
+  }
+}
+
 TEST_CASE("Malformed requests are refused with a reason")
 {
   HttpServer server = EchoServer();
--- a/trefoil/http/server.cc
+++ b/trefoil/http/server.cc
@@ -46,6 +46,10 @@
     return std::nullopt;
   }
   std::string body;
+  if (!aRequest.hasContentLength() && !aRequest.getChunkedTransferEncoding()) {
+    // RFC 9112, 6.3: a request without either has no body.
+    return body;
+  }
   std::array<char, kReadBytes> buffer{};
   std::istream& stream = aRequest.stream();
   while (stream.good()) {
