Soak with a proxy that harms connections, and with a key taken away

Change: connections of hosts to servers and to the platform go through standin-fault-proxy, which delays, resets, cuts one way or silences them; faults overlap. A key is taken away in the middle, and no host may serve it in the end. Several runs go side by side on addresses of their own (third argument).

--- a/standin/platform_server_main.cc
+++ b/standin/platform_server_main.cc
@@ -21,9 +21,10 @@
   R"(standin-platform-server, a stand-in for a backend server of the users' platform.
 
 Usage:
-  standin-platform-server ID ADDRESS --platform=ADDRESS --service=NAME --zone=ZONE --runs=FILE
+  standin-platform-server ID ADDRESS --platform=ADDRESS --service=NAME --zone=ZONE --runs=FILE [--reached-at=ADDRESS]
 
 Options:
+  --reached-at=ADDRESS  Where hosts reach it, if that is another address, such as a proxy's.
   --runs=FILE  The file to which the id of each request that begins to run is appended.
 )";
 constexpr trefoil::Milliseconds kBeatEvery{ 300 };
@@ -112,7 +113,7 @@
   const std::string entry = fmt::format(
     R"({{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":64,"State":"ready","born":{}}})",
     text("--service"),
-    text("ADDRESS"),
+    line.mArguments.at("--reached-at").isString() ? text("--reached-at") : text("ADDRESS"),
     text("--zone"),
     trefoil::UnixMilliseconds(trefoil::WallNow()));
   std::thread{ Beat, server.mId, *platform, entry }.detach();
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,20 +1,23 @@
 #!/usr/bin/env bash
 # Soak: three entry hosts before six backend servers, with faults drawn from a seed, from outside the processes.
 #
-#   tests/soak/soak.sh [SEED] [SECONDS]      # prints what it did and what callers saw; fails if a promise broke
+#   tests/soak/soak.sh [SEED] [SECONDS] [SITE]    # prints what it did and what callers saw; fails if a promise broke
+#
+# Runs on 127.0.SITE.*, so that several can run at once. Connections of hosts to servers and to the platform go through a proxy
+# that delays, resets, cuts one way or silences them. Faults overlap.
 #
 # Promises: a `write` runs once at most; one answered 429 or 503 has not run; a success is whole and the right one; an answer
-# that is not whole never looks whole; at least half of the requests are served.
+# that is not whole never looks whole; a key that was taken away is refused; at least half of the requests are served.
 set -euo pipefail
-seed=${1:-1} seconds=${2:-10}
+seed=${1:-1} seconds=${2:-10} site=127.0.${3:-5}
 . scripts/processes.sh
 RANDOM=$seed
-platform=127.0.5.100:19500
+platform=$site.100:19500 proxy=$site.130:19502
 servers=6 hosts=3
 
 server_up() { # server_up NUMBER
-  start "server-$1" build/standin/standin-platform-server "i-$1-$SECONDS-$RANDOM" "127.0.5.10$1:19501" --platform=$platform \
-    --service=app --zone="zone-$(($1 % 3))" --runs="$work/runs"
+  start "server-$1" build/standin/standin-platform-server "i-$1-$SECONDS-$RANDOM" "$site.10$1:19501" --platform=$platform \
+    --reached-at="$site.11$1:19501" --service=app --zone="zone-$(($1 % 3))" --runs="$work/runs"
 }
 host_up() { # host_up NUMBER
   start "host-$1" build/cmd/trefoil-gateway "$work/host-$1.toml"
@@ -22,6 +25,18 @@
 kill_now() { # kill_now SIGNAL NAME
   kill "-$1" "$(pid_of "$2")" 2>/dev/null || true
 }
+link() { # link NUMBER FAULT: links 0 to 5 lead to the servers, 6 to 8 from the hosts to the platform
+  curl -fs -X POST "http://$proxy/fault?Link=$1&Fault=$2"
+}
+harm_link() { # harm_link NUMBER FAULT SECONDS
+  echo "$2 link $1 for $3 s"
+  link "$1" "$2"
+  (sleep "$3"; link "$1" none) &
+}
+configure() { # configure VERSION KEYS
+  curl -fs -X PUT "http://$platform/admin/key?Key=op%2Fconfig" --data-binary "{\"Version\":$1,\"Routes\":[$routes],
+    \"Services\":[{\"Name\":\"app\"}],\"Tenants\":[{\"Name\":\"club\",\"ApiKeys\":[$2]}]}"
+}
 gone() { # gone NAME: waits for the end of a process
   local _
   for _ in $(seq 200); do
@@ -40,8 +55,12 @@
   routes+="\"GoalMs\":300,\"GapTargetMs\":200,\"Attempts\":3,\"ResumeStreams\":$resume,\"Service\":\"app\"}"
   separator=,
 done
-curl -fs -X PUT "http://$platform/admin/key?Key=op%2Fconfig" --data-binary "{\"Version\":1,\"Routes\":[$routes],
-  \"Services\":[{\"Name\":\"app\"}],\"Tenants\":[{\"Name\":\"club\",\"ApiKeys\":[\"key\"]}]}"
+configure 1 '"key","old"'
+links=()
+for i in $(seq $servers); do links+=("$site.11$i:19501=$site.10$i:19501"); done
+for i in $(seq $hosts); do links+=("$site.12$i:19500=$platform"); done
+start proxy build/standin/standin-fault-proxy "$proxy" "${links[@]}"
+wait_for_url "http://$proxy/fault?Link=0&Fault=none"
 : >"$work/runs"
 for i in $(seq $servers); do server_up "$i"; done
 addresses=()
@@ -49,26 +68,32 @@
   cat >"$work/host-$i.toml" <<END
 host = "host-$i"
 availability_zone = "zone-$i"
-listen = "127.0.5.$i:18080"
-readiness_listen = "127.0.5.$i:18081"
-peer_listen = "127.0.5.$i:17000"
-store = "$platform"
+listen = "$site.$i:18080"
+readiness_listen = "$site.$i:18081"
+peer_listen = "$site.$i:17000"
+store = "$site.12$i:19500"
 cloud = "$platform"
 report_usage = true
 stop_notice_s = 8
 END
   host_up "$i"
-  addresses+=("127.0.5.$i:18080")
+  addresses+=("$site.$i:18080")
 done
-for i in $(seq $hosts); do wait_for_url "http://127.0.5.$i:18081/"; done
+for i in $(seq $hosts); do wait_for_url "http://$site.$i:18081/"; done
 sleep 1
 
 build/tests/soak/soak-client --seconds="$seconds" --seed="$seed" "${addresses[@]}" >"$work/results" &
 callers=$!
-until=$((SECONDS + seconds - 2))
+until=$((SECONDS + seconds - 2)) taken_away=$((SECONDS + seconds / 3))
+faults=(delay reset cut_to_target cut_to_caller silence)
 while [ $SECONDS -lt $until ]; do
+  if [ $SECONDS -ge $taken_away ]; then
+    echo "a key is taken away"
+    configure 2 '"key"'
+    taken_away=$((until + 1))
+  fi
   server=$((RANDOM % servers + 1)) host=$((RANDOM % hosts + 1))
-  case $((RANDOM % 7)) in
+  case $((RANDOM % 11)) in
     0 | 1) echo "kill server $server"; kill_now KILL "server-$server"; gone "server-$server"; server_up $server ;;
     2) echo "pause server $server"; kill_now STOP "server-$server"; (sleep 1.2; kill_now CONT "server-$server") & ;;
     3) echo "kill host $host"; kill_now KILL "host-$host"; gone "host-$host"; host_up $host ;;
@@ -76,14 +101,24 @@
     5) echo "pause host $host"; kill_now STOP "host-$host"; (sleep 0.8; kill_now CONT "host-$host") & ;;
     6) echo "platform away"; curl -fs -X POST "http://$platform/admin/fault?Down=1"; sleep 1
        curl -fs -X POST "http://$platform/admin/fault?Down=0" ;;
+    7 | 8 | 9) harm_link $((server - 1)) "${faults[$((RANDOM % 5))]}" "1.$((RANDOM % 9))" ;;
+    10) harm_link $((servers + host - 1)) "${faults[$((RANDOM % 5))]}" "1.$((RANDOM % 9))" ;;
   esac
   sleep "0.$((RANDOM % 6 + 2))"
 done
 wait $callers
-sleep 1
+for i in $(seq 0 $((servers + hosts - 1))); do link "$i" none; done
+sleep 6
+for i in $(seq $hosts); do
+  status=$(curl -s -o /dev/null -w '%{http_code}' -H "Host: soak.example" -H "Request-Id: old-$i" -H "Authorization: Token old" \
+    -H "Deadline-Milliseconds: 2000" "http://$site.$i:18080/read/x")
+  echo "old-$i read $status true false" >>"$work/results"
+done
 
 awk -v seed="$seed" '
   FNR == NR { runs[$1]++; next }
+  $1 ~ /^old-/ && ($3 == 200 || runs[$1] > 0) { print "a key that was taken away was served: " $0; broken++ }
+  $1 ~ /^old-/ { next }
   { all++; if ($3 == 200 && $4 == "true") served++ }
   $2 == "write" && runs[$1] > 1 { print "ran twice: " $0; broken++ }
   ($3 == 429 || $3 == 503) && runs[$1] > 0 { print "said not run, and ran: " $0; broken++ }
