Ask the store soon when the hosts that follow it for others lost it

A host took what another one knew of the servers for good up to an age of 7 s, since a watch waits 5 s; a host that the store turns away kept answering with what it knew before.

Ruled out: the pushes (they come within the gathering of 0.5 s where the store answers).

Change: knowledge of other hosts counts up to 2.2 s for servers as for the configuration, and a host that is asked watches the servers' keys for 1 s at a time, so that it can show that it still hears the store. The decision stands in prefix_record, with a test that fails with the former age.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -4,7 +4,8 @@
 #   tests/soak/soak.sh [SEED] [SECONDS] [SITE]    # prints what it did and what callers saw; fails if a promise broke
 #
 # Runs on 127.0.SITE.*, so that several can run at once. Connections of hosts to servers and to the platform go through a proxy
-# that delays, resets, cuts one way or silences them. Faults overlap.
+# that delays, resets, cuts one way or silences them. Faults overlap. GATEWAY names another program than
+# build/cmd/trefoil-gateway, such as one with a guard removed.
 #
 # Promises: a `write` runs once at most; one answered 429 or 503 has not run; a success is whole and the right one; an answer
 # that is not whole never looks whole; a key that was taken away is refused; at least half of the requests are served.
@@ -20,7 +21,7 @@
     --reached-at="$site.11$1:19501" --service=app --zone="zone-$(($1 % 3))" --runs="$work/runs"
 }
 host_up() { # host_up NUMBER
-  start "host-$1" build/cmd/trefoil-gateway "$work/host-$1.toml"
+  start "host-$1" "${GATEWAY:-build/cmd/trefoil-gateway}" "$work/host-$1.toml"
 }
 kill_now() { # kill_now SIGNAL NAME
   kill "-$1" "$(pid_of "$2")" 2>/dev/null || true
--- a/trefoil/steering/internal/relaying.cc
+++ b/trefoil/steering/internal/relaying.cc
@@ -44,7 +44,8 @@
   StoreRelay& relay = aState.mRelay;
   DropSilentSubscribers(relay, now);
   std::vector<HostId> watchers = StoreWatchers(aState.mPeers, aState.mOptions.mZone, now);
-  if (aState.mLeaving || std::ranges::find(watchers, aState.mOptions.mHost) != watchers.end()) {
+  const bool isAsked = std::ranges::find(watchers, aState.mOptions.mHost) != watchers.end();
+  if (aState.mLeaving || isAsked) {
     watchers.clear();
   }
   if (watchers != relay.mWatchers) {
@@ -58,8 +59,7 @@
     // The hosts of a zone divide between those that they ask.
     relay.mAsked = aState.mRandom() % 2;
   }
-  aState.mOperatorWatch->SetRelayed(!relay.mWatchers.empty());
-  aState.mServerWatch->SetRelayed(!relay.mWatchers.empty());
+  SetRelaying(aState, !relay.mWatchers.empty(), isAsked);
   const auto asked = NextQuestion(relay, now);
   if (!asked.has_value()) {
     return;
--- a/trefoil/steering/internal/store_news.cc
+++ b/trefoil/steering/internal/store_news.cc
@@ -14,10 +14,8 @@
 // the configuration is the newest, so it is well below the age at which keys are refused.
 constexpr Milliseconds kOperatorWait{ 1'000 };
 constexpr Milliseconds kServerWait{ 5'000 };
-// Other hosts' proofs of the configuration and news of the servers replace own calls up to this
-// age: the first is well below the age at which keys are refused, the second is above kServerWait.
-constexpr Milliseconds kMostOperatorAge{ 2'200 };
-constexpr Milliseconds kMostServerAge{ 7'000 };
+// A host that follows the store for others shows them so often that it still does.
+constexpr Milliseconds kServerWaitForOthers{ 1'000 };
 // Servers that start or leave together are read by one call. Well below the time in which a leaving
 // server must get no more requests.
 constexpr Milliseconds kServerGather{ 500 };
@@ -373,8 +371,7 @@
                                 PrefixWatchOptions{ .mPrefix = codec.mOperatorPrefix,
                                                     .mWait = kOperatorWait,
                                                     .mGather = kOperatorGather,
-                                                    .mKeepsChanges = true,
-                                                    .mMostAge = kMostOperatorAge },
+                                                    .mKeepsChanges = true },
                                 std::move(operators));
   aState.mStore.Call(ReadKey{ .mKey = kQuotaKey },
                      SuspendAwareNow() + kHostsLimit,
@@ -399,12 +396,19 @@
                               PrefixWatchOptions{ .mPrefix = codec.mServerPrefix,
                                                   .mWait = kServerWait,
                                                   .mGather = kServerGather,
-                                                  .mKeepsChanges = true,
-                                                  .mMostAge = kMostServerAge },
+                                                  .mKeepsChanges = true },
                               std::move(servers));
   aState.mServerWatch->Start();
 }
 
+void
+SetRelaying(ControlState& aState, bool aAsksOthers, bool aIsAsked)
+{
+  aState.mServerWatch->SetWait(aIsAsked ? kServerWaitForOthers : kServerWait);
+  aState.mOperatorWatch->SetRelayed(aAsksOthers);
+  aState.mServerWatch->SetRelayed(aAsksOthers);
+}
+
 void
 RefreshHosts(ControlState& aState)
 {
--- a/trefoil/steering/internal/store_news.h
+++ b/trefoil/steering/internal/store_news.h
@@ -17,6 +17,10 @@
 void
 NoteServersRegained(ControlState& aState, Instant aWhen);
 
+// Sets whether other hosts of the zone are asked instead of the store, or ask this one.
+void
+SetRelaying(ControlState& aState, bool aAsksOthers, bool aIsAsked);
+
 // Asks the store for the entry hosts that it lists, and writes this one's entry where it is
 // missing.
 void
--- a/trefoil/steering/prefix_watch.cc
+++ b/trefoil/steering/prefix_watch.cc
@@ -13,8 +13,6 @@
 constexpr Milliseconds kFirstPause{ 80 };
 constexpr Milliseconds kLongestPause{ 500 };
 constexpr int kMostDoublings = 3;
-// The store is asked after other hosts were silent for so long: two of their replies are missing.
-constexpr Milliseconds kSilence{ 2'000 };
 // A call that other hosts' news should have made needless does not wait for changes for long.
 constexpr Milliseconds kOverdueWait{ 100 };
 
@@ -73,18 +71,11 @@
   WatchNext();
 }
 
-// When the store is asked next if other hosts tell nothing further.
-Instant
-PrefixWatch::OwnCallAt() const
-{
-  return std::min(mHeardAt + kSilence, mRecord.mCurrentAt + mOptions.mMostAge);
-}
-
 void
 PrefixWatch::WatchNext()
 {
   if (mRelayed) {
-    CallLater(OwnCallAt(), false);
+    CallLater(AskStoreAt(mRecord, mHeardAt), false);
   } else {
     Watch();
   }
@@ -95,8 +86,9 @@
 {
   mNextCall = mLoop.CallAt(aWhen, [this, aList] {
     mNextCall = 0;
-    if (mRelayed && !HasPassed(OwnCallAt(), SuspendAwareNow())) {
-      CallLater(OwnCallAt(), aList);
+    const Instant askAt = AskStoreAt(mRecord, mHeardAt);
+    if (mRelayed && !HasPassed(askAt, SuspendAwareNow())) {
+      CallLater(askAt, aList);
     } else if (aList) {
       List({});
     } else {
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -31,8 +31,6 @@
   Milliseconds mMargin{ 1'500 };
   // Keeps the changes for other hosts.
   bool mKeepsChanges = false;
-  // Knowledge of other hosts that is older does not replace asking the store.
-  Milliseconds mMostAge{ 0 };
 };
 
 struct PrefixWatchCallbacks
@@ -58,6 +56,8 @@
   void Start() { List({}); }
   // Whether other hosts are asked instead of the store.
   void SetRelayed(bool aRelayed);
+  // Changes how long the store holds a watch, from the next call on.
+  void SetWait(Milliseconds aWait) { mOptions.mWait = aWait; }
   // Takes in what another host knows.
   void TakeNews(const PrefixNews& aNews);
   const PrefixRecord& Record() const { return mRecord; }
@@ -67,7 +67,6 @@
   void OnPage(const StoreAnswer& aAnswer, Instant aSentAt);
   void WatchNext();
   void CallLater(Instant aWhen, bool aList);
-  Instant OwnCallAt() const;
   void Watch();
   void OnWatched(const StoreAnswer& aAnswer, Instant aSentAt);
   void RetryLater(StoreOutcome aOutcome, bool aList);
--- a/trefoil/store/prefix_record.cc
+++ b/trefoil/store/prefix_record.cc
@@ -7,6 +7,10 @@
 
 // Several times the servers that change in the seconds for which a host may be out of touch.
 constexpr std::size_t kMostChanges = 2'000;
+// The store is asked after other hosts were silent for so long: two of their replies are missing.
+constexpr Milliseconds kSilence{ 2'000 };
+// What other hosts know may be so old: a change must be known on all hosts within 3 s.
+constexpr Milliseconds kMostAge{ 2'200 };
 
 } // namespace
 
@@ -62,6 +66,12 @@
   return NewsOutcome::kChanged;
 }
 
+Instant
+AskStoreAt(const PrefixRecord& aRecord, Instant aHeardAt)
+{
+  return std::min(aHeardAt + kSilence, aRecord.mCurrentAt + kMostAge);
+}
+
 std::optional<std::vector<StoreItem>>
 ChangesSince(const PrefixRecord& aRecord, std::int64_t aRevision)
 {
--- a/trefoil/store/prefix_record.h
+++ b/trefoil/store/prefix_record.h
@@ -69,6 +69,12 @@
 NewsOutcome
 NoteNews(PrefixRecord& aRecord, const PrefixNews& aNews, bool aKeep);
 
+// Returns when a host must ask the store itself, if it last heard of the keys from another host at
+// `aHeardAt` and hears nothing further. That is soon enough for keys that were taken away and
+// servers that leave, though the other host may have lost the store meanwhile.
+Instant
+AskStoreAt(const PrefixRecord& aRecord, Instant aHeardAt);
+
 // Returns the changes after a revision; nothing if they are not all kept.
 std::optional<std::vector<StoreItem>>
 ChangesSince(const PrefixRecord& aRecord, std::int64_t aRevision);
--- a/trefoil/store/prefix_record_test.cc
+++ b/trefoil/store/prefix_record_test.cc
@@ -126,5 +126,28 @@
   }
 }
 
+SCENARIO("a host that others ask has lost the store")
+{
+  PrefixRecord record;
+  NoteList(record, 100, kNow);
+  const Instant heardAt = kNow + std::chrono::seconds{ 2 };
+  WHEN("it tells what it knew before")
+  {
+    NoteNews(record, { .mRevision = 100, .mLastChange = 90, .mCurrentAt = kNow }, true);
+    THEN("the store is asked soon enough for a server that leaves now")
+    {
+      CHECK(AskStoreAt(record, heardAt) <= kNow + Milliseconds{ 2'500 });
+    }
+  }
+  WHEN("it has not lost it")
+  {
+    NoteNews(record, { .mRevision = 100, .mLastChange = 90, .mCurrentAt = heardAt }, true);
+    THEN("the store is not asked before its next reply is due")
+    {
+      CHECK(AskStoreAt(record, heardAt) >= heardAt + std::chrono::seconds{ 1 });
+    }
+  }
+}
+
 } // namespace
 } // namespace trefoil
