Tell hosts that ask this one of a new list at once

A host that lists the store's keys anew, since changes were dropped, told those that ask it only with its next reply.

--- a/trefoil/steering/internal/store_news.cc
+++ b/trefoil/steering/internal/store_news.cc
@@ -356,6 +356,7 @@
   PrefixWatchCallbacks operators = HealthCallbacks(aState, "operators");
   operators.mOnList = [&aState](const std::vector<StoreItem>& aItems, std::int64_t /*aRevision*/) {
     OnOperatorItems(aState, aItems);
+    PushStoreChanges(aState);
   };
   operators.mOnChanges = [&aState](const std::vector<StoreItem>& aItems) {
     OnOperatorItems(aState, aItems);
@@ -380,6 +381,7 @@
   PrefixWatchCallbacks servers = HealthCallbacks(aState, "servers");
   servers.mOnList = [&aState](const std::vector<StoreItem>& aItems, std::int64_t aRevision) {
     OnServerList(aState, aItems, aRevision);
+    PushStoreChanges(aState);
   };
   servers.mOnChanges = [&aState](const std::vector<StoreItem>& aItems) {
     OnServerItems(aState, aItems);
