Do not pass on a promise that a request has not run after another server ran it

Read for this: a server's 503 or 429 without the mark that it did not run the request was passed on as its answer, sealed or not, also after another server had broken off the same request.

Ruled out: 503 of our own after a run (each way to it is behind the count of runs).

Change: an answer with one of these statuses and neither seal nor mark counts as broken; a sealed one is passed on only if no other server may have run the request, else the client gets 502.

Figures: three new checks in forward_path_test fail without the change (503, 503 and 429 for 502).

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -6,6 +6,7 @@
 
 #include <Poco/Net/SocketAddress.h>
 #include <array>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <future>
@@ -294,6 +295,70 @@
   }
 }
 
+SCENARIO("a server answers that it is unavailable after another one may have run the request")
+{
+  // The first request anywhere breaks off, whichever server gets it; the next one is refused.
+  std::atomic<int> requests{ 0 };
+  const auto refusing = [&requests](const std::string& aSeal) {
+    return [&requests, aSeal](const SeenRequest& aRequest) {
+      if (requests++ == 0) {
+        return Reply{ .mClose = true };
+      }
+      return Reply{ .mBytes =
+                      fmt::format("HTTP/1.1 503 X\r\nRequest-Id: {}\r\n{}Content-Length: 0\r\n\r\n",
+                                  HeaderValue(aRequest.mRequest.mHeaders, "Request-Id"),
+                                  aSeal) };
+    };
+  };
+  Gateway gateway;
+  const auto ask = [&gateway](const ScriptedServer& aFirst, const ScriptedServer& aSecond) {
+    gateway.Add("e1", aFirst);
+    gateway.Add("e2", aSecond);
+    gateway.Publish();
+    Client client = gateway.Connect();
+    client.Send(Request("talk", "id-1"));
+    return client.Read().mStatus;
+  };
+  WHEN("its answer is sealed")
+  {
+    ScriptedServer first{ refusing("Response-Seal: s\r\n") };
+    ScriptedServer second{ refusing("Response-Seal: s\r\n") };
+    THEN("the client is not told that the request has not run")
+    {
+      CHECK(ask(first, second) == 502);
+      CHECK(requests == 2);
+    }
+  }
+  WHEN("its answer is not sealed")
+  {
+    ScriptedServer first{ refusing("") };
+    ScriptedServer second{ refusing("") };
+    THEN("the client is not told so either")
+    {
+      CHECK(ask(first, second) == 502);
+      CHECK(requests == 2);
+    }
+  }
+}
+
+SCENARIO("a server's failure is not sealed and does not say whether the request ran")
+{
+  ScriptedServer server{ [](const SeenRequest& aRequest) {
+    return Reply{ .mBytes =
+                    fmt::format("HTTP/1.1 429 X\r\nRequest-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                                HeaderValue(aRequest.mRequest.mHeaders, "Request-Id")) };
+  } };
+  Gateway gateway;
+  gateway.Add("e1", server);
+  gateway.Publish();
+  Client client = gateway.Connect();
+  client.Send(Request("write", "id-1"));
+  THEN("the client is not told that it has not run")
+  {
+    CHECK(client.Read().mStatus == 502);
+  }
+}
+
 SCENARIO("backend servers turn requests away")
 {
   const auto full = [](const SeenRequest& aRequest) {
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -75,6 +75,10 @@
 // When a client should come again: after the time in which a full server frees a place.
 inline constexpr Milliseconds kRetryWhenFull{ 200 };
 
+// Returns whether clients take a status as the promise that their request has not run.
+bool
+PromisesNotRun(int aStatus);
+
 // What was known of a server when a request was sent to it.
 struct DispatchBasis
 {
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -9,8 +9,20 @@
 // Bytes of one answer kept for a client that does not take them.
 constexpr std::size_t kMostUnsentBytes = std::size_t{ 4 } * 1024 * 1024;
 
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+
 } // namespace
 
+bool
+PromisesNotRun(int aStatus)
+{
+  return aStatus == kRequestTimeout || aStatus == kMisdirected || aStatus == kTooManyRequests ||
+         aStatus == kUnavailable;
+}
+
 void
 Exchange::OnServerBytes()
 {
@@ -66,7 +78,8 @@
     AttemptFailed(AttemptEnd::kTurnedAway);
     return false;
   }
-  if (unnamed || (IsSuccess(head.mStatus) && !attempt.mFacts.mSealed)) {
+  const bool needsSeal = IsSuccess(head.mStatus) || PromisesNotRun(head.mStatus);
+  if (unnamed || (needsSeal && !attempt.mFacts.mSealed)) {
     AttemptFailed(AttemptEnd::kBroken);
     return false;
   }
@@ -160,7 +173,7 @@
     return;
   }
   answer.mBody = std::move(mAttempt->mReader->Body());
-  if (answer.mStatus >= kFirstServerError) {
+  if (answer.mStatus >= kFirstServerError || (mRuns > 0 && PromisesNotRun(answer.mStatus))) {
     mServerError = std::move(answer);
     AttemptFailed(AttemptEnd::kServerError);
     return;
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -375,7 +375,8 @@
     CutOff();
     return;
   }
-  if (mServerError.has_value()) {
+  // The attempt that brought the server's answer is one of the runs.
+  if (mServerError.has_value() && (mRuns <= 1 || !PromisesNotRun(mServerError->mStatus))) {
     DeliverAnswer(std::move(*mServerError));
     return;
   }
