--- a/standin/fault_proxy_main.cc
+++ b/standin/fault_proxy_main.cc
@@ -3,6 +3,7 @@
 #include "standin/fault_proxy.h"
 #include "standin/serve_until_signal.h"
 #include "trefoil/command_line/command_line.h"
+#include "trefoil/http/status_code.h"
 
 #include <Poco/URI.h>
 #include <cstdio>
@@ -22,7 +23,6 @@
 
 Each LINK is IP:PORT=IP:PORT; links are numbered from 0.
 )";
-constexpr int kNotFound = 404;
 
 struct Order
 {
@@ -50,7 +50,7 @@
 main(int aCount, char** aValues)
 {
   const auto line = trefoil::ParseCommandLine(
-    { .mUsage = kUsage, .mVersion = "trefoillb stand-ins 0.1.0" }, aCount, aValues);
+    { .mUsage = kUsage, .mVersion = trefoil::standin::kStandinVersion }, aCount, aValues);
   if (line.mExit.has_value()) {
     return *line.mExit;
   }
@@ -75,7 +75,7 @@
     line.mArguments.at("ORDERS").asString(), [&links](trefoil::HttpExchange& aExchange) {
       const Order order = ReadOrder(aExchange.Request().mTarget);
       if (!order.mFault.has_value() || order.mLink >= links.size()) {
-        aExchange.Answer({ .mStatus = kNotFound });
+        aExchange.Answer({ .mStatus = trefoil::kNotFound });
         return;
       }
       links[order.mLink]->Set(*order.mFault);
--- a/standin/plain_service_main.cc
+++ b/standin/plain_service_main.cc
@@ -20,7 +20,7 @@
 main(int aCount, char** aValues)
 {
   const auto line = trefoil::ParseCommandLine(
-    { .mUsage = kUsage, .mVersion = "trefoillb stand-ins 0.1.0" }, aCount, aValues);
+    { .mUsage = kUsage, .mVersion = trefoil::standin::kStandinVersion }, aCount, aValues);
   if (line.mExit.has_value()) {
     return *line.mExit;
   }
--- a/standin/platform_main.cc
+++ b/standin/platform_main.cc
@@ -1,7 +1,6 @@
 // The stand-in of the users' platform as a program.
 #include "standin/platform_store.h"
 #include "standin/serve_until_signal.h"
-#include "trefoil/command_line/command_line.h"
 
 namespace {
 
@@ -17,13 +16,5 @@
 int
 main(int aCount, char** aValues)
 {
-  const auto line = trefoil::ParseCommandLine(
-    { .mUsage = kUsage, .mVersion = "trefoillb stand-ins 0.1.0" }, aCount, aValues);
-  if (line.mExit.has_value()) {
-    return *line.mExit;
-  }
-  trefoil::standin::PlatformStore store;
-  return trefoil::standin::ServeUntilSignal(
-    line.mArguments.at("ADDRESS").asString(),
-    [&store](trefoil::HttpExchange& aExchange) { store.Serve(aExchange); });
+  return trefoil::standin::RunService<trefoil::standin::PlatformStore>(kUsage, aCount, aValues);
 }
--- a/standin/platform_server_main.cc
+++ b/standin/platform_server_main.cc
@@ -4,6 +4,7 @@
 #include "trefoil/base/instant.h"
 #include "trefoil/command_line/command_line.h"
 #include "trefoil/http/client.h"
+#include "trefoil/http/status_code.h"
 
 #include "absl/synchronization/mutex.h"
 #include <fmt/format.h>
@@ -32,7 +33,6 @@
 constexpr trefoil::Milliseconds kWork{ 10 };
 constexpr trefoil::Milliseconds kEventPause{ 30 };
 constexpr int kEvents = 10;
-constexpr int kMisdirected = 421;
 
 struct Server
 {
@@ -55,7 +55,7 @@
   const HttpRequest& request = aExchange.Request();
   const std::string id{ HeaderValue(request.mHeaders, "Request-Id") };
   if (HeaderValue(request.mHeaders, "Expected-Instance") != aServer.mId) {
-    aExchange.Answer({ .mStatus = kMisdirected, .mHeaders = { { "Request-Id", id } } });
+    aExchange.Answer({ .mStatus = trefoil::kMisdirected, .mHeaders = { { "Request-Id", id } } });
     return;
   }
   NoteRun(aServer, id);
@@ -99,7 +99,7 @@
 main(int aCount, char** aValues)
 {
   const auto line = trefoil::ParseCommandLine(
-    { .mUsage = kUsage, .mVersion = "trefoillb stand-ins 0.1.0" }, aCount, aValues);
+    { .mUsage = kUsage, .mVersion = trefoil::standin::kStandinVersion }, aCount, aValues);
   if (line.mExit.has_value()) {
     return *line.mExit;
   }
--- a/standin/platform_store.cc
+++ b/standin/platform_store.cc
@@ -1,6 +1,7 @@
 #include "standin/platform_store.h"
 
 #include "trefoil/base/base64.h"
+#include "trefoil/http/status_code.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
@@ -14,9 +15,6 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 412;
 // Expired keys and leases are looked for so often while a watch waits.
 constexpr Milliseconds kLookEvery{ 50 };
 
@@ -218,7 +216,7 @@
   Object answer;
   if (!holds) {
     answer.set("Items", standing);
-    return JsonAnswer(answer, kConflict);
+    return JsonAnswer(answer, kPreconditionFailed);
   }
   const auto writes = body.getArray("Writes");
   for (unsigned i = 0; !writes.isNull() && i < writes->size(); ++i) {
--- a/standin/store_main.cc
+++ b/standin/store_main.cc
@@ -1,7 +1,6 @@
 // The stand-in key-value service as a program.
 #include "standin/serve_until_signal.h"
 #include "standin/store.h"
-#include "trefoil/command_line/command_line.h"
 
 namespace {
 
@@ -16,13 +15,5 @@
 int
 main(int aCount, char** aValues)
 {
-  const auto line = trefoil::ParseCommandLine(
-    { .mUsage = kUsage, .mVersion = "trefoillb stand-ins 0.1.0" }, aCount, aValues);
-  if (line.mExit.has_value()) {
-    return *line.mExit;
-  }
-  trefoil::standin::Store store;
-  return trefoil::standin::ServeUntilSignal(
-    line.mArguments.at("ADDRESS").asString(),
-    [&store](trefoil::HttpExchange& aExchange) { store.Serve(aExchange); });
+  return trefoil::standin::RunService<trefoil::standin::Store>(kUsage, aCount, aValues);
 }
--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -304,10 +304,7 @@
       if (requests++ == 0) {
         return Reply{ .mClose = true };
       }
-      return Reply{ .mBytes =
-                      fmt::format("HTTP/1.1 503 X\r\nRequest-Id: {}\r\n{}Content-Length: 0\r\n\r\n",
-                                  HeaderValue(aRequest.mRequest.mHeaders, "Request-Id"),
-                                  aSeal) };
+      return Reply{ .mBytes = AnswerWith(aRequest, 503, aSeal) };
     };
   };
   Gateway gateway;
@@ -344,9 +341,7 @@
 SCENARIO("a server's failure is not sealed and does not say whether the request ran")
 {
   ScriptedServer server{ [](const SeenRequest& aRequest) {
-    return Reply{ .mBytes =
-                    fmt::format("HTTP/1.1 429 X\r\nRequest-Id: {}\r\nContent-Length: 0\r\n\r\n",
-                                HeaderValue(aRequest.mRequest.mHeaders, "Request-Id")) };
+    return Reply{ .mBytes = AnswerWith(aRequest, 429) };
   } };
   Gateway gateway;
   gateway.Add("e1", server);
@@ -362,9 +357,7 @@
 SCENARIO("backend servers turn requests away")
 {
   const auto full = [](const SeenRequest& aRequest) {
-    return Reply{ .mBytes = fmt::format("HTTP/1.1 503 X\r\nRequest-Id: {}\r\nNot-Executed: "
-                                        "1\r\nContent-Length: 0\r\n\r\n",
-                                        HeaderValue(aRequest.mRequest.mHeaders, "Request-Id")) };
+    return Reply{ .mBytes = AnswerWith(aRequest, 503, "Not-Executed: 1\r\n") };
   };
   ScriptedServer first{ full };
   Gateway gateway;
@@ -425,9 +418,7 @@
 SCENARIO("a success is not vouched for")
 {
   ScriptedServer server{ [](const SeenRequest& aRequest) {
-    return Reply{ .mBytes =
-                    fmt::format("HTTP/1.1 200 X\r\nRequest-Id: {}\r\nContent-Length: 2\r\n\r\nno",
-                                HeaderValue(aRequest.mRequest.mHeaders, "Request-Id")) };
+    return Reply{ .mBytes = AnswerWith(aRequest, 200, "", "no") };
   } };
   Gateway gateway;
   gateway.Add("e1", server);
--- a/tests/forward_path/scripted_server.cc
+++ b/tests/forward_path/scripted_server.cc
@@ -103,15 +103,24 @@
   }
 }
 
+std::string
+AnswerWith(const SeenRequest& aRequest,
+           int aStatus,
+           const std::string& aHeaders,
+           const std::string& aBody)
+{
+  return fmt::format("HTTP/1.1 {} X\r\nRequest-Id: {}\r\n{}Content-Length: {}\r\n\r\n{}",
+                     aStatus,
+                     HeaderValue(aRequest.mRequest.mHeaders, "Request-Id"),
+                     aHeaders,
+                     aBody.size(),
+                     aBody);
+}
+
 std::string
 SealedAnswer(const SeenRequest& aRequest, int aStatus, const std::string& aBody)
 {
-  return fmt::format(
-    "HTTP/1.1 {} X\r\nRequest-Id: {}\r\nResponse-Seal: s\r\nContent-Length: {}\r\n\r\n{}",
-    aStatus,
-    HeaderValue(aRequest.mRequest.mHeaders, "Request-Id"),
-    aBody.size(),
-    aBody);
+  return AnswerWith(aRequest, aStatus, "Response-Seal: s\r\n", aBody);
 }
 
 std::string
--- a/tests/forward_path/scripted_server.h
+++ b/tests/forward_path/scripted_server.h
@@ -64,7 +64,14 @@
   std::thread mAcceptor;
 };
 
-// Returns the bytes of a server's answer to the request, sealed, with a length.
+// Returns the bytes of a server's answer to the request, with further header lines and a length.
+std::string
+AnswerWith(const SeenRequest& aRequest,
+           int aStatus,
+           const std::string& aHeaders = "",
+           const std::string& aBody = "");
+
+// The same, sealed.
 std::string
 SealedAnswer(const SeenRequest& aRequest, int aStatus, const std::string& aBody);
 
--- a/trefoil/eventlog/request_story.cc
+++ b/trefoil/eventlog/request_story.cc
@@ -1,8 +1,8 @@
 #include "trefoil/eventlog/request_story.h"
 
 #include "absl/strings/numbers.h"
-#include "absl/strings/str_split.h"
 #include "absl/time/time.h"
+#include "trefoil/base/middle.h"
 #include "trefoil/eventlog/event_log.h"
 
 #include <algorithm>
@@ -50,14 +50,6 @@
   return fields;
 }
 
-milliseconds
-MiddleOf(std::vector<milliseconds> aTimes)
-{
-  const auto middle = aTimes.begin() + static_cast<std::ptrdiff_t>(aTimes.size() / 2);
-  std::nth_element(aTimes.begin(), middle, aTimes.end());
-  return *middle;
-}
-
 // Names a change that each host logs once, empty for other lines.
 std::string
 ChangeOf(const LogLine& aLine)
--- a/trefoil/forward/cache_hints.cc
+++ b/trefoil/forward/cache_hints.cc
@@ -29,18 +29,21 @@
   aHints.mReadAt[aKey][aServer] = aNow;
 }
 
-bool
-Holds(const CacheHints& aHints,
-      const std::string& aKey,
-      const BackendServerId& aServer,
-      Instant aNow)
+const CacheReaders*
+ReadersOf(const CacheHints& aHints, const std::string& aKey)
 {
   const auto key = aHints.mReadAt.find(aKey);
-  if (key == aHints.mReadAt.end()) {
+  return key == aHints.mReadAt.end() ? nullptr : &key->second;
+}
+
+bool
+Holds(const CacheReaders* aReaders, const BackendServerId& aServer, Instant aNow)
+{
+  if (aReaders == nullptr) {
     return false;
   }
-  const auto server = key->second.find(aServer);
-  return server != key->second.end() && aNow - server->second <= kHintAge;
+  const auto server = aReaders->find(aServer);
+  return server != aReaders->end() && aNow - server->second <= kHintAge;
 }
 
 } // namespace trefoil
--- a/trefoil/forward/client_session.cc
+++ b/trefoil/forward/client_session.cc
@@ -1,6 +1,7 @@
 #include "trefoil/forward/client_session.h"
 
 #include "trefoil/http/check_head.h"
+#include "trefoil/http/status_code.h"
 #include "trefoil/http/status_text.h"
 
 #include <Poco/String.h>
@@ -10,8 +11,6 @@
 namespace trefoil {
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
 // Bytes of further requests that a client may send before its answer has come.
--- a/trefoil/forward/event_splitter_test.cc
+++ b/trefoil/forward/event_splitter_test.cc
@@ -42,12 +42,12 @@
   const BackendServerId server{ "engine-1" };
   const Instant now{ std::chrono::hours{ 1 } };
   NoteRead(hints, "part", server, now);
-  CHECK(Holds(hints, "part", server, now + std::chrono::seconds{ 10 }));
-  CHECK_FALSE(Holds(hints, "part", BackendServerId{ "engine-2" }, now));
-  CHECK_FALSE(Holds(hints, "other", server, now));
+  CHECK(Holds(ReadersOf(hints, "part"), server, now + std::chrono::seconds{ 10 }));
+  CHECK_FALSE(Holds(ReadersOf(hints, "part"), BackendServerId{ "engine-2" }, now));
+  CHECK_FALSE(Holds(ReadersOf(hints, "other"), server, now));
   THEN("it forgets them after a while")
   {
-    CHECK_FALSE(Holds(hints, "part", server, now + std::chrono::minutes{ 1 }));
+    CHECK_FALSE(Holds(ReadersOf(hints, "part"), server, now + std::chrono::minutes{ 1 }));
   }
 }
 
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -1,5 +1,7 @@
 #include "trefoil/forward/exchange.h"
 
+#include "trefoil/http/status_code.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <utility>
@@ -7,12 +9,6 @@
 namespace trefoil {
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 // When a client should come again: after the time in which an account's bucket fills for a request.
 constexpr Milliseconds kRetryOverQuota{ 500 };
 // Clients heed a time to come back up to this part of what they have left.
@@ -165,14 +161,7 @@
     FinishAttempt(DispatchOutcome::kFailed, false);
   }
   if (mStreaming) {
-    mState.mLog.Write(LogWeight::kNotable,
-                      LogEvent::kRequestFailed,
-                      "id={} route={} reason={} last_event={}",
-                      mFacts.mRequestId,
-                      mRoute->mName,
-                      NameOf(kRefusalReasonNames, RefusalReason::kOutOfTime),
-                      mEvents.mLastId);
-    CutOff();
+    CutOff(RefusalReason::kOutOfTime);
     return;
   }
   Refuse(mRuns > 0 ? kGatewayTimeout : kUnavailable, RefusalReason::kOutOfTime, std::nullopt);
@@ -201,8 +190,8 @@
 void
 Exchange::Refuse(int aStatus, RefusalReason aReason, std::optional<Milliseconds> aRetryAfter)
 {
-  const bool notRun = aStatus == kUnavailable || aStatus == kTooManyRequests;
-  mState.mMetrics.Add(notRun ? Counter::kRequestsNotRun : Counter::kRequestsMayHaveRun, 1);
+  mState.mMetrics.Add(
+    PromisesNotRun(aStatus) ? Counter::kRequestsNotRun : Counter::kRequestsMayHaveRun, 1);
   mState.mMetrics.AddLabelled(LabelledCounter::kRefusals, NameOf(kRefusalReasonNames, aReason));
   mState.mLog.Write(
     LogWeight::kNotable,
@@ -236,8 +225,16 @@
 
 // Closes the client's connection in the middle of the answer.
 void
-Exchange::CutOff()
+Exchange::CutOff(RefusalReason aReason)
 {
+  mState.mLog.Write(LogWeight::kNotable,
+                    LogEvent::kRequestFailed,
+                    "id={} route={} reason={} dispatches={} last_event={}",
+                    mFacts.mRequestId,
+                    mRoute->mName,
+                    NameOf(kRefusalReasonNames, aReason),
+                    mDispatches,
+                    mEvents.mLastId);
   const auto session = mSession;
   End();
   session->Abort();
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -164,7 +164,7 @@
 
   void OnDeadline();
   void Refuse(int aStatus, RefusalReason aReason, std::optional<Milliseconds> aRetryAfter);
-  void CutOff();
+  void CutOff(RefusalReason aReason);
   void End();
   Milliseconds TimeLeft() const;
   Milliseconds RetryAfter(Milliseconds aWanted) const;
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -1,4 +1,5 @@
 #include "trefoil/forward/exchange.h"
+#include "trefoil/http/status_code.h"
 
 #include <utility>
 
@@ -9,11 +10,6 @@
 // Bytes of one answer kept for a client that does not take them.
 constexpr std::size_t kMostUnsentBytes = std::size_t{ 4 } * 1024 * 1024;
 
-constexpr int kRequestTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
-
 } // namespace
 
 bool
@@ -98,19 +94,16 @@
   if (stream && mAttempt->mReader->Body().empty()) {
     return;
   }
+  const Instant now = SuspendAwareNow();
   mAttempt->mBegun = true;
   ServerStanding& standing = StandingOf(mAttempt->mServer.mId);
   standing.mPendingTokens -= std::exchange(mAttempt->mPendingTokens, 0.0);
   if (stream && !mCacheKey.empty()) {
-    NoteRead(mState.mReadRates[mService],
-             mBasis.mWaiting + mBasis.mOwnTokens,
-             SuspendAwareNow() - mAttempt->mSentAt);
-  }
-  if (!mBegunAt.has_value()) {
-    mBegunAt = SuspendAwareNow();
+    NoteRead(
+      mState.mReadRates[mService], mBasis.mWaiting + mBasis.mOwnTokens, now - mAttempt->mSentAt);
   }
-  const auto latency = SuspendAwareNow() - mArrivedAt;
-  mState.mMetrics.Observe(stream ? Latency::kFirstToken : Latency::kPlainAnswer, latency);
+  mBegunAt = mBegunAt.value_or(now);
+  mState.mMetrics.Observe(stream ? Latency::kFirstToken : Latency::kPlainAnswer, now - mArrivedAt);
   CountUsage();
 }
 
@@ -187,7 +180,7 @@
 {
   if (mStreaming) {
     // A resumed stream cannot end with another status.
-    CutOff();
+    CutOff(RefusalReason::kBrokenAnswer);
     return;
   }
   aAnswer.mHeaders = mState.mOptions.mCodec.mClientHeaders(aAnswer.mHeaders);
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -1,4 +1,5 @@
 #include "trefoil/forward/exchange.h"
+#include "trefoil/http/status_code.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -8,8 +9,6 @@
 namespace trefoil {
 namespace {
 
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
 // Dispatches beyond a route's attempts that servers may turn away.
 constexpr int kMostTurnedAway = 2;
 // A repeatable request without an answer goes to another server after this many times its goal.
@@ -48,6 +47,7 @@
   const bool steered = steering != mState.mView->mSteering.end();
   const bool wantsTarget =
     steered && std::generate_canonical<double, 32>(mState.mRandom) < steering->second.mTargetShare;
+  const CacheReaders* readers = ReadersOf(mState.mCacheHints, mCacheKey);
   std::vector<ServerCandidate> candidates;
   for (const RegisteredServer* server : found->second) {
     const bool ofTarget = steered && server->mVersion == steering->second.mTarget;
@@ -55,12 +55,11 @@
         ofTarget != wantsTarget) {
       continue;
     }
-    candidates.push_back(
-      { .mServer = server,
-        .mStanding = &StandingOf(server->mId),
-        .mHoldsCache = !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, server->mId, now),
-        .mAvoided =
-          server->mDoubtful || !HasPassed(mState.mZones[server->mZone].mAvoidUntil, now) });
+    candidates.push_back({ .mServer = server,
+                           .mStanding = &StandingOf(server->mId),
+                           .mHoldsCache = Holds(readers, server->mId, now),
+                           .mAvoided = server->mDoubtful ||
+                                       !HasPassed(mState.mZones[server->mZone].mAvoidUntil, now) });
   }
   AvoidBrokenElsewhere(candidates, now);
   const auto chosen = ChooseServer(candidates,
@@ -145,8 +144,7 @@
 {
   const ServerStanding& standing = StandingOf(aServer.mId);
   const double rate = RateOf(mState.mReadRates[mService]);
-  const bool holdsCache =
-    !mCacheKey.empty() && Holds(mState.mCacheHints, mCacheKey, aServer.mId, aNow);
+  const bool holdsCache = Holds(ReadersOf(mState.mCacheHints, mCacheKey), aServer.mId, aNow);
   mBasis = { .mServer = aServer.mId,
              .mZone = aServer.mZone,
              .mInFlight = standing.mInFlight,
@@ -364,15 +362,7 @@
 Exchange::GiveUp(RefusalReason aNotRun)
 {
   if (mStreaming) {
-    mState.mLog.Write(LogWeight::kNotable,
-                      LogEvent::kRequestFailed,
-                      "id={} route={} reason={} dispatches={} last_event={}",
-                      mFacts.mRequestId,
-                      mRoute->mName,
-                      NameOf(kRefusalReasonNames, RefusalReason::kBrokenAnswer),
-                      mDispatches,
-                      mEvents.mLastId);
-    CutOff();
+    CutOff(RefusalReason::kBrokenAnswer);
     return;
   }
   // The attempt that brought the server's answer is one of the runs.
--- a/trefoil/forward/traffic.cc
+++ b/trefoil/forward/traffic.cc
@@ -1,6 +1,7 @@
 #include "trefoil/forward/traffic.h"
 
 #include "trefoil/forward/exchange.h"
+#include "trefoil/http/status_code.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
@@ -24,8 +25,6 @@
 constexpr Milliseconds kStopCheckEvery{ 50 };
 // Usage windows kept: more than the time in which a report is due.
 constexpr std::size_t kMostUsageWindows = 8;
-constexpr int kOk = 200;
-constexpr int kNotReady = 503;
 
 Poco::Net::ServerSocket
 OpenListener(const Endpoint& aEndpoint)
@@ -154,7 +153,7 @@
   add(options.mListen, FrontCallbacks());
   add(options.mReadiness, PlainCallbacks([this](const HttpRequest& /*aRequest*/) {
         const bool ready = !mState.mStopping && mState.mView && mState.mView->mCatalogue;
-        return HttpAnswer{ .mStatus = ready ? kOk : kNotReady };
+        return HttpAnswer{ .mStatus = ready ? kOk : kUnavailable };
       }));
   if (options.mMetrics.has_value()) {
     add(*options.mMetrics, PlainCallbacks([this](const HttpRequest& /*aRequest*/) {
--- a/trefoil/http/check_head.cc
+++ b/trefoil/http/check_head.cc
@@ -1,5 +1,7 @@
 #include "trefoil/http/check_head.h"
 
+#include "trefoil/http/status_code.h"
+
 #include <Poco/String.h>
 #include <algorithm>
 #include <cctype>
@@ -10,7 +12,6 @@
 namespace trefoil {
 namespace {
 
-constexpr int kBadRequest = 400;
 constexpr int kTargetTooLong = 414;
 constexpr int kHeadersTooLarge = 431;
 
--- a/trefoil/http/server.cc
+++ b/trefoil/http/server.cc
@@ -1,6 +1,7 @@
 #include "trefoil/http/server.h"
 
 #include "trefoil/http/check_head.h"
+#include "trefoil/http/status_code.h"
 #include "trefoil/net/listener.h"
 
 #include <Poco/Exception.h>
@@ -33,9 +34,6 @@
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 // How long what a refused caller still sends is taken in.
 constexpr Milliseconds kLingerLimit{ 500 };
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kPayloadTooLarge = 413;
 
 // Reads a request's body. Returns nothing if it is longer than allowed.
 std::optional<std::string>
--- /dev/null
+++ b/trefoil/http/status_code.h
@@ -0,0 +1,22 @@
+// The status codes that the project gives or looks for (RFC 9110, section 15).
+#pragma once
+
+namespace trefoil {
+
+inline constexpr int kOk = 200;
+inline constexpr int kNoContent = 204;
+inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorized = 401;
+inline constexpr int kForbidden = 403;
+inline constexpr int kNotFound = 404;
+inline constexpr int kRequestTimeout = 408;
+inline constexpr int kGone = 410;
+inline constexpr int kPreconditionFailed = 412;
+inline constexpr int kPayloadTooLarge = 413;
+inline constexpr int kMisdirected = 421;
+inline constexpr int kTooManyRequests = 429;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kUnavailable = 503;
+inline constexpr int kGatewayTimeout = 504;
+
+} // namespace trefoil
--- a/trefoil/steering/peer_book.cc
+++ b/trefoil/steering/peer_book.cc
@@ -1,8 +1,10 @@
 #include "trefoil/steering/peer_book.h"
 
+#include "trefoil/base/middle.h"
 #include "trefoil/wire/crash_exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace trefoil {
 namespace {
@@ -98,10 +100,9 @@
   for (const HostId& host : LivePeers(aBook, aNow)) {
     ahead.push_back(aBook.mPeers.at(host).mClockAhead);
   }
-  const auto middle = ahead.begin() + static_cast<std::ptrdiff_t>(ahead.size() / 2);
-  std::nth_element(ahead.begin(), middle, ahead.end());
+  const Milliseconds middle = MiddleOf(std::move(ahead));
   // The ways of the messages differ by as much.
-  return std::chrono::abs(*middle) < kClockNoise ? Milliseconds{ 0 } : *middle;
+  return std::chrono::abs(middle) < kClockNoise ? Milliseconds{ 0 } : middle;
 }
 
 Milliseconds
--- a/trefoil/steering/scaling.cc
+++ b/trefoil/steering/scaling.cc
@@ -155,6 +155,7 @@
     if (aNow - aState.mStartedAt < kRegistersWithin) {
       continue;
     }
+    const bool idle = PeakDemand(aState, name) <= 0;
     for (const auto& [zone, plan] : PlanServers(aInputs, service, needed)) {
       for (const bool reclaimable : { true, false }) {
         const int wanted = reclaimable ? plan.mReclaimable : plan.mLasting;
@@ -171,7 +172,7 @@
         }
         // Before there is work, lasting servers go as soon as reclaimable ones are there. Later
         // they stay for a while, since zones are often reclaimed one after the other.
-        const bool relieved = !reclaimable && PeakDemand(aState, name) <= 0;
+        const bool relieved = !reclaimable && idle;
         const bool lower =
           wanted < state.mAccepted && (relieved || aNow - state.mLowerSince >= kLowerAfter);
         if (!(wanted > state.mAccepted || lower || lost) || !HasPassed(state.mNextAt, aNow)) {
--- a/trefoil/steering/store_relay.cc
+++ b/trefoil/steering/store_relay.cc
@@ -88,33 +88,24 @@
     .mLastChange = aRecord.mLastChange,
     .mAgeMs = std::chrono::duration_cast<Milliseconds>(aNow - aRecord.mCurrentAt).count()
   };
-  const auto changes = ChangesSince(aRecord, aSince);
+  auto changes = ChangesSince(aRecord, aSince);
   if (!changes.has_value() || BytesOf(*changes) > kMostRelayedBytes) {
     return relayed;
   }
   relayed.mItemsSince = aSince;
-  for (const StoreItem& item : *changes) {
-    relayed.mItems.push_back({ .mKey = item.mKey,
-                               .mValue = item.mValue,
-                               .mRevision = item.mRevision,
-                               .mRemoved = item.mRemoved });
-  }
+  relayed.mItems = std::move(*changes);
   return relayed;
 }
 
 PrefixNews
 FromRelayed(const RelayedPrefix& aRelayed, std::optional<Instant> aAskedAt)
 {
-  PrefixNews news{ .mRevision = aRelayed.mRevision, .mLastChange = aRelayed.mLastChange };
+  PrefixNews news{ .mRevision = aRelayed.mRevision,
+                   .mLastChange = aRelayed.mLastChange,
+                   .mItems = aRelayed.mItems };
   if (aRelayed.mItemsSince >= 0) {
     news.mItemsSince = aRelayed.mItemsSince;
   }
-  for (const RelayedItem& item : aRelayed.mItems) {
-    news.mItems.push_back({ .mKey = item.mKey,
-                            .mValue = item.mValue,
-                            .mRevision = item.mRevision,
-                            .mRemoved = item.mRemoved });
-  }
   if (aAskedAt.has_value() && aRelayed.mAgeMs >= 0) {
     news.mCurrentAt = *aAskedAt - Milliseconds{ aRelayed.mAgeMs };
   }
--- a/trefoil/store/store_call.h
+++ b/trefoil/store/store_call.h
@@ -85,6 +85,12 @@
   std::int64_t mRevision = 0;
   // The key is gone as of the revision; only in changes.
   bool mRemoved = false;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mKey, mValue, mRevision, mRemoved);
+  }
 };
 
 enum class StoreOutcome
--- a/trefoil/wire/store_relay_message.h
+++ b/trefoil/wire/store_relay_message.h
@@ -7,9 +7,9 @@
 
 #include "trefoil/base/endpoint.h"
 #include "trefoil/base/ids.h"
+#include "trefoil/store/store_call.h"
 
 #include <cstdint>
-#include <string>
 #include <vector>
 
 namespace trefoil {
@@ -31,20 +31,6 @@
   }
 };
 
-struct RelayedItem
-{
-  std::string mKey;
-  std::string mValue;
-  std::int64_t mRevision = 0;
-  bool mRemoved = false;
-
-  template<typename Archive>
-  void serialize(Archive& aArchive)
-  {
-    aArchive(mKey, mValue, mRevision, mRemoved);
-  }
-};
-
 // What a host knows of the keys of a prefix.
 struct RelayedPrefix
 {
@@ -56,7 +42,7 @@
   std::int64_t mAgeMs = 0;
   // The items are all changes after this revision; -1 if they are left out.
   std::int64_t mItemsSince = -1;
-  std::vector<RelayedItem> mItems;
+  std::vector<StoreItem> mItems;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
