--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -138,7 +138,7 @@
 void
 Exchange::RecordPromptDemand()
 {
-  mState.mPromptTokens[mService] += static_cast<double>(mMetadata.mPromptTokens);
+  mState.mLoads[mService].mPromptTokens += static_cast<double>(mMetadata.mPromptTokens);
 }
 
 RequestDigest
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -151,6 +151,7 @@
   bool CheckRequestHead();
   void RelayEvents();
   void RecordAnswerBegun();
+  void RecordUndisturbedPrefill(Instant::duration aTime);
   void CountUsage();
   void OnAnswerComplete();
   void DeliverAnswer(HttpResponse aAnswer);
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -9,6 +9,11 @@
 constexpr int kFirstServerError = 500;
 // Bytes of one answer that are buffered for a client that reads too slowly.
 constexpr std::size_t kMaxUnsentBytes = std::size_t{ 4 } * 1024 * 1024;
+// The time to the first event of a shorter prompt shows the delay of the network and of the
+// server's scheduling rather than its prefill rate.
+constexpr double kMinPrefillTokens = 4'000;
+// The part of a prompt that may wait ahead of it without disturbing its prefill.
+constexpr double kMaxWaitingShare = 0.1;
 
 } // namespace
 
@@ -101,9 +106,10 @@
   ServerStatus& status = StatusOfServer(mAttempt->mServer.mId);
   status.mPendingTokens -= std::exchange(mAttempt->mPendingTokens, 0.0);
   if (stream && !mCacheKey.empty()) {
-    RecordPrefill(mState.mPrefillRates[mService],
-                  mBasis.mWaitingTokens + mBasis.mUncachedTokens,
-                  now - mAttempt->mSentAt);
+    const Instant::duration prefillTime = now - mAttempt->mSentAt;
+    RecordPrefill(
+      mState.mPrefillRates[mService], mBasis.mWaitingTokens + mBasis.mUncachedTokens, prefillTime);
+    RecordUndisturbedPrefill(prefillTime);
   }
   mAnswerBegunAt = mAnswerBegunAt.value_or(now);
   mState.mMetrics.Observe(stream ? Latency::kFirstToken : Latency::kPlainResponse,
@@ -111,6 +117,20 @@
   CountUsage();
 }
 
+// Counts the prefill toward the rate by which the service is scaled, unless other prompts were
+// waiting at the server or the prompt is too short to show the rate.
+void
+Exchange::RecordUndisturbedPrefill(Instant::duration aTime)
+{
+  if (mBasis.mUncachedTokens < kMinPrefillTokens ||
+      mBasis.mWaitingTokens > kMaxWaitingShare * mBasis.mUncachedTokens) {
+    return;
+  }
+  ServiceLoad& load = mState.mLoads[mService];
+  load.mPrefillTokens += mBasis.mUncachedTokens;
+  load.mPrefillMs += std::chrono::duration<double, std::milli>(aTime).count();
+}
+
 // Adds the request to the usage of its account. Has no effect on further calls.
 void
 Exchange::CountUsage()
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -41,8 +41,9 @@
   std::vector<DispatchReport> mUnsentReports;
   std::function<void(std::vector<DispatchReport>)> mOnDispatchReports;
   UsageWindows mUsage;
-  // Prompt tokens of the requests to each service since the start of the host.
-  std::map<ServiceId, double> mPromptTokens;
+  std::map<ServiceId, ServiceLoad> mLoads;
+  // Until when ServiceLoad::mBusyMs has been counted.
+  Instant mBusyCountedUntil;
   std::map<ServiceId, std::map<VersionId, VersionOutcomes>> mOutcomes;
   std::mt19937_64 mRandom;
   bool mStopping = false;
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -75,6 +75,7 @@
   void UpdateGauges(Instant aNow) const;
   void ApplyPeerUpdate(const PeerUpdate& aUpdate);
   void ApplyDispatches(const std::vector<DispatchReport>& aDispatches);
+  void CountBusyTime(Instant aNow);
   TrafficReport MakeReport();
   void Sweep();
   void StopListening();
@@ -290,15 +291,36 @@
   }
 }
 
+// Counts the requests in flight as if their number had not changed since the last report. The error
+// averages out, since reports are much more frequent than requests are long.
+void
+TrafficThread::Impl::CountBusyTime(Instant aNow)
+{
+  const Instant since = std::exchange(mState.mBusyCountedUntil, aNow);
+  if (since == Instant{}) {
+    return;
+  }
+  const double elapsedMs = std::chrono::duration<double, std::milli>(aNow - since).count();
+  for (const auto& [service, servers] : mState.mServers) {
+    for (const RegisteredServer* server : servers) {
+      const auto status = mState.mServerStatuses.find(server->mId);
+      if (status != mState.mServerStatuses.end() && status->second.mInFlight > 0) {
+        mState.mLoads[service].mBusyMs += status->second.mInFlight * elapsedMs;
+      }
+    }
+  }
+}
+
 TrafficReport
 TrafficThread::Impl::MakeReport()
 {
   const Instant now = SuspendAwareNow();
   UpdateGauges(now);
   EndQuotaRound(mState.mQuotas);
+  CountBusyTime(now);
   TrafficReport report{ .mUsage = mState.mUsage,
                         .mCrashes = std::exchange(mState.mUnreportedCrashes, {}),
-                        .mPromptTokens = mState.mPromptTokens,
+                        .mLoads = mState.mLoads,
                         .mOutcomes = mState.mOutcomes };
   for (const auto& [account, use] : mState.mQuotas.mAccounts) {
     report.mQuotaUsed[account] = { .mTotal = use.mOwnTotal, .mLevel = use.mBucket.mTokens };
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -84,6 +84,19 @@
   double mLevel = 0;
 };
 
+// The load of a service on one host since the host's start.
+struct ServiceLoad
+{
+  // Prompt tokens of all requests to the service.
+  double mPromptTokens = 0;
+  // Prompt tokens that servers prefilled while no other prompt was known to wait there, and the
+  // time from the dispatch of these requests to their first event.
+  double mPrefillTokens = 0;
+  double mPrefillMs = 0;
+  // The sum over all requests of the time that they spend at servers.
+  double mBusyMs = 0;
+};
+
 // A report of the traffic thread to the control thread.
 struct TrafficReport
 {
@@ -94,8 +107,7 @@
   // Servers that broke a connection, were unreachable or did not respond, and have not responded
   // since.
   std::vector<BackendServerId> mBroken;
-  // Prompt tokens of the requests to each service since the start of the host.
-  std::map<ServiceId, double> mPromptTokens;
+  std::map<ServiceId, ServiceLoad> mLoads;
   std::map<ServiceId, std::map<VersionId, VersionOutcomes>> mOutcomes;
 };
 
--- /dev/null
+++ b/trefoil/steering/aggregation_test.cc
@@ -0,0 +1,570 @@
+#include "trefoil/steering/aggregation.h"
+
+#include "trefoil/wire/codec.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <fmt/format.h>
+#include <functional>
+#include <memory>
+#include <random>
+#include <rapidcheck.h>
+#include <tuple>
+
+namespace trefoil {
+namespace {
+
+constexpr Milliseconds kInterval{ 500 };
+constexpr Milliseconds kMessageDelay{ 2 };
+const ClientAccountId kAccount{ "club" };
+const BackendServerId kServer{ "engine-1" };
+constexpr std::int64_t kWindow = 7;
+
+struct SimulatedHost
+{
+  HostId mName;
+  AvailabilityZoneId mZone;
+  Endpoint mEndpoint;
+  std::uint64_t mIncarnation = 1;
+  std::uint64_t mSequence = 0;
+  PeerTable mTable;
+  AggregationState mState;
+  // The requests that this host has counted, and what it has learned of the others'.
+  std::uint64_t mOwn = 0;
+  double mOthers = 0;
+  bool mHoldsDuties = false;
+  bool mReportsBroken = false;
+  bool mIsDown = false;
+  Instant mFrozenUntil;
+  // Messages that arrived while the process was frozen.
+  std::deque<Message> mWaiting;
+  std::size_t mSent = 0;
+  std::size_t mReceived = 0;
+};
+
+// Entry hosts that exchange updates and totals on a simulated clock. All are listed in the store.
+class SimulatedFleet
+{
+public:
+  // Returns whether a message from one host to another is lost.
+  using Loss = std::function<bool(const SimulatedHost&, const SimulatedHost&, const Message&)>;
+
+  SimulatedFleet(int aZones, int aHostsInZone)
+  {
+    for (int i = 0; i < aZones * aHostsInZone; ++i) {
+      auto host = std::make_unique<SimulatedHost>();
+      host->mName = HostId{ fmt::format("host-{:03}", i) };
+      host->mZone = AvailabilityZoneId{ fmt::format("zone-{}", i % aZones) };
+      host->mEndpoint = { .mAddress = fmt::format("10.0.{}.{}", i / 200, i % 200), .mPort = 7600 };
+      mHosts.push_back(std::move(host));
+    }
+    for (const auto& host : mHosts) {
+      StartProcess(*host);
+    }
+  }
+
+  SimulatedHost& Host(std::size_t aIndex) { return *mHosts.at(aIndex); }
+  SimulatedHost& Host(const HostId& aName)
+  {
+    return **std::ranges::find(mHosts, aName, [](const auto& aItem) { return aItem->mName; });
+  }
+  const std::vector<std::unique_ptr<SimulatedHost>>& Hosts() const { return mHosts; }
+  Instant Now() const { return mNow; }
+  void SetLoss(Loss aLoss) { mLoss = std::move(aLoss); }
+
+  void StartProcess(SimulatedHost& aHost)
+  {
+    aHost.mTable = { .mSelf = aHost.mName, .mZone = aHost.mZone };
+    for (const auto& other : mHosts) {
+      aHost.mTable.mListedHosts[other->mName] = { .mEndpoint = other->mEndpoint,
+                                                  .mZone = other->mZone };
+    }
+    aHost.mState = { .mEpoch = aHost.mIncarnation };
+    aHost.mSequence = 0;
+    aHost.mOwn = 0;
+    aHost.mOthers = 0;
+    aHost.mIsDown = false;
+  }
+
+  void Restart(SimulatedHost& aHost)
+  {
+    ++aHost.mIncarnation;
+    StartProcess(aHost);
+  }
+
+  // Runs one update interval, in which each host that is up counts `aRequests`.
+  void RunRound(std::uint64_t aRequests)
+  {
+    for (const auto& host : mHosts) {
+      if (IsRunning(*host)) {
+        host->mOwn += aRequests;
+        mCounted += aRequests;
+      }
+    }
+    const Milliseconds step = kInterval / static_cast<int>(mHosts.size() + 1);
+    const Instant start = mNow;
+    for (std::size_t i = 0; i < mHosts.size(); ++i) {
+      mNow = start + static_cast<int>(i) * step;
+      if (IsRunning(*mHosts[i])) {
+        RunTimer(*mHosts[i]);
+      }
+    }
+    mNow = start + kInterval;
+  }
+
+  void RunRounds(int aRounds, std::uint64_t aRequests)
+  {
+    for (int i = 0; i < aRounds; ++i) {
+      RunRound(aRequests);
+    }
+  }
+
+  // Returns what the other hosts have counted, including earlier processes of theirs.
+  double CountedByOthers(const SimulatedHost& aHost) const
+  {
+    return static_cast<double>(mCounted - aHost.mOwn);
+  }
+
+  bool IsAggregator(const SimulatedHost& aHost) const
+  {
+    const auto aggregators = AggregatorsOf(aHost.mZone);
+    return std::ranges::find(aggregators, aHost.mName) != aggregators.end();
+  }
+
+  std::vector<HostId> AggregatorsOf(const AvailabilityZoneId& aZone) const
+  {
+    const SimulatedHost& host = **std::ranges::find_if(
+      mHosts, [&](const auto& aItem) { return aItem->mZone == aZone && IsRunning(*aItem); });
+    return ZoneAggregators(host.mTable, host.mState, aZone, mNow);
+  }
+
+private:
+  bool IsRunning(const SimulatedHost& aHost) const
+  {
+    return !aHost.mIsDown && HasPassed(aHost.mFrozenUntil, mNow);
+  }
+
+  WallTime Wall() const
+  {
+    return FromUnixMilliseconds(
+      1'772'000'000'000 +
+      std::chrono::duration_cast<Milliseconds>(mNow.time_since_epoch()).count());
+  }
+
+  void RunTimer(SimulatedHost& aHost)
+  {
+    // A process that was frozen runs its timers before it reads what has arrived.
+    const HostReport report{ .mUpdate = {
+                               .mHost = aHost.mName,
+                               .mIncarnation = aHost.mIncarnation,
+                               .mSequence = ++aHost.mSequence,
+                               .mEndpoint = aHost.mEndpoint,
+                               .mZone = aHost.mZone,
+                               .mWallMs = UnixMilliseconds(Wall()),
+                               .mHoldsDuties = aHost.mHoldsDuties,
+                               .mQuotas = { { .mAccount = kAccount, .mUsed = aHost.mOwn } },
+                               .mUsage = { { .mWindow = kWindow,
+                                             .mAccount = kAccount,
+                                             .mRequests = static_cast<std::int64_t>(aHost.mOwn) } },
+                               .mBroken = aHost.mReportsBroken ? std::vector{ kServer }
+                                                               : std::vector<BackendServerId>{} } };
+    BeginAggregationRound(aHost.mTable, aHost.mState, mNow);
+    for (const auto& [host, listed] :
+         AggregatedUpdateRecipients(aHost.mTable, aHost.mState, mNow)) {
+      RecordSent(aHost.mState, host, mNow);
+      Send(aHost, listed.mEndpoint, report);
+    }
+    PeerUpdate added;
+    const auto messages =
+      MakeTotalsMessages(aHost.mTable, aHost.mState, report, added, Wall(), mNow);
+    Learn(aHost, added);
+    const auto holder = HolderToReportTo(aHost.mTable, aHost.mState, mNow);
+    if (holder.has_value()) {
+      Send(aHost,
+           Host(*holder).mEndpoint,
+           UsageUpdate{ .mHost = aHost.mName,
+                        .mIncarnation = aHost.mIncarnation,
+                        .mUsage = report.mUpdate.mUsage });
+    }
+    for (const Datagram& datagram : messages) {
+      Send(aHost, datagram.mTo, datagram.mMessage);
+    }
+    for (; !aHost.mWaiting.empty(); aHost.mWaiting.pop_front()) {
+      Receive(aHost, aHost.mWaiting.front());
+    }
+  }
+
+  void Send(SimulatedHost& aFrom, const Endpoint& aTo, const Message& aMessage)
+  {
+    ++aFrom.mSent;
+    SimulatedHost& receiver =
+      **std::ranges::find(mHosts, aTo, [](const auto& aItem) { return aItem->mEndpoint; });
+    if (receiver.mIsDown || (mLoss && mLoss(aFrom, receiver, aMessage))) {
+      return;
+    }
+    ++receiver.mReceived;
+    if (IsRunning(receiver)) {
+      Receive(receiver, aMessage);
+    } else {
+      receiver.mWaiting.push_back(aMessage);
+    }
+  }
+
+  void Receive(SimulatedHost& aHost, const Message& aMessage)
+  {
+    const Instant now = mNow + kMessageDelay;
+    if (const auto* report = std::get_if<HostReport>(&aMessage)) {
+      ApplyHostReport(aHost.mTable, *report, now);
+      RecordPeerClock(aHost.mTable, report->mUpdate, Wall());
+      RecordZoneCrashes(aHost.mState, report->mUpdate.mCrashes, now);
+    } else if (const auto* usage = std::get_if<UsageUpdate>(&aMessage)) {
+      ApplyUsage(aHost.mTable, *usage);
+    } else if (const auto* totals = std::get_if<TotalsMessage>(&aMessage)) {
+      Learn(aHost, ApplyTotals(aHost.mTable, aHost.mState, *totals, Wall(), now));
+    }
+  }
+
+  static void Learn(SimulatedHost& aHost, const PeerUpdate& aAdded)
+  {
+    const auto used = aAdded.mQuotaUsed.find(kAccount);
+    aHost.mOthers += used == aAdded.mQuotaUsed.end() ? 0 : used->second;
+  }
+
+  std::vector<std::unique_ptr<SimulatedHost>> mHosts;
+  std::uint64_t mCounted = 0;
+  Loss mLoss;
+  Instant mNow{ std::chrono::hours{ 1 } };
+};
+
+// Rounds until an update has reached all hosts: one interval to the aggregators of the zone, one to
+// those of the other zones and one to their hosts.
+constexpr int kRoundsToSpread = 3;
+// Rounds after which a host that has stopped is suspected everywhere and replaced.
+constexpr int kRoundsToReplace = 12;
+constexpr std::uint64_t kRequests = 10;
+
+SCENARIO("the hosts of a large fleet know what the others have counted")
+{
+  SimulatedFleet fleet{ 4, 12 };
+  // The first messages of a source only align the totals.
+  fleet.RunRounds(2 * kRoundsToSpread, 0);
+  WHEN("all hosts count requests")
+  {
+    fleet.RunRounds(5, kRequests);
+    fleet.RunRounds(kRoundsToSpread, 0);
+    THEN("each host knows the exact sum of the others within three intervals")
+    {
+      for (const auto& host : fleet.Hosts()) {
+        CHECK(host->mOthers == fleet.CountedByOthers(*host));
+      }
+    }
+    THEN("all hosts are in contact")
+    {
+      const FleetStatus status =
+        StatusOfFleet(fleet.Host(5).mTable, fleet.Host(5).mState, fleet.Now());
+      CHECK(status.mHosts == 48);
+      CHECK(status.mReachableHosts == 48);
+      CHECK(status.mClockCorrection == Milliseconds{ 0 });
+    }
+  }
+  WHEN("a host restarts")
+  {
+    fleet.RunRounds(5, kRequests);
+    fleet.RunRounds(kRoundsToSpread, 0);
+    const double before = fleet.Host(1).mOthers;
+    fleet.Restart(fleet.Host(6));
+    fleet.RunRounds(kRoundsToSpread, 0);
+    THEN("no sum decreases, and its new requests are added")
+    {
+      CHECK(fleet.Host(1).mOthers == before);
+      fleet.RunRounds(2, kRequests);
+      fleet.RunRounds(kRoundsToSpread, 0);
+      CHECK(fleet.Host(1).mOthers == before + 2 * 47 * kRequests);
+    }
+  }
+  WHEN("two hosts of different zones report a server as broken")
+  {
+    fleet.Host(0).mReportsBroken = true;
+    fleet.RunRounds(kRoundsToSpread, 0);
+    CHECK(StatusOfFleet(fleet.Host(7).mTable, fleet.Host(7).mState, fleet.Now()).mBroken.empty());
+    fleet.Host(1).mReportsBroken = true;
+    fleet.RunRounds(kRoundsToSpread, 0);
+    THEN("the others learn of it, and the two count only each other's report")
+    {
+      const auto broken = [&](std::size_t aHost) {
+        return StatusOfFleet(fleet.Host(aHost).mTable, fleet.Host(aHost).mState, fleet.Now())
+          .mBroken;
+      };
+      CHECK(broken(7) == std::set{ kServer });
+      CHECK(broken(0).empty());
+    }
+  }
+}
+
+SCENARIO("an aggregator fails under load")
+{
+  SimulatedFleet fleet{ 4, 12 };
+  fleet.RunRounds(2 * kRoundsToSpread, kRequests);
+  const AvailabilityZoneId zone = fleet.Host(0).mZone;
+  SimulatedHost& aggregator = fleet.Host(fleet.AggregatorsOf(zone).front());
+  const SimulatedHost& observer = fleet.Host(aggregator.mName == fleet.Host(1).mName ? 2 : 1);
+  const auto uncounted = [&] { return fleet.CountedByOthers(observer) - observer.mOthers; };
+  fleet.RunRounds(kRoundsToSpread, 0);
+  const double uncountedBefore = uncounted();
+  // The traffic of the zone in one update interval.
+  const double interval = 12.0 * kRequests;
+  WHEN("it stops for good")
+  {
+    aggregator.mIsDown = true;
+    fleet.RunRounds(kRoundsToReplace, kRequests);
+    fleet.RunRounds(kRoundsToSpread, 0);
+    THEN("another host of the zone takes its place, and at most one interval is miscounted")
+    {
+      const auto aggregators = fleet.AggregatorsOf(zone);
+      REQUIRE(aggregators.size() >= 2);
+      CHECK(aggregators[0] != aggregator.mName);
+      CHECK(aggregators[1] != aggregator.mName);
+      CHECK(std::abs(uncounted() - uncountedBefore) <= interval);
+    }
+  }
+  WHEN("it is frozen for several seconds and thaws")
+  {
+    aggregator.mFrozenUntil = fleet.Now() + 10 * kInterval;
+    fleet.RunRounds(10, kRequests);
+    const double lost = uncounted();
+    fleet.RunRounds(kRoundsToReplace, kRequests);
+    fleet.RunRounds(kRoundsToSpread, 0);
+    THEN("what it had missed is not counted a second time")
+    {
+      CHECK(uncounted() >= uncountedBefore - interval);
+      CHECK(uncounted() <= std::max(lost, uncountedBefore + interval));
+    }
+    AND_WHEN("it is the only one of the two that is left")
+    {
+      for (const HostId& host : fleet.AggregatorsOf(zone)) {
+        fleet.Host(host).mIsDown = host != aggregator.mName;
+      }
+      const double before = uncounted();
+      fleet.RunRounds(2, kRequests);
+      fleet.RunRounds(kRoundsToSpread, 0);
+      THEN("it still sums the requests of its zone")
+      {
+        CHECK(uncounted() <= before + interval);
+      }
+    }
+  }
+  WHEN("it is cut off from all other hosts and returns")
+  {
+    fleet.SetLoss([&](const SimulatedHost& aFrom, const SimulatedHost& aTo, const Message&) {
+      return aFrom.mName == aggregator.mName || aTo.mName == aggregator.mName;
+    });
+    fleet.RunRounds(kRoundsToReplace, kRequests);
+    const double ownDuringCut = static_cast<double>(kRoundsToReplace) * kRequests;
+    fleet.SetLoss({});
+    fleet.RunRounds(kRoundsToReplace, kRequests);
+    fleet.RunRounds(kRoundsToSpread, 0);
+    THEN("only its own requests during the cut may remain unknown")
+    {
+      CHECK(uncounted() >= uncountedBefore - interval);
+      CHECK(uncounted() <= uncountedBefore + interval + ownDuringCut);
+    }
+  }
+  WHEN("it restarts")
+  {
+    fleet.Restart(aggregator);
+    fleet.RunRounds(kRoundsToReplace, kRequests);
+    fleet.RunRounds(kRoundsToSpread, 0);
+    THEN("nothing is counted twice")
+    {
+      // The requests of its former process stay counted.
+      CHECK(uncounted() >= uncountedBefore - interval);
+      CHECK(uncounted() <= uncountedBefore + interval);
+    }
+  }
+}
+
+SCENARIO("a zone is cut off from the others while its preferred aggregator is silent")
+{
+  SimulatedFleet fleet{ 4, 12 };
+  fleet.RunRounds(2 * kRoundsToSpread, kRequests);
+  const AvailabilityZoneId zone = fleet.Host(0).mZone;
+  SimulatedHost& silent = fleet.Host(fleet.AggregatorsOf(zone).front());
+  silent.mFrozenUntil = fleet.Now() + 10 * kInterval;
+  fleet.SetLoss([&](const SimulatedHost& aFrom, const SimulatedHost& aTo, const Message&) {
+    return (aFrom.mZone == zone) != (aTo.mZone == zone);
+  });
+  fleet.RunRounds(10, kRequests);
+  const SimulatedHost& inside = fleet.Host(silent.mName == fleet.Host(0).mName ? 4 : 0);
+  const SimulatedHost& outside = fleet.Host(1);
+  THEN("the hosts on each side share what they have, and use only their part of the quotas")
+  {
+    CHECK(StatusOfFleet(inside.mTable, inside.mState, fleet.Now()).mReachableHosts == 11);
+    CHECK(StatusOfFleet(outside.mTable, outside.mState, fleet.Now()).mReachableHosts == 36);
+    CHECK(StatusOfFleet(outside.mTable, outside.mState, fleet.Now()).mHosts == 48);
+    const double before = inside.mOthers;
+    fleet.RunRounds(2, kRequests);
+    CHECK(inside.mOthers > before);
+  }
+  WHEN("the zone is connected again")
+  {
+    fleet.RunRounds(kRoundsToSpread, 0);
+    const double before = outside.mOthers;
+    fleet.SetLoss({});
+    fleet.RunRounds(kRoundsToReplace, 0);
+    THEN("all hosts are in contact, and the requests during the cut are not taken for new ones")
+    {
+      CHECK(StatusOfFleet(inside.mTable, inside.mState, fleet.Now()).mReachableHosts == 48);
+      CHECK(outside.mOthers <= before + 12.0 * kRequests);
+    }
+  }
+}
+
+SCENARIO("the holder of the duties sums the usage of all hosts")
+{
+  SimulatedFleet fleet{ 4, 12 };
+  SimulatedHost& holder = fleet.Host(3);
+  holder.mHoldsDuties = true;
+  fleet.RunRounds(4, kRequests);
+  const auto usage = [&] { return UsageOfFleet(holder.mTable, holder.mState, kWindow)[kAccount]; };
+  WHEN("no request is added any more")
+  {
+    fleet.RunRounds(kRoundsToSpread, 0);
+    THEN("the usage of the window is exact, although it began before the first message")
+    {
+      CHECK(static_cast<double>(usage()) == fleet.CountedByOthers(holder));
+    }
+  }
+  WHEN("a host restarts in the window and its aggregator stops")
+  {
+    fleet.Restart(fleet.Host(6));
+    SimulatedHost& aggregator = fleet.Host(fleet.AggregatorsOf(fleet.Host(6).mZone).front());
+    fleet.RunRounds(kRoundsToSpread, 0);
+    if (aggregator.mName != fleet.Host(6).mName && aggregator.mName != holder.mName) {
+      aggregator.mIsDown = true;
+    }
+    fleet.RunRounds(kRoundsToReplace, 0);
+    THEN("the requests of its former process still count, once")
+    {
+      CHECK(static_cast<double>(usage()) == fleet.CountedByOthers(holder));
+    }
+  }
+}
+
+SCENARIO("half of a zone loses power at once, its aggregators included")
+{
+  SimulatedFleet fleet{ 4, 12 };
+  SimulatedHost& holder = fleet.Host(3);
+  holder.mHoldsDuties = true;
+  fleet.RunRounds(4, kRequests);
+  fleet.RunRounds(kRoundsToSpread, 0);
+  const AvailabilityZoneId zone = fleet.Host(0).mZone;
+  std::set<HostId> lost;
+  for (const HostId& host : fleet.AggregatorsOf(zone)) {
+    lost.insert(host);
+  }
+  for (std::size_t i = 0; i < 24; i += 4) {
+    lost.insert(fleet.Host(i).mName);
+  }
+  const double before = fleet.CountedByOthers(holder);
+  for (const HostId& host : lost) {
+    fleet.Restart(fleet.Host(host));
+  }
+  fleet.RunRounds(2, kRequests);
+  fleet.RunRounds(kRoundsToReplace, 0);
+  THEN("the usage of their former processes and of the new ones counts")
+  {
+    const auto usage = UsageOfFleet(holder.mTable, holder.mState, kWindow)[kAccount];
+    CHECK(static_cast<double>(usage) == before + 2.0 * 47 * kRequests);
+  }
+}
+
+SCENARIO("the load of a host does not grow with the fleet")
+{
+  const auto largestLoad = [](int aHostsInZone, bool aIncludeAggregators) {
+    SimulatedFleet fleet{ 6, aHostsInZone };
+    fleet.RunRounds(2 * kRoundsToSpread, 0);
+    for (const auto& host : fleet.Hosts()) {
+      host->mSent = 0;
+      host->mReceived = 0;
+    }
+    fleet.RunRounds(1, kRequests);
+    std::size_t largest = 0;
+    for (const auto& host : fleet.Hosts()) {
+      if (aIncludeAggregators || !fleet.IsAggregator(*host)) {
+        largest = std::max(largest, host->mSent + host->mReceived);
+      }
+    }
+    return largest;
+  };
+  THEN("a host exchanges two messages each way in an interval, whatever the number of hosts")
+  {
+    CHECK(largestLoad(6, false) == 4);
+    CHECK(largestLoad(50, false) == 4);
+  }
+  THEN("an aggregator exchanges messages with the hosts of its zone and two of each other zone")
+  {
+    CHECK(largestLoad(50, true) <= 2 * (49 + 2 * 5) + 2);
+  }
+}
+
+SCENARIO("the connections of many requests break at once")
+{
+  SimulatedFleet fleet{ 4, 12 };
+  fleet.RunRounds(2 * kRoundsToSpread, 0);
+  SimulatedHost& aggregator = fleet.Host(fleet.AggregatorsOf(fleet.Host(0).mZone).front());
+  std::vector<CrashReport> crashes;
+  for (int i = 0; i < 2'000; ++i) {
+    crashes.push_back({ .mHost = HostId{ "host-000" },
+                        .mDigest = fmt::format("{:064}", i),
+                        .mCrashes = { { .mServer = kServer, .mCrashes = i == 7 ? 2 : 1 } } });
+  }
+  RecordZoneCrashes(aggregator.mState, crashes, fleet.Now());
+  PeerUpdate added;
+  const Datagrams messages = MakeTotalsMessages(aggregator.mTable,
+                                                aggregator.mState,
+                                                { .mUpdate = { .mHost = aggregator.mName } },
+                                                added,
+                                                FromUnixMilliseconds(0),
+                                                fleet.Now());
+  REQUIRE_FALSE(messages.empty());
+  THEN("the messages stay small and contain the request with the most crashes")
+  {
+    for (const Datagram& datagram : messages) {
+      CHECK(Encode(datagram.mMessage).size() < 10'000);
+      const auto& reports = std::get<TotalsMessage>(datagram.mMessage).mCrashes;
+      CHECK(std::ranges::find(reports, crashes[7].mDigest, &CrashReport::mDigest) != reports.end());
+    }
+  }
+}
+
+SCENARIO("messages are lost at random")
+{
+  const bool passed = rc::check("sums never exceed what was counted, and catch up", [] {
+    SimulatedFleet fleet{ 3, 11 };
+    fleet.RunRounds(2 * kRoundsToSpread, 0);
+    // No two messages of a kind in a row are lost on a link, so that no host is suspected.
+    std::mt19937_64 random{ *rc::gen::arbitrary<std::uint64_t>() };
+    std::map<std::tuple<HostId, HostId, std::size_t>, bool> wasLost;
+    fleet.SetLoss([&](const auto& aFrom, const auto& aTo, const Message& aMessage) {
+      bool& lost = wasLost[{ aFrom.mName, aTo.mName, aMessage.index() }];
+      lost = !lost && random() % 4 == 0;
+      return lost;
+    });
+    for (int round = 0; round < 6; ++round) {
+      fleet.RunRound(*rc::gen::inRange<std::uint64_t>(0, 50));
+      for (const auto& host : fleet.Hosts()) {
+        RC_ASSERT(host->mOthers <= fleet.CountedByOthers(*host));
+      }
+    }
+    fleet.SetLoss({});
+    fleet.RunRounds(kRoundsToSpread, 0);
+    for (const auto& host : fleet.Hosts()) {
+      RC_ASSERT(host->mOthers == fleet.CountedByOthers(*host));
+    }
+  });
+  CHECK(passed);
+}
+
+} // namespace
+} // namespace trefoil
--- a/trefoil/steering/control_thread.cc
+++ b/trefoil/steering/control_thread.cc
@@ -24,18 +24,18 @@
 constexpr Milliseconds kRelayQueryInterval{ 800 };
 constexpr Milliseconds kCloudSilenceLimit{ 1'500 };
 
-// Logs the number of live peers if it has changed.
+// Logs the number of hosts in contact if it has changed.
 void
 LogPeersInTouch(SteeringState& aState)
 {
-  const std::size_t peersInTouch = LivePeers(aState.mPeers, SuspendAwareNow()).size();
-  if (peersInTouch != std::exchange(aState.mPeersInTouch, peersInTouch)) {
+  const auto hosts = static_cast<std::size_t>(aState.mView.mReachableHosts);
+  if (hosts != std::exchange(aState.mPeersInTouch, hosts)) {
     aState.mLog.Write(LogSeverity::kNotable,
                       LogEvent::kPeersChanged,
                       "in_touch={} hosts={} quota_share={:.2f}",
-                      peersInTouch,
-                      HostCount(aState.mPeers, SuspendAwareNow()),
-                      QuotaShare(aState.mPeers, SuspendAwareNow()));
+                      hosts - 1,
+                      aState.mView.mHosts,
+                      aState.mView.mQuotaShare);
   }
 }
 
@@ -47,11 +47,11 @@
     aState.mCrashes.emplace_back(now, crash);
   }
   aState.mReport = std::move(aReport);
-  aState.mPeerUpdate.mBroken = ServersReportedBroken(aState.mPeers, now);
+  aState.mPeerUpdate.mBroken = StatusOfFleet(aState.mPeers, aState.mAggregation, now).mBroken;
   aState.mTraffic.PublishPeerUpdate(std::exchange(aState.mPeerUpdate, {}));
   SendTrafficUpdate(aState);
-  LogPeersInTouch(aState);
   PublishView(aState);
+  LogPeersInTouch(aState);
   RunDuties(aState);
   if (now - aState.mQuotaWrittenAt >= kQuotaRecordInterval) {
     aState.mQuotaWrittenAt = now;
@@ -87,9 +87,10 @@
   RefreshHosts(aState);
   if (aState.mOptions.mUsageWindow > Milliseconds{ 0 }) {
     constexpr std::int64_t kWindowsKept = 8;
-    DropUsageBefore(aState.mPeers,
-                    UnixMilliseconds(WallNow()) / aState.mOptions.mUsageWindow.count() -
-                      kWindowsKept);
+    const std::int64_t firstKept =
+      UnixMilliseconds(WallNow()) / aState.mOptions.mUsageWindow.count() - kWindowsKept;
+    DropUsageBefore(aState.mPeers, firstKept);
+    DropAggregatedUsageBefore(aState.mAggregation, firstKept);
   }
   aState.mLoop.CallAt(SuspendAwareNow() + kHostsRefreshInterval,
                       [&aState] { RefreshHostsRegularly(aState); });
@@ -106,6 +107,8 @@
   , mRandom(std::random_device{}())
 {
   mPeers.mSelf = mOptions.mHost;
+  mPeers.mZone = mOptions.mZone;
+  mAggregation.mEpoch = mIncarnation;
   if (mOptions.mCloud.has_value()) {
     mCloud.emplace(mLoop, *mOptions.mCloud, StreamOptions{ .mPeerTimeout = kCloudSilenceLimit });
   }
--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -19,8 +19,8 @@
 // if this host holds the duty for at least this long.
 constexpr Milliseconds kDutyCallTimeout{ 1'000 };
 // The last counts of a usage window have arrived from all hosts this long after its end: the
-// max update interval plus a margin for late timers.
-constexpr Milliseconds kUsageSettleTime{ 1'400 };
+// intervals on their way through two aggregators plus a margin for late timers and a lost message.
+constexpr Milliseconds kUsageSettleTime{ 2'400 };
 // Each host has a rank from 0 to this number, from a hash of its name, so that hosts try to
 // take the duties after different delays. Hosts can share a rank.
 constexpr int kMaxRank = 8;
@@ -216,7 +216,7 @@
 std::map<ClientAccountId, std::int64_t>
 SumUsage(const SteeringState& aState, std::int64_t aWindow)
 {
-  auto counts = UsageOfPeers(aState.mPeers, aWindow);
+  auto counts = UsageOfFleet(aState.mPeers, aState.mAggregation, aWindow);
   const auto own = aState.mReport.mUsage.find(aWindow);
   if (own != aState.mReport.mUsage.end()) {
     for (const auto& [account, requests] : own->second) {
@@ -289,7 +289,7 @@
                      { .mWindow = aState.mOptions.mUsageWindow,
                        .mSettleTime = kUsageSettleTime,
                        .mLateAfter = aState.mOptions.mUsageLateAfter },
-                     WallNow() + ClockCorrection(aState.mPeers, SuspendAwareNow()),
+                     WallNow() + aState.mView.mClockCorrection,
                      SuspendAwareNow(),
                      kStoreCallTimeout,
                      [&aState](std::int64_t aWindow) { return SumUsage(aState, aWindow); });
@@ -310,6 +310,36 @@
   }
 }
 
+std::map<ServiceId, ServiceLoad>
+LoadsOf(const Counters& aCounters)
+{
+  std::map<ServiceId, ServiceLoad> loads;
+  for (const auto& [key, total] : aCounters) {
+    const auto value = static_cast<double>(total);
+    const ServiceId service{ key.mSubject };
+    switch (key.mKind) {
+      case CounterKind::kPromptTokens:
+        loads[service].mPromptTokens = value;
+        break;
+      case CounterKind::kPrefillTokens:
+        loads[service].mPrefillTokens = value;
+        break;
+      case CounterKind::kPrefillMs:
+        loads[service].mPrefillMs = value;
+        break;
+      case CounterKind::kBusyMs:
+        loads[service].mBusyMs = value;
+        break;
+      case CounterKind::kQuotaUsed:
+      case CounterKind::kServed:
+      case CounterKind::kFailed:
+      case CounterKind::kLatencyMs:
+        break;
+    }
+  }
+  return loads;
+}
+
 void
 RunScaling(SteeringState& aState)
 {
@@ -320,29 +350,34 @@
   const ScalingInputs inputs{ .mCatalogue = &aState.mView.mCatalogue->mCatalogue,
                               .mServers = &aState.mServers,
                               .mZones = aState.mOptions.mZones };
-  for (const auto& [service, tokens] : aState.mReport.mPromptTokens) {
-    RecordDemand(aState.mScaling, aState.mOptions.mHost, service, tokens, now);
+  for (const auto& [service, load] : aState.mReport.mLoads) {
+    RecordDemand(aState.mScaling, aState.mOptions.mHost, service, load, now);
   }
-  for (const auto& [host, peer] : aState.mPeers.mPeers) {
-    for (const ServiceTotal& total : peer.mUpdate.mServices) {
-      RecordDemand(
-        aState.mScaling, host, total.mService, static_cast<double>(total.mPromptTokens), now);
-    }
+  // The totals of all other hosts are recorded like those of one host.
+  for (const auto& [service, load] :
+       LoadsOf(CountersOfOthers(aState.mPeers, aState.mAggregation))) {
+    RecordDemand(aState.mScaling, HostId{}, service, load, now);
   }
   for (const ServerOrder& order : DueOrders(aState.mScaling, inputs, now)) {
+    const Demand demand = PeakDemand(aState.mScaling, order.mService);
+    const double prefillRate = PrefillTokensPerServer(aState.mScaling, order.mService);
     aState.mCloud->Send(
       aState.mOptions.mCodec.mEncodeServerOrder(order, CurrentHolder(aState)),
       now + kDutyCallTimeout,
-      [&aState, order](const HttpReply& aReply) {
+      [&aState, order, demand, prefillRate](const HttpReply& aReply) {
         const bool accepted = IsAccepted(aReply);
         aState.mLog.Write(
           LogSeverity::kNotable,
           LogEvent::kScalingRequested,
-          "service={} zone={} count={} reclaimable={} accepted={} reply={} status={}",
+          "service={} zone={} count={} reclaimable={} tokens_per_s={:.0f} "
+          "prefill_per_server={:.0f} concurrent={:.0f} accepted={} reply={} status={}",
           order.mService.Value(),
           order.mZone.Value(),
           order.mCount,
           order.mReclaimable,
+          demand.mTokensPerSecond,
+          prefillRate,
+          demand.mConcurrentRequests,
           accepted,
           NameOf(kHttpReplyKindNames, aReply.mKind),
           aReply.mResponse.mStatus);
@@ -351,28 +386,6 @@
   }
 }
 
-// Returns the outcomes of each version of a service, summed over all hosts.
-std::map<VersionId, VersionOutcomes>
-SumOutcomes(const SteeringState& aState, const ServiceId& aService)
-{
-  std::map<VersionId, VersionOutcomes> sums;
-  const auto own = aState.mReport.mOutcomes.find(aService);
-  if (own != aState.mReport.mOutcomes.end()) {
-    sums = own->second;
-  }
-  for (const auto& [host, peer] : aState.mPeers.mPeers) {
-    for (const VersionTotal& total : peer.mUpdate.mVersions) {
-      if (total.mService == aService) {
-        VersionOutcomes& sum = sums[total.mVersion];
-        sum.mServed += total.mServed;
-        sum.mFailed += total.mFailed;
-        sum.mLatencyMs += total.mLatencyMs;
-      }
-    }
-  }
-  return sums;
-}
-
 void
 RunVersionMoves(SteeringState& aState)
 {
@@ -403,6 +416,40 @@
 
 } // namespace
 
+std::map<VersionId, VersionOutcomes>
+SumOutcomes(const SteeringState& aState, const ServiceId& aService)
+{
+  std::map<VersionId, VersionOutcomes> sums;
+  const auto own = aState.mReport.mOutcomes.find(aService);
+  if (own != aState.mReport.mOutcomes.end()) {
+    sums = own->second;
+  }
+  for (const auto& [key, total] : CountersOfOthers(aState.mPeers, aState.mAggregation)) {
+    if (key.mVersion.empty() || key.mSubject != aService.Value()) {
+      continue;
+    }
+    VersionOutcomes& sum = sums[VersionId{ key.mVersion }];
+    switch (key.mKind) {
+      case CounterKind::kServed:
+        sum.mServed += static_cast<std::int64_t>(total);
+        break;
+      case CounterKind::kFailed:
+        sum.mFailed += static_cast<std::int64_t>(total);
+        break;
+      case CounterKind::kLatencyMs:
+        sum.mLatencyMs += static_cast<double>(total);
+        break;
+      case CounterKind::kQuotaUsed:
+      case CounterKind::kPromptTokens:
+      case CounterKind::kPrefillTokens:
+      case CounterKind::kPrefillMs:
+      case CounterKind::kBusyMs:
+        break;
+    }
+  }
+  return sums;
+}
+
 void
 CampaignForDuties(SteeringState& aState)
 {
--- a/trefoil/steering/internal/peer_messages.cc
+++ b/trefoil/steering/internal/peer_messages.cc
@@ -1,5 +1,6 @@
 #include "trefoil/steering/internal/peer_messages.h"
 
+#include "trefoil/steering/internal/aggregation_messages.h"
 #include "trefoil/steering/internal/datagrams.h"
 #include "trefoil/steering/internal/duties.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
@@ -15,9 +16,6 @@
 namespace trefoil {
 namespace {
 
-// Dispatches of other hosts that arrive within this time are posted to the traffic thread
-// together.
-constexpr Milliseconds kDispatchBatchDelay{ 10 };
 // A crash is repeated in the updates for this long, since a datagram can be lost.
 constexpr Milliseconds kCrashRepeatTime{ 3'000 };
 // Usage windows in an update: the current one and those whose counts may still change.
@@ -56,59 +54,69 @@
   for (const auto& [seenAt, crash] : aState.mCrashes) {
     update.mCrashes.push_back(ToCrashReport(crash));
   }
-  for (const auto& [service, tokens] : aState.mReport.mPromptTokens) {
+  for (const auto& [service, load] : aState.mReport.mLoads) {
     update.mServices.push_back(
-      { .mService = service, .mPromptTokens = static_cast<std::uint64_t>(tokens) });
-  }
-  if (!aState.mMoves.mMoves.empty()) {
-    for (const auto& [service, versions] : aState.mReport.mOutcomes) {
-      for (const auto& [version, outcomes] : versions) {
-        update.mVersions.push_back({ .mService = service,
-                                     .mVersion = version,
-                                     .mServed = outcomes.mServed,
-                                     .mFailed = outcomes.mFailed,
-                                     .mLatencyMs = outcomes.mLatencyMs });
-      }
+      { .mService = service, .mPromptTokens = static_cast<std::uint64_t>(load.mPromptTokens) });
+  }
+  for (const auto& [service, versions] : aState.mReport.mOutcomes) {
+    for (const auto& [version, outcomes] : versions) {
+      update.mVersions.push_back({ .mService = service,
+                                   .mVersion = version,
+                                   .mServed = outcomes.mServed,
+                                   .mFailed = outcomes.mFailed,
+                                   .mLatencyMs = outcomes.mLatencyMs });
     }
   }
   return update;
 }
 
+HostReport
+MakeHostReport(SteeringState& aState)
+{
+  HostReport report{ .mUpdate = MakeTrafficUpdate(aState) };
+  for (const auto& [service, load] : aState.mReport.mLoads) {
+    const auto add = [&report, name = service.Value()](CounterKind aKind, double aTotal) {
+      report.mCounters.push_back(
+        { .mKind = aKind, .mSubject = name, .mTotal = static_cast<std::uint64_t>(aTotal) });
+    };
+    add(CounterKind::kPrefillTokens, load.mPrefillTokens);
+    add(CounterKind::kPrefillMs, load.mPrefillMs);
+    add(CounterKind::kBusyMs, load.mBusyMs);
+  }
+  return report;
+}
+
 void
-OnTrafficUpdate(SteeringState& aState, const TrafficUpdate& aUpdate)
+OnHostReport(SteeringState& aState, const HostReport& aReport)
 {
-  const bool isNewIncarnation = IsNewIncarnation(aState.mPeers, aUpdate);
-  const PeerUpdate added = ApplyTrafficUpdate(aState.mPeers, aUpdate, SuspendAwareNow());
-  RecordPeerClock(aState.mPeers, aUpdate, WallNow());
-  if (aUpdate.mHoldsDuties && aUpdate.mHost != aState.mOptions.mHost) {
+  const TrafficUpdate& update = aReport.mUpdate;
+  const bool isNewIncarnation = IsNewIncarnation(aState.mPeers, update);
+  const PeerUpdate added = ApplyHostReport(aState.mPeers, aReport, SuspendAwareNow());
+  RecordPeerClock(aState.mPeers, update, WallNow());
+  if (update.mHoldsDuties && update.mHost != aState.mOptions.mHost) {
     OnHolderSeen(aState);
   }
-  for (const auto& [account, used] : added.mQuotaUsed) {
-    aState.mPeerUpdate.mQuotaUsed[account] += used;
+  // What the hosts of this zone report comes back with the totals of the fleet.
+  const auto listed = aState.mPeers.mListedHosts.find(update.mHost);
+  const bool isAggregated = UsesAggregation(aState.mPeers) &&
+                            listed != aState.mPeers.mListedHosts.end() &&
+                            !listed->second.mZone.Empty();
+  if (isAggregated) {
+    RecordZoneCrashes(aState.mAggregation, update.mCrashes, SuspendAwareNow());
+  } else {
+    for (const auto& [account, used] : added.mQuotaUsed) {
+      aState.mPeerUpdate.mQuotaUsed[account] += used;
+    }
   }
   aState.mPeerUpdate.mCrashes.insert(
     aState.mPeerUpdate.mCrashes.end(), added.mCrashes.begin(), added.mCrashes.end());
-  if (isNewIncarnation) {
+  if (isNewIncarnation && !UsesAggregation(aState.mPeers)) {
     // A host that has just started gets an update of this one without waiting for the next
     // interval.
     SendTrafficUpdate(aState);
   }
 }
 
-// Batches the dispatches that arrive within kDispatchBatchDelay, so that the traffic thread
-// wakes up less often.
-void
-OnDispatchUpdate(SteeringState& aState, const DispatchUpdate& aUpdate)
-{
-  if (aState.mReceivedDispatches.empty()) {
-    aState.mLoop.CallAt(SuspendAwareNow() + kDispatchBatchDelay, [&aState] {
-      aState.mTraffic.ApplyDispatches(std::exchange(aState.mReceivedDispatches, {}));
-    });
-  }
-  aState.mReceivedDispatches.insert(
-    aState.mReceivedDispatches.end(), aUpdate.mDispatches.begin(), aUpdate.mDispatches.end());
-}
-
 void
 OnDatagram(SteeringState& aState, std::string_view aBytes)
 {
@@ -121,14 +129,25 @@
                       std::string{ message.status().message() });
     return;
   }
-  if (const auto* update = std::get_if<TrafficUpdate>(&*message)) {
-    OnTrafficUpdate(aState, *update);
+  if (const auto* report = std::get_if<HostReport>(&*message)) {
+    OnHostReport(aState, *report);
+  } else if (const auto* usage = std::get_if<UsageUpdate>(&*message)) {
+    ApplyUsage(aState.mPeers, *usage);
+  } else if (const auto* update = std::get_if<TrafficUpdate>(&*message)) {
+    OnHostReport(aState, { .mUpdate = *update });
   } else if (const auto* query = std::get_if<StoreQuery>(&*message)) {
     OnStoreQuery(aState, *query);
   } else if (const auto* reply = std::get_if<StoreReply>(&*message)) {
     OnStoreReply(aState, *reply);
   } else if (const auto* dispatches = std::get_if<DispatchUpdate>(&*message)) {
-    OnDispatchUpdate(aState, *dispatches);
+    ApplyDispatches(aState, dispatches->mDispatches);
+    if (RelaysDispatches(aState)) {
+      ForwardDispatches(aState, *dispatches);
+    }
+  } else if (const auto* totals = std::get_if<TotalsMessage>(&*message)) {
+    OnTotalsMessage(aState, *totals);
+  } else if (const auto* relayed = std::get_if<RelayedDispatches>(&*message)) {
+    OnRelayedDispatches(aState, *relayed);
   } else {
     aState.mLog.Write(LogSeverity::kNotable,
                       LogEvent::kInputRejected,
@@ -142,24 +161,36 @@
 void
 SendTrafficUpdate(SteeringState& aState)
 {
-  TrafficUpdate update = MakeTrafficUpdate(aState);
-  const std::string withUsage = Encode(update);
-  update.mUsage.clear();
-  const std::string withoutUsage = Encode(update);
+  HostReport report = MakeHostReport(aState);
+  if (UsesAggregation(aState.mPeers)) {
+    SendAggregatedUpdate(aState, report);
+    return;
+  }
   // The usage of the holder itself is sent to all hosts, since no other host forwards it.
-  for (const auto& [to, needsUsage] :
-       TrafficUpdateRecipients(aState.mPeers, aState.mOptions.mZone, SuspendAwareNow())) {
-    SendBytes(aState, to, needsUsage || aState.mHoldsDuties ? withUsage : withoutUsage);
+  for (const bool withUsage : { true, false }) {
+    if (!withUsage) {
+      report.mUpdate.mUsage.clear();
+    }
+    const std::string full = Encode(report);
+    const std::string updateAlone = Encode(report.mUpdate);
+    for (const auto& [to, recipient] : TrafficUpdateRecipients(aState.mPeers, SuspendAwareNow())) {
+      if ((recipient.mNeedsUsage || aState.mHoldsDuties) == withUsage) {
+        SendBytes(aState, to, recipient.mTakesReports ? full : updateAlone);
+      }
+    }
   }
 }
 
 void
 SendDispatches(SteeringState& aState, std::vector<DispatchReport> aDispatches)
 {
-  const std::string bytes =
-    Encode(DispatchUpdate{ .mHost = aState.mOptions.mHost, .mDispatches = std::move(aDispatches) });
-  for (const auto& [to, needsUsage] :
-       TrafficUpdateRecipients(aState.mPeers, aState.mOptions.mZone, SuspendAwareNow())) {
+  DispatchUpdate update{ .mHost = aState.mOptions.mHost, .mDispatches = std::move(aDispatches) };
+  if (RelaysDispatches(aState)) {
+    SendDispatchesToAggregator(aState, std::move(update));
+    return;
+  }
+  const std::string bytes = Encode(update);
+  for (const auto& [to, recipient] : TrafficUpdateRecipients(aState.mPeers, SuspendAwareNow())) {
     SendBytes(aState, to, bytes);
   }
 }
--- a/trefoil/steering/internal/store_relay_messages.cc
+++ b/trefoil/steering/internal/store_relay_messages.cc
@@ -47,7 +47,7 @@
   const Instant now = SuspendAwareNow();
   StoreRelay& relay = aState.mRelay;
   ExpireSubscribers(relay, now);
-  std::vector<HostId> watchers = StoreWatchers(aState.mPeers, aState.mOptions.mZone, now);
+  std::vector<HostId> watchers = StoreWatchers(aState.mPeers, aState.mAggregation, now);
   const bool isWatcher = std::ranges::find(watchers, aState.mOptions.mHost) != watchers.end();
   if (aState.mLeaving || isWatcher) {
     watchers.clear();
@@ -68,8 +68,12 @@
   if (!target.has_value()) {
     return;
   }
+  const auto endpoint = EndpointOf(aState.mPeers, *target);
+  if (!endpoint.has_value()) {
+    return;
+  }
   SendDatagram(aState,
-               aState.mPeers.mPeers.at(*target).mUpdate.mEndpoint,
+               *endpoint,
                StoreQuery{ .mHost = aState.mOptions.mHost,
                            .mEndpoint = aState.mOptions.mPeerEndpoint,
                            .mNumber = relay.mQueryNumber,
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -1,5 +1,7 @@
 #include "trefoil/steering/internal/store_updates.h"
 
+#include "trefoil/steering/host_entry.h"
+#include "trefoil/steering/internal/duties.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
 #include "trefoil/steering/quota_record.h"
 
@@ -26,7 +28,6 @@
 // of its return.
 constexpr Milliseconds kReregistrationTime{ 2'200 };
 constexpr Milliseconds kStoreCallTimeout{ 1'500 };
-constexpr const char* kHostPrefix = "hosts/";
 
 void
 ApplyCatalogue(SteeringState& aState, const StoreItem& aItem)
@@ -79,7 +80,7 @@
   if (OnVersionOrder(aState.mMoves,
                      *order,
                      aItem.mRevision,
-                     aState.mReport.mOutcomes[order->mService],
+                     SumOutcomes(aState, order->mService),
                      SuspendAwareNow())) {
     aState.mLog.Write(LogSeverity::kNotable,
                       LogEvent::kVersionMove,
@@ -259,11 +260,12 @@
   if (aAnswer.mOutcome != StoreOutcome::kDone) {
     return;
   }
-  std::map<HostId, Endpoint> listed;
+  std::map<HostId, ListedHost> listed;
   for (const StoreItem& item : aAnswer.mItems) {
     const auto endpoint = ParseEndpoint(item.mValue);
     if (endpoint.ok()) {
-      listed[HostId{ item.mKey.substr(std::string_view{ kHostPrefix }.size()) }] = *endpoint;
+      const HostEntryName name = ParseHostKey(item.mKey);
+      listed[name.mHost] = { .mEndpoint = *endpoint, .mZone = name.mZone };
     } else {
       LogRejectedInput(aState, fmt::format("input=host key={}", item.mKey), endpoint.status());
     }
@@ -282,15 +284,16 @@
   if (lease == 0 || lease == aState.mHostEntryLease) {
     return;
   }
-  aState.mStore.Call(Commit{ .mWrites = { { .mKey = kHostPrefix + aState.mOptions.mHost.Value(),
-                                            .mValue = ToText(aState.mOptions.mPeerEndpoint),
-                                            .mLease = lease } } },
-                     SuspendAwareNow() + kStoreCallTimeout,
-                     [&aState, lease](const StoreAnswer& aAnswer) {
-                       if (aAnswer.mOutcome == StoreOutcome::kDone) {
-                         aState.mHostEntryLease = lease;
-                       }
-                     });
+  aState.mStore.Call(
+    Commit{ .mWrites = { { .mKey = HostKey(aState.mOptions.mZone, aState.mOptions.mHost),
+                           .mValue = ToText(aState.mOptions.mPeerEndpoint),
+                           .mLease = lease } } },
+    SuspendAwareNow() + kStoreCallTimeout,
+    [&aState, lease](const StoreAnswer& aAnswer) {
+      if (aAnswer.mOutcome == StoreOutcome::kDone) {
+        aState.mHostEntryLease = lease;
+      }
+    });
 }
 
 // Sends the bucket levels of the quota record to the traffic thread, then starts the watch that
@@ -339,10 +342,8 @@
 WriteQuotaRecord(SteeringState& aState)
 {
   const Instant now = SuspendAwareNow();
-  const std::vector<HostId> live = LivePeers(aState.mPeers, now);
-  const bool isWriter = std::ranges::all_of(
-    live, [&aState](const HostId& aHost) { return aState.mOptions.mHost < aHost; });
-  if (!isWriter || aState.mReport.mQuotaUsed.empty()) {
+  if (aState.mReport.mQuotaUsed.empty() ||
+      !IsQuotaRecordWriter(aState.mPeers, aState.mAggregation, now)) {
     return;
   }
   QuotaRecord record;
@@ -422,7 +423,7 @@
 RefreshHosts(SteeringState& aState)
 {
   WriteHostEntry(aState);
-  aState.mStore.Call(ListKeys{ .mPrefix = kHostPrefix, .mMayBeStale = true },
+  aState.mStore.Call(ListKeys{ .mPrefix = std::string{ kHostPrefix }, .mMayBeStale = true },
                      SuspendAwareNow() + kStoreCallTimeout,
                      [&aState](const StoreAnswer& aAnswer) { OnHostList(aState, aAnswer); });
 }
@@ -431,10 +432,12 @@
 PublishView(SteeringState& aState)
 {
   const Instant now = SuspendAwareNow();
-  aState.mView.mHosts = HostCount(aState.mPeers, now);
-  aState.mView.mReachableHosts = static_cast<int>(LivePeers(aState.mPeers, now).size()) + 1;
-  aState.mView.mClockCorrection = ClockCorrection(aState.mPeers, now);
-  aState.mView.mQuotaShare = QuotaShare(aState.mPeers, now);
+  const FleetStatus status = StatusOfFleet(aState.mPeers, aState.mAggregation, now);
+  aState.mView.mHosts = status.mHosts;
+  aState.mView.mReachableHosts = status.mReachableHosts;
+  aState.mView.mClockCorrection = status.mClockCorrection;
+  aState.mView.mQuotaShare =
+    std::min(1.0, static_cast<double>(status.mReachableHosts) / status.mHosts);
   aState.mView.mSteering = SteeringOf(aState.mMoves);
   aState.mTraffic.Publish(std::make_shared<const TrafficView>(aState.mView));
 }
--- a/trefoil/steering/peer_table.cc
+++ b/trefoil/steering/peer_table.cc
@@ -23,62 +23,77 @@
 // interval is not stretched beyond kMaxUpdateInterval.
 constexpr int kUpdatesPerSecond = 64;
 constexpr Milliseconds kMaxUpdateInterval{ 1'000 };
+// Update interval with aggregation. An update reaches all hosts within three intervals.
+constexpr Milliseconds kAggregatedUpdateInterval{ 500 };
+// Fleets from this size on use aggregation. In smaller ones, updates to all hosts are at most as
+// many messages, and arrive sooner.
+constexpr std::size_t kMinHostsToAggregate = 32;
 // A peer that is not listed in the store expires after this time, which is longer than an
 // outage of the store.
 constexpr Milliseconds kPeerExpiry{ 15'000 };
 
-std::map<ClientAccountId, std::uint64_t>
-QuotasOf(const TrafficUpdate& aUpdate)
-{
-  std::map<ClientAccountId, std::uint64_t> quotas;
-  for (const AccountTotal& total : aUpdate.mQuotas) {
-    quotas[total.mAccount] = total.mUsed;
-  }
-  return quotas;
-}
-
 } // namespace
 
 PeerUpdate
 ApplyTrafficUpdate(PeerTable& aTable, const TrafficUpdate& aUpdate, Instant aNow)
 {
-  if (aUpdate.mHost == aTable.mSelf) {
+  return ApplyHostReport(aTable, { .mUpdate = aUpdate }, aNow);
+}
+
+PeerUpdate
+ApplyHostReport(PeerTable& aTable, const HostReport& aReport, Instant aNow)
+{
+  const TrafficUpdate& report = aReport.mUpdate;
+  if (report.mHost == aTable.mSelf) {
     return {};
   }
-  Peer& peer = aTable.mPeers[aUpdate.mHost];
-  const bool sameIncarnation = peer.mUpdate.mIncarnation == aUpdate.mIncarnation;
+  const auto [found, isNew] = aTable.mPeers.try_emplace(report.mHost);
+  Peer& peer = found->second;
+  const bool sameIncarnation = !isNew && peer.mUpdate.mIncarnation == report.mIncarnation;
   // Incarnations are not ordered: the wall clock of a host can jump back before it restarts.
-  const auto knownIncarnations = aTable.mUsage.find(aUpdate.mHost);
-  const bool isFormerIncarnation = !sameIncarnation && knownIncarnations != aTable.mUsage.end() &&
-                                   knownIncarnations->second.contains(aUpdate.mIncarnation);
-  if (isFormerIncarnation || (sameIncarnation && aUpdate.mSequence <= peer.mUpdate.mSequence)) {
+  if (aTable.mFormerIncarnations[report.mHost].contains(report.mIncarnation) ||
+      (sameIncarnation && report.mSequence <= peer.mUpdate.mSequence)) {
     return {};
   }
+  if (!isNew && !sameIncarnation) {
+    aTable.mFormerIncarnations[report.mHost].insert(peer.mUpdate.mIncarnation);
+  }
   PeerUpdate update;
-  // A host that is new or was out of touch has used only its own share in the meantime, so its
-  // usage is not counted here.
-  if (sameIncarnation &&
-      aNow - peer.mLastReceivedAt < kMaxMissedUpdates * TrafficUpdateInterval(aTable, aNow)) {
-    const auto before = QuotasOf(peer.mUpdate);
-    for (const AccountTotal& total : aUpdate.mQuotas) {
-      const auto previous = before.find(total.mAccount);
-      const std::uint64_t used = previous == before.end() ? 0 : previous->second;
-      if (total.mUsed > used) {
-        update.mQuotaUsed[total.mAccount] = static_cast<double>(total.mUsed - used);
-      }
+  Counters counters = CountersOf(aReport);
+  if (!sameIncarnation) {
+    peer.mGrowth.clear();
+  } else if (aNow - peer.mLastReceivedAt <
+             kMaxMissedUpdates * TrafficUpdateInterval(aTable, aNow)) {
+    // A host that is new or was out of touch has used only its own share in the meantime, so what
+    // it counted then is left out.
+    const Counters growth = Increases(peer.mCounters, counters);
+    AddCounters(peer.mGrowth, growth);
+    AddCounters(aTable.mGrowth, growth);
+    if (report.mZone == aTable.mZone) {
+      AddCounters(aTable.mZoneGrowth, growth);
     }
+    update.mQuotaUsed = QuotaUsedOf(growth);
   }
-  for (const CrashReport& crash : aUpdate.mCrashes) {
+  for (const CrashReport& crash : report.mCrashes) {
     update.mCrashes.push_back(ToCrashCount(crash));
   }
+  ApplyUsage(
+    aTable,
+    { .mHost = report.mHost, .mIncarnation = report.mIncarnation, .mUsage = report.mUsage });
+  peer.mUpdate = report;
+  peer.mCounters = std::move(counters);
+  peer.mLastReceivedAt = aNow;
+  return update;
+}
+
+void
+ApplyUsage(PeerTable& aTable, const UsageUpdate& aUpdate)
+{
   UsageWindows& usage = aTable.mUsage[aUpdate.mHost][aUpdate.mIncarnation];
   for (const WindowCount& count : aUpdate.mUsage) {
     std::int64_t& requests = usage[count.mWindow][count.mAccount];
     requests = std::max(requests, count.mRequests);
   }
-  peer.mUpdate = aUpdate;
-  peer.mLastReceivedAt = aNow;
-  return update;
 }
 
 bool
@@ -105,14 +120,27 @@
   for (const HostId& host : LivePeers(aTable, aNow)) {
     ahead.push_back(aTable.mPeers.at(host).mClockOffset);
   }
-  const Milliseconds median = Median(std::move(ahead));
-  // A smaller offset can be caused by differing message delays.
-  return std::chrono::abs(median) < kClockTolerance ? Milliseconds{ 0 } : median;
+  return ToleratedClockOffset(Median(std::move(ahead)));
+}
+
+Milliseconds
+ToleratedClockOffset(Milliseconds aOffset)
+{
+  return std::chrono::abs(aOffset) < kClockTolerance ? Milliseconds{ 0 } : aOffset;
+}
+
+bool
+UsesAggregation(const PeerTable& aTable)
+{
+  return aTable.mListedHosts.size() >= kMinHostsToAggregate && !aTable.mZone.Empty();
 }
 
 Milliseconds
 TrafficUpdateInterval(const PeerTable& aTable, Instant aNow)
 {
+  if (UsesAggregation(aTable)) {
+    return kAggregatedUpdateInterval;
+  }
   std::size_t hosts = aTable.mListedHosts.size();
   for (const auto& [host, peer] : aTable.mPeers) {
     const bool recent = aNow - peer.mLastReceivedAt < kPeerExpiry;
@@ -137,11 +165,25 @@
   return live;
 }
 
+std::optional<Endpoint>
+EndpointOf(const PeerTable& aTable, const HostId& aHost)
+{
+  const auto listed = aTable.mListedHosts.find(aHost);
+  if (listed != aTable.mListedHosts.end()) {
+    return listed->second.mEndpoint;
+  }
+  const auto peer = aTable.mPeers.find(aHost);
+  if (peer != aTable.mPeers.end()) {
+    return peer->second.mUpdate.mEndpoint;
+  }
+  return std::nullopt;
+}
+
 int
 HostCount(const PeerTable& aTable, Instant aNow)
 {
   std::set<HostId> hosts{ aTable.mSelf };
-  for (const auto& [host, endpoint] : aTable.mListedHosts) {
+  for (const auto& [host, listed] : aTable.mListedHosts) {
     const auto peer = aTable.mPeers.find(host);
     if (peer == aTable.mPeers.end() || !peer->second.mUpdate.mLeaving) {
       hosts.insert(host);
@@ -160,18 +202,20 @@
   return std::min(1.0, inTouch / HostCount(aTable, aNow));
 }
 
-std::map<Endpoint, bool>
-TrafficUpdateRecipients(const PeerTable& aTable, const AvailabilityZoneId& aZone, Instant aNow)
+std::map<Endpoint, UpdateRecipient>
+TrafficUpdateRecipients(const PeerTable& aTable, Instant aNow)
 {
-  std::map<Endpoint, bool> recipients;
-  for (const auto& [host, endpoint] : aTable.mListedHosts) {
+  std::map<Endpoint, UpdateRecipient> recipients;
+  for (const auto& [host, listed] : aTable.mListedHosts) {
     if (host != aTable.mSelf) {
-      recipients[endpoint] = true;
+      recipients[listed.mEndpoint] = { .mNeedsUsage = true,
+                                       .mTakesReports = !listed.mZone.Empty() };
     }
   }
   for (const auto& [host, peer] : aTable.mPeers) {
     if (aNow - peer.mLastReceivedAt < kPeerExpiry) {
-      recipients[peer.mUpdate.mEndpoint] = peer.mUpdate.mHoldsDuties || peer.mUpdate.mZone == aZone;
+      recipients[peer.mUpdate.mEndpoint].mNeedsUsage =
+        peer.mUpdate.mHoldsDuties || peer.mUpdate.mZone == aTable.mZone;
     }
   }
   return recipients;
--- a/trefoil/steering/peer_table.h
+++ b/trefoil/steering/peer_table.h
@@ -7,9 +7,11 @@
 #pragma once
 
 #include "trefoil/forward/traffic_view.h"
+#include "trefoil/steering/merged_totals.h"
 #include "trefoil/wire/traffic_message.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -18,22 +20,43 @@
 struct Peer
 {
   TrafficUpdate mUpdate;
+  // All counters of the last report.
+  Counters mCounters;
   Instant mLastReceivedAt;
   // How far the peer's wall clock is ahead of this host's; negative if it is behind.
   Milliseconds mClockOffset{ 0 };
+  // What the peer's current incarnation has counted while it was in touch with this host.
+  Counters mGrowth;
+};
+
+// An entry host as listed in the store.
+struct ListedHost
+{
+  // Where the host receives the messages of others.
+  Endpoint mEndpoint;
+  // Empty if the host's version of the program does not state it.
+  AvailabilityZoneId mZone;
+
+  friend bool operator==(const ListedHost&, const ListedHost&) = default;
 };
 
 struct PeerTable
 {
   HostId mSelf;
-  // The hosts listed in the store, this one included, and the endpoints on which they receive
-  // messages.
-  std::map<HostId, Endpoint> mListedHosts;
+  // The availability zone of this host.
+  AvailabilityZoneId mZone;
+  // The hosts listed in the store, this one included.
+  std::map<HostId, ListedHost> mListedHosts;
   // Entries of hosts that are gone are kept.
   std::map<HostId, Peer> mPeers;
+  // Earlier incarnations of the hosts, whose delayed messages are ignored.
+  std::map<HostId, std::set<std::uint64_t>> mFormerIncarnations;
   // Usage by host, incarnation and window. It includes earlier incarnations and hosts that are
   // gone.
   std::map<HostId, std::map<std::uint64_t, UsageWindows>> mUsage;
+  // The sums of Peer::mGrowth over all incarnations of all other hosts and of those of this zone.
+  Counters mGrowth;
+  Counters mZoneGrowth;
 };
 
 // Applies a message. Returns what it adds to the messages before it; the result is empty if the
@@ -41,6 +64,14 @@
 PeerUpdate
 ApplyTrafficUpdate(PeerTable& aTable, const TrafficUpdate& aUpdate, Instant aNow);
 
+// Like ApplyTrafficUpdate, for a report with further counters.
+PeerUpdate
+ApplyHostReport(PeerTable& aTable, const HostReport& aReport, Instant aNow);
+
+// Records the usage windows of a host.
+void
+ApplyUsage(PeerTable& aTable, const UsageUpdate& aUpdate);
+
 // Returns whether `aUpdate` was sent by an incarnation other than the last one received from
 // its host. False for this host's own messages.
 bool
@@ -50,6 +81,15 @@
 void
 RecordPeerClock(PeerTable& aTable, const TrafficUpdate& aUpdate, WallTime aWallNow);
 
+// Returns `aOffset`, or 0 if it is so small that differing message delays can cause it.
+Milliseconds
+ToleratedClockOffset(Milliseconds aOffset);
+
+// Returns whether the fleet is so large that updates are summed by zone (aggregation.h) instead of
+// being sent to all hosts.
+bool
+UsesAggregation(const PeerTable& aTable);
+
 // Returns the correction to add to this host's wall clock so that it matches the median clock
 // of the live hosts. The median is not affected by a few hosts whose clocks have jumped.
 // Returns 0 if the difference is within the tolerance.
@@ -60,6 +100,11 @@
 std::vector<HostId>
 LivePeers(const PeerTable& aTable, Instant aNow);
 
+// Returns where a host receives messages, or `std::nullopt` if it is neither listed nor known from
+// an update.
+std::optional<Endpoint>
+EndpointOf(const PeerTable& aTable, const HostId& aHost);
+
 // Returns the number of entry hosts, this one included: those listed in the store and the live
 // ones, without those that have announced that they leave.
 int
@@ -70,17 +115,25 @@
 double
 QuotaShare(const PeerTable& aTable, Instant aNow);
 
-// Returns the interval between traffic updates. It grows with the number of hosts, since each
-// host receives the updates of all others.
+// Returns the interval between traffic updates. While each host receives the updates of all others,
+// it grows with their number.
 Milliseconds
 TrafficUpdateInterval(const PeerTable& aTable, Instant aNow);
 
-// Returns the endpoints that updates are sent to, each with whether the update includes usage
-// windows. Usage is sent to the holder of the duties, which reports it, and to the hosts of
-// zone `aZone`, which keep it for the next holder and to which traffic is free of charge. Hosts
-// that are listed but have sent no recent update get it too.
-std::map<Endpoint, bool>
-TrafficUpdateRecipients(const PeerTable& aTable, const AvailabilityZoneId& aZone, Instant aNow);
+// How an update is sent to a host.
+struct UpdateRecipient
+{
+  // Whether it includes usage windows.
+  bool mNeedsUsage = false;
+  // Whether the host takes a HostReport instead of a TrafficUpdate.
+  bool mTakesReports = false;
+};
+
+// Returns the endpoints that updates are sent to. Usage is sent to the holder of the duties, which
+// reports it, and to the hosts of this zone, which keep it for the next holder and to which traffic
+// is free of charge. Hosts that are listed but have sent no recent update get it too.
+std::map<Endpoint, UpdateRecipient>
+TrafficUpdateRecipients(const PeerTable& aTable, Instant aNow);
 
 // Returns the requests of each account in usage window `aWindow`, summed over all other hosts.
 std::map<ClientAccountId, std::int64_t>
--- a/trefoil/steering/scaling.cc
+++ b/trefoil/steering/scaling.cc
@@ -11,10 +11,15 @@
 // Fewer servers are ordered only after fewer have been needed for this long: a wave of the load
 // lasts longer.
 constexpr Milliseconds kScaleDownDelay{ 4'000 };
-// Prompt tokens per second, cached parts included, that one server can read within the latency
-// goals of its service. Values from 40,000 to 52,000 are equally good; 28,000 and 65,000 are
-// worse.
-constexpr double kTokensPerServer = 46'000;
+// The fraction of its prefill rate and of its slots that a server is planned to use. All prompt
+// tokens count, including those that are in a cache, since a cache is lost with its server. The
+// rest keeps the time to the first event short.
+constexpr double kPlannedUtilization = 0.7;
+// Before prefills have been observed, the rate is estimated as 60,000 tokens per second, with the
+// weight of ten seconds of prefills. Common accelerators prefill 20,000 to 100,000.
+constexpr double kInitialTokensPerMs = 60;
+constexpr double kInitialPrefillMs = 10'000;
+constexpr double kMsPerSecond = 1'000;
 // Reclaimable servers ordered for each server needed, so that most of the needed capacity
 // remains when a zone is lost.
 constexpr double kReclaimablePerNeededServer = 2.0;
@@ -27,10 +32,13 @@
 // counts.
 constexpr Milliseconds kDemandPeriod{ 2'000 };
 constexpr Milliseconds kDemandWindow{ 20'000 };
-// Servers that start together with the hosts have registered after this time.
+// Servers that start together with the hosts register during this time, and longer if there are
+// many: until none was added for kRegistrationPause, at most for kMaxRegistrationTime.
 constexpr Milliseconds kRegistrationTime{ 3'500 };
-// A holder that has just taken over the duty has measured the demand after this time.
-constexpr Milliseconds kDemandSettleTime{ 20'000 };
+constexpr Milliseconds kRegistrationPause{ 1'000 };
+constexpr Milliseconds kMaxRegistrationTime{ 8'000 };
+// The demand is known when it has been measured for this long.
+constexpr Milliseconds kDemandSettleTime{ 10'000 };
 // A server that was ordered has registered this long after its boot time.
 constexpr Milliseconds kBootMargin{ 3'000 };
 
@@ -47,6 +55,45 @@
   }));
 }
 
+// Counts the servers that ran when this host took over the duty. Returns whether all of them have
+// registered: none has been added for a while, or registrations have been awaited long enough.
+bool
+CountInitialServers(ScalingState& aState,
+                    const ServerRegistry& aServers,
+                    const ServiceId& aService,
+                    Instant aNow)
+{
+  InitialServers& initial = aState.mInitialServers[aService];
+  if (initial.mIsComplete) {
+    return true;
+  }
+  const int present = CountReadyServers(aServers, aService, nullptr, true) +
+                      CountReadyServers(aServers, aService, nullptr, false);
+  if (present > initial.mCount) {
+    initial.mCount = present;
+    initial.mIncreasedAt = aNow;
+  }
+  const Instant::duration elapsed = aNow - aState.mStartedAt;
+  initial.mIsComplete =
+    (elapsed >= kRegistrationTime && aNow - initial.mIncreasedAt >= kRegistrationPause) ||
+    elapsed >= kMaxRegistrationTime;
+  return initial.mIsComplete;
+}
+
+double
+MeanSlots(const ServerRegistry& aServers, const ServiceId& aService)
+{
+  double slots = 0;
+  int servers = 0;
+  for (const auto& [id, server] : aServers.mServers) {
+    if (server.mService == aService) {
+      slots += server.mSlots;
+      ++servers;
+    }
+  }
+  return std::max(1.0, servers == 0 ? 0.0 : slots / servers);
+}
+
 int
 MinOnDemand(const ScalingBounds& aBounds)
 {
@@ -65,59 +112,88 @@
 RecordDemand(ScalingState& aState,
              const HostId& aHost,
              const ServiceId& aService,
-             double aPromptTokens,
+             const ServiceLoad& aTotals,
              Instant aNow)
 {
   DemandHistory& history = aState.mDemand[aService];
-  const auto [total, inserted] = history.mHostTotals.try_emplace(aHost, aPromptTokens);
+  const auto [totals, inserted] = history.mHostTotals.try_emplace(aHost, aTotals);
   if (!inserted) {
-    // The total of a restarted host begins at 0 again.
-    history.mTokens += std::max(0.0, aPromptTokens - total->second);
-    total->second = aPromptTokens;
+    // The totals of a restarted host begin at 0 again.
+    const auto increase = [&](double ServiceLoad::*aField) {
+      return std::max(0.0, aTotals.*aField - totals->second.*aField);
+    };
+    history.mLoad.mPromptTokens += increase(&ServiceLoad::mPromptTokens);
+    history.mLoad.mBusyMs += increase(&ServiceLoad::mBusyMs);
+    history.mPrefillTokens += increase(&ServiceLoad::mPrefillTokens);
+    history.mPrefillMs += increase(&ServiceLoad::mPrefillMs);
+    totals->second = aTotals;
   }
   if (history.mPeriodStart == Instant{}) {
     history.mPeriodStart = aNow;
   }
   if (aNow - history.mPeriodStart >= kDemandPeriod) {
     const double seconds = std::chrono::duration<double>(aNow - history.mPeriodStart).count();
-    history.mRates.emplace_back(aNow, history.mTokens / seconds);
-    history.mTokens = 0;
+    const Demand demand{ .mTokensPerSecond = history.mLoad.mPromptTokens / seconds,
+                         .mConcurrentRequests = history.mLoad.mBusyMs / kMsPerSecond / seconds };
+    history.mPeriods.emplace_back(aNow, demand);
+    if (demand.mConcurrentRequests > 0 && !history.mFirstDemandAt.has_value()) {
+      history.mFirstDemandAt = history.mPeriodStart;
+    }
+    history.mLoad = {};
     history.mPeriodStart = aNow;
   }
-  while (!history.mRates.empty() && aNow - history.mRates.front().first > kDemandWindow) {
-    history.mRates.pop_front();
+  while (!history.mPeriods.empty() && aNow - history.mPeriods.front().first > kDemandWindow) {
+    history.mPeriods.pop_front();
   }
 }
 
-double
+Demand
 PeakDemand(const ScalingState& aState, const ServiceId& aService)
 {
+  Demand peak;
   const auto found = aState.mDemand.find(aService);
-  double peak = 0;
   if (found != aState.mDemand.end()) {
-    for (const auto& [at, rate] : found->second.mRates) {
-      peak = std::max(peak, rate);
+    for (const auto& [at, demand] : found->second.mPeriods) {
+      peak.mTokensPerSecond = std::max(peak.mTokensPerSecond, demand.mTokensPerSecond);
+      peak.mConcurrentRequests = std::max(peak.mConcurrentRequests, demand.mConcurrentRequests);
     }
   }
   return peak;
 }
 
+double
+PrefillTokensPerServer(const ScalingState& aState, const ServiceId& aService)
+{
+  double tokens = kInitialTokensPerMs * kInitialPrefillMs;
+  double milliseconds = kInitialPrefillMs;
+  const auto found = aState.mDemand.find(aService);
+  if (found != aState.mDemand.end()) {
+    tokens += found->second.mPrefillTokens;
+    milliseconds += found->second.mPrefillMs;
+  }
+  return kMsPerSecond * tokens / milliseconds;
+}
+
 int
-ServersNeeded(ScalingState& aState,
+ServersNeeded(const ScalingState& aState,
               const ScalingInputs& aInputs,
               const ServiceId& aService,
               Instant aNow)
 {
-  const double demand = PeakDemand(aState, aService);
-  const int needed = CeilToInt(demand / kTokensPerServer);
-  const int present = CountReadyServers(*aInputs.mServers, aService, nullptr, true) +
-                      CountReadyServers(*aInputs.mServers, aService, nullptr, false);
-  int& serversAtStart = aState.mServersAtStart[aService];
-  if (aNow - aState.mStartedAt < kRegistrationTime) {
-    serversAtStart = present;
+  const Demand demand = PeakDemand(aState, aService);
+  // Prefill and decoding share a server's time, so what they need adds up.
+  const double prefilling = demand.mTokensPerSecond / PrefillTokensPerServer(aState, aService);
+  const double decoding = demand.mConcurrentRequests / MeanSlots(*aInputs.mServers, aService);
+  const int needed = CeilToInt((prefilling + decoding) / kPlannedUtilization);
+  const auto history = aState.mDemand.find(aService);
+  const bool isDemandKnown = history != aState.mDemand.end() &&
+                             history->second.mFirstDemandAt.has_value() &&
+                             aNow - *history->second.mFirstDemandAt >= kDemandSettleTime;
+  if (isDemandKnown) {
+    return needed;
   }
-  const bool isDemandKnown = demand > 0 && aNow - aState.mStartedAt >= kDemandSettleTime;
-  return isDemandKnown ? needed : std::max(needed, serversAtStart);
+  const auto initial = aState.mInitialServers.find(aService);
+  return std::max(needed, initial == aState.mInitialServers.end() ? 0 : initial->second.mCount);
 }
 
 void
@@ -137,8 +213,14 @@
     reclaimable = std::min(CeilToInt(aServersNeeded * kReclaimablePerNeededServer / zones),
                            static_cast<int>(bounds.mMax * kMaxReclaimableShare));
   }
-  const int missing =
-    aServersNeeded - CountReadyServers(*aInputs.mServers, aService.mName, nullptr, true);
+  int running = 0;
+  int mostInZone = 0;
+  for (const AvailabilityZoneId& zone : aInputs.mZones) {
+    const int inZone = CountReadyServers(*aInputs.mServers, aService.mName, &zone, true);
+    running += inZone;
+    mostInZone = std::max(mostInZone, inZone);
+  }
+  const int missing = aServersNeeded - (running - mostInZone);
   const int minOnDemand = MinOnDemand(bounds);
   const int onDemand = std::clamp(
     CeilToInt(missing / zones), minOnDemand, std::max(minOnDemand, bounds.mMax - reclaimable));
@@ -157,11 +239,11 @@
     if (!service.mScaling.has_value()) {
       continue;
     }
-    const int needed = ServersNeeded(aState, aInputs, name, aNow);
-    if (aNow - aState.mStartedAt < kRegistrationTime) {
+    if (!CountInitialServers(aState, *aInputs.mServers, name, aNow)) {
       continue;
     }
-    const bool idle = PeakDemand(aState, name) <= 0;
+    const int needed = ServersNeeded(aState, aInputs, name, aNow);
+    const bool idle = PeakDemand(aState, name).mConcurrentRequests <= 0;
     for (const auto& [zone, plan] : PlanServers(aInputs, service, needed)) {
       for (const bool reclaimable : { true, false }) {
         const int desired = reclaimable ? plan.mReclaimable : plan.mOnDemand;
--- a/trefoil/steering/scaling.h
+++ b/trefoil/steering/scaling.h
@@ -1,20 +1,25 @@
 // Decides how many servers of a service to order in each zone.
 //
-//   RecordDemand(scaling, host, service, promptTokens, now);
+//   RecordDemand(scaling, host, service, load, now);
 //   for (const ServerOrder& order : DueOrders(scaling, inputs, now)) { ... }
 //   OnOrderAnswered(scaling, order, accepted, now);
 //
-// Reclaimable servers carry the load because they cost a fraction of on-demand ones. They are
-// spread over the zones because all reclaimable servers of a zone are reclaimed together. A few
-// on-demand servers are kept in each zone, and more are ordered while reclaimable ones are
-// missing. An order states the total number of servers, not a difference. Plain data and pure
-// functions; the caller sends the orders.
+// The number of servers follows from what the requests need: the prompt tokens that a server of
+// the service prefills per second, learned from the answers, and the slots that the requests
+// occupy. Reclaimable servers carry the load because they cost a fraction of on-demand ones. They
+// are spread over the zones because all reclaimable servers of a zone are reclaimed together.
+// On-demand servers are ordered for what would be missing if the zone with the most reclaimable
+// servers lost them next: reclaims often follow each other while no reclaimable servers can be
+// ordered. A few on-demand servers are kept in each zone. An order states the total number of
+// servers, not a difference. Plain data and pure functions; the caller sends the orders.
 #pragma once
 
+#include "trefoil/forward/traffic_view.h"
 #include "trefoil/steering/control_codec.h"
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace trefoil {
@@ -27,15 +32,29 @@
   std::vector<AvailabilityZoneId> mZones;
 };
 
-// The prompt tokens of the requests that hosts had to forward to a service. mTokens is their
-// number since mPeriodStart, mHostTotals the last total of each host.
+// What the requests to a service needed in one period.
+struct Demand
+{
+  // Prompt tokens per second, those in caches included.
+  double mTokensPerSecond = 0;
+  // The mean number of requests that were at servers at the same time.
+  double mConcurrentRequests = 0;
+};
+
+// The load of a service, as reported by the hosts. mLoad is what was added since mPeriodStart,
+// mHostTotals the last totals of each host.
 struct DemandHistory
 {
-  std::map<HostId, double> mHostTotals;
-  double mTokens = 0;
+  std::map<HostId, ServiceLoad> mHostTotals;
+  ServiceLoad mLoad;
   Instant mPeriodStart;
-  // Tokens per second in the last periods, each with the end of its period.
-  std::deque<std::pair<Instant, double>> mRates;
+  // The demand in the last periods, each with the end of its period.
+  std::deque<std::pair<Instant, Demand>> mPeriods;
+  // All prefills since this host took over the duty.
+  double mPrefillTokens = 0;
+  double mPrefillMs = 0;
+  // When the demand was first above 0; empty if it has not been.
+  std::optional<Instant> mFirstDemandAt;
 };
 
 struct OrderKey
@@ -58,13 +77,22 @@
   Instant mSurplusSince;
 };
 
+struct InitialServers
+{
+  int mCount = 0;
+  // When the count last increased.
+  Instant mIncreasedAt;
+  // Whether all of them have registered.
+  bool mIsComplete = false;
+};
+
 struct ScalingState
 {
   std::map<OrderKey, OrderState> mOrders;
   std::map<ServiceId, DemandHistory> mDemand;
-  // The servers that ran when this host took over the duty at mStartedAt. They are kept until
+  // The servers that ran when this host took over the duty at mStartedAt. As many are kept until
   // the demand has been measured.
-  std::map<ServiceId, int> mServersAtStart;
+  std::map<ServiceId, InitialServers> mInitialServers;
   Instant mStartedAt;
 };
 
@@ -76,18 +104,22 @@
   friend bool operator==(const ZonePlan&, const ZonePlan&) = default;
 };
 
-// Records the total of prompt tokens that a host has been asked to forward since it started.
+// Records the load of a service on a host since the host's start.
 void
 RecordDemand(ScalingState& aState,
              const HostId& aHost,
              const ServiceId& aService,
-             double aPromptTokens,
+             const ServiceLoad& aTotals,
              Instant aNow);
 
-// Returns the highest demand of the last 20 s in prompt tokens per second; 0 if there was none.
-double
+// Returns the highest values of the last 20 s; 0 if there was no demand.
+Demand
 PeakDemand(const ScalingState& aState, const ServiceId& aService);
 
+// Returns the prompt tokens per second that one server of the service prefills.
+double
+PrefillTokensPerServer(const ScalingState& aState, const ServiceId& aService);
+
 // Returns how many servers should run in each zone if `aServersNeeded` are needed in total.
 std::map<AvailabilityZoneId, ZonePlan>
 PlanServers(const ScalingInputs& aInputs, const CatalogueService& aService, int aServersNeeded);
@@ -95,7 +127,7 @@
 // Returns how many servers the demand requires in total. Until the demand has been measured,
 // this is not less than the number of servers that ran when this host took over the duty.
 int
-ServersNeeded(ScalingState& aState,
+ServersNeeded(const ScalingState& aState,
               const ScalingInputs& aInputs,
               const ServiceId& aService,
               Instant aNow);
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -3,6 +3,7 @@
 
 #include "trefoil/duty/duty.h"
 #include "trefoil/http/http_channel.h"
+#include "trefoil/steering/aggregation.h"
 #include "trefoil/steering/control_thread.h"
 #include "trefoil/steering/peer_table.h"
 #include "trefoil/steering/prefix_watch.h"
@@ -48,10 +49,15 @@
   std::optional<Instant> mStoreRegainedAt;
 
   PeerTable mPeers;
+  AggregationState mAggregation;
   StoreRelay mRelay;
   // Updates received from peers since the last PeerUpdate was posted to the traffic thread.
   PeerUpdate mPeerUpdate;
   std::vector<DispatchReport> mReceivedDispatches;
+  // Dispatches that this host forwards as an aggregator: those of its zone to other zones, and all
+  // to the hosts of its zone.
+  std::vector<DispatchUpdate> mDispatchesForZones;
+  std::vector<DispatchUpdate> mDispatchesForMembers;
   Instant mQuotaWrittenAt;
   // The number of live peers that was logged last.
   std::size_t mPeersInTouch = 0;
--- a/trefoil/steering/store_relay.cc
+++ b/trefoil/steering/store_relay.cc
@@ -32,11 +32,16 @@
 } // namespace
 
 std::vector<HostId>
-StoreWatchers(const PeerTable& aTable, const AvailabilityZoneId& aZone, Instant aNow)
+StoreWatchers(const PeerTable& aTable, const AggregationState& aAggregation, Instant aNow)
 {
+  if (UsesAggregation(aTable)) {
+    auto aggregators = ZoneAggregators(aTable, aAggregation, aTable.mZone, aNow);
+    aggregators.resize(std::min(aggregators.size(), kWatchersPerZone));
+    return aggregators;
+  }
   std::vector<HostId> hosts{ aTable.mSelf };
   for (const HostId& host : LivePeers(aTable, aNow)) {
-    if (aTable.mPeers.at(host).mUpdate.mZone == aZone) {
+    if (aTable.mPeers.at(host).mUpdate.mZone == aTable.mZone) {
       hosts.push_back(host);
     }
   }
--- a/trefoil/steering/store_relay.h
+++ b/trefoil/steering/store_relay.h
@@ -1,7 +1,7 @@
 // Decides which entry hosts of a zone watch the store, and how they relay its changes to the
 // others.
 //
-//   std::vector<HostId> watchers = StoreWatchers(table, zone, now);
+//   std::vector<HostId> watchers = StoreWatchers(table, aggregation, now);
 //   RelayedPrefix relayed = MakeRelayedPrefix(record, query.mServerRevision, now);
 //
 // Calls to the store are limited and priced over all hosts together. In a zone of several hosts
@@ -9,6 +9,7 @@
 // store itself. Plain data and pure functions.
 #pragma once
 
+#include "trefoil/steering/aggregation.h"
 #include "trefoil/steering/peer_table.h"
 #include "trefoil/store/prefix_record.h"
 #include "trefoil/wire/store_relay_message.h"
@@ -44,10 +45,11 @@
   std::map<HostId, RelaySubscriber> mSubscribers;
 };
 
-// Returns the hosts of zone `aZone` that watch the store, by rank; this host may be one of
-// them. Returns an empty list if every host of the zone watches the store itself.
+// Returns the hosts of this zone that watch the store, by rank; this host may be one of them.
+// They are the zone's aggregators in a fleet that has these. Returns an empty list if every host
+// of the zone watches the store itself.
 std::vector<HostId>
-StoreWatchers(const PeerTable& aTable, const AvailabilityZoneId& aZone, Instant aNow);
+StoreWatchers(const PeerTable& aTable, const AggregationState& aAggregation, Instant aNow);
 
 // Records that the next query is sent at `aNow`. Returns the host to send it to, or
 // `std::nullopt` if this host watches the store itself. Moves on to the next watcher if the
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -17,6 +17,7 @@
 #include "trefoil/wire/move_message.h"
 #include "trefoil/wire/store_relay_message.h"
 #include "trefoil/wire/stream_messages.h"
+#include "trefoil/wire/totals_message.h"
 #include "trefoil/wire/traffic_message.h"
 
 #include <variant>
@@ -47,7 +48,11 @@
                              TrafficUpdate,
                              StoreQuery,
                              StoreReply,
-                             DispatchUpdate>;
+                             DispatchUpdate,
+                             TotalsMessage,
+                             HostReport,
+                             UsageUpdate,
+                             RelayedDispatches>;
 
 // A message and its destination.
 struct Datagram
