Share quotas by probability and call the store less in large fleets

Cause: on the large site 7,296 of 20,000 tries were refused as over quota though all but 30 requests were owed. A host that receives an account's requests seldom subtracted what the others reported, but refilled its copy of the bucket only at its own first request; and the rest of a quota was divided by the number of hosts, of which few have a request in a round. Ruled out: sums counted twice (the level of a refused account equals burst less reported use without any refill). Store calls cost 0.72 of the first 16 s: the age of relayed records exceeded its limit between two queries, so most hosts watched the store themselves, and each host read the list of hosts every 5 s.

Change: reports refill the bucket; when more is asked for than refills until a request is known everywhere, requests are admitted with a probability that holds the bucket at half, at even distances on each host. What was asked for is summed like what was used. Relaying watches wait 500 ms; with aggregation the host list is read every 20 s, and a host registers as soon as it has a lease.

Quota tests keep their bounds; added: an account below its quota that reaches a host seldom (fails without the refill), and twice the quota spread over 295 hosts with reports of 1.5 s.

--- a/trefoil/dispatch/quota.cc
+++ b/trefoil/dispatch/quota.cc
@@ -6,30 +6,52 @@
 namespace trefoil {
 namespace {
 
-// A host may spend this many times its recent share of the remaining quota, because demand
-// moves between hosts.
-constexpr double kShareGrowth = 1.5;
-// The remaining quota is not divided while it suffices for this many rounds of all hosts'
-// usage.
-constexpr double kAmpleRounds = 2;
-// Weight of the latest round in the moving averages, which therefore cover about one second.
+// Weight of the latest round in the moving averages.
 constexpr double kMeanWeight = 0.2;
+// The part of a bucket's capacity that is kept while more is asked for than refills. It covers the
+// requests of other hosts that are not known yet.
+constexpr double kReserveShare = 0.5;
 
-// Returns the fraction of the remaining quota that this host may spend in the current round.
-double
-SpendableFraction(const AccountUsage& aUsage, const QuotaParameters& aParameters)
+// Refills the account's bucket up to `aNow`. A new bucket is full. Returns its rate and capacity.
+RefillRate
+RefillQuota(AccountUsage& aUsage,
+            const ClientAccount& aAccount,
+            const QuotaParameters& aParameters,
+            Instant aNow)
 {
-  const double evenShare = 1.0 / std::max(1, aParameters.mReachableHosts);
-  const double usedShare = aUsage.mAllMean > 0 ? aUsage.mOwnMean / aUsage.mAllMean : evenShare;
-  return std::min(1.0, kShareGrowth * std::max(evenShare, usedShare));
+  const double burst = (aAccount.mBurst + aParameters.mSlack) * aParameters.mShare;
+  const double rate = aAccount.mRatePerSecond * (1 + aParameters.mOverage) * aParameters.mShare;
+  if (aUsage.mBucket.mRefilledAt == Instant{}) {
+    aUsage.mBucket.mTokens += burst;
+    aUsage.mBucket.mRefilledAt = aNow;
+  }
+  const RefillRate refill{ .mPerSecond = rate, .mMax = burst };
+  Refill(aUsage.mBucket, refill, aNow);
+  return refill;
+}
+
+// Returns whether a request is admitted, with the given probability. The requests of one host are
+// admitted at even distances, which varies less than independent draws.
+bool
+DrawAdmission(AccountUsage& aUsage, const QuotaParameters& aParameters, double aProbability)
+{
+  if (!aUsage.mAdmissionCredit.has_value()) {
+    aUsage.mAdmissionCredit = aParameters.mRandomValue;
+  }
+  double& credit = *aUsage.mAdmissionCredit;
+  credit += aProbability;
+  if (credit < 1) {
+    return false;
+  }
+  credit = std::min(credit - 1, 1.0);
+  return true;
 }
 
 void
-RecordCost(AccountUsage& aUsage, double aCost)
+RecordUsed(AccountUsage& aUsage, double aCost)
 {
   aUsage.mBucket.mTokens -= aCost;
-  aUsage.mOwnInRound += aCost;
-  aUsage.mOwnTotal += aCost;
+  aUsage.mOwnTotal.mUsed += aCost;
 }
 
 } // namespace
@@ -50,31 +72,27 @@
              const QuotaParameters& aParameters,
              Instant aNow)
 {
-  const auto [entry, inserted] = aState.mAccounts.try_emplace(aAccount.mName);
-  AccountUsage& usage = entry->second;
+  AccountUsage& usage = aState.mAccounts[aAccount.mName];
   QuotaDecision decision;
   if (aAccount.mRatePerSecond > 0) {
-    const double burst = (aAccount.mBurst + aParameters.mSlack) * aParameters.mShare;
-    const double rate = aAccount.mRatePerSecond * (1 + aParameters.mOverage) * aParameters.mShare;
-    if (inserted || usage.mBucket.mRefilledAt == Instant{}) {
-      usage.mBucket.mTokens += burst;
-      usage.mBucket.mRefilledAt = aNow;
-    }
-    Refill(usage.mBucket, { .mPerSecond = rate, .mMax = burst }, aNow);
+    const RefillRate refill = RefillQuota(usage, aAccount, aParameters, aNow);
+    const double seconds = std::chrono::duration<double>(aParameters.mPropagationTime).count();
+    const double asked = seconds * usage.mAskedPerSecond;
+    const double refilled = seconds * refill.mPerSecond;
     decision.mLevel = usage.mBucket.mTokens;
-    const double spendable =
-      (decision.mLevel + usage.mOwnInRound) * SpendableFraction(usage, aParameters);
-    decision.mMax = spendable - usage.mOwnInRound;
-    // A request that costs more than the spendable quota is admitted if the bucket holds enough
-    // for it, with a probability that makes the spendable quota the expected cost. A request
-    // that costs more than the burst requires a full bucket.
-    const bool fits =
-      decision.mLevel >= std::min(aCost, burst) && aParameters.mRandomValue * aCost < spendable;
-    const bool ample = decision.mLevel - aCost >= kAmpleRounds * usage.mAllMean;
-    decision.mAllowed = ample || aCost <= decision.mMax || (usage.mOwnInRound <= 0 && fits);
+    // A request that costs more than the burst requires a full bucket.
+    const bool fits = decision.mLevel >= std::min(aCost, refill.mMax);
+    const bool ample = decision.mLevel - aCost >= asked - refilled;
+    if (!ample) {
+      const double reserve = refill.mMax * kReserveShare;
+      decision.mProbability = std::clamp((decision.mLevel - reserve + refilled) / asked, 0.0, 1.0);
+    }
+    decision.mAllowed = fits && DrawAdmission(usage, aParameters, decision.mProbability);
   }
+  usage.mAskedInRound += aCost;
+  usage.mOwnTotal.mAsked += aCost;
   if (decision.mAllowed) {
-    RecordCost(usage, aCost);
+    RecordUsed(usage, aCost);
   }
   return decision;
 }
@@ -82,15 +100,24 @@
 void
 RefundQuota(QuotaState& aState, const ClientAccountId& aAccount, double aCost)
 {
-  RecordCost(aState.mAccounts[aAccount], -aCost);
+  RecordUsed(aState.mAccounts[aAccount], -aCost);
 }
 
 void
-AddPeerUsage(QuotaState& aState, const ClientAccountId& aAccount, double aCost)
+AddPeerUsage(QuotaState& aState,
+             const ClientAccount& aAccount,
+             const QuotaCosts& aCosts,
+             const QuotaParameters& aParameters,
+             Instant aNow)
 {
-  AccountUsage& usage = aState.mAccounts[aAccount];
-  usage.mBucket.mTokens -= aCost;
-  usage.mPeersInRound += aCost;
+  if (aAccount.mRatePerSecond <= 0) {
+    return;
+  }
+  AccountUsage& usage = aState.mAccounts[aAccount.mName];
+  // A host that seldom receives requests of the account must refill its copy all the same.
+  RefillQuota(usage, aAccount, aParameters, aNow);
+  usage.mBucket.mTokens -= aCosts.mUsed;
+  usage.mAskedInRound += aCosts.mAsked;
 }
 
 void
@@ -100,13 +127,15 @@
 }
 
 void
-EndQuotaRound(QuotaState& aState)
+EndQuotaRound(QuotaState& aState, Instant aNow)
 {
+  const double seconds =
+    std::chrono::duration<double>(aNow - std::exchange(aState.mRoundEndedAt, aNow)).count();
   for (auto& [account, usage] : aState.mAccounts) {
-    const double own = std::exchange(usage.mOwnInRound, 0.0);
-    const double all = own + std::exchange(usage.mPeersInRound, 0.0);
-    usage.mOwnMean += kMeanWeight * (own - usage.mOwnMean);
-    usage.mAllMean += kMeanWeight * (all - usage.mAllMean);
+    const double asked = std::exchange(usage.mAskedInRound, 0.0);
+    if (seconds > 0) {
+      usage.mAskedPerSecond += kMeanWeight * (asked / seconds - usage.mAskedPerSecond);
+    }
   }
 }
 
--- a/trefoil/dispatch/quota.h
+++ b/trefoil/dispatch/quota.h
@@ -2,44 +2,58 @@
 //
 //   QuotaState quotas;
 //   if (ConsumeQuota(quotas, account, cost, { .mShare = 1.0 }, now)) { ... dispatch ... }
-//   AddPeerUsage(quotas, account, cost);
-//   EndQuotaRound(quotas);
+//   AddPeerUsage(quotas, account, { .mUsed = cost, .mAsked = cost }, parameters, now);
+//   EndQuotaRound(quotas, now);
 //
 // Each host keeps its own copy of the account's token bucket. The bucket refills at the
 // account's rate up to its burst, and the cost of every admitted request is subtracted,
 // including the requests of other hosts once their updates arrive. The time between two reports
-// of this host to the others is a round. When the remaining quota suffices for only a few
-// rounds, it is divided among the hosts for the current round in proportion to their recent
-// usage, so that they do not all spend it at the same time. A host that is in contact with only
-// some of the others refills its copy at their combined share of the rate, so that the parts of
-// a partitioned system stay within the quota together. Pure functions.
+// of this host to the others is a round. While the quota suffices for what all hosts will ask for
+// until their updates have arrived, every request is admitted. Otherwise each request is admitted
+// with a probability, such that the expected cost of the admitted ones is what refills meanwhile,
+// plus what the bucket holds beyond half of its capacity. So the hosts use the quota together,
+// however few of the account's requests each of them receives. A host that is in contact with only
+// some of the others refills its copy at their combined share of the rate, so that the parts of a
+// partitioned system stay within the quota together. Pure functions.
 #pragma once
 
 #include "trefoil/admission/token_bucket.h"
 #include "trefoil/catalogue/catalogue.h"
 
 #include <map>
+#include <optional>
 
 namespace trefoil {
 
+// The cost of an account's requests.
+struct QuotaCosts
+{
+  // Of the admitted requests, less refunds.
+  double mUsed = 0;
+  // Of all requests.
+  double mAsked = 0;
+};
+
 // The usage of one client account's quota.
 struct AccountUsage
 {
   TokenBucket mBucket;
-  // Cost of the requests that this host has admitted since its start, less refunds.
-  double mOwnTotal = 0;
-  // Cost of the requests that this host has admitted in the current round.
-  double mOwnInRound = 0;
-  // Moving averages of the cost per round, of this host and of all hosts.
-  double mOwnMean = 0;
-  double mAllMean = 0;
-  // Cost of the requests of other hosts that were reported in the current round.
-  double mPeersInRound = 0;
+  // What this host has received since its start.
+  QuotaCosts mOwnTotal;
+  // What was asked of all hosts in the current round, as far as it has been reported, and the
+  // moving average per second.
+  double mAskedInRound = 0;
+  double mAskedPerSecond = 0;
+  // The sum of the admission probabilities of this host's requests, less the admitted ones; empty
+  // before the first request.
+  std::optional<double> mAdmissionCredit;
 };
 
 struct QuotaState
 {
   std::map<ClientAccountId, AccountUsage> mAccounts;
+  // When the last round ended.
+  Instant mRoundEndedAt;
 };
 
 struct QuotaParameters
@@ -47,14 +61,14 @@
   // The share of the quota that this host and the hosts in contact with it may use together,
   // from 0 to 1.
   double mShare = 1;
-  // Number of hosts in contact with this one, including itself.
-  int mReachableHosts = 1;
+  // How long it takes until a request is known to all hosts in contact.
+  Milliseconds mPropagationTime{ 500 };
   // What the platform permits beyond the quota: mOverage is a fraction of the rate, mSlack is
   // added to the burst, in tokens or requests.
   double mOverage = 0;
   double mSlack = 0;
-  // A uniform random number from 0 to 1. It spreads the hosts' use of the last of a quota, so
-  // that they do not all spend it at the same time.
+  // A uniform random number from 0 to 1, by which hosts admit different ones of the requests that
+  // are admitted with a probability.
   double mRandomValue = 0;
 };
 
@@ -62,10 +76,10 @@
 struct QuotaDecision
 {
   bool mAllowed = true;
-  // The level of the bucket before the request, and the part of it that this host may spend in the
-  // current round. Both are 0 for an account without a rate.
+  // The level of the bucket before the request, and the probability with which a request that the
+  // bucket covers is admitted. 0 and 1 for an account without a rate.
   double mLevel = 0;
-  double mMax = 0;
+  double mProbability = 1;
 
   explicit operator bool() const { return mAllowed; }
 };
@@ -87,18 +101,23 @@
 void
 RefundQuota(QuotaState& aState, const ClientAccountId& aAccount, double aCost);
 
-// Subtracts the cost of requests that other hosts have admitted.
+// Adds the costs of requests that other hosts have received. Of `aParameters`, mRandomValue is not
+// used.
 void
-AddPeerUsage(QuotaState& aState, const ClientAccountId& aAccount, double aCost);
+AddPeerUsage(QuotaState& aState,
+             const ClientAccount& aAccount,
+             const QuotaCosts& aCosts,
+             const QuotaParameters& aParameters,
+             Instant aNow);
 
 // Sets the level of an account's bucket. A host that starts uses it to restore the recorded
 // level.
 void
 SetQuotaLevel(QuotaState& aState, const ClientAccountId& aAccount, double aLevel, Instant aNow);
 
-// Ends a round: updates the moving averages by which the remaining quota is divided among the
-// hosts. Must be called each time this host reports its usage to the others.
+// Ends a round: updates the moving averages. Must be called each time this host reports its usage
+// to the others.
 void
-EndQuotaRound(QuotaState& aState);
+EndQuotaRound(QuotaState& aState, Instant aNow);
 
 } // namespace trefoil
--- a/trefoil/dispatch/quota_test.cc
+++ b/trefoil/dispatch/quota_test.cc
@@ -1,7 +1,11 @@
 #include "trefoil/dispatch/quota.h"
 
 #include <catch2/catch.hpp>
+#include <cstddef>
+#include <deque>
+#include <numeric>
 #include <random>
+#include <utility>
 #include <vector>
 
 namespace trefoil {
@@ -23,46 +27,80 @@
            .mBurst = 200'000 };
 }
 
-// Hosts that report the cost of their admitted requests to each other every kRoundInterval.
+// Hosts that report the costs of their requests to each other at the end of each round. Reports
+// arrive a number of rounds later.
 struct Hosts
 {
+  explicit Hosts(std::size_t aHosts,
+                 std::size_t aDelay = 0,
+                 Milliseconds aPropagationTime = 2 * kRoundInterval)
+    : mStates(aHosts)
+    , mUnreported(aDelay)
+    , mPropagationTime(aPropagationTime)
+  {
+  }
+
+  // Sends a request to a host; returns whether it is admitted.
+  bool Send(std::size_t aHost, const ClientAccount& aAccount, Instant aNow)
+  {
+    const bool admitted(ConsumeQuota(mStates[aHost], aAccount, kCost, Parameters(), aNow));
+    mInRound.resize(mStates.size());
+    mInRound[aHost].mAsked += kCost;
+    mInRound[aHost].mUsed += admitted ? kCost : 0;
+    mAdmitted += admitted ? kCost : 0;
+    return admitted;
+  }
+
+  // Ends the round and returns the admitted cost in it.
+  double EndRound(const ClientAccount& aAccount, Instant aNow)
+  {
+    mInRound.resize(mStates.size());
+    mUnreported.push_back(std::exchange(mInRound, {}));
+    const std::vector<QuotaCosts> reports = std::move(mUnreported.front());
+    mUnreported.pop_front();
+    QuotaCosts sum;
+    for (const QuotaCosts& report : reports) {
+      sum.mUsed += report.mUsed;
+      sum.mAsked += report.mAsked;
+    }
+    for (std::size_t host = 0; host < mStates.size(); ++host) {
+      const QuotaCosts own = reports.empty() ? QuotaCosts{} : reports[host];
+      const QuotaCosts others{ .mUsed = sum.mUsed - own.mUsed, .mAsked = sum.mAsked - own.mAsked };
+      AddPeerUsage(mStates[host], aAccount, others, Parameters(), aNow);
+      EndQuotaRound(mStates[host], aNow);
+    }
+    return std::exchange(mAdmitted, 0);
+  }
+
   // Sends four requests to each host, ends the round and returns the total admitted cost.
   double RunRound(const ClientAccount& aAccount, Instant aNow)
   {
-    std::vector<double> used(kHosts, 0);
-    double all = 0;
-    for (std::size_t host = 0; host < kHosts; ++host) {
+    for (std::size_t host = 0; host < mStates.size(); ++host) {
       for (int request = 0; request < 4; ++request) {
-        const double draw = std::generate_canonical<double, 32>(mRandom);
-        if (ConsumeQuota(mStates[host],
-                         aAccount,
-                         kCost,
-                         { .mReachableHosts = kHosts, .mRandomValue = draw },
-                         aNow)) {
-          used[host] += kCost;
-          all += kCost;
-        }
+        Send(host, aAccount, aNow);
       }
     }
-    for (std::size_t host = 0; host < kHosts; ++host) {
-      for (std::size_t other = 0; other < kHosts; ++other) {
-        if (other != host) {
-          AddPeerUsage(mStates[host], aAccount.mName, used[other]);
-        }
-      }
-      EndQuotaRound(mStates[host]);
-    }
-    return all;
+    return EndRound(aAccount, aNow);
+  }
+
+  QuotaParameters Parameters()
+  {
+    return { .mPropagationTime = mPropagationTime,
+             .mRandomValue = std::generate_canonical<double, 32>(mRandom) };
   }
 
   std::mt19937 mRandom{ 20261204 };
-  std::vector<QuotaState> mStates = std::vector<QuotaState>(kHosts);
+  std::vector<QuotaState> mStates;
+  std::deque<std::vector<QuotaCosts>> mUnreported;
+  std::vector<QuotaCosts> mInRound;
+  double mAdmitted = 0;
+  Milliseconds mPropagationTime;
 };
 
 SCENARIO("an account requests several times its quota at all hosts")
 {
   const ClientAccount account = Account();
-  Hosts hosts;
+  Hosts hosts{ kHosts };
   std::vector<double> seconds;
   for (int second = 0; second < 12; ++second) {
     double used = 0;
@@ -104,13 +142,13 @@
   QuotaState host;
   GIVEN("a third of the hosts in contact")
   {
-    const QuotaParameters parameters{ .mShare = 1.0 / 3, .mReachableHosts = 1 };
+    const QuotaParameters parameters{ .mShare = 1.0 / 3 };
     double used = 0;
     for (int round = 0; round <= 8 * kRoundsPerSecond; ++round) {
       while (ConsumeQuota(host, account, kCost, parameters, kStart + round * kRoundInterval)) {
         used += kCost;
       }
-      EndQuotaRound(host);
+      EndQuotaRound(host, kStart + round * kRoundInterval);
     }
     THEN("it admits a third of the quota")
     {
@@ -141,15 +179,81 @@
 {
   const ClientAccount account = Account();
   QuotaState host;
-  const QuotaParameters parameters{ .mReachableHosts = 72, .mRandomValue = 0.99 };
+  const QuotaParameters parameters{ .mRandomValue = 0.99 };
   THEN("a host admits its few requests although they exceed the host's share")
   {
     CHECK(ConsumeQuota(host, account, 90'000, parameters, kStart));
-    EndQuotaRound(host);
+    EndQuotaRound(host, kStart + kRoundInterval);
     CHECK(ConsumeQuota(host, account, 60'000, parameters, kStart + kRoundInterval));
   }
 }
 
+SCENARIO("an account that stays below its quota reaches each of many hosts seldom")
+{
+  const ClientAccount account = Account();
+  QuotaState host;
+  // The other hosts admit 90 % of the account's rate for a minute.
+  for (int round = 0; round < 60 * kRoundsPerSecond; ++round) {
+    const double cost = 0.9 * account.mRatePerSecond / kRoundsPerSecond;
+    AddPeerUsage(host,
+                 account,
+                 { .mUsed = cost, .mAsked = cost },
+                 { .mPropagationTime = Milliseconds{ 2'000 } },
+                 kStart + round * kRoundInterval);
+    EndQuotaRound(host, kStart + round * kRoundInterval);
+  }
+  THEN("the first request that this host receives is admitted")
+  {
+    // The bucket is full, and what the others ask for in four rounds is less than the burst.
+    CHECK(ConsumeQuota(host,
+                       account,
+                       1'000,
+                       { .mPropagationTime = Milliseconds{ 2'000 }, .mRandomValue = 0.99 },
+                       kStart + std::chrono::seconds{ 60 }));
+  }
+}
+
+SCENARIO("an account asks for twice its quota, spread over 295 hosts whose reports take long")
+{
+  const ClientAccount account = Account();
+  constexpr std::size_t kManyHosts = 295;
+  constexpr std::size_t kDelayRounds = 3;
+  constexpr Milliseconds kLongInterval{ 500 };
+  Hosts hosts{ kManyHosts, kDelayRounds, (kDelayRounds + 1) * kLongInterval };
+  std::uniform_int_distribution<std::size_t> anyHost{ 0, kManyHosts - 1 };
+  const double askedPerRound = account.mRatePerSecond;
+  std::vector<double> rounds;
+  double asked = 0;
+  for (int round = 0; round < 120; ++round) {
+    const Instant now = kStart + round * kLongInterval;
+    for (asked += askedPerRound; asked >= kCost; asked -= kCost) {
+      hosts.Send(anyHost(hosts.mRandom), account, now);
+    }
+    rounds.push_back(hosts.EndRound(account, now));
+  }
+  const auto admitted = [&](std::size_t aFirst, std::size_t aCount) {
+    const auto first = rounds.begin() + static_cast<std::ptrdiff_t>(aFirst);
+    return std::accumulate(first, first + static_cast<std::ptrdiff_t>(aCount), 0.0);
+  };
+  THEN("they use the quota although each host sees few of the requests")
+  {
+    CHECK(admitted(0, 120) >= 0.85 * (60 * account.mRatePerSecond + account.mBurst));
+  }
+  THEN("they stay within it in every window, with the platform's allowance")
+  {
+    // The platform allows 10 % and 190,000 tokens beyond the quota in a window of 8 s.
+    for (std::size_t first = 0; first + 16 <= rounds.size(); ++first) {
+      CHECK(admitted(first, 16) <= 1.1 * (8 * account.mRatePerSecond + account.mBurst) + 190'000);
+    }
+  }
+  THEN("the account is served continuously")
+  {
+    for (std::size_t first = 16; first + 8 <= rounds.size(); first += 8) {
+      CHECK(admitted(first, 8) >= 0.5 * 4 * account.mRatePerSecond);
+    }
+  }
+}
+
 SCENARIO("a request is larger than the burst")
 {
   const ClientAccount account = Account();
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -116,15 +116,7 @@
   if (mAccount != nullptr) {
     mQuotaCost = QuotaCost(*mAccount, mMetadata.mPromptTokens + mMetadata.mOutputTokens);
     mQuotaDecision =
-      ConsumeQuota(mState.mQuotas,
-                   *mAccount,
-                   mQuotaCost,
-                   { .mShare = mState.mView->mQuotaShare,
-                     .mReachableHosts = mState.mView->mReachableHosts,
-                     .mOverage = mState.mOptions.mQuotaOverage,
-                     .mSlack = mState.mOptions.mQuotaSlack,
-                     .mRandomValue = std::generate_canonical<double, 32>(mState.mRandom) },
-                   mArrivedAt);
+      ConsumeQuota(mState.mQuotas, *mAccount, mQuotaCost, QuotaParametersNow(mState), mArrivedAt);
     if (!mQuotaDecision.mAllowed) {
       Refuse(kTooManyRequests, RefusalReason::kOverQuota, RetryAfter(kRetryAfterOverQuota));
       return false;
@@ -204,7 +196,7 @@
     LogSeverity::kNotable,
     LogEvent::kRequestRefused,
     "id={} route={} account={} service={} status={} reason={} dispatches={} version={} "
-    "proof_age_ms={} quota_cost={:.0f} quota_level={:.0f} quota_most={:.0f} "
+    "proof_age_ms={} quota_cost={:.0f} quota_level={:.0f} quota_probability={:.2f} "
     "quota_share={:.2f} ms={}",
     mMetadata.mRequestId,
     mRoute == nullptr ? "" : mRoute->mName,
@@ -217,7 +209,7 @@
     mState.mView ? (SuspendAwareNow() - mState.mView->mConfirmedCurrentAt) / Milliseconds{ 1 } : 0,
     mQuotaCost,
     mQuotaDecision.mLevel,
-    mQuotaDecision.mMax,
+    mQuotaDecision.mProbability,
     mState.mView ? mState.mView->mQuotaShare : 0,
     (SuspendAwareNow() - mArrivedAt) / Milliseconds{ 1 });
   if (mQuotaConsumed && mDispatches == 0) {
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -49,4 +49,8 @@
   bool mStopping = false;
 };
 
+// Returns the parameters of a quota check at this moment, with a new random number.
+QuotaParameters
+QuotaParametersNow(TrafficState& aState);
+
 } // namespace trefoil
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -51,6 +51,19 @@
 {
 }
 
+QuotaParameters
+QuotaParametersNow(TrafficState& aState)
+{
+  QuotaParameters parameters{ .mOverage = aState.mOptions.mQuotaOverage,
+                              .mSlack = aState.mOptions.mQuotaSlack,
+                              .mRandomValue = std::generate_canonical<double, 32>(aState.mRandom) };
+  if (aState.mView) {
+    parameters.mShare = aState.mView->mQuotaShare;
+    parameters.mPropagationTime = aState.mView->mPropagationTime;
+  }
+  return parameters;
+}
+
 struct TrafficThread::Impl
 {
   using RequestHandler = std::function<HttpResponse(const HttpRequest&)>;
@@ -74,6 +87,7 @@
   // Publishes the contents of the current view as metrics.
   void UpdateGauges(Instant aNow) const;
   void ApplyPeerUpdate(const PeerUpdate& aUpdate);
+  void AddPeerQuotaUse(const PeerUpdate& aUpdate, Instant aNow);
   void ApplyDispatches(const std::vector<DispatchReport>& aDispatches);
   void CountBusyTime(Instant aNow);
   TrafficReport MakeReport();
@@ -226,6 +240,27 @@
   });
 }
 
+void
+TrafficThread::Impl::AddPeerQuotaUse(const PeerUpdate& aUpdate, Instant aNow)
+{
+  if (!mState.mView || !mState.mView->mCatalogue) {
+    return;
+  }
+  const auto costOf = [](const std::map<ClientAccountId, double>& aCosts,
+                         const ClientAccountId& aAccount) {
+    const auto cost = aCosts.find(aAccount);
+    return cost == aCosts.end() ? 0.0 : cost->second;
+  };
+  const QuotaParameters parameters = QuotaParametersNow(mState);
+  for (const ClientAccount& account : mState.mView->mCatalogue->mCatalogue.mAccounts) {
+    const QuotaCosts costs{ .mUsed = costOf(aUpdate.mQuotaUsed, account.mName),
+                            .mAsked = costOf(aUpdate.mQuotaAsked, account.mName) };
+    if (costs.mUsed > 0 || costs.mAsked > 0) {
+      AddPeerUsage(mState.mQuotas, account, costs, parameters, aNow);
+    }
+  }
+}
+
 void
 TrafficThread::Impl::ApplyPeerUpdate(const PeerUpdate& aUpdate)
 {
@@ -233,9 +268,7 @@
   for (const auto& [account, level] : aUpdate.mQuotaLevels) {
     SetQuotaLevel(mState.mQuotas, account, level, now);
   }
-  for (const auto& [account, used] : aUpdate.mQuotaUsed) {
-    AddPeerUsage(mState.mQuotas, account, used);
-  }
+  AddPeerQuotaUse(aUpdate, now);
   for (const CrashCount& crash : aUpdate.mCrashes) {
     Merge(mState.mCrashes, crash, now);
   }
@@ -316,7 +349,7 @@
 {
   const Instant now = SuspendAwareNow();
   UpdateGauges(now);
-  EndQuotaRound(mState.mQuotas);
+  EndQuotaRound(mState.mQuotas, now);
   CountBusyTime(now);
   TrafficReport report{ .mUsage = mState.mUsage,
                         .mCrashes = std::exchange(mState.mUnreportedCrashes, {}),
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -6,6 +6,7 @@
 
 #include "trefoil/catalogue/catalogue.h"
 #include "trefoil/catalogue/server_registry.h"
+#include "trefoil/dispatch/quota.h"
 #include "trefoil/dispatch/server_choice.h"
 #include "trefoil/request/crash_tracker.h"
 
@@ -45,6 +46,8 @@
   // counts those in contact, including this host.
   int mHosts = 1;
   int mReachableHosts = 1;
+  // How long it takes until a request is known to all hosts in contact.
+  Milliseconds mPropagationTime{ 500 };
   // Correction to add to this host's wall clock.
   Milliseconds mClockCorrection{ 0 };
   std::map<ServiceId, VersionSteering> mSteering;
@@ -55,8 +58,10 @@
 {
   // Levels of the accounts' token buckets as recorded in the store, applied when this host starts.
   std::map<ClientAccountId, double> mQuotaLevels;
-  // Cost of the requests that other hosts have admitted since the previous update.
+  // Cost of the requests that other hosts have admitted, and of all that they have received, since
+  // the previous update.
   std::map<ClientAccountId, double> mQuotaUsed;
+  std::map<ClientAccountId, double> mQuotaAsked;
   std::vector<CrashCount> mCrashes;
   // Servers that several other hosts report as broken.
   std::set<BackendServerId> mBroken;
@@ -78,8 +83,8 @@
 // A host's use of an account's quota.
 struct QuotaUse
 {
-  // Cost of the requests that the host has admitted since its start, less refunds.
-  double mTotal = 0;
+  // Cost of the requests that the host has received since its start.
+  QuotaCosts mTotal;
   // The level of the host's copy of the account's token bucket.
   double mLevel = 0;
 };
--- a/trefoil/steering/aggregation.cc
+++ b/trefoil/steering/aggregation.cc
@@ -590,7 +590,8 @@
     }
     return update;
   }
-  update.mQuotaUsed = QuotaUsedOf(added);
+  update.mQuotaUsed = AccountTotalsOf(added, CounterKind::kQuotaUsed);
+  update.mQuotaAsked = AccountTotalsOf(added, CounterKind::kQuotaAsked);
   for (const CrashReport& crash : aMessage.mCrashes) {
     if (crash.mHost != aTable.mSelf) {
       update.mCrashes.push_back(ToCrashCount(crash));
--- a/trefoil/steering/control_thread.cc
+++ b/trefoil/steering/control_thread.cc
@@ -17,8 +17,12 @@
 // Interval between writes of the quota record. The quota used since the last write is lost if
 // all hosts are killed; it is within the slack of the quotas.
 constexpr Milliseconds kQuotaRecordInterval{ 500 };
-// Interval between reads of the store's list of entry hosts.
+// Interval between reads of the store's list of entry hosts, and the time of the second read, when
+// all hosts that started together have registered. With aggregation the list only names the hosts
+// of each zone, whether they are up is known from their messages, so it is read less often.
 constexpr Milliseconds kHostsRefreshInterval{ 5'000 };
+constexpr Milliseconds kSecondHostsRefresh{ 2'500 };
+constexpr Milliseconds kAggregatedHostsRefreshInterval{ 20'000 };
 // Interval between the queries of a host that does not watch the store itself. A revoked key or
 // a new configuration reaches such a host within this interval plus the wait of a watch.
 constexpr Milliseconds kRelayQueryInterval{ 800 };
@@ -52,6 +56,7 @@
   SendTrafficUpdate(aState);
   PublishView(aState);
   LogPeersInTouch(aState);
+  RegisterHost(aState);
   RunDuties(aState);
   if (now - aState.mQuotaWrittenAt >= kQuotaRecordInterval) {
     aState.mQuotaWrittenAt = now;
@@ -92,8 +97,16 @@
     DropUsageBefore(aState.mPeers, firstKept);
     DropAggregatedUsageBefore(aState.mAggregation, firstKept);
   }
-  aState.mLoop.CallAt(SuspendAwareNow() + kHostsRefreshInterval,
-                      [&aState] { RefreshHostsRegularly(aState); });
+  Milliseconds interval = kHostsRefreshInterval;
+  if (!std::exchange(aState.mHostsRefreshed, true)) {
+    interval = kSecondHostsRefresh;
+  } else if (UsesAggregation(aState.mPeers)) {
+    // Hosts that started together must not read together.
+    interval = kAggregatedHostsRefreshInterval / 2 + Milliseconds{
+      static_cast<std::int64_t>(aState.mRandom() % kAggregatedHostsRefreshInterval.count())
+    };
+  }
+  aState.mLoop.CallAt(SuspendAwareNow() + interval, [&aState] { RefreshHostsRegularly(aState); });
 }
 
 } // namespace
--- a/trefoil/steering/internal/aggregation_messages.cc
+++ b/trefoil/steering/internal/aggregation_messages.cc
@@ -26,9 +26,7 @@
 void
 AddToPeerUpdate(SteeringState& aState, const PeerUpdate& aAdded)
 {
-  for (const auto& [account, used] : aAdded.mQuotaUsed) {
-    aState.mPeerUpdate.mQuotaUsed[account] += used;
-  }
+  AddQuotaUse(aState.mPeerUpdate, aAdded);
   aState.mPeerUpdate.mCrashes.insert(
     aState.mPeerUpdate.mCrashes.end(), aAdded.mCrashes.begin(), aAdded.mCrashes.end());
 }
--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -331,6 +331,7 @@
         loads[service].mBusyMs = value;
         break;
       case CounterKind::kQuotaUsed:
+      case CounterKind::kQuotaAsked:
       case CounterKind::kServed:
       case CounterKind::kFailed:
       case CounterKind::kLatencyMs:
@@ -440,6 +441,7 @@
         sum.mLatencyMs += static_cast<double>(total);
         break;
       case CounterKind::kQuotaUsed:
+      case CounterKind::kQuotaAsked:
       case CounterKind::kPromptTokens:
       case CounterKind::kPrefillTokens:
       case CounterKind::kPrefillMs:
--- a/trefoil/steering/internal/peer_messages.cc
+++ b/trefoil/steering/internal/peer_messages.cc
@@ -37,7 +37,8 @@
                         .mBroken = aState.mReport.mBroken };
   for (const auto& [account, used] : aState.mReport.mQuotaUsed) {
     update.mQuotas.push_back(
-      { .mAccount = account, .mUsed = static_cast<std::uint64_t>(std::max(0.0, used.mTotal)) });
+      { .mAccount = account,
+        .mUsed = static_cast<std::uint64_t>(std::max(0.0, used.mTotal.mUsed)) });
   }
   std::size_t windows = 0;
   for (auto window = aState.mReport.mUsage.rbegin();
@@ -83,6 +84,11 @@
     add(CounterKind::kPrefillMs, load.mPrefillMs);
     add(CounterKind::kBusyMs, load.mBusyMs);
   }
+  for (const auto& [account, used] : aState.mReport.mQuotaUsed) {
+    report.mCounters.push_back({ .mKind = CounterKind::kQuotaAsked,
+                                 .mSubject = account.Value(),
+                                 .mTotal = static_cast<std::uint64_t>(used.mTotal.mAsked) });
+  }
   return report;
 }
 
@@ -104,9 +110,7 @@
   if (isAggregated) {
     RecordZoneCrashes(aState.mAggregation, update.mCrashes, SuspendAwareNow());
   } else {
-    for (const auto& [account, used] : added.mQuotaUsed) {
-      aState.mPeerUpdate.mQuotaUsed[account] += used;
-    }
+    AddQuotaUse(aState.mPeerUpdate, added);
   }
   aState.mPeerUpdate.mCrashes.insert(
     aState.mPeerUpdate.mCrashes.end(), added.mCrashes.begin(), added.mCrashes.end());
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -17,9 +17,10 @@
 // age at which requests with keys are refused.
 constexpr Milliseconds kOperatorWait{ 1'000 };
 constexpr Milliseconds kServerWait{ 5'000 };
-// A host that watches the store for others uses a shorter wait, so that its record is confirmed
-// often enough to relay.
-constexpr Milliseconds kRelayingServerWait{ 1'000 };
+// A host that watches the store for others uses a shorter wait. A record is confirmed as of the
+// time at which its watch was sent, so it is up to two waits old when it is relayed, and the hosts
+// that receive it must not find it too old before their next query.
+constexpr Milliseconds kRelayingWait{ 500 };
 // Servers that start or leave together are read by one call. Well below the time within which a
 // leaving server must stop getting requests.
 constexpr Milliseconds kServerBatchDelay{ 500 };
@@ -276,26 +277,6 @@
   aState.mPeers.mListedHosts = std::move(listed);
 }
 
-// Writes this host's entry with its lease, so that it expires with the host.
-void
-WriteHostEntry(SteeringState& aState)
-{
-  const std::uint64_t lease = aState.mDuties.mLease.mLease;
-  if (lease == 0 || lease == aState.mHostEntryLease) {
-    return;
-  }
-  aState.mStore.Call(
-    Commit{ .mWrites = { { .mKey = HostKey(aState.mOptions.mZone, aState.mOptions.mHost),
-                           .mValue = ToText(aState.mOptions.mPeerEndpoint),
-                           .mLease = lease } } },
-    SuspendAwareNow() + kStoreCallTimeout,
-    [&aState, lease](const StoreAnswer& aAnswer) {
-      if (aAnswer.mOutcome == StoreOutcome::kDone) {
-        aState.mHostEntryLease = lease;
-      }
-    });
-}
-
 // Sends the bucket levels of the quota record to the traffic thread, then starts the watch that
 // provides the configuration. So no request is served before the levels are set.
 void
@@ -414,15 +395,37 @@
 void
 SetWatchMode(SteeringState& aState, bool aIsSubscriber, bool aIsWatcher)
 {
-  aState.mServerWatch->SetWait(aIsWatcher ? kRelayingServerWait : kServerWait);
+  aState.mOperatorWatch->SetWait(aIsWatcher ? kRelayingWait : kOperatorWait);
+  aState.mServerWatch->SetWait(aIsWatcher ? kRelayingWait : kServerWait);
   aState.mOperatorWatch->SetRelayed(aIsSubscriber);
   aState.mServerWatch->SetRelayed(aIsSubscriber);
 }
 
+void
+RegisterHost(SteeringState& aState)
+{
+  const Instant now = SuspendAwareNow();
+  const std::uint64_t lease = aState.mDuties.mLease.mLease;
+  if (lease == 0 || lease == aState.mHostEntryLease ||
+      !HasPassed(aState.mNextRegistrationAt, now)) {
+    return;
+  }
+  aState.mNextRegistrationAt = now + kStoreCallTimeout;
+  aState.mStore.Call(
+    Commit{ .mWrites = { { .mKey = HostKey(aState.mOptions.mZone, aState.mOptions.mHost),
+                           .mValue = ToText(aState.mOptions.mPeerEndpoint),
+                           .mLease = lease } } },
+    now + kStoreCallTimeout,
+    [&aState, lease](const StoreAnswer& aAnswer) {
+      if (aAnswer.mOutcome == StoreOutcome::kDone) {
+        aState.mHostEntryLease = lease;
+      }
+    });
+}
+
 void
 RefreshHosts(SteeringState& aState)
 {
-  WriteHostEntry(aState);
   aState.mStore.Call(ListKeys{ .mPrefix = std::string{ kHostPrefix }, .mMayBeStale = true },
                      SuspendAwareNow() + kStoreCallTimeout,
                      [&aState](const StoreAnswer& aAnswer) { OnHostList(aState, aAnswer); });
@@ -435,6 +438,7 @@
   const FleetStatus status = StatusOfFleet(aState.mPeers, aState.mAggregation, now);
   aState.mView.mHosts = status.mHosts;
   aState.mView.mReachableHosts = status.mReachableHosts;
+  aState.mView.mPropagationTime = PropagationTime(aState.mPeers, now);
   aState.mView.mClockCorrection = status.mClockCorrection;
   aState.mView.mQuotaShare =
     std::min(1.0, static_cast<double>(status.mReachableHosts) / status.mHosts);
--- a/trefoil/steering/internal/store_updates.h
+++ b/trefoil/steering/internal/store_updates.h
@@ -25,8 +25,12 @@
 void
 SetWatchMode(SteeringState& aState, bool aIsSubscriber, bool aIsWatcher);
 
-// Reads the list of entry hosts from the store. Writes this host's entry if it has not been
-// written under the current lease.
+// Writes this host's entry with its lease, so that it expires with the host, unless that has been
+// done under the current lease.
+void
+RegisterHost(SteeringState& aState);
+
+// Reads the list of entry hosts from the store.
 void
 RefreshHosts(SteeringState& aState);
 
--- a/trefoil/steering/merged_totals.cc
+++ b/trefoil/steering/merged_totals.cc
@@ -115,15 +115,15 @@
 }
 
 std::map<ClientAccountId, double>
-QuotaUsedOf(const Counters& aCounters)
+AccountTotalsOf(const Counters& aCounters, CounterKind aKind)
 {
-  std::map<ClientAccountId, double> used;
+  std::map<ClientAccountId, double> totals;
   for (const auto& [key, total] : aCounters) {
-    if (key.mKind == CounterKind::kQuotaUsed) {
-      used[ClientAccountId{ key.mSubject }] = static_cast<double>(total);
+    if (key.mKind == aKind) {
+      totals[ClientAccountId{ key.mSubject }] = static_cast<double>(total);
     }
   }
-  return used;
+  return totals;
 }
 
 Counters
--- a/trefoil/steering/merged_totals.h
+++ b/trefoil/steering/merged_totals.h
@@ -57,9 +57,9 @@
 Counters
 Increases(const Counters& aBefore, const Counters& aAfter);
 
-// Returns the cost of the requests that are counted against each account's quota.
+// Returns the totals of a kind by account.
 std::map<ClientAccountId, double>
-QuotaUsedOf(const Counters& aCounters);
+AccountTotalsOf(const Counters& aCounters, CounterKind aKind);
 
 // A host and the epoch of its counters.
 using SourceId = std::pair<HostId, std::uint64_t>;
--- a/trefoil/steering/peer_table.cc
+++ b/trefoil/steering/peer_table.cc
@@ -72,7 +72,8 @@
     if (report.mZone == aTable.mZone) {
       AddCounters(aTable.mZoneGrowth, growth);
     }
-    update.mQuotaUsed = QuotaUsedOf(growth);
+    update.mQuotaUsed = AccountTotalsOf(growth, CounterKind::kQuotaUsed);
+    update.mQuotaAsked = AccountTotalsOf(growth, CounterKind::kQuotaAsked);
   }
   for (const CrashReport& crash : report.mCrashes) {
     update.mCrashes.push_back(ToCrashCount(crash));
@@ -129,6 +130,17 @@
   return std::chrono::abs(aOffset) < kClockTolerance ? Milliseconds{ 0 } : aOffset;
 }
 
+void
+AddQuotaUse(PeerUpdate& aSum, const PeerUpdate& aAdded)
+{
+  for (const auto& [account, used] : aAdded.mQuotaUsed) {
+    aSum.mQuotaUsed[account] += used;
+  }
+  for (const auto& [account, asked] : aAdded.mQuotaAsked) {
+    aSum.mQuotaAsked[account] += asked;
+  }
+}
+
 bool
 UsesAggregation(const PeerTable& aTable)
 {
@@ -152,6 +164,17 @@
   return std::clamp(interval, kMinUpdateInterval, kMaxUpdateInterval);
 }
 
+Milliseconds
+PropagationTime(const PeerTable& aTable, Instant aNow)
+{
+  // A report is sent within one interval, and applied at the end of another one. With aggregation
+  // it passes two aggregators on its way.
+  constexpr int kIntervals = 2;
+  constexpr int kIntervalsWithAggregation = 4;
+  return TrafficUpdateInterval(aTable, aNow) *
+         (UsesAggregation(aTable) ? kIntervalsWithAggregation : kIntervals);
+}
+
 std::vector<HostId>
 LivePeers(const PeerTable& aTable, Instant aNow)
 {
--- a/trefoil/steering/peer_table.h
+++ b/trefoil/steering/peer_table.h
@@ -85,6 +85,10 @@
 Milliseconds
 ToleratedClockOffset(Milliseconds aOffset);
 
+// Adds the use of quotas in `aAdded` to that in `aSum`.
+void
+AddQuotaUse(PeerUpdate& aSum, const PeerUpdate& aAdded);
+
 // Returns whether the fleet is so large that updates are summed by zone (aggregation.h) instead of
 // being sent to all hosts.
 bool
@@ -129,6 +133,10 @@
   bool mTakesReports = false;
 };
 
+// Returns how long it takes until what a host has counted is known to all others.
+Milliseconds
+PropagationTime(const PeerTable& aTable, Instant aNow);
+
 // Returns the endpoints that updates are sent to. Usage is sent to the holder of the duties, which
 // reports it, and to the hosts of this zone, which keep it for the next holder and to which traffic
 // is free of charge. Hosts that are listed but have sent no recent update get it too.
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -48,6 +48,8 @@
   // When the store came back after its last outage, as this host or another one observed it.
   std::optional<Instant> mStoreRegainedAt;
 
+  // Whether the list of hosts has been read once.
+  bool mHostsRefreshed = false;
   PeerTable mPeers;
   AggregationState mAggregation;
   StoreRelay mRelay;
@@ -71,6 +73,8 @@
   bool mHoldsDuties = false;
   // The lease under which this host's entry was written to the store; 0 if none was written.
   std::uint64_t mHostEntryLease = 0;
+  // The earliest time of the next write of the entry; a write in progress has timed out by then.
+  Instant mNextRegistrationAt;
   UsageDuty mUsage;
   ScalingState mScaling;
   VersionMoves mMoves;
--- a/trefoil/wire/totals_message.h
+++ b/trefoil/wire/totals_message.h
@@ -34,9 +34,11 @@
   kPrefillMs,
   // The sum over all requests to a service of the time that they spend at its servers.
   kBusyMs,
+  // The cost of all requests of an account, admitted or not.
+  kQuotaAsked,
 };
 
-inline constexpr NameTable<CounterKind, 8> kCounterKindNames{ {
+inline constexpr NameTable<CounterKind, 9> kCounterKindNames{ {
   { CounterKind::kQuotaUsed, "quota_used" },
   { CounterKind::kPromptTokens, "prompt_tokens" },
   { CounterKind::kServed, "served" },
@@ -45,6 +47,7 @@
   { CounterKind::kPrefillTokens, "prefill_tokens" },
   { CounterKind::kPrefillMs, "prefill_ms" },
   { CounterKind::kBusyMs, "busy_ms" },
+  { CounterKind::kQuotaAsked, "quota_asked" },
 } };
 
 struct CounterTotal
