End answers without end and order fewer servers

Cause: the body of a plain answer and an incomplete event were buffered up to 64 MB each until the deadline, so a server that sends bytes without end held a request for its whole time, and a few of them a host's memory. Change: 8 MB for a plain answer, 1 MB for an event, 32 MB for all answers of a host together; an answer that exceeds them counts as broken. Events that end in CRLF CRLF are complete. The body of a stream as a whole is no longer limited, since its events do not stay in memory. Before: 504 after 8 s for both bodies; after: 502 at once.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -11,6 +11,8 @@
 #include <fmt/format.h>
 #include <future>
 #include <memory>
+#include <thread>
+#include <vector>
 
 namespace trefoil {
 namespace {
@@ -80,7 +82,8 @@
 class Gateway
 {
 public:
-  explicit Gateway(std::size_t aMaxConnections = 100)
+  explicit Gateway(std::size_t aMaxConnections = 100,
+                   std::size_t aMaxBufferedBytes = std::size_t{ 32 } * 1024 * 1024)
   {
     mOptions = { .mHost = HostId{ "host-1" },
                  .mZone = AvailabilityZoneId{ "a" },
@@ -90,7 +93,8 @@
                  .mRetries = { .mRatio = 0.2, .mSlack = 50, .mWindow = std::chrono::seconds{ 10 } },
                  .mUsageWindow = Milliseconds{ 5'000 },
                  .mMaxConfigurationAge = Milliseconds{ 60'000 },
-                 .mMaxConnections = aMaxConnections };
+                 .mMaxConnections = aMaxConnections,
+                 .mMaxBufferedBytes = aMaxBufferedBytes };
     mTraffic = std::move(TrafficThread::Start(mOptions, mLog, mMetrics).value());
     const auto route = [this](const char* aName, RouteKind aKind, bool aResumable) {
       mCatalogue.mRoutes.push_back({ .mName = aName,
@@ -147,6 +151,8 @@
   }
 
   Client Connect() const { return Client{ mOptions.mListen }; }
+  // Sends a request on a new connection and returns its answer.
+  ReceivedAnswer Ask(const std::string& aRoute, const std::string& aId) const;
   Client ConnectToReadiness() const { return Client{ mOptions.mReadiness }; }
   TrafficThread& Thread() { return *mTraffic; }
 
@@ -175,6 +181,14 @@
     aDeadlineMs);
 }
 
+ReceivedAnswer
+Gateway::Ask(const std::string& aRoute, const std::string& aId) const
+{
+  Client client = Connect();
+  client.Send(MakeRequest(aRoute, aId));
+  return client.Read();
+}
+
 Reply
 AnswerSuccess(const ReceivedRequest& aRequest)
 {
@@ -620,5 +634,94 @@
   }
 }
 
+SCENARIO("a server sends bytes without end that are no answer")
+{
+  // More than a host buffers for one answer, and no end.
+  const std::string endless(std::size_t{ 12 } * 1024 * 1024, 'x');
+  Gateway gateway;
+  WHEN("they follow the head of a stream and contain no event")
+  {
+    const ScriptedServer server{ [&endless](const ReceivedRequest& aRequest) {
+      return Reply{ .mBytes = MakeStreamStart(aRequest) +
+                              fmt::format("{:x}\r\n{}", endless.size() + 1, endless),
+                    .mHang = true };
+    } };
+    gateway.AddServer("e1", server);
+    gateway.Publish();
+    const ReceivedAnswer answer = gateway.Ask("live", "id-1");
+    THEN("the host closes the connection long before the deadline, and says that it may have run")
+    {
+      CHECK(answer.mStatus == 502);
+    }
+  }
+  WHEN("they follow the head of a plain answer that ends with its connection")
+  {
+    const ScriptedServer server{ [&endless](const ReceivedRequest& aRequest) {
+      return Reply{ .mBytes = fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: "
+                                          "s\r\n\r\n{}",
+                                          HeaderValue(aRequest.mRequest.mHeaders, "Request-Id"),
+                                          endless),
+                    .mHang = true };
+    } };
+    gateway.AddServer("e1", server);
+    gateway.Publish();
+    const ReceivedAnswer answer = gateway.Ask("write", "id-1");
+    THEN("the host closes the connection, and says that the request may have run")
+    {
+      CHECK(answer.mStatus == 502);
+    }
+  }
+  WHEN("they come in place of a head")
+  {
+    const ScriptedServer server{ [&endless](const ReceivedRequest& /*aRequest*/) {
+      return Reply{ .mBytes = "HTTP/1.1 200 OK\r\nX: " + endless, .mHang = true };
+    } };
+    gateway.AddServer("e1", server);
+    gateway.Publish();
+    const ReceivedAnswer answer = gateway.Ask("write", "id-1");
+    THEN("the host closes the connection, and says that the request may have run")
+    {
+      CHECK(answer.mStatus == 502);
+    }
+  }
+}
+
+SCENARIO("many servers send long answers without end at the same time")
+{
+  constexpr std::size_t kClients = 8;
+  constexpr std::size_t kAnswerBytes = 300'000;
+  Gateway gateway{ 100, 1'000'000 };
+  const ScriptedServer server{ [](const ReceivedRequest& aRequest) {
+    if (aRequest.mRequest.mTarget.starts_with("/read/")) {
+      return Reply{ .mBytes = MakeSealedAnswer(aRequest, 200, "recorded") };
+    }
+    return Reply{ .mBytes = fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: "
+                                        "s\r\n\r\n{}",
+                                        HeaderValue(aRequest.mRequest.mHeaders, "Request-Id"),
+                                        std::string(kAnswerBytes, 'x')),
+                  .mHang = true };
+  } };
+  gateway.AddServer("e1", server);
+  gateway.Publish();
+  std::vector<std::future<ReceivedAnswer>> answers;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    answers.push_back(std::async(
+      std::launch::async, [&gateway, i] { return gateway.Ask("write", fmt::format("id-{}", i)); }));
+  }
+  THEN("the answers that do not fit into the host's buffers are ended, and others are served")
+  {
+    // Three of the answers fit.
+    while (server.AbandonedConnections() < static_cast<int>(kClients) - 3) {
+      std::this_thread::sleep_for(Milliseconds{ 5 });
+    }
+    CHECK(gateway.Ask("read", "id-sound").mStatus == 200);
+  }
+  std::size_t ended = 0;
+  for (auto& answer : answers) {
+    ended += answer.get().mStatus == 502 ? 1 : 0;
+  }
+  CHECK(ended >= kClients - 3);
+}
+
 } // namespace
 } // namespace trefoil
--- a/trefoil/forward/event_splitter.cc
+++ b/trefoil/forward/event_splitter.cc
@@ -8,9 +8,26 @@
 namespace trefoil {
 namespace {
 
-constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kIdField = "id:";
 
+// Returns the position after the first event of `aBytes`, or npos if it is not complete. An event
+// ends with an empty line; lines end with LF or CRLF.
+std::size_t
+FindEventEnd(std::string_view aBytes)
+{
+  for (std::size_t line = aBytes.find('\n'); line != std::string_view::npos;
+       line = aBytes.find('\n', line + 1)) {
+    const std::string_view next = aBytes.substr(line + 1);
+    if (next.starts_with('\n')) {
+      return line + 2;
+    }
+    if (next.starts_with("\r\n")) {
+      return line + 3;
+    }
+  }
+  return std::string_view::npos;
+}
+
 // Returns the value of the event's id field, or std::nullopt if it has none.
 std::optional<std::string_view>
 FindEventId(std::string_view aEvent)
@@ -61,12 +78,11 @@
 {
   aSplitter.mPartialEvent.append(aBytes);
   std::string complete;
-  std::size_t start = 0;
-  for (std::size_t end = aSplitter.mPartialEvent.find(kEventEnd); end != std::string::npos;
-       end = aSplitter.mPartialEvent.find(kEventEnd, start)) {
-    const std::string_view event =
-      std::string_view{ aSplitter.mPartialEvent }.substr(start, end + kEventEnd.size() - start);
-    start = end + kEventEnd.size();
+  std::string_view rest = aSplitter.mPartialEvent;
+  for (std::size_t end = FindEventEnd(rest); end != std::string_view::npos;
+       end = FindEventEnd(rest)) {
+    const std::string_view event = rest.substr(0, end);
+    rest.remove_prefix(end);
     const auto id = FindEventId(event);
     if (id.has_value() && IsDuplicate(aSplitter, *id)) {
       continue;
@@ -76,7 +92,7 @@
     }
     complete.append(event);
   }
-  aSplitter.mPartialEvent.erase(0, start);
+  aSplitter.mPartialEvent.erase(0, aSplitter.mPartialEvent.size() - rest.size());
   return complete;
 }
 
--- a/trefoil/forward/event_splitter_test.cc
+++ b/trefoil/forward/event_splitter_test.cc
@@ -26,6 +26,16 @@
             "id: 2\ndata: b\n\n");
     }
   }
+  GIVEN("events whose lines end with CRLF")
+  {
+    THEN("they are relayed unchanged, as soon as they are complete")
+    {
+      CHECK(ExtractCompleteEvents(splitter, "id: 1\r\ndata: a\r\n\r").empty());
+      CHECK(ExtractCompleteEvents(splitter, "\nid: 2\r\n") == "id: 1\r\ndata: a\r\n\r\n");
+      CHECK(splitter.mLastId == "1");
+      CHECK(ExtractCompleteEvents(splitter, "\r\n") == "id: 2\r\n\r\n");
+    }
+  }
   GIVEN("events without ids")
   {
     THEN("all of them are relayed")
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -134,6 +134,8 @@
     // An answer to another request was received, so the connection must not be reused.
     bool mHasStrayAnswer = false;
     bool mAnswerBegun = false;
+    // The received bytes that are counted in TrafficState::mBufferedBytes.
+    std::size_t mBufferedBytes = 0;
     AnswerMetadata mAnswerMetadata;
   };
 
@@ -144,11 +146,13 @@
   void TryNextServer();
   std::optional<RegisteredServer> SelectServer();
   void SendTo(const RegisteredServer& aServer);
+  MessageReader ResponseReader() const;
   std::string BuildRequest(const RegisteredServer& aServer, Milliseconds aTimeLeft) const;
 
   void OnServerBytes();
   void OnServerEnd(StreamEnd aEnd);
   bool CheckRequestHead();
+  bool CheckBufferedBytes();
   void RelayEvents();
   void RecordAnswerBegun();
   void RecordUndisturbedPrefill(Instant::duration aTime);
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -9,6 +9,10 @@
 constexpr int kFirstServerError = 500;
 // Bytes of one answer that are buffered for a client that reads too slowly.
 constexpr std::size_t kMaxUnsentBytes = std::size_t{ 4 } * 1024 * 1024;
+// Limits on the bytes of an answer that cannot be relayed yet: a plain answer, which is relayed
+// when it is complete, and an event. A server that exceeds them is faulty.
+constexpr std::size_t kMaxPlainAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
+constexpr std::size_t kMaxEventBytes = std::size_t{ 1 } * 1024 * 1024;
 // The time to the first event of a shorter prompt shows the delay of the network and of the
 // server's scheduling rather than its prefill rate.
 constexpr double kMinPrefillTokens = 4'000;
@@ -40,14 +44,20 @@
       return;
     }
     if (mAttempt->mSkippingAnswer && state == MessageReadState::kComplete) {
-      mAttempt->mReader = MessageReader::ForResponse({}, mRequest.mMethod != "HEAD");
+      mAttempt->mReader = ResponseReader();
       mAttempt->mHeadChecked = false;
       mAttempt->mSkippingAnswer = false;
       continue;
     }
+    if (mAttempt->mSkippingAnswer) {
+      mAttempt->mReader->Body().clear();
+    }
     if (mAttempt->mHeadChecked && !mAttempt->mSkippingAnswer) {
       RecordAnswerBegun();
       RelayEvents();
+      if (mAttempt.has_value() && !CheckBufferedBytes()) {
+        return;
+      }
       if (mAttempt.has_value() && state == MessageReadState::kComplete) {
         OnAnswerComplete();
       }
@@ -88,6 +98,26 @@
   return true;
 }
 
+// Counts the bytes of the answer that cannot be relayed yet. Returns false if there are too many of
+// them and the attempt has ended.
+bool
+Exchange::CheckBufferedBytes()
+{
+  const std::size_t partialEvent = mEvents.mPartialEvent.size();
+  const std::size_t buffered = mAttempt->mReader->Body().size() + partialEvent;
+  const std::size_t before = std::exchange(mAttempt->mBufferedBytes, buffered);
+  mState.mBufferedBytes = mState.mBufferedBytes + buffered - before;
+  const bool isSound = buffered <= kMaxPlainAnswerBytes && partialEvent <= kMaxEventBytes;
+  // While many answers are large, those that grow are ended, so that the host's memory suffices.
+  const bool fits =
+    buffered <= before || mState.mBufferedBytes <= mState.mOptions.mMaxBufferedBytes;
+  if (isSound && fits) {
+    return true;
+  }
+  OnAttemptFailed(AttemptFailure::kBroken);
+  return false;
+}
+
 // Updates the backlog, latency and usage counts when the server begins to answer: for a successful
 // stream when the first bytes of the body arrive, otherwise when the head is complete.
 void
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 namespace trefoil {
@@ -90,6 +91,15 @@
   SendTo(*server);
 }
 
+// Returns a reader for an answer to this request. Bodies are not limited there, since the events of
+// a long stream do not stay in memory.
+MessageReader
+Exchange::ResponseReader() const
+{
+  return MessageReader::ForResponse({ .mMaxBodyBytes = std::numeric_limits<std::size_t>::max() },
+                                    mRequest.mMethod != "HEAD");
+}
+
 std::string
 Exchange::BuildRequest(const RegisteredServer& aServer, Milliseconds aTimeLeft) const
 {
@@ -123,7 +133,7 @@
   RecordBasis(aServer, now);
   mAttempt = Attempt{ .mServer = aServer,
                       .mConnection = mState.mConnectionPool.Acquire(aServer, policy),
-                      .mReader = MessageReader::ForResponse({}, mRequest.mMethod != "HEAD"),
+                      .mReader = ResponseReader(),
                       .mSentAt = now,
                       .mPendingTokens = mBasis.mUncachedTokens };
   ++mDispatches;
@@ -252,6 +262,7 @@
 {
   Attempt attempt = std::move(*mAttempt);
   mAttempt.reset();
+  mState.mBufferedBytes -= attempt.mBufferedBytes;
   mState.mLoop.Cancel(std::exchange(mSilenceTimer, 0));
   ServerStatus& status = StatusOfServer(attempt.mServer.mId);
   --status.mInFlight;
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -40,6 +40,8 @@
   // them.
   std::vector<DispatchReport> mUnsentReports;
   std::function<void(std::vector<DispatchReport>)> mOnDispatchReports;
+  // Received bytes of all answers that cannot be relayed yet.
+  std::size_t mBufferedBytes = 0;
   UsageWindows mUsage;
   std::map<ServiceId, ServiceLoad> mLoads;
   // Until when ServiceLoad::mBusyMs has been counted.
--- a/trefoil/forward/traffic_thread.h
+++ b/trefoil/forward/traffic_thread.h
@@ -44,6 +44,8 @@
   Milliseconds mMaxConfigurationAge{ 0 };
   // Limit on the client connections and the idle server connections together.
   std::size_t mMaxConnections = 0;
+  // Limit on the received bytes of all answers that cannot be relayed yet, together.
+  std::size_t mMaxBufferedBytes = std::size_t{ 32 } * 1024 * 1024;
 };
 
 class TrafficThread
--- a/trefoil/steering/scaling.cc
+++ b/trefoil/steering/scaling.cc
@@ -1,5 +1,7 @@
 #include "trefoil/steering/scaling.h"
 
+#include "trefoil/base/median.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -11,10 +13,12 @@
 // Fewer servers are ordered only after fewer have been needed for this long: a wave of the load
 // lasts longer.
 constexpr Milliseconds kScaleDownDelay{ 4'000 };
-// The fraction of its prefill rate and of its slots that a server is planned to use. All prompt
-// tokens count, including those that are in a cache, since a cache is lost with its server. The
-// rest keeps the time to the first event short.
-constexpr double kPlannedUtilization = 0.7;
+// The fractions of its observed prefill rate and of its slots that a server is planned to use. All
+// prompt tokens count, including those that are in a cache, since a cache is lost with its server.
+// The observed rate includes the delays that every request has, so it is below the one that a
+// server reaches under load. Free slots keep the time to the first event short.
+constexpr double kPlannedPrefill = 0.9;
+constexpr double kPlannedSlots = 0.7;
 // Before prefills have been observed, the rate is estimated as 60,000 tokens per second, with the
 // weight of ten seconds of prefills. Common accelerators prefill 20,000 to 100,000.
 constexpr double kInitialTokensPerMs = 60;
@@ -22,7 +26,7 @@
 constexpr double kMsPerSecond = 1'000;
 // Reclaimable servers ordered for each server needed, so that most of the needed capacity
 // remains when a zone is lost.
-constexpr double kReclaimablePerNeededServer = 2.0;
+constexpr double kReclaimablePerNeededServer = 1.6;
 // On-demand servers kept in each zone.
 constexpr int kMinOnDemandInZone = 1;
 // Max fraction of a zone's servers that may be reclaimable. The rest leaves room for on-demand
@@ -152,12 +156,15 @@
 {
   Demand peak;
   const auto found = aState.mDemand.find(aService);
-  if (found != aState.mDemand.end()) {
-    for (const auto& [at, demand] : found->second.mPeriods) {
-      peak.mTokensPerSecond = std::max(peak.mTokensPerSecond, demand.mTokensPerSecond);
-      peak.mConcurrentRequests = std::max(peak.mConcurrentRequests, demand.mConcurrentRequests);
-    }
+  if (found == aState.mDemand.end() || found->second.mPeriods.empty()) {
+    return peak;
+  }
+  std::vector<double> concurrent;
+  for (const auto& [at, demand] : found->second.mPeriods) {
+    peak.mTokensPerSecond = std::max(peak.mTokensPerSecond, demand.mTokensPerSecond);
+    concurrent.push_back(demand.mConcurrentRequests);
   }
+  peak.mConcurrentRequests = Median(std::move(concurrent));
   return peak;
 }
 
@@ -184,7 +191,7 @@
   // Prefill and decoding share a server's time, so what they need adds up.
   const double prefilling = demand.mTokensPerSecond / PrefillTokensPerServer(aState, aService);
   const double decoding = demand.mConcurrentRequests / MeanSlots(*aInputs.mServers, aService);
-  const int needed = CeilToInt((prefilling + decoding) / kPlannedUtilization);
+  const int needed = CeilToInt(prefilling / kPlannedPrefill + decoding / kPlannedSlots);
   const auto history = aState.mDemand.find(aService);
   const bool isDemandKnown = history != aState.mDemand.end() &&
                              history->second.mFirstDemandAt.has_value() &&
--- a/trefoil/steering/scaling.h
+++ b/trefoil/steering/scaling.h
@@ -112,7 +112,9 @@
              const ServiceLoad& aTotals,
              Instant aNow);
 
-// Returns the highest values of the last 20 s; 0 if there was no demand.
+// Returns the most tokens per second and the median of the concurrent requests in the last 20 s; 0
+// if there was no demand. Requests that wait at a few faulty servers raise the number of concurrent
+// ones for a short time without a need for more servers.
 Demand
 PeakDemand(const ScalingState& aState, const ServiceId& aService);
 
--- a/trefoil/steering/scaling_test.cc
+++ b/trefoil/steering/scaling_test.cc
@@ -255,6 +255,27 @@
   }
 }
 
+SCENARIO("requests pile up at faulty servers for a few seconds")
+{
+  ScalingState scaling;
+  const auto record = [&](int aSecond, double aBusyMs) {
+    RecordDemand(scaling,
+                 kHost,
+                 kService,
+                 { .mPromptTokens = 1'000.0 * aSecond, .mBusyMs = aBusyMs },
+                 kStart + std::chrono::seconds{ aSecond });
+  };
+  double busyMs = 0;
+  for (int second = 0; second <= 20; second += 2) {
+    busyMs += second == 10 ? 1'600'000 : 100'000;
+    record(second, busyMs);
+  }
+  THEN("the concurrent requests of the other periods decide")
+  {
+    CHECK(PeakDemand(scaling, kService).mConcurrentRequests == Approx(50));
+  }
+}
+
 SCENARIO("the first requests arrive long after the hosts have started")
 {
   const Catalogue catalogue = MakeCatalogue();
