Reject two Host fields and folded headers after an informational response

Cause: the first of two Host fields chose the route; a head that followed a 1xx was not checked for folded headers; a delayed update of a peer replaced the offset of its clock; a backlog that was never measured was logged with the age of the process's clock (waiting_ms=). Change: 400 for the first, malformed for the second, the third is ignored, the fourth is 0.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -250,6 +250,12 @@
       client.Send(MakeRequest("none", "id-1"));
       CHECK(client.Read().mStatus == 404);
     }
+    THEN("a request that names two hosts is rejected")
+    {
+      client.Send("GET /read/x HTTP/1.1\r\nHost: h.example\r\nhost: other.example\r\n"
+                  "Request-Id: id-1\r\nAuthorization: Token k\r\n\r\n");
+      CHECK(client.Read().mStatus == 400);
+    }
     THEN("a request with ambiguous length is rejected and the connection is closed")
     {
       client.Send("POST /read/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 3\r\n"
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -65,7 +65,11 @@
     return false;
   }
   mCatalogue = mState.mView->mCatalogue;
-  if (mMetadata.mHost.empty() || mMetadata.mRequestId.empty()) {
+  // Servers could choose another of several hosts than this one (RFC 9112, section 3.2).
+  const auto hosts = std::ranges::count_if(mRequest.mHeaders, [](const HttpHeader& aHeader) {
+    return IsSameHeaderName(aHeader.mName, "Host");
+  });
+  if (mMetadata.mHost.empty() || hosts > 1 || mMetadata.mRequestId.empty()) {
     Refuse(kBadRequest, RefusalReason::kMalformedHead, std::nullopt);
     return false;
   }
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -165,7 +165,9 @@
              .mInFlight = status.mInFlight,
              .mWaitingTokens = WaitingTokens(status, rate, aNow),
              .mBacklogAge =
-               std::chrono::duration_cast<Milliseconds>(aNow - status.mBacklog.mMeasuredAt),
+               status.mBacklog.mMeasuredAt == Instant{}
+                 ? Milliseconds{ 0 }
+                 : std::chrono::duration_cast<Milliseconds>(aNow - status.mBacklog.mMeasuredAt),
              .mPrefillRate = rate,
              .mUncachedTokens = static_cast<double>(mMetadata.mPromptTokens) -
                                 (holdsCache ? static_cast<double>(mSharedTokens) : 0.0),
--- a/trefoil/http/message_reader.cc
+++ b/trefoil/http/message_reader.cc
@@ -209,6 +209,10 @@
   impl.mState = FeedParser(*impl.mResponse, aBytes);
   while (IsHeadComplete() && impl.mResponse->mResponse.mStatus < kMinFinalStatus) {
     impl.StartResponse();
+    if (HasFoldedHeader(aBytes)) {
+      impl.mState = MessageReadState::kMalformed;
+      break;
+    }
     impl.mState = FeedParser(*impl.mResponse, aBytes);
   }
   return impl.mState;
--- a/trefoil/http/message_reader_test.cc
+++ b/trefoil/http/message_reader_test.cc
@@ -83,6 +83,16 @@
   }
 }
 
+SCENARIO("an informational response is followed by a head with a folded header")
+{
+  MessageReader reader = MessageReader::ForResponse({});
+  std::string bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX: a\r\n b\r\n\r\n";
+  THEN("it is rejected like any other folded header")
+  {
+    CHECK(reader.Consume(bytes) == MessageReadState::kMalformed);
+  }
+}
+
 SCENARIO("a response is truncated")
 {
   MessageReader reader = MessageReader::ForResponse({});
--- a/trefoil/steering/peer_table.cc
+++ b/trefoil/steering/peer_table.cc
@@ -109,7 +109,10 @@
 RecordPeerClock(PeerTable& aTable, const TrafficUpdate& aUpdate, WallTime aWallNow)
 {
   const auto peer = aTable.mPeers.find(aUpdate.mHost);
-  if (peer != aTable.mPeers.end()) {
+  const bool isNewest = peer != aTable.mPeers.end() &&
+                        peer->second.mUpdate.mIncarnation == aUpdate.mIncarnation &&
+                        peer->second.mUpdate.mSequence == aUpdate.mSequence;
+  if (isNewest) {
     peer->second.mClockOffset = Milliseconds{ aUpdate.mWallMs - UnixMilliseconds(aWallNow) };
   }
 }
--- a/trefoil/steering/peer_table.h
+++ b/trefoil/steering/peer_table.h
@@ -77,7 +77,8 @@
 bool
 IsNewIncarnation(const PeerTable& aTable, const TrafficUpdate& aUpdate);
 
-// Records the offset of the sender's wall clock. Must be called after ApplyTrafficUpdate.
+// Records the offset of the sender's wall clock, unless a newer update of it has been applied. Must
+// be called after ApplyTrafficUpdate.
 void
 RecordPeerClock(PeerTable& aTable, const TrafficUpdate& aUpdate, WallTime aWallNow);
 
--- a/trefoil/steering/peer_table_test.cc
+++ b/trefoil/steering/peer_table_test.cc
@@ -105,6 +105,27 @@
   }
 }
 
+SCENARIO("an old update of a host arrives after a newer one")
+{
+  PeerTable table{ .mSelf = HostId{ "host-1" } };
+  const WallTime wall = FromUnixMilliseconds(1'772'000'000'000);
+  TrafficUpdate update = MakeUpdate(1, 2, 0);
+  update.mWallMs = UnixMilliseconds(wall);
+  ApplyTrafficUpdate(table, update, kNow);
+  RecordPeerClock(table, update, wall);
+  WHEN("it was delayed by seconds")
+  {
+    TrafficUpdate late = MakeUpdate(1, 1, 0);
+    late.mWallMs = UnixMilliseconds(wall) - 5'000;
+    ApplyTrafficUpdate(table, late, kNow);
+    RecordPeerClock(table, late, wall);
+    THEN("the clock of the host is still the one of the newer update")
+    {
+      CHECK(table.mPeers.at(kPeer).mClockOffset == Milliseconds{ 0 });
+    }
+  }
+}
+
 SCENARIO("the wall clock of some hosts jumps")
 {
   PeerTable table{ .mSelf = HostId{ "host-1" } };
