Answer requests on connections that wait to be accepted when a host stops

Cause: closing the listeners reset connections that were established but not accepted, for example while the connection limit was reached, and a session accepted in the same step counted as idle and was closed before its first request was read (one of the faults that other operators met). Change: a stopping host accepts what waits, gives a new client 500 ms for its first request, does not close a session whose socket has unread bytes, and ends once all sessions have.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -640,6 +640,32 @@
   }
 }
 
+SCENARIO("a host at its connection limit stops")
+{
+  const ScriptedServer server{ AnswerSuccess };
+  Gateway gateway{ 1 };
+  gateway.AddServer("e1", server);
+  gateway.Publish();
+  Client idle = gateway.Connect();
+  idle.Send(MakeRequest("read", "id-1"));
+  CHECK(idle.Read().mStatus == 200);
+  // The connection is established, but waits to be accepted.
+  Client waiting = gateway.Connect();
+  waiting.Send(MakeRequest("read", "id-2"));
+  WHEN("it closes its listeners")
+  {
+    std::thread stopThread{ [&] {
+      gateway.Thread().Stop(SuspendAwareNow() + kTestTimeout);
+    } };
+    const ReceivedAnswer answer = waiting.Read();
+    stopThread.join();
+    THEN("requests on connections that wait to be accepted are answered first")
+    {
+      CHECK(answer.mStatus == 200);
+    }
+  }
+}
+
 SCENARIO("a server sends bytes without end that are no answer")
 {
   // More than a host buffers for one answer, and no end.
--- a/trefoil/forward/client_session.cc
+++ b/trefoil/forward/client_session.cc
@@ -18,6 +18,9 @@
 // A client that acknowledges no sent bytes for this long is considered gone.
 constexpr Milliseconds kClientAckTimeout{ 6'000 };
 
+// A client sends its first request within a round trip after it has connected, or later under load.
+constexpr Milliseconds kFirstRequestTime{ 500 };
+
 bool
 RequestsClose(const HttpRequest& aRequest)
 {
@@ -42,6 +45,7 @@
   session->mStream->SetCallbacks({ .mOnBytes = [session] { session->OnBytes(); },
                                    .mOnEnd = [session](StreamEnd /*aEnd*/) { session->OnEnd(); } });
   session->SetTimer(session->mCallbacks->mLimits().mIdleTimeout);
+  session->mFirstRequestDeadline = SuspendAwareNow() + kFirstRequestTime;
   return session;
 }
 
@@ -123,6 +127,7 @@
     mTimer = 0;
     mAwaitingAnswer = true;
     mAnswerStarted = false;
+    mFirstRequestDeadline = {};
     mCallbacks->mOnRequest(keep, std::move(request));
   }
   mInReadLoop = false;
@@ -241,9 +246,11 @@
 }
 
 void
-ClientSession::CloseIfIdle()
+ClientSession::CloseIfIdle(Instant aNow)
 {
-  if (!mAwaitingAnswer && !mReader.has_value()) {
+  const bool awaitsFirstRequest = !HasPassed(mFirstRequestDeadline, aNow);
+  if (!mAwaitingAnswer && !mReader.has_value() && !awaitsFirstRequest &&
+      !mStream->HasUnreadBytes()) {
     OnEnd();
   }
 }
--- a/trefoil/forward/client_session.h
+++ b/trefoil/forward/client_session.h
@@ -55,8 +55,9 @@
   // Closes the connection without finishing the answer, so that the client detects that the
   // answer is incomplete.
   void Abort();
-  // Closes the connection if no request is being received or processed.
-  void CloseIfIdle();
+  // Closes the connection if no request is being received or processed. A client that has just
+  // connected is given time to send its first request.
+  void CloseIfIdle(Instant aNow);
 
   bool AnswerStarted() const { return mAnswerStarted; }
   // Returns the number of bytes that are buffered for the client.
@@ -76,6 +77,8 @@
   std::shared_ptr<const SessionCallbacks> mCallbacks;
   std::shared_ptr<ByteStream> mStream;
   std::optional<MessageReader> mReader;
+  // Until when the first request of the client is awaited; in the past once one has arrived.
+  Instant mFirstRequestDeadline;
   bool mAwaitingAnswer = false;
   bool mAnswerStarted = false;
   bool mCloseAfterAnswer = false;
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -76,9 +76,11 @@
   void Bind();
   void Listen(const std::shared_ptr<Poco::Net::ServerSocket>& aListener,
               const std::shared_ptr<const SessionCallbacks>& aCallbacks);
-  // Accepts the waiting connections. Returns false if accepting must be suspended.
+  // Accepts the waiting connections, up to the connection limit. Returns false if accepting must be
+  // suspended.
   bool Accept(Poco::Net::ServerSocket& aListener,
               const std::shared_ptr<const SessionCallbacks>& aCallbacks);
+  bool HasConnectionsLeft() const;
   std::shared_ptr<SessionCallbacks> BaseCallbacks();
   std::shared_ptr<const SessionCallbacks> ClientCallbacks();
   // Callbacks for sessions whose requests are answered directly by `aHandler`.
@@ -96,7 +98,13 @@
   void CheckStop(Instant aStoppedAt, Instant aDeadline);
 
   TrafficState mState;
-  std::vector<Poco::Net::ServerSocket> mListeners;
+  struct Listener
+  {
+    Poco::Net::ServerSocket mSocket;
+    std::shared_ptr<const SessionCallbacks> mCallbacks;
+  };
+
+  std::vector<Listener> mListeners;
   std::unordered_set<std::shared_ptr<ClientSession>> mSessions;
   std::unordered_map<const ClientSession*, std::shared_ptr<Exchange>> mExchanges;
   std::thread mThread;
@@ -167,7 +175,7 @@
   const auto add = [this](const Endpoint& aEndpoint,
                           const std::shared_ptr<const SessionCallbacks>& aCallbacks) {
     auto listener = std::make_shared<Poco::Net::ServerSocket>(OpenListener(aEndpoint));
-    mListeners.push_back(*listener);
+    mListeners.push_back({ .mSocket = *listener, .mCallbacks = aCallbacks });
     Listen(listener, aCallbacks);
   };
   add(options.mListen, ClientCallbacks());
@@ -202,12 +210,19 @@
   });
 }
 
+bool
+TrafficThread::Impl::HasConnectionsLeft() const
+{
+  return mSessions.size() + mState.mConnectionPool.IdleCount() < mState.mOptions.mMaxConnections;
+}
+
 bool
 TrafficThread::Impl::Accept(Poco::Net::ServerSocket& aListener,
                             const std::shared_ptr<const SessionCallbacks>& aCallbacks)
 {
-  // At the connection limit, new connections wait in the listener's queue.
-  while (mSessions.size() + mState.mConnectionPool.IdleCount() < mState.mOptions.mMaxConnections &&
+  // At the connection limit, new connections wait in the listener's queue. A host that stops takes
+  // them all, since closing the listener would reset them.
+  while ((HasConnectionsLeft() || mState.mStopping) &&
          aListener.poll(Poco::Timespan{ 0 }, Poco::Net::Socket::SELECT_READ)) {
     try {
       const Poco::Net::StreamSocket socket = aListener.acceptConnection();
@@ -220,7 +235,7 @@
       return false;
     }
   }
-  return mSessions.size() + mState.mConnectionPool.IdleCount() < mState.mOptions.mMaxConnections;
+  return HasConnectionsLeft();
 }
 
 void
@@ -380,14 +395,16 @@
   mState.mLoop.CallAt(now + kSweepInterval, [this] { Sweep(); });
 }
 
-// Closes the listeners. A request accepted now might not end before the deadline, while a client
-// whose connection is refused can go to another host.
+// Closes the listeners after accepting the connections that wait there. A request accepted later
+// might not end before the deadline, while a client whose connection is refused can go to another
+// host.
 void
 TrafficThread::Impl::StopListening()
 {
-  for (Poco::Net::ServerSocket& listener : mListeners) {
-    mState.mLoop.Unwatch(listener);
-    listener.close();
+  for (Listener& listener : mListeners) {
+    Accept(listener.mSocket, listener.mCallbacks);
+    mState.mLoop.Unwatch(listener.mSocket);
+    listener.mSocket.close();
   }
   mListeners.clear();
 }
@@ -401,10 +418,11 @@
     StopListening();
     const auto sessions = mSessions;
     for (const auto& session : sessions) {
-      session->CloseIfIdle();
+      session->CloseIfIdle(now);
     }
   }
-  if ((balancerDrained && mExchanges.empty()) || HasPassed(aDeadline, now)) {
+  // Sessions that are left have a request, or a client that is about to send its first one.
+  if ((balancerDrained && mSessions.empty() && mExchanges.empty()) || HasPassed(aDeadline, now)) {
     mAbortedRequests = static_cast<int>(mExchanges.size());
     mState.mLoop.Stop();
     return;
--- a/trefoil/reactor/byte_stream.h
+++ b/trefoil/reactor/byte_stream.h
@@ -82,6 +82,8 @@
 
   // The received bytes that the caller has not removed from this string.
   std::string& Received() { return mReceived; }
+  // Returns whether the socket has bytes, or an end, that have not been read yet.
+  bool HasUnreadBytes();
   bool IsOpen() const { return mOpen; }
   bool IsConnected() const { return mConnected; }
   // Returns the number of buffered bytes that have not been sent.
