Wait for usage as long as it travels, and after a takeover

Change: at least 1.4 s, more where updates travel longer; a new holder waits as long after it has taken over before it counts any window.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -654,9 +654,7 @@
   waiting.Send(MakeRequest("read", "id-2"));
   WHEN("it closes its listeners")
   {
-    std::thread stopThread{ [&] {
-      gateway.Thread().Stop(SuspendAwareNow() + kTestTimeout);
-    } };
+    std::thread stopThread{ [&] { gateway.Thread().Stop(SuspendAwareNow() + kTestTimeout); } };
     const ReceivedAnswer answer = waiting.Read();
     stopThread.join();
     THEN("requests on connections that wait to be accepted are answered first")
--- a/trefoil/steering/aggregation_test.cc
+++ b/trefoil/steering/aggregation_test.cc
@@ -280,7 +280,7 @@
       CHECK(fleet.Host(1).mOthers == before);
       fleet.RunRounds(2, kRequests);
       fleet.RunRounds(kRoundsToSpread, 0);
-      CHECK(fleet.Host(1).mOthers == before + 2 * 47 * kRequests);
+      CHECK(fleet.Host(1).mOthers == before + 2.0 * 47 * kRequests);
     }
   }
   WHEN("two hosts of different zones report a server as broken")
--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -4,6 +4,7 @@
 #include "trefoil/duty/holder_record.h"
 #include "trefoil/steering/internal/store_updates.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <utility>
 
@@ -18,9 +19,11 @@
 // Timeout of a call that performs a duty; a later answer is ignored. Such a call is sent only
 // if this host holds the duty for at least this long.
 constexpr Milliseconds kDutyCallTimeout{ 1'000 };
-// The last counts of a usage window have arrived from all hosts this long after its end: the
-// intervals on their way through two aggregators plus a margin for late timers and a lost message.
-constexpr Milliseconds kUsageSettleTime{ 2'400 };
+// The last counts of a usage window have arrived from all hosts when they have had time to reach
+// this one, plus a margin for late timers and a lost message. A new holder also needs the time
+// until the others know of it and have sent their counts.
+constexpr Milliseconds kUsageSettleMargin{ 400 };
+constexpr Milliseconds kMinUsageSettleTime{ 1'400 };
 // Each host has a rank from 0 to this number, from a hash of its name, so that hosts try to
 // take the duties after different delays. Hosts can share a rank.
 constexpr int kMaxRank = 8;
@@ -177,6 +180,7 @@
   const bool holds = HoldsDuty(aState.mDuties, kFleetDuty, SuspendAwareNow());
   if (holds != aState.mHoldsDuties) {
     aState.mHoldsDuties = holds;
+    aState.mHoldsDutiesSince = SuspendAwareNow();
     if (holds) {
       ResetScaling(aState.mScaling, SuspendAwareNow());
     }
@@ -284,13 +288,19 @@
 void
 RunUsageDuty(SteeringState& aState)
 {
+  const Instant now = SuspendAwareNow();
+  const Milliseconds settleTime =
+    std::max(kMinUsageSettleTime, PropagationTime(aState.mPeers, now) + kUsageSettleMargin);
+  if (!HasPassed(aState.mHoldsDutiesSince + settleTime, now)) {
+    return;
+  }
   const auto actions =
     NextUsageActions(aState.mUsage,
                      { .mWindow = aState.mOptions.mUsageWindow,
-                       .mSettleTime = kUsageSettleTime,
+                       .mSettleTime = settleTime,
                        .mLateAfter = aState.mOptions.mUsageLateAfter },
                      WallNow() + aState.mView.mClockCorrection,
-                     SuspendAwareNow(),
+                     now,
                      kStoreCallTimeout,
                      [&aState](std::int64_t aWindow) { return SumUsage(aState, aWindow); });
   for (const UsageAction& action : actions) {
--- a/trefoil/steering/peer_table_test.cc
+++ b/trefoil/steering/peer_table_test.cc
@@ -191,6 +191,26 @@
   }
 }
 
+SCENARIO("the holder of the duties waits for the counts of all hosts before it reports a window")
+{
+  PeerTable table{ .mSelf = HostId{ "host-1" }, .mZone = AvailabilityZoneId{ "a" } };
+  const auto addHosts = [&table](int aHosts) {
+    for (int host = 0; host < aHosts; ++host) {
+      table.mListedHosts[HostId{ std::to_string(host) }] = { .mZone = AvailabilityZoneId{ "a" } };
+    }
+  };
+  THEN("in a small fleet it waits briefly, since it can be stopped soon after the window's end")
+  {
+    addHosts(9);
+    CHECK(PropagationTime(table, kNow) == Milliseconds{ 500 });
+  }
+  THEN("in a large one it waits until the counts have passed two aggregators")
+  {
+    addHosts(295);
+    CHECK(PropagationTime(table, kNow) == Milliseconds{ 2'000 });
+  }
+}
+
 SCENARIO("usage of a window is summed over hosts and their incarnations")
 {
   PeerTable table{ .mSelf = HostId{ "host-1" } };
--- a/trefoil/steering/scaling.cc
+++ b/trefoil/steering/scaling.cc
@@ -120,17 +120,18 @@
              Instant aNow)
 {
   DemandHistory& history = aState.mDemand[aService];
-  const auto [totals, inserted] = history.mHostTotals.try_emplace(aHost, aTotals);
+  const auto [found, inserted] = history.mHostTotals.try_emplace(aHost, aTotals);
   if (!inserted) {
+    ServiceLoad& before = found->second;
     // The totals of a restarted host begin at 0 again.
-    const auto increase = [&](double ServiceLoad::*aField) {
-      return std::max(0.0, aTotals.*aField - totals->second.*aField);
+    const auto increase = [&aTotals, &before](double ServiceLoad::*aField) {
+      return std::max(0.0, aTotals.*aField - before.*aField);
     };
     history.mLoad.mPromptTokens += increase(&ServiceLoad::mPromptTokens);
     history.mLoad.mBusyMs += increase(&ServiceLoad::mBusyMs);
     history.mPrefillTokens += increase(&ServiceLoad::mPrefillTokens);
     history.mPrefillMs += increase(&ServiceLoad::mPrefillMs);
-    totals->second = aTotals;
+    before = aTotals;
   }
   if (history.mPeriodStart == Instant{}) {
     history.mPeriodStart = aNow;
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -71,6 +71,8 @@
   DutyState mDuties;
   EventLoop::TimerId mDutyTimer = 0;
   bool mHoldsDuties = false;
+  // When this host became the holder; meaningful while mHoldsDuties is true.
+  Instant mHoldsDutiesSince;
   // The lease under which this host's entry was written to the store; 0 if none was written.
   std::uint64_t mHostEntryLease = 0;
   // The earliest time of the next write of the entry; a write in progress has timed out by then.
