--- a/trefoil/steering/aggregation.cc
+++ b/trefoil/steering/aggregation.cc
@@ -387,6 +387,128 @@
   return targets;
 }
 
+std::set<AvailabilityZoneId>
+OtherZones(const PeerTable& aTable)
+{
+  std::set<AvailabilityZoneId> zones;
+  for (const auto& [host, listed] : aTable.mListedHosts) {
+    if (listed.mZone != aTable.mZone && !listed.mZone.Empty()) {
+      zones.insert(listed.mZone);
+    }
+  }
+  return zones;
+}
+
+// Returns the holder of the duties if it is one of the zone's hosts, otherwise an empty id.
+HostId
+HolderInZone(const ZoneMembers& aMembers, const TrafficUpdate& aOwnUpdate, Instant aNow)
+{
+  if (aOwnUpdate.mHoldsDuties) {
+    return aOwnUpdate.mHost;
+  }
+  for (const Peer* member : aMembers.mLive) {
+    if (member->mUpdate.mHoldsDuties && aNow - member->mLastReceivedAt <= kHolderMaxAge) {
+      return member->mUpdate.mHost;
+    }
+  }
+  return {};
+}
+
+// Returns the sums of this zone, this host included.
+TotalsMessage
+MakeZoneTotals(const PeerTable& aTable,
+               const AggregationState& aState,
+               const ZoneMembers& aMembers,
+               const HostReport& aOwnReport,
+               WallTime aWallNow,
+               Instant aNow)
+{
+  const TrafficUpdate& own = aOwnReport.mUpdate;
+  const auto live = std::ranges::count_if(
+    aMembers.mLive, [](const Peer* aItem) { return !aItem->mUpdate.mLeaving; });
+  return { .mHost = aTable.mSelf,
+           .mEpoch = aState.mEpoch,
+           .mSequence = aState.mSequence,
+           .mZone = aTable.mZone,
+           .mScope = TotalsScope::kZone,
+           .mLeaving = own.mLeaving,
+           .mHolder = HolderInZone(aMembers, own, aNow),
+           .mLiveHosts = static_cast<std::uint32_t>(live) + (own.mLeaving ? 0 : 1),
+           .mLeavingHosts = aMembers.mLeaving + (own.mLeaving ? 1 : 0),
+           .mWallMs = UnixMilliseconds(aWallNow + ZoneClockOffset(aMembers)),
+           .mCounters = ToCounterTotals(ZoneCounters(aTable, aOwnReport)),
+           .mUsage = NewestWindows(ZoneUsage(aTable, own, nullptr)),
+           .mCrashes = SelectCrashes({ &aState.mZoneCrashes }, aNow),
+           .mBroken = ToBrokenServers(BrokenInZone(aMembers, own)) };
+}
+
+// The sums of the fleet, from which the part of each receiver is taken.
+struct FleetSums
+{
+  // All fields that are the same for all receivers.
+  TotalsMessage mMessage;
+  Counters mCounters;
+  UsageWindows mUsageOfOtherZones;
+  std::map<BackendServerId, std::uint32_t> mBroken;
+};
+
+FleetSums
+MakeFleetSums(const PeerTable& aTable,
+              const AggregationState& aState,
+              const ZoneMembers& aMembers,
+              const TotalsMessage& aZoneTotals,
+              const HostReport& aOwnReport,
+              WallTime aWallNow,
+              Instant aNow)
+{
+  FleetSums fleet{ .mMessage = aZoneTotals, .mCounters = ZoneCounters(aTable, aOwnReport) };
+  TotalsMessage& message = fleet.mMessage;
+  message.mScope = TotalsScope::kFleet;
+  for (const auto& [zone, sums] : aState.mZones) {
+    AddCounters(fleet.mCounters, sums.mTotals.mTotals);
+    AddUsage(fleet.mUsageOfOtherZones, sums.mUsage);
+    if (message.mHolder.Empty()) {
+      message.mHolder = HolderIn(sums, aNow);
+    }
+    message.mLiveHosts += LargestOf(sums, &TotalsMessage::mLiveHosts, aNow);
+    message.mLeavingHosts += LargestOf(sums, &TotalsMessage::mLeavingHosts, aNow);
+  }
+  message.mWallMs =
+    UnixMilliseconds(aWallNow + FleetClockOffset(aState, ZoneClockOffset(aMembers), aNow));
+  message.mCrashes = SelectCrashes({ &aState.mZoneCrashes, &aState.mOtherCrashes }, aNow);
+  fleet.mBroken = BrokenInFleet(aState, BrokenInZone(aMembers, aOwnReport.mUpdate), aNow);
+  return fleet;
+}
+
+// Returns the sums of the fleet without `aReceiver`, which has counted `aReceiverPart` of them.
+TotalsMessage
+FleetTotalsFor(const FleetSums& aSums,
+               const PeerTable& aTable,
+               const TrafficUpdate& aOwnUpdate,
+               const TrafficUpdate& aReceiver,
+               const Counters& aReceiverPart)
+{
+  TotalsMessage message = aSums.mMessage;
+  Counters counters = aSums.mCounters;
+  Subtract(counters, aReceiverPart);
+  message.mCounters = ToCounterTotals(counters);
+  auto broken = aSums.mBroken;
+  for (const BackendServerId& server : aReceiver.mBroken) {
+    const auto found = broken.find(server);
+    if (found != broken.end() && found->second > 0) {
+      --found->second;
+    }
+  }
+  message.mBroken = ToBrokenServers(broken);
+  message.mUsage.clear();
+  if (aReceiver.mHoldsDuties) {
+    UsageWindows usage = ZoneUsage(aTable, aOwnUpdate, &aReceiver);
+    AddUsage(usage, aSums.mUsageOfOtherZones);
+    message.mUsage = NewestWindows(usage);
+  }
+  return message;
+}
+
 } // namespace
 
 std::vector<HostId>
@@ -465,91 +587,35 @@
                    Instant aNow)
 {
   Datagrams datagrams;
-  const TrafficUpdate& ownUpdate = aOwnReport.mUpdate;
   const ZoneMembers members = MembersOfZone(aTable, aNow);
   const auto aggregators = ZoneAggregators(aTable, aState, aTable.mZone, aNow);
   const bool isAggregator = std::ranges::find(aggregators, aTable.mSelf) != aggregators.end();
   if (aState.mWasFrozen || (members.mLive.empty() && !isAggregator)) {
     return datagrams;
   }
-  RecordZoneCrashes(aState, ownUpdate.mCrashes, aNow);
-  const Milliseconds zoneClock = ZoneClockOffset(members);
-  const auto brokenInZone = BrokenInZone(members, ownUpdate);
-  const Counters zoneCounters = ZoneCounters(aTable, aOwnReport);
-  HostId holder = ownUpdate.mHoldsDuties ? aTable.mSelf : HostId{};
-  for (const Peer* member : members.mLive) {
-    if (member->mUpdate.mHoldsDuties && aNow - member->mLastReceivedAt <= kHolderMaxAge) {
-      holder = member->mUpdate.mHost;
-    }
-  }
-  TotalsMessage message{ .mHost = aTable.mSelf,
-                         .mEpoch = aState.mEpoch,
-                         .mSequence = ++aState.mSequence,
-                         .mZone = aTable.mZone,
-                         .mScope = TotalsScope::kZone,
-                         .mLeaving = ownUpdate.mLeaving,
-                         .mHolder = holder,
-                         .mLiveHosts = static_cast<std::uint32_t>(
-                           std::ranges::count_if(
-                             members.mLive,
-                             [](const Peer* aItem) { return !aItem->mUpdate.mLeaving; }) +
-                           (ownUpdate.mLeaving ? 0 : 1)),
-                         .mLeavingHosts = members.mLeaving + (ownUpdate.mLeaving ? 1 : 0),
-                         .mWallMs = UnixMilliseconds(aWallNow + zoneClock),
-                         .mCounters = ToCounterTotals(zoneCounters),
-                         .mUsage = NewestWindows(ZoneUsage(aTable, ownUpdate, nullptr)),
-                         .mBroken = ToBrokenServers(brokenInZone) };
-  message.mCrashes = SelectCrashes({ &aState.mZoneCrashes }, aNow);
-  std::set<AvailabilityZoneId> zones;
-  for (const auto& [host, listed] : aTable.mListedHosts) {
-    if (listed.mZone != aTable.mZone && !listed.mZone.Empty()) {
-      zones.insert(listed.mZone);
-    }
-  }
-  for (const AvailabilityZoneId& zone : zones) {
+  RecordZoneCrashes(aState, aOwnReport.mUpdate.mCrashes, aNow);
+  ++aState.mSequence;
+  const TotalsMessage zoneTotals =
+    MakeZoneTotals(aTable, aState, members, aOwnReport, aWallNow, aNow);
+  for (const AvailabilityZoneId& zone : OtherZones(aTable)) {
     for (const auto& [host, endpoint] : ZoneTargets(aTable, aState, zone, aNow)) {
-      datagrams.push_back({ .mTo = endpoint, .mMessage = message });
+      datagrams.push_back({ .mTo = endpoint, .mMessage = zoneTotals });
       RecordSent(aState, host, aNow);
     }
   }
-
-  message.mScope = TotalsScope::kFleet;
-  Counters fleetCounters = zoneCounters;
-  UsageWindows otherUsage;
-  for (const auto& [zone, sums] : aState.mZones) {
-    AddCounters(fleetCounters, sums.mTotals.mTotals);
-    AddUsage(otherUsage, sums.mUsage);
-    if (message.mHolder.Empty()) {
-      message.mHolder = HolderIn(sums, aNow);
-    }
-    message.mLiveHosts += LargestOf(sums, &TotalsMessage::mLiveHosts, aNow);
-    message.mLeavingHosts += LargestOf(sums, &TotalsMessage::mLeavingHosts, aNow);
-  }
-  message.mWallMs = UnixMilliseconds(aWallNow + FleetClockOffset(aState, zoneClock, aNow));
-  message.mCrashes = SelectCrashes({ &aState.mZoneCrashes, &aState.mOtherCrashes }, aNow);
-  const auto brokenInFleet = BrokenInFleet(aState, brokenInZone, aNow);
-  const auto messageFor = [&](const TrafficUpdate& aReceiver, const Counters& aOwnPart) {
-    Counters counters = fleetCounters;
-    Subtract(counters, aOwnPart);
-    message.mCounters = ToCounterTotals(counters);
-    auto broken = brokenInFleet;
-    for (const BackendServerId& server : aReceiver.mBroken) {
-      --broken[server];
-    }
-    message.mBroken = ToBrokenServers(broken);
-    message.mUsage.clear();
-    if (aReceiver.mHoldsDuties) {
-      UsageWindows usage = ZoneUsage(aTable, ownUpdate, &aReceiver);
-      AddUsage(usage, otherUsage);
-      message.mUsage = NewestWindows(usage);
-    }
-  };
+  const FleetSums sums =
+    MakeFleetSums(aTable, aState, members, zoneTotals, aOwnReport, aWallNow, aNow);
   for (const Peer* member : members.mLive) {
-    messageFor(member->mUpdate, member->mGrowth);
-    datagrams.push_back({ .mTo = member->mUpdate.mEndpoint, .mMessage = message });
-  }
-  messageFor(ownUpdate, CountersOf(aOwnReport));
-  aAdded = ApplyTotals(aTable, aState, message, aWallNow, aNow);
+    datagrams.push_back({ .mTo = member->mUpdate.mEndpoint,
+                          .mMessage = FleetTotalsFor(
+                            sums, aTable, aOwnReport.mUpdate, member->mUpdate, member->mGrowth) });
+  }
+  aAdded = ApplyTotals(
+    aTable,
+    aState,
+    FleetTotalsFor(sums, aTable, aOwnReport.mUpdate, aOwnReport.mUpdate, CountersOf(aOwnReport)),
+    aWallNow,
+    aNow);
   return datagrams;
 }
 
