--- a/trefoil/steering/aggregation.cc
+++ b/trefoil/steering/aggregation.cc
@@ -1,13 +1,12 @@
 #include "trefoil/steering/aggregation.h"
 
 #include "trefoil/base/digest.h"
-#include "trefoil/base/median.h"
+#include "trefoil/steering/internal/aggregation_helpers.h"
 #include "trefoil/wire/crash_report_conversion.h"
 
 #include <algorithm>
 #include <cstddef>
 #include <functional>
-#include <initializer_list>
 
 namespace trefoil {
 namespace {
@@ -22,21 +21,13 @@
 constexpr Milliseconds kSuspicionTime{ 5'000 };
 // An aggregator that shuts down is left out until its entry has disappeared from the store.
 constexpr Milliseconds kLeavingTime{ 20'000 };
-// Totals that have not been updated for longer do not count as in touch.
-constexpr Milliseconds kTotalsMaxAge{ 2'000 };
-// An older announcement of the holder does not show that it is still alive.
-constexpr Milliseconds kHolderMaxAge{ 750 };
 // A process whose round runs this long after the previous one was frozen in between.
 constexpr Milliseconds kFreezeThreshold{ 1'500 };
 // A crash is forwarded for this long, since a datagram can be lost.
 constexpr Milliseconds kCrashForwardTime{ 3'000 };
-// Crash reports in a message. They are some 100 bytes each and are sent to all hosts of a zone.
-constexpr std::size_t kMaxCrashesForwarded = 48;
 // The number of hosts that must report a server as broken. A single host may have lost only its own
 // network path to the server.
 constexpr std::uint32_t kMinBrokenReports = 2;
-// The usage windows in a message: the current one and those whose counts may still change.
-constexpr std::size_t kUsageWindowsSent = 3;
 
 bool
 IsSuspected(const AggregationState& aState, const HostId& aHost, Instant aNow)
@@ -80,40 +71,6 @@
   }
 }
 
-void
-AddUsage(UsageWindows& aSum, const UsageWindows& aAdded)
-{
-  for (const auto& [window, counts] : aAdded) {
-    for (const auto& [account, requests] : counts) {
-      aSum[window][account] += requests;
-    }
-  }
-}
-
-std::vector<WindowCount>
-NewestWindows(const UsageWindows& aUsage)
-{
-  std::vector<WindowCount> counts;
-  std::size_t windows = 0;
-  for (auto window = aUsage.rbegin(); window != aUsage.rend() && windows < kUsageWindowsSent;
-       ++window, ++windows) {
-    for (const auto& [account, requests] : window->second) {
-      counts.push_back({ .mWindow = window->first, .mAccount = account, .mRequests = requests });
-    }
-  }
-  return counts;
-}
-
-std::int64_t
-CountCrashes(const CrashReport& aReport)
-{
-  std::int64_t crashes = 0;
-  for (const ServerCrashes& server : aReport.mCrashes) {
-    crashes += server.mCrashes;
-  }
-  return crashes;
-}
-
 void
 KeepCrash(ForwardedCrashes& aCrashes, const CrashReport& aReport, Instant aNow)
 {
@@ -126,212 +83,6 @@
   }
 }
 
-// Returns the reports to forward. If connections to many servers break at once, these are the
-// requests with the most crashes and the latest of the others.
-std::vector<CrashReport>
-SelectCrashes(std::initializer_list<const ForwardedCrashes*> aCrashes, Instant aNow)
-{
-  std::map<std::string, std::int64_t> crashesByDigest;
-  std::vector<const ForwardedCrash*> selected;
-  for (const ForwardedCrashes* crashes : aCrashes) {
-    for (const auto& [key, crash] : *crashes) {
-      if (!HasPassed(crash.mForwardUntil, aNow)) {
-        crashesByDigest[key.second] += CountCrashes(crash.mReport);
-        selected.push_back(&crash);
-      }
-    }
-  }
-  if (selected.size() > kMaxCrashesForwarded) {
-    std::ranges::sort(selected, std::greater<>{}, [&](const ForwardedCrash* aItem) {
-      return std::pair{ crashesByDigest[aItem->mReport.mDigest], aItem->mForwardUntil };
-    });
-    selected.resize(kMaxCrashesForwarded);
-  }
-  std::vector<CrashReport> reports;
-  reports.reserve(selected.size());
-  for (const ForwardedCrash* crash : selected) {
-    reports.push_back(crash->mReport);
-  }
-  return reports;
-}
-
-// Returns the newest messages of a zone's or the fleet's aggregators that are not too old.
-std::vector<const TotalsMessage*>
-RecentMessages(const ZoneSums& aSums, Instant aNow)
-{
-  std::vector<const TotalsMessage*> recent;
-  for (const auto& [host, received] : aSums.mMessages) {
-    if (aNow - received.first <= kTotalsMaxAge) {
-      recent.push_back(&received.second);
-    }
-  }
-  return recent;
-}
-
-// Returns the largest value of a field in the recent messages; 0 if there are none.
-std::uint32_t
-LargestOf(const ZoneSums& aSums, std::uint32_t TotalsMessage::*aField, Instant aNow)
-{
-  std::uint32_t largest = 0;
-  for (const TotalsMessage* message : RecentMessages(aSums, aNow)) {
-    largest = std::max(largest, message->*aField);
-  }
-  return largest;
-}
-
-// Returns the holder of the duties as announced by a zone, empty if there is no recent
-// announcement.
-HostId
-HolderIn(const ZoneSums& aSums, Instant aNow)
-{
-  for (const auto& [host, received] : aSums.mMessages) {
-    if (!received.second.mHolder.Empty() && aNow - received.first <= kHolderMaxAge) {
-      return received.second.mHolder;
-    }
-  }
-  return {};
-}
-
-// The hosts of this zone that report to this host.
-struct ZoneMembers
-{
-  std::vector<const Peer*> mLive;
-  std::uint32_t mLeaving = 0;
-};
-
-ZoneMembers
-MembersOfZone(const PeerTable& aTable, Instant aNow)
-{
-  ZoneMembers members;
-  for (const auto& [host, peer] : aTable.mPeers) {
-    if (peer.mUpdate.mZone != aTable.mZone) {
-      continue;
-    }
-    if (peer.mUpdate.mLeaving) {
-      members.mLeaving += aTable.mListedHosts.contains(host) ? 1 : 0;
-    }
-    if (aNow - peer.mLastReceivedAt <= kTotalsMaxAge) {
-      members.mLive.push_back(&peer);
-    }
-  }
-  return members;
-}
-
-// Returns the usage of this zone without that of one incarnation of `aExcluded`.
-UsageWindows
-ZoneUsage(const PeerTable& aTable, const TrafficUpdate& aOwnUpdate, const TrafficUpdate* aExcluded)
-{
-  UsageWindows usage;
-  for (const auto& [host, incarnations] : aTable.mUsage) {
-    const auto peer = aTable.mPeers.find(host);
-    if (peer == aTable.mPeers.end() || peer->second.mUpdate.mZone != aTable.mZone) {
-      continue;
-    }
-    for (const auto& [incarnation, windows] : incarnations) {
-      const bool isExcluded =
-        aExcluded != nullptr && aExcluded->mHost == host && aExcluded->mIncarnation == incarnation;
-      if (!isExcluded) {
-        AddUsage(usage, windows);
-      }
-    }
-  }
-  if (aExcluded != &aOwnUpdate) {
-    for (const WindowCount& count : aOwnUpdate.mUsage) {
-      usage[count.mWindow][count.mAccount] += count.mRequests;
-    }
-  }
-  return usage;
-}
-
-std::map<BackendServerId, std::uint32_t>
-BrokenInZone(const ZoneMembers& aMembers, const TrafficUpdate& aOwnUpdate)
-{
-  std::map<BackendServerId, std::uint32_t> broken;
-  for (const Peer* member : aMembers.mLive) {
-    for (const BackendServerId& server : member->mUpdate.mBroken) {
-      ++broken[server];
-    }
-  }
-  for (const BackendServerId& server : aOwnUpdate.mBroken) {
-    ++broken[server];
-  }
-  return broken;
-}
-
-// Returns for each server the number of hosts that report it, over all zones.
-std::map<BackendServerId, std::uint32_t>
-BrokenInFleet(const AggregationState& aState,
-              std::map<BackendServerId, std::uint32_t> aInZone,
-              Instant aNow)
-{
-  for (const auto& [zone, sums] : aState.mZones) {
-    std::map<BackendServerId, std::uint32_t> largest;
-    for (const TotalsMessage* message : RecentMessages(sums, aNow)) {
-      for (const BrokenServer& server : message->mBroken) {
-        largest[server.mServer] = std::max(largest[server.mServer], server.mHosts);
-      }
-    }
-    for (const auto& [server, hosts] : largest) {
-      aInZone[server] += hosts;
-    }
-  }
-  return aInZone;
-}
-
-std::vector<BrokenServer>
-ToBrokenServers(const std::map<BackendServerId, std::uint32_t>& aBroken)
-{
-  std::vector<BrokenServer> servers;
-  servers.reserve(aBroken.size());
-  for (const auto& [server, hosts] : aBroken) {
-    servers.push_back({ .mServer = server, .mHosts = hosts });
-  }
-  return servers;
-}
-
-// Returns how far the median wall clock of the zone is ahead of this host's.
-Milliseconds
-ZoneClockOffset(const ZoneMembers& aMembers)
-{
-  std::vector<Milliseconds> offsets{ Milliseconds{ 0 } };
-  for (const Peer* member : aMembers.mLive) {
-    offsets.push_back(member->mClockOffset);
-  }
-  return Median(std::move(offsets));
-}
-
-Milliseconds
-FleetClockOffset(const AggregationState& aState, Milliseconds aInZone, Instant aNow)
-{
-  std::vector<Milliseconds> offsets{ aInZone };
-  for (const auto& [zone, sums] : aState.mZones) {
-    if (!RecentMessages(sums, aNow).empty()) {
-      offsets.push_back(sums.mClockOffset);
-    }
-  }
-  return Median(std::move(offsets));
-}
-
-// Returns the totals of this zone, this host included.
-Counters
-ZoneCounters(const PeerTable& aTable, const HostReport& aOwnReport)
-{
-  Counters counters = aTable.mZoneGrowth;
-  AddCounters(counters, CountersOf(aOwnReport));
-  return counters;
-}
-
-void
-Subtract(Counters& aSum, const Counters& aPart)
-{
-  for (const auto& [key, part] : aPart) {
-    const auto total = aSum.find(key);
-    if (total != aSum.end()) {
-      total->second -= std::min(total->second, part);
-    }
-  }
-}
-
 // Starts a new epoch if the process was frozen. What its members counted meanwhile arrives at once
 // afterwards and must not look like new traffic, so the members are taken for new ones.
 void
@@ -360,155 +111,6 @@
                 [aNow](const auto& aItem) { return aNow - aItem.second.first > kTotalsMaxAge; });
 }
 
-// Returns the endpoints of the aggregators of another zone: those chosen by rank and those that
-// have sent totals recently, since hosts can disagree about who is suspected.
-std::map<HostId, Endpoint>
-ZoneTargets(const PeerTable& aTable,
-            const AggregationState& aState,
-            const AvailabilityZoneId& aZone,
-            Instant aNow)
-{
-  std::map<HostId, Endpoint> targets;
-  const auto add = [&](const HostId& aHost) {
-    const auto listed = aTable.mListedHosts.find(aHost);
-    if (listed != aTable.mListedHosts.end()) {
-      targets[aHost] = listed->second.mEndpoint;
-    }
-  };
-  for (const HostId& host : ZoneAggregators(aTable, aState, aZone, aNow)) {
-    add(host);
-  }
-  const auto sums = aState.mZones.find(aZone);
-  if (sums != aState.mZones.end()) {
-    for (const TotalsMessage* message : RecentMessages(sums->second, aNow)) {
-      add(message->mHost);
-    }
-  }
-  return targets;
-}
-
-std::set<AvailabilityZoneId>
-OtherZones(const PeerTable& aTable)
-{
-  std::set<AvailabilityZoneId> zones;
-  for (const auto& [host, listed] : aTable.mListedHosts) {
-    if (listed.mZone != aTable.mZone && !listed.mZone.Empty()) {
-      zones.insert(listed.mZone);
-    }
-  }
-  return zones;
-}
-
-// Returns the holder of the duties if it is one of the zone's hosts, otherwise an empty id.
-HostId
-HolderInZone(const ZoneMembers& aMembers, const TrafficUpdate& aOwnUpdate, Instant aNow)
-{
-  if (aOwnUpdate.mHoldsDuties) {
-    return aOwnUpdate.mHost;
-  }
-  for (const Peer* member : aMembers.mLive) {
-    if (member->mUpdate.mHoldsDuties && aNow - member->mLastReceivedAt <= kHolderMaxAge) {
-      return member->mUpdate.mHost;
-    }
-  }
-  return {};
-}
-
-// Returns the sums of this zone, this host included.
-TotalsMessage
-MakeZoneTotals(const PeerTable& aTable,
-               const AggregationState& aState,
-               const ZoneMembers& aMembers,
-               const HostReport& aOwnReport,
-               WallTime aWallNow,
-               Instant aNow)
-{
-  const TrafficUpdate& own = aOwnReport.mUpdate;
-  const auto live = std::ranges::count_if(
-    aMembers.mLive, [](const Peer* aItem) { return !aItem->mUpdate.mLeaving; });
-  return { .mHost = aTable.mSelf,
-           .mEpoch = aState.mEpoch,
-           .mSequence = aState.mSequence,
-           .mZone = aTable.mZone,
-           .mScope = TotalsScope::kZone,
-           .mLeaving = own.mLeaving,
-           .mHolder = HolderInZone(aMembers, own, aNow),
-           .mLiveHosts = static_cast<std::uint32_t>(live) + (own.mLeaving ? 0 : 1),
-           .mLeavingHosts = aMembers.mLeaving + (own.mLeaving ? 1 : 0),
-           .mWallMs = UnixMilliseconds(aWallNow + ZoneClockOffset(aMembers)),
-           .mCounters = ToCounterTotals(ZoneCounters(aTable, aOwnReport)),
-           .mUsage = NewestWindows(ZoneUsage(aTable, own, nullptr)),
-           .mCrashes = SelectCrashes({ &aState.mZoneCrashes }, aNow),
-           .mBroken = ToBrokenServers(BrokenInZone(aMembers, own)) };
-}
-
-// The sums of the fleet, from which the part of each receiver is taken.
-struct FleetSums
-{
-  // All fields that are the same for all receivers.
-  TotalsMessage mMessage;
-  Counters mCounters;
-  UsageWindows mUsageOfOtherZones;
-  std::map<BackendServerId, std::uint32_t> mBroken;
-};
-
-FleetSums
-MakeFleetSums(const PeerTable& aTable,
-              const AggregationState& aState,
-              const ZoneMembers& aMembers,
-              const TotalsMessage& aZoneTotals,
-              const HostReport& aOwnReport,
-              WallTime aWallNow,
-              Instant aNow)
-{
-  FleetSums fleet{ .mMessage = aZoneTotals, .mCounters = ZoneCounters(aTable, aOwnReport) };
-  TotalsMessage& message = fleet.mMessage;
-  message.mScope = TotalsScope::kFleet;
-  for (const auto& [zone, sums] : aState.mZones) {
-    AddCounters(fleet.mCounters, sums.mTotals.mTotals);
-    AddUsage(fleet.mUsageOfOtherZones, sums.mUsage);
-    if (message.mHolder.Empty()) {
-      message.mHolder = HolderIn(sums, aNow);
-    }
-    message.mLiveHosts += LargestOf(sums, &TotalsMessage::mLiveHosts, aNow);
-    message.mLeavingHosts += LargestOf(sums, &TotalsMessage::mLeavingHosts, aNow);
-  }
-  message.mWallMs =
-    UnixMilliseconds(aWallNow + FleetClockOffset(aState, ZoneClockOffset(aMembers), aNow));
-  message.mCrashes = SelectCrashes({ &aState.mZoneCrashes, &aState.mOtherCrashes }, aNow);
-  fleet.mBroken = BrokenInFleet(aState, BrokenInZone(aMembers, aOwnReport.mUpdate), aNow);
-  return fleet;
-}
-
-// Returns the sums of the fleet without `aReceiver`, which has counted `aReceiverPart` of them.
-TotalsMessage
-FleetTotalsFor(const FleetSums& aSums,
-               const PeerTable& aTable,
-               const TrafficUpdate& aOwnUpdate,
-               const TrafficUpdate& aReceiver,
-               const Counters& aReceiverPart)
-{
-  TotalsMessage message = aSums.mMessage;
-  Counters counters = aSums.mCounters;
-  Subtract(counters, aReceiverPart);
-  message.mCounters = ToCounterTotals(counters);
-  auto broken = aSums.mBroken;
-  for (const BackendServerId& server : aReceiver.mBroken) {
-    const auto found = broken.find(server);
-    if (found != broken.end() && found->second > 0) {
-      --found->second;
-    }
-  }
-  message.mBroken = ToBrokenServers(broken);
-  message.mUsage.clear();
-  if (aReceiver.mHoldsDuties) {
-    UsageWindows usage = ZoneUsage(aTable, aOwnUpdate, &aReceiver);
-    AddUsage(usage, aSums.mUsageOfOtherZones);
-    message.mUsage = NewestWindows(usage);
-  }
-  return message;
-}
-
 } // namespace
 
 std::vector<HostId>
@@ -578,47 +180,6 @@
   }
 }
 
-Datagrams
-MakeTotalsMessages(const PeerTable& aTable,
-                   AggregationState& aState,
-                   const HostReport& aOwnReport,
-                   PeerUpdate& aAdded,
-                   WallTime aWallNow,
-                   Instant aNow)
-{
-  Datagrams datagrams;
-  const ZoneMembers members = MembersOfZone(aTable, aNow);
-  const auto aggregators = ZoneAggregators(aTable, aState, aTable.mZone, aNow);
-  const bool isAggregator = std::ranges::find(aggregators, aTable.mSelf) != aggregators.end();
-  if (aState.mWasFrozen || (members.mLive.empty() && !isAggregator)) {
-    return datagrams;
-  }
-  RecordZoneCrashes(aState, aOwnReport.mUpdate.mCrashes, aNow);
-  ++aState.mSequence;
-  const TotalsMessage zoneTotals =
-    MakeZoneTotals(aTable, aState, members, aOwnReport, aWallNow, aNow);
-  for (const AvailabilityZoneId& zone : OtherZones(aTable)) {
-    for (const auto& [host, endpoint] : ZoneTargets(aTable, aState, zone, aNow)) {
-      datagrams.push_back({ .mTo = endpoint, .mMessage = zoneTotals });
-      RecordSent(aState, host, aNow);
-    }
-  }
-  const FleetSums sums =
-    MakeFleetSums(aTable, aState, members, zoneTotals, aOwnReport, aWallNow, aNow);
-  for (const Peer* member : members.mLive) {
-    datagrams.push_back({ .mTo = member->mUpdate.mEndpoint,
-                          .mMessage = FleetTotalsFor(
-                            sums, aTable, aOwnReport.mUpdate, member->mUpdate, member->mGrowth) });
-  }
-  aAdded = ApplyTotals(
-    aTable,
-    aState,
-    FleetTotalsFor(sums, aTable, aOwnReport.mUpdate, aOwnReport.mUpdate, CountersOf(aOwnReport)),
-    aWallNow,
-    aNow);
-  return datagrams;
-}
-
 PeerUpdate
 ApplyTotals(const PeerTable& aTable,
             AggregationState& aState,
--- a/trefoil/steering/aggregation.h
+++ b/trefoil/steering/aggregation.h
@@ -1,7 +1,6 @@
 // Sums the traffic updates of large fleets by availability zone.
 //
 //   std::vector<HostId> aggregators = ZoneAggregators(table, aggregation, zone, now);
-//   Datagrams messages = MakeTotalsMessages(table, aggregation, ownReport, wallNow, now);
 //   PeerUpdate added = ApplyTotals(table, aggregation, message, wallNow, now);
 //   FleetStatus status = StatusOfFleet(table, aggregation, now);
 //
@@ -13,8 +12,8 @@
 //
 // The aggregators are the first hosts of a zone by rendezvous rank. An aggregator that does not
 // answer is suspected to be down by those that miss its answers, and the next one by rank takes its
-// place. Nothing else follows from a suspicion: a host that is silent may still be working. Plain
-// data and pure functions.
+// place. Nothing else follows from a suspicion: a host that is silent may still be working. The
+// messages of an aggregator are made in totals_messages.h. Plain data and pure functions.
 #pragma once
 
 #include "trefoil/forward/traffic_view.h"
@@ -109,17 +108,6 @@
 std::vector<HostId>
 BeginAggregationRound(PeerTable& aTable, AggregationState& aState, Instant aNow);
 
-// Returns the messages of this host as an aggregator; none if no host reports to it. `aOwnReport`
-// is its own report. Its own copy of the fleet's totals is applied to `aState`, and what it adds is
-// returned in `aAdded`.
-Datagrams
-MakeTotalsMessages(const PeerTable& aTable,
-                   AggregationState& aState,
-                   const HostReport& aOwnReport,
-                   PeerUpdate& aAdded,
-                   WallTime aWallNow,
-                   Instant aNow);
-
 // Keeps the crashes of an update of this zone for forwarding.
 void
 RecordZoneCrashes(AggregationState& aState, const std::vector<CrashReport>& aCrashes, Instant aNow);
--- a/trefoil/steering/aggregation_test.cc
+++ b/trefoil/steering/aggregation_test.cc
@@ -1,5 +1,6 @@
 #include "trefoil/steering/aggregation.h"
 
+#include "trefoil/steering/totals_messages.h"
 #include "trefoil/wire/codec.h"
 
 #include <algorithm>
--- a/trefoil/steering/internal/aggregation_messages.cc
+++ b/trefoil/steering/internal/aggregation_messages.cc
@@ -2,6 +2,7 @@
 
 #include "trefoil/steering/internal/datagrams.h"
 #include "trefoil/steering/internal/duties.h"
+#include "trefoil/steering/totals_messages.h"
 #include "trefoil/wire/codec.h"
 
 #include <utility>
