--- a/trefoil/steering/aggregation.cc
+++ b/trefoil/steering/aggregation.cc
@@ -25,9 +25,6 @@
 constexpr Milliseconds kFreezeThreshold{ 1'500 };
 // A crash is forwarded for this long, since a datagram can be lost.
 constexpr Milliseconds kCrashForwardTime{ 3'000 };
-// The number of hosts that must report a server as broken. A single host may have lost only its own
-// network path to the server.
-constexpr std::uint32_t kMinBrokenReports = 2;
 
 bool
 IsSuspected(const AggregationState& aState, const HostId& aHost, Instant aNow)
--- a/trefoil/steering/peer_table.cc
+++ b/trefoil/steering/peer_table.cc
@@ -13,9 +13,6 @@
 constexpr Milliseconds kClockTolerance{ 100 };
 // A peer counts as live until this many of its updates are missing.
 constexpr int kMaxMissedUpdates = 4;
-// Number of hosts that must report a server as broken. A single host may have lost only its own
-// network path to the server.
-constexpr int kMinBrokenReports = 2;
 // Update interval of a small fleet. A quota can be exceeded by the requests of one interval
 // plus the message delay.
 constexpr Milliseconds kMinUpdateInterval{ 250 };
@@ -280,7 +277,7 @@
 std::set<BackendServerId>
 ServersReportedBroken(const PeerTable& aTable, Instant aNow)
 {
-  std::map<BackendServerId, int> reports;
+  std::map<BackendServerId, std::uint32_t> reports;
   for (const HostId& host : LivePeers(aTable, aNow)) {
     for (const BackendServerId& server : aTable.mPeers.at(host).mUpdate.mBroken) {
       ++reports[server];
--- a/trefoil/steering/peer_table.h
+++ b/trefoil/steering/peer_table.h
@@ -10,6 +10,7 @@
 #include "trefoil/steering/merged_totals.h"
 #include "trefoil/wire/traffic_message.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -17,6 +18,10 @@
 
 namespace trefoil {
 
+// Number of hosts that must report a server as broken. A single host may have lost only its own
+// network path to the server.
+inline constexpr std::uint32_t kMinBrokenReports = 2;
+
 struct Peer
 {
   TrafficUpdate mUpdate;
