Log how long a failed watch was pending, and export the age of the servers' registry

The logs told that a host regained its watch of the servers late, but not whether one call had hung or many had failed, and no metric showed that the registry was old.

dependency_lost tells pending_ms, dependency_regained lost_ms; the gauge trefoil_servers_age_seconds tells how old the newest confirmation of the registered servers is.

--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -328,6 +328,8 @@
               std::chrono::duration<double>(aNow - view.mConfirmedCurrentAt).count());
   metrics.Set(Gauge::kConfigurationVersion,
               view.mCatalogue ? static_cast<double>(view.mCatalogue->mCatalogue.mVersion) : 0);
+  metrics.Set(Gauge::kServersAge,
+              std::chrono::duration<double>(aNow - view.mServersConfirmedAt).count());
   metrics.Set(Gauge::kHosts, view.mHosts);
   metrics.Set(Gauge::kHostsReachable, view.mReachableHosts);
   if (view.mServers) {
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -40,6 +40,8 @@
   std::shared_ptr<const ServerRegistry> mServers;
   // When the catalogue was last confirmed to be the latest one.
   Instant mConfirmedCurrentAt;
+  // When the servers were last confirmed to be the registered ones.
+  Instant mServersConfirmedAt;
   // The share of each quota that this host and the hosts in contact with it may use, from 0 to 1.
   double mQuotaShare = 1;
   // Number of entry hosts, whether in contact with this one or not; at least 1. mReachableHosts
--- a/trefoil/metrics/metrics.h
+++ b/trefoil/metrics/metrics.h
@@ -76,15 +76,18 @@
   // Seconds since the configuration was last confirmed to be current.
   kConfigurationAge,
   kConfigurationVersion,
+  // Seconds since the registered servers were last confirmed to be current.
+  kServersAge,
   kHosts,
   kHostsReachable,
   // Backend servers of all services that accept requests.
   kServersReady,
 };
 
-inline constexpr NameTable<Gauge, 5> kGaugeNames{ {
+inline constexpr NameTable<Gauge, 6> kGaugeNames{ {
   { Gauge::kConfigurationAge, "trefoil_configuration_age_seconds" },
   { Gauge::kConfigurationVersion, "trefoil_configuration_version" },
+  { Gauge::kServersAge, "trefoil_servers_age_seconds" },
   { Gauge::kHosts, "trefoil_hosts" },
   { Gauge::kHostsReachable, "trefoil_hosts_in_touch" },
   { Gauge::kServersReady, "trefoil_servers_ready" },
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -239,19 +239,21 @@
 LoggingCallbacks(SteeringState& aState, const char* aName)
 {
   return { .mOnStoreLost =
-             [&aState, aName](StoreOutcome aOutcome) {
+             [&aState, aName](StoreOutcome aOutcome, Milliseconds aPending) {
                aState.mLog.Write(LogSeverity::kNotable,
                                  LogEvent::kDependencyLost,
-                                 "dependency=store watch={} outcome={}",
+                                 "dependency=store watch={} outcome={} pending_ms={}",
                                  aName,
-                                 NameOf(kStoreOutcomeNames, aOutcome));
+                                 NameOf(kStoreOutcomeNames, aOutcome),
+                                 aPending.count());
              },
            .mOnStoreRegained =
-             [&aState, aName] {
+             [&aState, aName](Milliseconds aLostFor) {
                aState.mLog.Write(LogSeverity::kNotable,
                                  LogEvent::kDependencyRegained,
-                                 "dependency=store watch={}",
-                                 aName);
+                                 "dependency=store watch={} lost_ms={}",
+                                 aName,
+                                 aLostFor.count());
              } };
 }
 
@@ -376,9 +378,12 @@
     OnServerItems(aState, aItems);
     PushStoreChanges(aState);
   };
-  servers.mOnConfirmed = [](Instant /*aWhen*/) {};
-  servers.mOnStoreRegained = [&aState, log = servers.mOnStoreRegained] {
-    log();
+  // Reaches the traffic thread with the next view, which is published regularly.
+  servers.mOnConfirmed = [&aState](Instant aWhen) {
+    aState.mView.mServersConfirmedAt = std::max(aState.mView.mServersConfirmedAt, aWhen);
+  };
+  servers.mOnStoreRegained = [&aState, log = servers.mOnStoreRegained](Milliseconds aLostFor) {
+    log(aLostFor);
     RecordStoreRegained(aState, SuspendAwareNow());
   };
   aState.mServerWatch.emplace(aState.mLoop,
--- a/trefoil/steering/prefix_watch.cc
+++ b/trefoil/steering/prefix_watch.cc
@@ -41,6 +41,7 @@
     mListedItems.clear();
     mListSentAt = now;
   }
+  mCallSentAt = now;
   mChannel.Call(ListKeys{ .mPrefix = mOptions.mPrefix, .mAfterKey = aAfterKey },
                 now + kListTimeout,
                 [this, isFirstPage = aAfterKey.empty()](const StoreAnswer& aAnswer) {
@@ -137,6 +138,7 @@
 PrefixWatch::Watch()
 {
   const Instant now = SuspendAwareNow();
+  mCallSentAt = now;
   const Milliseconds wait = mRelayed ? kOverdueWatchWait : mOptions.mWait;
   mChannel.Call(
     WatchKeys{ .mPrefix = mOptions.mPrefix, .mAfterRevision = mRecord.mRevision, .mWait = wait },
@@ -172,16 +174,19 @@
 void
 PrefixWatch::OnCallFailed(StoreOutcome aOutcome, bool aRelist)
 {
+  const Instant now = SuspendAwareNow();
   if (!mStoreLost) {
     mStoreLost = true;
-    mCallbacks.mOnStoreLost(aOutcome);
+    mStoreLostAt = now;
+    mCallbacks.mOnStoreLost(aOutcome,
+                            std::chrono::duration_cast<Milliseconds>(now - mCallSentAt));
   }
   const Milliseconds backoff =
     std::min(kMaxBackoff, kMinBackoff * (1 << std::min(mFailures, kMaxDoublings)));
   ++mFailures;
   const auto jitter =
     static_cast<std::int64_t>(mRandom() % static_cast<std::uint64_t>(backoff.count() / 2 + 1));
-  ScheduleCall(SuspendAwareNow() + backoff / 2 + Milliseconds{ jitter }, aRelist);
+  ScheduleCall(now + backoff / 2 + Milliseconds{ jitter }, aRelist);
 }
 
 void
@@ -189,7 +194,8 @@
 {
   mFailures = 0;
   if (std::exchange(mStoreLost, false)) {
-    mCallbacks.mOnStoreRegained();
+    mCallbacks.mOnStoreRegained(
+      std::chrono::duration_cast<Milliseconds>(SuspendAwareNow() - mStoreLostAt));
   }
 }
 
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -43,10 +43,10 @@
   // Called when the record is confirmed to have been complete at `aWhen`: the time at which the
   // call was sent, here or by the host that relayed the answer.
   std::function<void(Instant aWhen)> mOnConfirmed;
-  // Called at the first failed call, with its outcome, and at the first call that succeeds after
-  // it.
-  std::function<void(StoreOutcome)> mOnStoreLost;
-  std::function<void()> mOnStoreRegained;
+  // Called at the first failed call, with its outcome and the time that it was pending, and at the
+  // first call that succeeds after it, with the time in between.
+  std::function<void(StoreOutcome, Milliseconds aPending)> mOnStoreLost;
+  std::function<void(Milliseconds aLostFor)> mOnStoreRegained;
 };
 
 class PrefixWatch
@@ -92,8 +92,12 @@
   Instant mLastReceivedAt;
   // The timer of the next call; 0 while a call is in progress.
   EventLoop::TimerId mNextCallTimer = 0;
+  // When the latest call was sent.
+  Instant mCallSentAt;
   int mFailures = 0;
   bool mStoreLost = false;
+  // When the store was lost; meaningful while mStoreLost is true.
+  Instant mStoreLostAt;
   std::mt19937_64 mRandom;
 };
 
