Renew watches that were lost in an outage of the store

Cause: news hung on one pending call. A watch that was sent while the store did not answer is never answered, and the host waited for its end: 5 s of wait and 1.5 s of margin, repeated with the same wait while the store was lost. Another watch of the same host had proved the store back seconds earlier.

Change: - a watch waits for 100 ms only while the store is lost, so that its return is seen within one short call; - a call that succeeds after an outage renews the other watch, if that was sent earlier. The time of the return is recorded first, so that removals of servers that may register again are still held back; - the wait of the watch of the servers follows from the settings drain_within_ms and settle_within_ms (new, 2 s and 3 s by default): a watch that is lost alone is repeated before the bound applies again; - a host whose relayed record lacks changes that another host knows of renews its own pending watch, which used to be ignored.

Ruled out: requests chosen earlier that arrive late (a connection is given up after 250 ms, unacknowledged bytes after 800 ms). Short calls (leases, lists, the quota record) end after 1.5 s and need no renewal.

--- a/cmd/trefoil_gateway.cc
+++ b/cmd/trefoil_gateway.cc
@@ -81,6 +81,7 @@
            .mOrdersServers = aSettings.mOrdersServers,
            .mUsageWindow = aSettings.mUsageWindow,
            .mUsageLateAfter = aSettings.mUsageLateAfter,
+           .mServerNewsWithin = aSettings.mDrainWithin + aSettings.mSettleWithin,
            .mCodec = trefoil::platform::MakeControlCodec() };
 }
 
--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -20,13 +20,6 @@
 // Upper bound of each wait; the awaited events normally come much earlier.
 constexpr Milliseconds kTestTimeout{ 10'000 };
 
-Endpoint
-FreeEndpoint()
-{
-  const Poco::Net::ServerSocket socket{ Poco::Net::SocketAddress{ "127.0.0.1", 0 } };
-  return { .mAddress = "127.0.0.1", .mPort = socket.address().port() };
-}
-
 // An answer as a client receives it.
 struct ReceivedAnswer
 {
--- a/tests/forward_path/scripted_server.cc
+++ b/tests/forward_path/scripted_server.cc
@@ -106,6 +106,13 @@
   }
 }
 
+Endpoint
+FreeEndpoint()
+{
+  const Poco::Net::ServerSocket socket{ Poco::Net::SocketAddress{ "127.0.0.1", 0 } };
+  return { .mAddress = "127.0.0.1", .mPort = socket.address().port() };
+}
+
 std::string
 MakeAnswer(const ReceivedRequest& aRequest,
            int aStatus,
--- a/tests/forward_path/scripted_server.h
+++ b/tests/forward_path/scripted_server.h
@@ -69,6 +69,10 @@
   std::thread mAcceptor;
 };
 
+// Returns a loopback endpoint that no socket is bound to.
+Endpoint
+FreeEndpoint();
+
 // Returns an HTTP answer with the request's Request-Id, the header lines `aHeaders` (each ends
 // with CRLF), a Content-Length and the body.
 std::string
--- a/trefoil/settings/gateway_settings.cc
+++ b/trefoil/settings/gateway_settings.cc
@@ -14,6 +14,8 @@
 // Defaults for a platform that does not specify these bounds.
 constexpr double kDefaultStopNoticeS = 25;
 constexpr double kDefaultRevokeMs = 5'000;
+constexpr double kDefaultDrainMs = 2'000;
+constexpr double kDefaultSettleMs = 3'000;
 constexpr double kDefaultRetryRatio = 0.2;
 constexpr double kDefaultRetrySlack = 50;
 constexpr double kMaxRetrySlack = 1e6;
@@ -75,6 +77,8 @@
     "most_connections", kDefaultMaxConnections, { .mMin = 1, .mMax = kMaxOpenConnections });
   settings.mStopNotice = ReadDuration(reader, "stop_notice_s", kDefaultStopNoticeS, kMsPerSecond);
   settings.mRevokeWithin = ReadDuration(reader, "revoke_within_ms", kDefaultRevokeMs, 1);
+  settings.mDrainWithin = ReadDuration(reader, "drain_within_ms", kDefaultDrainMs, 1);
+  settings.mSettleWithin = ReadDuration(reader, "settle_within_ms", kDefaultSettleMs, 1);
   settings.mRetryRatio = ReadNumber(reader, "retry_ratio", kDefaultRetryRatio, 0, 1);
   settings.mRetrySlack = ReadNumber(reader, "retry_slack", kDefaultRetrySlack, 0, kMaxRetrySlack);
   settings.mRetryWindow =
--- a/trefoil/settings/gateway_settings.h
+++ b/trefoil/settings/gateway_settings.h
@@ -46,6 +46,10 @@
   Milliseconds mStopNotice{ 0 };
   // The time after which a revoked API key must be rejected.
   Milliseconds mRevokeWithin{ 0 };
+  // The time after which a server that leaves must receive no more requests.
+  Milliseconds mDrainWithin{ 0 };
+  // The time after an outage of the store or of the network from which these bounds apply again.
+  Milliseconds mSettleWithin{ 0 };
   // The retry budget of a service over all entry hosts: the permitted retries in a window are
   // mRetryRatio times the requests in the window, plus mRetrySlack.
   double mRetryRatio = 0;
--- a/trefoil/settings/gateway_settings_test.cc
+++ b/trefoil/settings/gateway_settings_test.cc
@@ -40,6 +40,7 @@
       CHECK_THAT(errorFor("retry_slack = \"x\"\n"), Catch::Contains("retry_slack"));
       CHECK_THAT(errorFor("quota_slack = -1\n"), Catch::Contains("quota_slack"));
       CHECK_THAT(errorFor("stop_notice_s = 1e9\n"), Catch::Contains("stop_notice_s"));
+      CHECK_THAT(errorFor("drain_within_ms = 0\n"), Catch::Contains("drain_within_ms"));
     }
   }
   WHEN("durations and slacks have fractions")
@@ -47,7 +48,8 @@
     const auto read =
       ParseGatewaySettings(kValidSettings + "stop_notice_s = 2.5\nretry_window_s = 7.25\n"
                                             "retry_slack = 38.3\nquota_slack = 12.5\n"
-                                            "revoke_within_ms = 4999.5\n",
+                                            "revoke_within_ms = 4999.5\n"
+                                            "drain_within_ms = 1999.5\nsettle_within_ms = 2500\n",
                            "gateway.toml");
     THEN("slacks keep them and durations are truncated to whole milliseconds")
     {
@@ -57,6 +59,8 @@
       CHECK(read->mRetrySlack == 38.3);
       CHECK(read->mQuotaSlack == 12.5);
       CHECK(read->mRevokeWithin == Milliseconds{ 4'999 });
+      CHECK(read->mDrainWithin == Milliseconds{ 1'999 });
+      CHECK(read->mSettleWithin == Milliseconds{ 2'500 });
     }
   }
   WHEN("a duty is enabled without the endpoint of the cloud API")
--- a/trefoil/steering/control_thread.h
+++ b/trefoil/steering/control_thread.h
@@ -35,6 +35,9 @@
   bool mOrdersServers = false;
   Milliseconds mUsageWindow{ 0 };
   Milliseconds mUsageLateAfter{ 0 };
+  // How soon after an outage of the store or of the network this host must know that a server
+  // leaves.
+  Milliseconds mServerNewsWithin{ 5'000 };
   ControlCodec mCodec;
 };
 
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -248,7 +248,7 @@
                                  aPending.count());
              },
            .mOnStoreRegained =
-             [&aState, aName](Milliseconds aLostFor) {
+             [&aState, aName](Instant /*aSentAt*/, Milliseconds aLostFor) {
                aState.mLog.Write(LogSeverity::kNotable,
                                  LogEvent::kDependencyRegained,
                                  "dependency=store watch={} lost_ms={}",
@@ -257,6 +257,17 @@
              } };
 }
 
+PrefixWatchOptions
+ServerWatchOptions(const SteeringState& aState)
+{
+  PrefixWatchOptions options{ .mPrefix = aState.mOptions.mCodec.mServerPrefix,
+                              .mWait = kServerWait,
+                              .mBatchDelay = kServerBatchDelay,
+                              .mKeepsChanges = true };
+  options.mWait = BoundedWait(options, aState.mOptions.mServerNewsWithin);
+  return options;
+}
+
 void
 OnHostList(SteeringState& aState, const StoreAnswer& aAnswer)
 {
@@ -357,6 +368,13 @@
     aState.mView.mConfirmedCurrentAt = std::max(aState.mView.mConfirmedCurrentAt, aWhen);
     PublishView(aState);
   };
+  operators.mOnStoreRegained = [&aState, log = operators.mOnStoreRegained](Instant aSentAt,
+                                                                           Milliseconds aLostFor) {
+    log(aSentAt, aLostFor);
+    // Recorded first: the renewed watch may return removals that happened during the outage.
+    RecordStoreRegained(aState, SuspendAwareNow());
+    aState.mServerWatch->RenewCallSentBefore(aSentAt);
+  };
   aState.mOperatorWatch.emplace(aState.mLoop,
                                 aState.mOptions.mStore,
                                 codec.mStore,
@@ -382,17 +400,16 @@
   servers.mOnConfirmed = [&aState](Instant aWhen) {
     aState.mView.mServersConfirmedAt = std::max(aState.mView.mServersConfirmedAt, aWhen);
   };
-  servers.mOnStoreRegained = [&aState, log = servers.mOnStoreRegained](Milliseconds aLostFor) {
-    log(aLostFor);
+  servers.mOnStoreRegained = [&aState, log = servers.mOnStoreRegained](Instant aSentAt,
+                                                                       Milliseconds aLostFor) {
+    log(aSentAt, aLostFor);
+    aState.mOperatorWatch->RenewCallSentBefore(aSentAt);
     RecordStoreRegained(aState, SuspendAwareNow());
   };
   aState.mServerWatch.emplace(aState.mLoop,
                               aState.mOptions.mStore,
                               codec.mStore,
-                              PrefixWatchOptions{ .mPrefix = codec.mServerPrefix,
-                                                  .mWait = kServerWait,
-                                                  .mBatchDelay = kServerBatchDelay,
-                                                  .mKeepsChanges = true },
+                              ServerWatchOptions(aState),
                               std::move(servers));
   aState.mServerWatch->Start();
 }
@@ -401,7 +418,7 @@
 SetWatchMode(SteeringState& aState, bool aIsSubscriber, bool aIsWatcher)
 {
   aState.mOperatorWatch->SetWait(aIsWatcher ? kRelayingWait : kOperatorWait);
-  aState.mServerWatch->SetWait(aIsWatcher ? kRelayingWait : kServerWait);
+  aState.mServerWatch->SetWait(aIsWatcher ? kRelayingWait : ServerWatchOptions(aState).mWait);
   aState.mOperatorWatch->SetRelayed(aIsSubscriber);
   aState.mServerWatch->SetRelayed(aIsSubscriber);
 }
--- a/trefoil/steering/prefix_watch.cc
+++ b/trefoil/steering/prefix_watch.cc
@@ -14,12 +14,20 @@
 constexpr Milliseconds kMinBackoff{ 80 };
 constexpr Milliseconds kMaxBackoff{ 500 };
 constexpr int kMaxDoublings = 3;
-// A host whose prefix is relayed calls the store only if the relayed updates are late. Such a
-// watch waits only briefly for changes.
-constexpr Milliseconds kOverdueWatchWait{ 100 };
+// The wait of a watch whose answer is needed soon: if the store was lost, or if the prefix is
+// relayed and the relayed updates are late.
+constexpr Milliseconds kShortWait{ 100 };
 
 } // namespace
 
+Milliseconds
+BoundedWait(const PrefixWatchOptions& aOptions, Milliseconds aKnownWithin)
+{
+  const Milliseconds bound =
+    aKnownWithin - aOptions.mAnswerMargin - kMaxBackoff - aOptions.mBatchDelay;
+  return std::max(kShortWait, std::min(aOptions.mWait, bound));
+}
+
 PrefixWatch::PrefixWatch(EventLoop& aLoop,
                          const Endpoint& aStore,
                          const StoreCodec& aCodec,
@@ -42,6 +50,7 @@
     mListSentAt = now;
   }
   mCallSentAt = now;
+  mCallIsList = true;
   mChannel.Call(ListKeys{ .mPrefix = mOptions.mPrefix, .mAfterKey = aAfterKey },
                 now + kListTimeout,
                 [this, isFirstPage = aAfterKey.empty()](const StoreAnswer& aAnswer) {
@@ -66,7 +75,7 @@
     List(aAnswer.mItems.back().mKey);
     return;
   }
-  OnCallSucceeded();
+  OnCallSucceeded(aSentAt);
   mLastReceivedAt = SuspendAwareNow();
   ApplyList(mRecord, mListRevision, aSentAt);
   mCallbacks.mOnList(mListedItems, mListRevision);
@@ -110,6 +119,21 @@
   }
 }
 
+void
+PrefixWatch::RenewCallSentBefore(Instant aWhen)
+{
+  const bool started = mCallSentAt != Instant{};
+  if (!started || mNextCallTimer != 0 || mCallSentAt >= aWhen) {
+    return;
+  }
+  mChannel.Reset();
+  if (mCallIsList) {
+    List({});
+  } else {
+    Watch();
+  }
+}
+
 void
 PrefixWatch::ApplyUpdate(const PrefixUpdate& aUpdate)
 {
@@ -122,6 +146,9 @@
     if (mNextCallTimer != 0 && !mStoreLost) {
       mLoop.Cancel(std::exchange(mNextCallTimer, 0));
       Watch();
+    } else {
+      // A watch that the store holds open would have returned the changes by now.
+      RenewCallSentBefore(SuspendAwareNow() - mOptions.mAnswerMargin);
     }
     return;
   }
@@ -139,7 +166,8 @@
 {
   const Instant now = SuspendAwareNow();
   mCallSentAt = now;
-  const Milliseconds wait = mRelayed ? kOverdueWatchWait : mOptions.mWait;
+  mCallIsList = false;
+  const Milliseconds wait = mRelayed || mStoreLost ? kShortWait : mOptions.mWait;
   mChannel.Call(
     WatchKeys{ .mPrefix = mOptions.mPrefix, .mAfterRevision = mRecord.mRevision, .mWait = wait },
     now + wait + mOptions.mAnswerMargin,
@@ -157,7 +185,7 @@
     OnCallFailed(aAnswer.mOutcome, false);
     return;
   }
-  OnCallSucceeded();
+  OnCallSucceeded(aSentAt);
   mLastReceivedAt = SuspendAwareNow();
   ApplyChanges(mRecord, aAnswer.mItems, aAnswer.mRevision, aSentAt, mOptions.mKeepsChanges);
   if (!aAnswer.mItems.empty()) {
@@ -178,8 +206,7 @@
   if (!mStoreLost) {
     mStoreLost = true;
     mStoreLostAt = now;
-    mCallbacks.mOnStoreLost(aOutcome,
-                            std::chrono::duration_cast<Milliseconds>(now - mCallSentAt));
+    mCallbacks.mOnStoreLost(aOutcome, std::chrono::duration_cast<Milliseconds>(now - mCallSentAt));
   }
   const Milliseconds backoff =
     std::min(kMaxBackoff, kMinBackoff * (1 << std::min(mFailures, kMaxDoublings)));
@@ -190,12 +217,12 @@
 }
 
 void
-PrefixWatch::OnCallSucceeded()
+PrefixWatch::OnCallSucceeded(Instant aSentAt)
 {
   mFailures = 0;
   if (std::exchange(mStoreLost, false)) {
     mCallbacks.mOnStoreRegained(
-      std::chrono::duration_cast<Milliseconds>(SuspendAwareNow() - mStoreLostAt));
+      aSentAt, std::chrono::duration_cast<Milliseconds>(SuspendAwareNow() - mStoreLostAt));
   }
 }
 
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -1,6 +1,8 @@
 // Keeps a record of the keys of one prefix up to date. It lists the prefix, then watches it,
 // and lists it again when the store no longer has the changes in between. While other hosts
-// relay their records, the store is called only for changes that these lack.
+// relay their records, the store is called only for changes that these lack. A call that was sent
+// while the store did not respond may never be answered, so calls wait briefly while the store is
+// lost, and RenewCallSentBefore replaces a call that another one proves to be lost.
 //
 //   PrefixWatch watch(loop, storeEndpoint, codec, { .mPrefix = "servers/" }, callbacks);
 //   watch.Start();
@@ -44,11 +46,17 @@
   // call was sent, here or by the host that relayed the answer.
   std::function<void(Instant aWhen)> mOnConfirmed;
   // Called at the first failed call, with its outcome and the time that it was pending, and at the
-  // first call that succeeds after it, with the time in between.
+  // first call that succeeds after it, with the time at which that call was sent and the time in
+  // between.
   std::function<void(StoreOutcome, Milliseconds aPending)> mOnStoreLost;
-  std::function<void(Milliseconds aLostFor)> mOnStoreRegained;
+  std::function<void(Instant aSentAt, Milliseconds aLostFor)> mOnStoreRegained;
 };
 
+// Returns how long the store may hold a watch open so that changes are known within `aKnownWithin`
+// even if the watch is lost right after it was sent: `aOptions.mWait` or less.
+Milliseconds
+BoundedWait(const PrefixWatchOptions& aOptions, Milliseconds aKnownWithin);
+
 class PrefixWatch
 {
 public:
@@ -65,6 +73,9 @@
   void SetRelayed(bool aRelayed);
   // Sets how long the store holds a watch open, from the next call on.
   void SetWait(Milliseconds aWait) { mOptions.mWait = aWait; }
+  // Sends the call in progress again if it was sent before `aWhen`. Must be called with the time at
+  // which another call was sent that the store has answered after an outage.
+  void RenewCallSentBefore(Instant aWhen);
   // Applies the record that another host has relayed.
   void ApplyUpdate(const PrefixUpdate& aUpdate);
   const PrefixRecord& Record() const { return mRecord; }
@@ -77,7 +88,7 @@
   void Watch();
   void OnWatchAnswer(const StoreAnswer& aAnswer, Instant aSentAt);
   void OnCallFailed(StoreOutcome aOutcome, bool aRelist);
-  void OnCallSucceeded();
+  void OnCallSucceeded(Instant aSentAt);
 
   EventLoop& mLoop;
   StoreChannel mChannel;
@@ -92,8 +103,9 @@
   Instant mLastReceivedAt;
   // The timer of the next call; 0 while a call is in progress.
   EventLoop::TimerId mNextCallTimer = 0;
-  // When the latest call was sent.
+  // When the latest call was sent, and whether it is a list.
   Instant mCallSentAt;
+  bool mCallIsList = false;
   int mFailures = 0;
   bool mStoreLost = false;
   // When the store was lost; meaningful while mStoreLost is true.
