Log what a quota decision was based on, and what each answered request cost

The logs told the level of the bucket with refusals only, so that neither the use of a window nor the demand that a host assumed could be read from them.

No logic changes. dispatch_test and forward_path_test pass.

--- a/trefoil/dispatch/quota.cc
+++ b/trefoil/dispatch/quota.cc
@@ -80,6 +80,8 @@
     const double asked = seconds * usage.mAskedPerSecond;
     const double refilled = seconds * refill.mPerSecond;
     decision.mLevel = usage.mBucket.mTokens;
+    decision.mCapacity = refill.mMax;
+    decision.mAskedPerSecond = usage.mAskedPerSecond;
     // A request that costs more than the burst requires a full bucket.
     const bool fits = decision.mLevel >= std::min(aCost, refill.mMax);
     const bool ample = decision.mLevel - aCost >= asked - refilled;
--- a/trefoil/dispatch/quota.h
+++ b/trefoil/dispatch/quota.h
@@ -80,6 +80,9 @@
   // bucket covers is admitted. 0 and 1 for an account without a rate.
   double mLevel = 0;
   double mProbability = 1;
+  // The size of the bucket, and what all hosts are taken to be asked for per second.
+  double mCapacity = 0;
+  double mAskedPerSecond = 0;
 
   explicit operator bool() const { return mAllowed; }
 };
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -250,16 +250,19 @@
   const Instant now = SuspendAwareNow();
   mState.mLog.Write(LogSeverity::kRoutine,
                     LogEvent::kRequestDone,
-                    "id={} route={} service={} status={} dispatches={} {} prompt={} shared={} "
-                    "first_ms={} ms={}",
+                    "id={} route={} account={} service={} status={} dispatches={} {} prompt={} "
+                    "shared={} quota_cost={:.0f} quota_level={:.0f} first_ms={} ms={}",
                     mMetadata.mRequestId,
                     mRoute->mName,
+                    mAccount == nullptr ? "" : mAccount->mName.Value(),
                     mService.Value(),
                     aStatus,
                     mDispatches,
                     BasisText(),
                     mMetadata.mPromptTokens,
                     mSharedTokens,
+                    mQuotaCost,
+                    mQuotaDecision.mLevel,
                     (mAnswerBegunAt.value_or(now) - mArrivedAt) / Milliseconds{ 1 },
                     (now - mArrivedAt) / Milliseconds{ 1 });
 }
