Send the demand to live hosts that the store does not list

Cause: what is asked of an account at other hosts travels in counters that only hosts listed in the store were sent, since others may run a version without them. After a zone was cut off for longer than a lease, its hosts are up and heard but not listed until they have registered and the others have read the list again, up to five seconds later. Such a host took its own requests for all demand and admitted several times its part.

Change: a peer that has sent counters itself is sent counters, listed or not.

--- a/trefoil/steering/peer_table.cc
+++ b/trefoil/steering/peer_table.cc
@@ -57,6 +57,7 @@
   }
   PeerUpdate update;
   Counters counters = CountersOf(aReport);
+  peer.mSendsCounters = (sameIncarnation && peer.mSendsCounters) || !aReport.mCounters.empty();
   if (!sameIncarnation) {
     peer.mGrowth.clear();
   } else if (aNow - peer.mLastReceivedAt <
@@ -237,8 +238,9 @@
   }
   for (const auto& [host, peer] : aTable.mPeers) {
     if (aNow - peer.mLastReceivedAt < kPeerExpiry) {
-      recipients[peer.mUpdate.mEndpoint].mNeedsUsage =
-        peer.mUpdate.mHoldsDuties || peer.mUpdate.mZone == aTable.mZone;
+      UpdateRecipient& recipient = recipients[peer.mUpdate.mEndpoint];
+      recipient.mNeedsUsage = peer.mUpdate.mHoldsDuties || peer.mUpdate.mZone == aTable.mZone;
+      recipient.mTakesReports = recipient.mTakesReports || peer.mSendsCounters;
     }
   }
   return recipients;
--- a/trefoil/steering/peer_table.h
+++ b/trefoil/steering/peer_table.h
@@ -28,6 +28,8 @@
   // All counters of the last report.
   Counters mCounters;
   Instant mLastReceivedAt;
+  // Whether the peer's incarnation sends further counters, and so understands them.
+  bool mSendsCounters = false;
   // How far the peer's wall clock is ahead of this host's; negative if it is behind.
   Milliseconds mClockOffset{ 0 };
   // What the peer's current incarnation has counted while it was in touch with this host.
--- a/trefoil/steering/peer_table_test.cc
+++ b/trefoil/steering/peer_table_test.cc
@@ -285,5 +285,46 @@
   }
 }
 
+// Guards against a host that admits too much of a quota: while the store did not list it, it got
+// updates without the demand at the other hosts (QUOTA).
+SCENARIO("the entry of a host in the store has lapsed while the host is up")
+{
+  PeerTable table{ .mSelf = HostId{ "host-0" } };
+  const Endpoint endpoint{ .mAddress = "127.0.0.2", .mPort = 7600 };
+  HostReport report{ .mUpdate = { .mHost = HostId{ "host-1" },
+                                  .mIncarnation = 1,
+                                  .mSequence = 1,
+                                  .mEndpoint = endpoint } };
+  const auto takesReports = [&] {
+    return TrafficUpdateRecipients(table, kNow).at(endpoint).mTakesReports;
+  };
+  ApplyHostReport(table, report, kNow);
+  THEN("it is sent no counters, as it may run a version that does not know them")
+  {
+    CHECK_FALSE(takesReports());
+  }
+  WHEN("it has sent counters itself")
+  {
+    report.mUpdate.mSequence = 2;
+    report.mCounters = { { .mKind = CounterKind::kQuotaAsked, .mSubject = "club", .mTotal = 1 } };
+    ApplyHostReport(table, report, kNow);
+    THEN("it is sent those of this host")
+    {
+      CHECK(takesReports());
+    }
+    AND_WHEN("it has restarted with a version that sends none")
+    {
+      ApplyTrafficUpdate(
+        table,
+        { .mHost = HostId{ "host-1" }, .mIncarnation = 2, .mSequence = 1, .mEndpoint = endpoint },
+        kNow);
+      THEN("it is sent none")
+      {
+        CHECK_FALSE(takesReports());
+      }
+    }
+  }
+}
+
 } // namespace
 } // namespace trefoil
