Restore the demand on quotas when a host starts

Cause: a host that starts reads the level of the buckets from the store, but not what the account asks for. A demand of zero means that there is enough for everybody, so each host that starts admits all that comes as long as the level lasts, until the others' reports have told it of the demand half a second later. N hosts use the level N times.

Change: the record in the store has the demand beside the level (`asked_per_second`); a record without it is still read.

--- a/trefoil/dispatch/quota.cc
+++ b/trefoil/dispatch/quota.cc
@@ -122,10 +122,21 @@
   usage.mAskedInRound += aCosts.mAsked;
 }
 
+QuotaSnapshot
+SnapshotOf(const AccountUsage& aUsage)
+{
+  return { .mLevel = aUsage.mBucket.mTokens, .mAskedPerSecond = aUsage.mAskedPerSecond };
+}
+
 void
-SetQuotaLevel(QuotaState& aState, const ClientAccountId& aAccount, double aLevel, Instant aNow)
+RestoreQuota(QuotaState& aState,
+             const ClientAccountId& aAccount,
+             const QuotaSnapshot& aSnapshot,
+             Instant aNow)
 {
-  aState.mAccounts[aAccount].mBucket = { .mTokens = aLevel, .mRefilledAt = aNow };
+  AccountUsage& usage = aState.mAccounts[aAccount];
+  usage.mBucket = { .mTokens = aSnapshot.mLevel, .mRefilledAt = aNow };
+  usage.mAskedPerSecond = aSnapshot.mAskedPerSecond;
 }
 
 void
--- a/trefoil/dispatch/quota.h
+++ b/trefoil/dispatch/quota.h
@@ -113,10 +113,25 @@
              const QuotaParameters& aParameters,
              Instant aNow);
 
-// Sets the level of an account's bucket. A host that starts uses it to restore the recorded
-// level.
+// What a host needs to know of an account when it starts.
+struct QuotaSnapshot
+{
+  // The level of the account's bucket; negative if it is overdrawn.
+  double mLevel = 0;
+  // What all hosts are asked for per second.
+  double mAskedPerSecond = 0;
+};
+
+QuotaSnapshot
+SnapshotOf(const AccountUsage& aUsage);
+
+// Continues from a recorded snapshot. Without the demand, hosts that start together would each take
+// their own few requests for all of it and admit them as long as the level lasts.
 void
-SetQuotaLevel(QuotaState& aState, const ClientAccountId& aAccount, double aLevel, Instant aNow);
+RestoreQuota(QuotaState& aState,
+             const ClientAccountId& aAccount,
+             const QuotaSnapshot& aSnapshot,
+             Instant aNow);
 
 // Ends a round: updates the moving averages. Must be called each time this host reports its usage
 // to the others.
--- a/trefoil/dispatch/quota_test.cc
+++ b/trefoil/dispatch/quota_test.cc
@@ -83,6 +83,13 @@
     return EndRound(aAccount, aNow);
   }
 
+  // Replaces a host by a new process that continues from the snapshot of another host.
+  void Restart(std::size_t aHost, const QuotaSnapshot& aSnapshot, Instant aNow)
+  {
+    mStates[aHost] = {};
+    RestoreQuota(mStates[aHost], Account().mName, aSnapshot, aNow);
+  }
+
   QuotaParameters Parameters()
   {
     return { .mPropagationTime = mPropagationTime,
@@ -136,6 +143,44 @@
   }
 }
 
+// Guards against several hosts that use a quota once each after a common restart: they knew the
+// level of the bucket but took the demand for zero (QUOTA).
+SCENARIO("half of the hosts restart while an account requests several times its quota")
+{
+  const ClientAccount account = Account();
+  constexpr std::size_t kRestartedHosts = 5;
+  constexpr int kRoundOfRestart = 40;
+  Hosts hosts{ kHosts, 1 };
+  std::vector<double> rounds;
+  QuotaSnapshot recorded;
+  for (int round = 0; round < 2 * kRoundOfRestart; ++round) {
+    const Instant now = kStart + round * kRoundInterval;
+    if (round == kRoundOfRestart) {
+      for (std::size_t host = 0; host < kRestartedHosts; ++host) {
+        hosts.Restart(host, recorded, now);
+      }
+    }
+    rounds.push_back(hosts.RunRound(account, now));
+    recorded = SnapshotOf(hosts.mStates.back().mAccounts.at(account.mName));
+  }
+  const auto admitted = [&rounds](int aFirst, int aCount) {
+    const auto first = rounds.begin() + aFirst;
+    return std::accumulate(first, first + aCount, 0.0);
+  };
+  THEN("together they admit no more than before")
+  {
+    const double before = admitted(kRoundOfRestart - kRoundsPerSecond, kRoundsPerSecond);
+    CHECK(admitted(kRoundOfRestart, kRoundsPerSecond) <= 1.5 * before);
+  }
+  THEN("they stay within the quota in every window, with the platform's allowance")
+  {
+    constexpr int kWindow = 8 * kRoundsPerSecond;
+    for (int first = 0; first + kWindow <= static_cast<int>(rounds.size()); ++first) {
+      CHECK(admitted(first, kWindow) <= 1.1 * (8 * account.mRatePerSecond + account.mBurst));
+    }
+  }
+}
+
 SCENARIO("a host is in contact with only some of the others")
 {
   const ClientAccount account = Account();
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -280,8 +280,8 @@
 TrafficThread::Impl::ApplyPeerUpdate(const PeerUpdate& aUpdate)
 {
   const Instant now = SuspendAwareNow();
-  for (const auto& [account, level] : aUpdate.mQuotaLevels) {
-    SetQuotaLevel(mState.mQuotas, account, level, now);
+  for (const auto& [account, snapshot] : aUpdate.mQuotaSnapshots) {
+    RestoreQuota(mState.mQuotas, account, snapshot, now);
   }
   AddPeerQuotaUse(aUpdate, now);
   for (const CrashCount& crash : aUpdate.mCrashes) {
@@ -373,7 +373,7 @@
                         .mLoads = mState.mLoads,
                         .mOutcomes = mState.mOutcomes };
   for (const auto& [account, use] : mState.mQuotas.mAccounts) {
-    report.mQuotaUsed[account] = { .mTotal = use.mOwnTotal, .mLevel = use.mBucket.mTokens };
+    report.mQuotaUsed[account] = { .mTotal = use.mOwnTotal, .mSnapshot = SnapshotOf(use) };
   }
   for (const auto& [server, status] : mState.mServerStatuses) {
     if (IsBroken(status, now)) {
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -58,8 +58,8 @@
 // An update from other hosts for the traffic thread.
 struct PeerUpdate
 {
-  // Levels of the accounts' token buckets as recorded in the store, applied when this host starts.
-  std::map<ClientAccountId, double> mQuotaLevels;
+  // The accounts' quotas as recorded in the store, applied when this host starts.
+  std::map<ClientAccountId, QuotaSnapshot> mQuotaSnapshots;
   // Cost of the requests that other hosts have admitted, and of all that they have received, since
   // the previous update.
   std::map<ClientAccountId, double> mQuotaUsed;
@@ -87,8 +87,7 @@
 {
   // Cost of the requests that the host has received since its start.
   QuotaCosts mTotal;
-  // The level of the host's copy of the account's token bucket.
-  double mLevel = 0;
+  QuotaSnapshot mSnapshot;
 };
 
 // The load of a service on one host since the host's start.
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -290,15 +290,15 @@
   aState.mPeers.mListedHosts = std::move(listed);
 }
 
-// Sends the bucket levels of the quota record to the traffic thread, then starts the watch that
-// provides the configuration. So no request is served before the levels are set.
+// Sends the snapshots of the quota record to the traffic thread, then starts the watch that
+// provides the configuration. So no request is served before they are applied.
 void
 OnQuotaRecord(SteeringState& aState, const StoreAnswer& aAnswer)
 {
   if (aAnswer.mOutcome == StoreOutcome::kDone && !aAnswer.mItems.empty()) {
     const auto record = ParseQuotaRecord(aAnswer.mItems.front().mValue);
     if (record.ok()) {
-      PeerUpdate update{ .mQuotaLevels = *record };
+      PeerUpdate update{ .mQuotaSnapshots = *record };
       aState.mTraffic.PublishPeerUpdate(std::move(update));
     } else {
       LogRejectedInput(aState, "input=quota_record", record.status());
@@ -342,7 +342,7 @@
   }
   QuotaRecord record;
   for (const auto& [account, use] : aState.mReport.mQuotaUsed) {
-    record[account] = use.mLevel;
+    record[account] = use.mSnapshot;
   }
   aState.mStore.Call(
     Commit{ .mWrites = { { .mKey = kQuotaRecordKey, .mValue = RenderQuotaRecord(record) } } },
--- a/trefoil/steering/quota_record.cc
+++ b/trefoil/steering/quota_record.cc
@@ -11,11 +11,14 @@
 RenderQuotaRecord(const QuotaRecord& aRecord)
 {
   Poco::JSON::Object levels;
-  for (const auto& [account, level] : aRecord) {
-    levels.set(account.Value(), level);
+  Poco::JSON::Object demands;
+  for (const auto& [account, snapshot] : aRecord) {
+    levels.set(account.Value(), snapshot.mLevel);
+    demands.set(account.Value(), snapshot.mAskedPerSecond);
   }
   Poco::JSON::Object object;
   object.set("levels", levels);
+  object.set("asked_per_second", demands);
   std::ostringstream text;
   object.stringify(text);
   return text.str();
@@ -30,9 +33,12 @@
     if (levels.isNull()) {
       return absl::DataLossError("a quota record has no levels");
     }
+    const auto demands = object->getObject("asked_per_second");
     QuotaRecord record;
     for (const std::string& account : levels->getNames()) {
-      record[ClientAccountId{ account }] = levels->getValue<double>(account);
+      QuotaSnapshot& snapshot = record[ClientAccountId{ account }];
+      snapshot.mLevel = levels->getValue<double>(account);
+      snapshot.mAskedPerSecond = demands.isNull() ? 0 : demands->optValue<double>(account, 0);
     }
     return record;
   } catch (const Poco::Exception& error) {
--- a/trefoil/steering/quota_record.h
+++ b/trefoil/steering/quota_record.h
@@ -1,5 +1,5 @@
-// The levels of the quota buckets as one record in the store. A host reads it when it starts,
-// for the case that no other host is running that could send its usage.
+// The quotas of all accounts as one record in the store. A host reads it when it starts: what other
+// hosts have used and are asked for reaches it only later.
 //
 //   std::string text = RenderQuotaRecord(record);
 //   absl::StatusOr<QuotaRecord> record = ParseQuotaRecord(text);
@@ -7,14 +7,15 @@
 
 #include "absl/status/statusor.h"
 #include "trefoil/base/ids.h"
+#include "trefoil/dispatch/quota.h"
 
 #include <map>
 #include <string>
 
 namespace trefoil {
 
-// The level of each account's bucket when the record was written; negative if it was overdrawn.
-using QuotaRecord = std::map<ClientAccountId, double>;
+// The quota of each account when the record was written.
+using QuotaRecord = std::map<ClientAccountId, QuotaSnapshot>;
 
 inline constexpr const char* kQuotaRecordKey = "quota";
 
@@ -22,7 +23,8 @@
 std::string
 RenderQuotaRecord(const QuotaRecord& aRecord);
 
-// Returns DataLoss if `aText` is not a valid record.
+// Returns DataLoss if `aText` is not a valid record. A record of an earlier version has no demands;
+// they are read as 0.
 absl::StatusOr<QuotaRecord>
 ParseQuotaRecord(const std::string& aText);
 
