Limit a host after a freeze to its part of the quotas

Cause: a host that runs again has the level, the share and the demand of before. It refills its copy for the time of the freeze, which ends at the bucket's size, and is then charged with all that the others used in that time, so its copy stays too low by the difference. The others leave out what it used before its first report.

Change: a host whose round took longer than twice the propagation time admits at most its part (level / hosts) until the round ends. What its refill could not hold is kept for two rounds and pays for what the others report of that time.

EndQuotaRound takes the parameters now, and the test's simulated hosts apply reports after the end of a round, as the product does.

--- a/trefoil/dispatch/quota.cc
+++ b/trefoil/dispatch/quota.cc
@@ -1,6 +1,7 @@
 #include "trefoil/dispatch/quota.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace trefoil {
@@ -11,6 +12,9 @@
 // The part of a bucket's capacity that is kept while more is asked for than refills. It covers the
 // requests of other hosts that are not known yet.
 constexpr double kReserveShare = 0.5;
+// A host whose round lasts longer than this many propagation times was frozen. The others count it
+// as out of contact after the same time.
+constexpr int kPropagationTimesOfFreeze = 2;
 
 // Refills the account's bucket up to `aNow`. A new bucket is full. Returns its rate and capacity.
 RefillRate
@@ -25,9 +29,53 @@
     aUsage.mBucket.mTokens += burst;
     aUsage.mBucket.mRefilledAt = aNow;
   }
-  const RefillRate refill{ .mPerSecond = rate, .mMax = burst };
-  Refill(aUsage.mBucket, refill, aNow);
-  return refill;
+  aUsage.mRefill = { .mPerSecond = rate, .mMax = burst };
+  Refill(aUsage.mBucket, aUsage.mRefill, aNow);
+  return aUsage.mRefill;
+}
+
+// Refills all buckets for the time in which this host was frozen, if it was.
+void
+RefillAfterFreeze(QuotaState& aState, const QuotaParameters& aParameters, Instant aNow)
+{
+  const bool started = aState.mRoundEndedAt != Instant{};
+  if (!started || aState.mWasFrozen ||
+      aNow - aState.mRoundEndedAt <= kPropagationTimesOfFreeze * aParameters.mPropagationTime) {
+    return;
+  }
+  aState.mWasFrozen = true;
+  for (auto& [account, usage] : aState.mAccounts) {
+    RefillRate unbounded = usage.mRefill;
+    unbounded.mMax = std::numeric_limits<double>::infinity();
+    Refill(usage.mBucket, unbounded, aNow);
+    usage.mOverflow = std::max(0.0, usage.mBucket.mTokens - usage.mRefill.mMax);
+    usage.mBucket.mTokens -= usage.mOverflow;
+    usage.mOwnPart = std::max(0.0, usage.mBucket.mTokens) / aParameters.mHosts;
+  }
+}
+
+// Charges what other hosts have used: first to what overflowed, then to the bucket.
+void
+ChargePeerUsage(AccountUsage& aUsage, double aCost)
+{
+  for (double* overflow : { &aUsage.mFormerOverflow, &aUsage.mOverflow }) {
+    const double charged = std::min(*overflow, aCost);
+    *overflow -= charged;
+    aCost -= charged;
+  }
+  aUsage.mBucket.mTokens -= aCost;
+}
+
+// Returns whether the account's bucket covers a request.
+bool
+CoversCost(const AccountUsage& aUsage, double aCost, const QuotaParameters& aParameters)
+{
+  // A request that costs more than the burst requires a full bucket.
+  const double needed = std::min(aCost, aUsage.mRefill.mMax);
+  const bool exceedsOwnPart =
+    aUsage.mOwnPart.has_value() &&
+    *aUsage.mOwnPart < std::min(needed, aUsage.mRefill.mMax / aParameters.mHosts);
+  return aUsage.mBucket.mTokens >= needed && !exceedsOwnPart;
 }
 
 // Returns whether a request is admitted, with the given probability. The requests of one host are
@@ -51,6 +99,9 @@
 RecordUsed(AccountUsage& aUsage, double aCost)
 {
   aUsage.mBucket.mTokens -= aCost;
+  if (aUsage.mOwnPart.has_value()) {
+    *aUsage.mOwnPart -= aCost;
+  }
   aUsage.mOwnTotal.mUsed += aCost;
 }
 
@@ -72,6 +123,7 @@
              const QuotaParameters& aParameters,
              Instant aNow)
 {
+  RefillAfterFreeze(aState, aParameters, aNow);
   AccountUsage& usage = aState.mAccounts[aAccount.mName];
   QuotaDecision decision;
   if (aAccount.mRatePerSecond > 0) {
@@ -82,14 +134,13 @@
     decision.mLevel = usage.mBucket.mTokens;
     decision.mCapacity = refill.mMax;
     decision.mAskedPerSecond = usage.mAskedPerSecond;
-    // A request that costs more than the burst requires a full bucket.
-    const bool fits = decision.mLevel >= std::min(aCost, refill.mMax);
     const bool ample = decision.mLevel - aCost >= asked - refilled;
     if (!ample) {
       const double reserve = refill.mMax * kReserveShare;
       decision.mProbability = std::clamp((decision.mLevel - reserve + refilled) / asked, 0.0, 1.0);
     }
-    decision.mAllowed = fits && DrawAdmission(usage, aParameters, decision.mProbability);
+    decision.mAllowed = CoversCost(usage, aCost, aParameters) &&
+                        DrawAdmission(usage, aParameters, decision.mProbability);
   }
   usage.mAskedInRound += aCost;
   usage.mOwnTotal.mAsked += aCost;
@@ -118,7 +169,7 @@
   AccountUsage& usage = aState.mAccounts[aAccount.mName];
   // A host that seldom receives requests of the account must refill its copy all the same.
   RefillQuota(usage, aAccount, aParameters, aNow);
-  usage.mBucket.mTokens -= aCosts.mUsed;
+  ChargePeerUsage(usage, aCosts.mUsed);
   usage.mAskedInRound += aCosts.mAsked;
 }
 
@@ -140,8 +191,10 @@
 }
 
 void
-EndQuotaRound(QuotaState& aState, Instant aNow)
+EndQuotaRound(QuotaState& aState, const QuotaParameters& aParameters, Instant aNow)
 {
+  RefillAfterFreeze(aState, aParameters, aNow);
+  aState.mWasFrozen = false;
   const double seconds =
     std::chrono::duration<double>(aNow - std::exchange(aState.mRoundEndedAt, aNow)).count();
   for (auto& [account, usage] : aState.mAccounts) {
@@ -149,6 +202,8 @@
     if (seconds > 0) {
       usage.mAskedPerSecond += kMeanWeight * (asked / seconds - usage.mAskedPerSecond);
     }
+    usage.mFormerOverflow = std::exchange(usage.mOverflow, 0.0);
+    usage.mOwnPart.reset();
   }
 }
 
--- a/trefoil/dispatch/quota.h
+++ b/trefoil/dispatch/quota.h
@@ -3,7 +3,7 @@
 //   QuotaState quotas;
 //   if (ConsumeQuota(quotas, account, cost, { .mShare = 1.0 }, now)) { ... dispatch ... }
 //   AddPeerUsage(quotas, account, { .mUsed = cost, .mAsked = cost }, parameters, now);
-//   EndQuotaRound(quotas, now);
+//   EndQuotaRound(quotas, parameters, now);
 //
 // Each host keeps its own copy of the account's token bucket. The bucket refills at the
 // account's rate up to its burst, and the cost of every admitted request is subtracted,
@@ -14,7 +14,9 @@
 // plus what the bucket holds beyond half of its capacity. So the hosts use the quota together,
 // however few of the account's requests each of them receives. A host that is in contact with only
 // some of the others refills its copy at their combined share of the rate, so that the parts of a
-// partitioned system stay within the quota together. Pure functions.
+// partitioned system stay within the quota together. A host that was frozen admits no more than its
+// part of the level until it has reported again, and charges the reports that waited to what has
+// refilled meanwhile. Pure functions.
 #pragma once
 
 #include "trefoil/admission/token_bucket.h"
@@ -38,6 +40,14 @@
 struct AccountUsage
 {
   TokenBucket mBucket;
+  // The rate of the last refill.
+  RefillRate mRefill;
+  // What did not fit into the bucket when it was refilled after a freeze of this host, in this
+  // round and in the one before. Usage that others report is charged to it first.
+  double mOverflow = 0;
+  double mFormerOverflow = 0;
+  // What this host may use until the round ends; empty unless it was frozen.
+  std::optional<double> mOwnPart;
   // What this host has received since its start.
   QuotaCosts mOwnTotal;
   // What was asked of all hosts in the current round, as far as it has been reported, and the
@@ -52,8 +62,9 @@
 struct QuotaState
 {
   std::map<ClientAccountId, AccountUsage> mAccounts;
-  // When the last round ended.
+  // When the last round ended, and whether this host was frozen since.
   Instant mRoundEndedAt;
+  bool mWasFrozen = false;
 };
 
 struct QuotaParameters
@@ -61,6 +72,8 @@
   // The share of the quota that this host and the hosts in contact with it may use together,
   // from 0 to 1.
   double mShare = 1;
+  // The number of hosts, whether in contact with this one or not.
+  int mHosts = 1;
   // How long it takes until a request is known to all hosts in contact.
   Milliseconds mPropagationTime{ 500 };
   // What the platform permits beyond the quota: mOverage is a fraction of the rate, mSlack is
@@ -134,8 +147,8 @@
              Instant aNow);
 
 // Ends a round: updates the moving averages. Must be called each time this host reports its usage
-// to the others.
+// to the others. Of `aParameters`, mRandomValue is not used.
 void
-EndQuotaRound(QuotaState& aState, Instant aNow);
+EndQuotaRound(QuotaState& aState, const QuotaParameters& aParameters, Instant aNow);
 
 } // namespace trefoil
--- a/trefoil/dispatch/quota_test.cc
+++ b/trefoil/dispatch/quota_test.cc
@@ -35,6 +35,8 @@
                  std::size_t aDelay = 0,
                  Milliseconds aPropagationTime = 2 * kRoundInterval)
     : mStates(aHosts)
+    , mFrozen(aHosts, false)
+    , mMissed(aHosts)
     , mUnreported(aDelay)
     , mPropagationTime(aPropagationTime)
   {
@@ -48,6 +50,8 @@
     mInRound[aHost].mAsked += kCost;
     mInRound[aHost].mUsed += admitted ? kCost : 0;
     mAdmitted += admitted ? kCost : 0;
+    mAdmittedByHost.resize(mStates.size());
+    mAdmittedByHost[aHost] += admitted ? kCost : 0;
     return admitted;
   }
 
@@ -66,8 +70,13 @@
     for (std::size_t host = 0; host < mStates.size(); ++host) {
       const QuotaCosts own = reports.empty() ? QuotaCosts{} : reports[host];
       const QuotaCosts others{ .mUsed = sum.mUsed - own.mUsed, .mAsked = sum.mAsked - own.mAsked };
-      AddPeerUsage(mStates[host], aAccount, others, Parameters(), aNow);
-      EndQuotaRound(mStates[host], aNow);
+      mMissed[host].mUsed += others.mUsed;
+      mMissed[host].mAsked += others.mAsked;
+      if (!mFrozen[host]) {
+        EndQuotaRound(mStates[host], Parameters(), aNow);
+        AddPeerUsage(mStates[host], aAccount, mMissed[host], Parameters(), aNow);
+        mMissed[host] = {};
+      }
     }
     return std::exchange(mAdmitted, 0);
   }
@@ -92,12 +101,17 @@
 
   QuotaParameters Parameters()
   {
-    return { .mPropagationTime = mPropagationTime,
+    return { .mHosts = static_cast<int>(mStates.size()),
+             .mPropagationTime = mPropagationTime,
              .mRandomValue = std::generate_canonical<double, 32>(mRandom) };
   }
 
   std::mt19937 mRandom{ 20261204 };
   std::vector<QuotaState> mStates;
+  // Frozen hosts process reports when they run again.
+  std::vector<bool> mFrozen;
+  std::vector<QuotaCosts> mMissed;
+  std::vector<double> mAdmittedByHost;
   std::deque<std::vector<QuotaCosts>> mUnreported;
   std::vector<QuotaCosts> mInRound;
   double mAdmitted = 0;
@@ -181,6 +195,60 @@
   }
 }
 
+// Guards against hosts that act on the state of before a freeze: they admitted the requests that
+// had waited as if nobody else had used the quota (QUOTA), and afterwards refused all of the
+// account's requests, since the reports that had waited were charged to a bucket that was already
+// full.
+SCENARIO("hosts are frozen while an account requests several times its quota")
+{
+  const ClientAccount account = Account();
+  constexpr std::size_t kFrozenHosts = 3;
+  constexpr int kRoundOfFreeze = 40;
+  constexpr int kFrozenRounds = 2 * kRoundsPerSecond;
+  constexpr int kRequestsPerRound = 4;
+  Hosts hosts{ kHosts };
+  const auto timeOf = [](int aRound) { return kStart + aRound * kRoundInterval; };
+  int round = 0;
+  for (; round < kRoundOfFreeze; ++round) {
+    hosts.RunRound(account, timeOf(round));
+  }
+  std::fill_n(hosts.mFrozen.begin(), kFrozenHosts, true);
+  for (; round < kRoundOfFreeze + kFrozenRounds; ++round) {
+    for (std::size_t host = kFrozenHosts; host < kHosts; ++host) {
+      for (int request = 0; request < kRequestsPerRound; ++request) {
+        hosts.Send(host, account, timeOf(round));
+      }
+    }
+    hosts.EndRound(account, timeOf(round));
+  }
+  std::fill_n(hosts.mFrozen.begin(), kFrozenHosts, false);
+  hosts.mAdmittedByHost.assign(kHosts, 0);
+  for (std::size_t host = 0; host < kFrozenHosts; ++host) {
+    for (int request = 0; request < kRequestsPerRound * kFrozenRounds; ++request) {
+      hosts.Send(host, account, timeOf(round));
+    }
+  }
+  THEN("each of them admits at most its part of a full bucket at once")
+  {
+    for (std::size_t host = 0; host < kFrozenHosts; ++host) {
+      CHECK(hosts.mAdmittedByHost[host] <= account.mBurst / kHosts + kCost);
+    }
+  }
+  THEN("afterwards they serve the account like the others")
+  {
+    hosts.EndRound(account, timeOf(round));
+    hosts.mAdmittedByHost.assign(kHosts, 0);
+    for (const int last = round + 16 * kRoundsPerSecond; round < last; ++round) {
+      hosts.RunRound(account, timeOf(round));
+    }
+    const double all =
+      std::accumulate(hosts.mAdmittedByHost.begin(), hosts.mAdmittedByHost.end(), 0.0);
+    for (const double admitted : hosts.mAdmittedByHost) {
+      CHECK(admitted >= all / kHosts / 2);
+    }
+  }
+}
+
 SCENARIO("a host is in contact with only some of the others")
 {
   const ClientAccount account = Account();
@@ -193,7 +261,7 @@
       while (ConsumeQuota(host, account, kCost, parameters, kStart + round * kRoundInterval)) {
         used += kCost;
       }
-      EndQuotaRound(host, kStart + round * kRoundInterval);
+      EndQuotaRound(host, parameters, kStart + round * kRoundInterval);
     }
     THEN("it admits a third of the quota")
     {
@@ -228,7 +296,7 @@
   THEN("a host admits its few requests although they exceed the host's share")
   {
     CHECK(ConsumeQuota(host, account, 90'000, parameters, kStart));
-    EndQuotaRound(host, kStart + kRoundInterval);
+    EndQuotaRound(host, parameters, kStart + kRoundInterval);
     CHECK(ConsumeQuota(host, account, 60'000, parameters, kStart + kRoundInterval));
   }
 }
@@ -245,7 +313,8 @@
                  { .mUsed = cost, .mAsked = cost },
                  { .mPropagationTime = Milliseconds{ 2'000 } },
                  kStart + round * kRoundInterval);
-    EndQuotaRound(host, kStart + round * kRoundInterval);
+    EndQuotaRound(
+      host, { .mPropagationTime = Milliseconds{ 2'000 } }, kStart + round * kRoundInterval);
   }
   THEN("the first request that this host receives is admitted")
   {
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -59,6 +59,7 @@
                               .mRandomValue = std::generate_canonical<double, 32>(aState.mRandom) };
   if (aState.mView) {
     parameters.mShare = aState.mView->mQuotaShare;
+    parameters.mHosts = aState.mView->mHosts;
     parameters.mPropagationTime = aState.mView->mPropagationTime;
   }
   return parameters;
@@ -366,7 +367,7 @@
 {
   const Instant now = SuspendAwareNow();
   UpdateGauges(now);
-  EndQuotaRound(mState.mQuotas, now);
+  EndQuotaRound(mState.mQuotas, QuotaParametersNow(mState), now);
   CountBusyTime(now);
   TrafficReport report{ .mUsage = mState.mUsage,
                         .mCrashes = std::exchange(mState.mUnreportedCrashes, {}),
