Take the demand on quotas of hosts out of contact into account

A host's demand counts only the hosts that it is in contact with. When contact returns, its share of the quota is whole at once, but the demand is that of its own side, so both sides admit as if the others asked for nothing. A side that refused the account's requests because its configuration was too old had stopped counting demand at all.

Change: what is asked is divided by the share of the hosts in contact, so that hosts out of contact are taken to be asked for as much; a decision uses the part of the share. Requests refused for a stale configuration count toward the demand.

Ruled out: that the level is wrong at this moment. Both sides refilled their shares only, and the levels agree with what was used.

That the refusal in exchange.cc calls RecordQuotaDemand has no test of its own.

--- a/trefoil/dispatch/quota.cc
+++ b/trefoil/dispatch/quota.cc
@@ -105,6 +105,13 @@
   aUsage.mOwnTotal.mUsed += aCost;
 }
 
+void
+RecordAsked(AccountUsage& aUsage, double aCost, const QuotaParameters& aParameters)
+{
+  aUsage.mAskedInRound += aCost / aParameters.mShare;
+  aUsage.mOwnTotal.mAsked += aCost;
+}
+
 } // namespace
 
 double
@@ -129,7 +136,7 @@
   if (aAccount.mRatePerSecond > 0) {
     const RefillRate refill = RefillQuota(usage, aAccount, aParameters, aNow);
     const double seconds = std::chrono::duration<double>(aParameters.mPropagationTime).count();
-    const double asked = seconds * usage.mAskedPerSecond;
+    const double asked = seconds * usage.mAskedPerSecond * aParameters.mShare;
     const double refilled = seconds * refill.mPerSecond;
     decision.mLevel = usage.mBucket.mTokens;
     decision.mCapacity = refill.mMax;
@@ -142,14 +149,22 @@
     decision.mAllowed = CoversCost(usage, aCost, aParameters) &&
                         DrawAdmission(usage, aParameters, decision.mProbability);
   }
-  usage.mAskedInRound += aCost;
-  usage.mOwnTotal.mAsked += aCost;
+  RecordAsked(usage, aCost, aParameters);
   if (decision.mAllowed) {
     RecordUsed(usage, aCost);
   }
   return decision;
 }
 
+void
+RecordQuotaDemand(QuotaState& aState,
+                  const ClientAccountId& aAccount,
+                  double aCost,
+                  const QuotaParameters& aParameters)
+{
+  RecordAsked(aState.mAccounts[aAccount], aCost, aParameters);
+}
+
 void
 RefundQuota(QuotaState& aState, const ClientAccountId& aAccount, double aCost)
 {
@@ -170,7 +185,7 @@
   // A host that seldom receives requests of the account must refill its copy all the same.
   RefillQuota(usage, aAccount, aParameters, aNow);
   ChargePeerUsage(usage, aCosts.mUsed);
-  usage.mAskedInRound += aCosts.mAsked;
+  usage.mAskedInRound += aCosts.mAsked / aParameters.mShare;
 }
 
 QuotaSnapshot
--- a/trefoil/dispatch/quota.h
+++ b/trefoil/dispatch/quota.h
@@ -51,7 +51,8 @@
   // What this host has received since its start.
   QuotaCosts mOwnTotal;
   // What was asked of all hosts in the current round, as far as it has been reported, and the
-  // moving average per second.
+  // moving average per second. While some hosts are out of contact, they are taken to be asked for
+  // as much as those in contact.
   double mAskedInRound = 0;
   double mAskedPerSecond = 0;
   // The sum of the admission probabilities of this host's requests, less the admitted ones; empty
@@ -113,6 +114,14 @@
              const QuotaParameters& aParameters,
              Instant aNow);
 
+// Counts a request that is refused for another reason than the quota toward what the account asks
+// for. Of `aParameters`, mRandomValue is not used.
+void
+RecordQuotaDemand(QuotaState& aState,
+                  const ClientAccountId& aAccount,
+                  double aCost,
+                  const QuotaParameters& aParameters);
+
 // Refunds the cost of a request that was not sent.
 void
 RefundQuota(QuotaState& aState, const ClientAccountId& aAccount, double aCost);
--- a/trefoil/dispatch/quota_test.cc
+++ b/trefoil/dispatch/quota_test.cc
@@ -1,5 +1,6 @@
 #include "trefoil/dispatch/quota.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstddef>
 #include <deque>
@@ -35,6 +36,7 @@
                  std::size_t aDelay = 0,
                  Milliseconds aPropagationTime = 2 * kRoundInterval)
     : mStates(aHosts)
+    , mParts(aHosts, 0)
     , mFrozen(aHosts, false)
     , mMissed(aHosts)
     , mUnreported(aDelay)
@@ -45,7 +47,7 @@
   // Sends a request to a host; returns whether it is admitted.
   bool Send(std::size_t aHost, const ClientAccount& aAccount, Instant aNow)
   {
-    const bool admitted(ConsumeQuota(mStates[aHost], aAccount, kCost, Parameters(), aNow));
+    const bool admitted(ConsumeQuota(mStates[aHost], aAccount, kCost, Parameters(aHost), aNow));
     mInRound.resize(mStates.size());
     mInRound[aHost].mAsked += kCost;
     mInRound[aHost].mUsed += admitted ? kCost : 0;
@@ -55,6 +57,22 @@
     return admitted;
   }
 
+  // Sends a request to a host that refuses it for another reason than the quota.
+  void SendRefused(std::size_t aHost, const ClientAccount& aAccount)
+  {
+    RecordQuotaDemand(mStates[aHost], aAccount.mName, kCost, Parameters(aHost));
+    mInRound.resize(mStates.size());
+    mInRound[aHost].mAsked += kCost;
+  }
+
+  // Puts the first `aCount` hosts out of contact with the others; 0 ends it.
+  void CutOff(std::size_t aCount)
+  {
+    for (std::size_t host = 0; host < mParts.size(); ++host) {
+      mParts[host] = host < aCount ? 1 : 0;
+    }
+  }
+
   // Ends the round and returns the admitted cost in it.
   double EndRound(const ClientAccount& aAccount, Instant aNow)
   {
@@ -62,19 +80,16 @@
     mUnreported.push_back(std::exchange(mInRound, {}));
     const std::vector<QuotaCosts> reports = std::move(mUnreported.front());
     mUnreported.pop_front();
-    QuotaCosts sum;
-    for (const QuotaCosts& report : reports) {
-      sum.mUsed += report.mUsed;
-      sum.mAsked += report.mAsked;
-    }
     for (std::size_t host = 0; host < mStates.size(); ++host) {
-      const QuotaCosts own = reports.empty() ? QuotaCosts{} : reports[host];
-      const QuotaCosts others{ .mUsed = sum.mUsed - own.mUsed, .mAsked = sum.mAsked - own.mAsked };
-      mMissed[host].mUsed += others.mUsed;
-      mMissed[host].mAsked += others.mAsked;
+      for (std::size_t peer = 0; peer < reports.size(); ++peer) {
+        if (peer != host && mParts[peer] == mParts[host]) {
+          mMissed[host].mUsed += reports[peer].mUsed;
+          mMissed[host].mAsked += reports[peer].mAsked;
+        }
+      }
       if (!mFrozen[host]) {
-        EndQuotaRound(mStates[host], Parameters(), aNow);
-        AddPeerUsage(mStates[host], aAccount, mMissed[host], Parameters(), aNow);
+        EndQuotaRound(mStates[host], Parameters(host), aNow);
+        AddPeerUsage(mStates[host], aAccount, mMissed[host], Parameters(host), aNow);
         mMissed[host] = {};
       }
     }
@@ -99,15 +114,19 @@
     RestoreQuota(mStates[aHost], Account().mName, aSnapshot, aNow);
   }
 
-  QuotaParameters Parameters()
+  QuotaParameters Parameters(std::size_t aHost)
   {
-    return { .mHosts = static_cast<int>(mStates.size()),
+    const auto inContact = static_cast<double>(std::ranges::count(mParts, mParts[aHost]));
+    return { .mShare = inContact / static_cast<double>(mParts.size()),
+             .mHosts = static_cast<int>(mStates.size()),
              .mPropagationTime = mPropagationTime,
              .mRandomValue = std::generate_canonical<double, 32>(mRandom) };
   }
 
   std::mt19937 mRandom{ 20261204 };
   std::vector<QuotaState> mStates;
+  // Hosts with the same number are in contact.
+  std::vector<int> mParts;
   // Frozen hosts process reports when they run again.
   std::vector<bool> mFrozen;
   std::vector<QuotaCosts> mMissed;
@@ -249,6 +268,84 @@
   }
 }
 
+// Guards against hosts that admit too much when contact returns, since they took the demand at the
+// hosts of their own side for that of all hosts (QUOTA).
+SCENARIO("hosts that were cut off regain contact while an account requests several times its quota")
+{
+  const ClientAccount account = Account();
+  constexpr std::size_t kCutOffHosts = 4;
+  constexpr int kRoundOfCut = 40;
+  constexpr int kRoundOfStaleConfiguration = 54;
+  constexpr int kRoundOfReturn = 60;
+  constexpr int kRequestsPerRound = 4;
+  Hosts hosts{ kHosts, 1 };
+  std::vector<double> rounds;
+  for (int round = 0; round < kRoundOfReturn + kRoundOfCut; ++round) {
+    if (round == kRoundOfCut || round == kRoundOfReturn) {
+      hosts.CutOff(round == kRoundOfCut ? kCutOffHosts : 0);
+    }
+    const Instant now = kStart + round * kRoundInterval;
+    const bool isStale = round >= kRoundOfStaleConfiguration && round < kRoundOfReturn;
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      for (int request = 0; request < kRequestsPerRound; ++request) {
+        if (isStale && host < kCutOffHosts) {
+          hosts.SendRefused(host, account);
+        } else {
+          hosts.Send(host, account, now);
+        }
+      }
+    }
+    rounds.push_back(hosts.EndRound(account, now));
+  }
+  const auto admitted = [&rounds](int aFirst, int aCount) {
+    const auto first = rounds.begin() + aFirst;
+    return std::accumulate(first, first + aCount, 0.0);
+  };
+  const double perSecond = admitted(kRoundOfCut - 4 * kRoundsPerSecond, 4 * kRoundsPerSecond) / 4;
+  THEN("together they admit no more than the quota allows as soon as contact is back")
+  {
+    const auto allowed = [&account](int aRounds) {
+      return 1.1 * account.mRatePerSecond * aRounds / kRoundsPerSecond + kCost;
+    };
+    CHECK(admitted(kRoundOfReturn, 2) <= allowed(2));
+    CHECK(admitted(kRoundOfReturn, kRoundsPerSecond) <= allowed(kRoundsPerSecond));
+  }
+  THEN("the account is served during the cut and after it")
+  {
+    CHECK(admitted(kRoundOfCut, kRoundsPerSecond * 3) >= 0.75 * 3 * perSecond);
+    CHECK(admitted(kRoundOfReturn, kRoundsPerSecond * 8) >= 0.75 * 8 * perSecond);
+  }
+}
+
+// Guards against a host that forgets the demand while it refuses the account's requests because its
+// configuration is too old (QUOTA).
+SCENARIO("a host refuses an account's requests for another reason than the quota")
+{
+  const ClientAccount account = Account();
+  constexpr int kRoundsBefore = 20;
+  constexpr int kRequestsPerRound = 4;
+  Hosts hosts{ 1 };
+  double asked = 0;
+  for (int round = 0; round < 2 * kRoundsBefore; ++round) {
+    const Instant now = kStart + round * kRoundInterval;
+    for (int request = 0; request < kRequestsPerRound; ++request) {
+      if (round < kRoundsBefore) {
+        hosts.Send(0, account, now);
+      } else {
+        hosts.SendRefused(0, account);
+      }
+    }
+    hosts.EndRound(account, now);
+    if (round + 1 == kRoundsBefore) {
+      asked = hosts.mStates[0].mAccounts[account.mName].mAskedPerSecond;
+    }
+  }
+  THEN("it still knows what the account asks for")
+  {
+    CHECK(hosts.mStates[0].mAccounts[account.mName].mAskedPerSecond >= asked);
+  }
+}
+
 SCENARIO("a host is in contact with only some of the others")
 {
   const ClientAccount account = Account();
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -101,8 +101,17 @@
 {
   if (!mCatalogue->mCatalogue.mAccounts.empty() && !mRoute->mAllowsAnonymous) {
     if (mArrivedAt - mState.mView->mConfirmedCurrentAt > mState.mOptions.mMaxConfigurationAge) {
-      // Counts toward the demand for the service, although this host may not serve the request.
+      // Counts toward the demand for the service and on the quota, although this host may not serve
+      // the request.
       RecordPromptDemand();
+      const ClientAccount* account =
+        FindAccount(mCatalogue->mCatalogue, mCatalogue->mIndex, mMetadata.mKey);
+      if (account != nullptr) {
+        RecordQuotaDemand(mState.mQuotas,
+                          account->mName,
+                          QuotaCost(*account, mMetadata.mPromptTokens + mMetadata.mOutputTokens),
+                          QuotaParametersNow(mState));
+      }
       Refuse(kServiceUnavailable, RefusalReason::kStaleConfiguration, RetryAfter(kRetryAfterFull));
       return false;
     }
