--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -170,6 +170,7 @@
   void RecordBasis(const RegisteredServer& aServer, Instant aNow);
   void RecordDispatch();
   std::string BasisText() const;
+  std::string SharedPartsText() const;
 
   void OnDeadline();
   void Refuse(int aStatus, RefusalReason aReason, std::optional<Milliseconds> aRetryAfter);
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -251,7 +251,7 @@
   mState.mLog.Write(LogSeverity::kRoutine,
                     LogEvent::kRequestDone,
                     "id={} route={} account={} service={} status={} dispatches={} {} prompt={} "
-                    "shared={} quota_cost={:.0f} quota_level={:.0f} first_ms={} ms={}",
+                    "shared={} quota_cost={:.0f} quota_level={:.0f} first_ms={} ms={} parts={}",
                     mMetadata.mRequestId,
                     mRoute->mName,
                     mAccount == nullptr ? "" : mAccount->mName.Value(),
@@ -264,7 +264,8 @@
                     mQuotaCost,
                     mQuotaDecision.mLevel,
                     (mAnswerBegunAt.value_or(now) - mArrivedAt) / Milliseconds{ 1 },
-                    (now - mArrivedAt) / Milliseconds{ 1 });
+                    (now - mArrivedAt) / Milliseconds{ 1 },
+                    SharedPartsText());
 }
 
 void
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -5,7 +5,9 @@
 #include <fmt/format.h>
 #include <iterator>
 #include <limits>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace trefoil {
 namespace {
@@ -28,6 +30,8 @@
 constexpr Milliseconds kDispatchBatchDelay{ 10 };
 // The prefill of a long prompt delays the first event by up to 1 s.
 constexpr Milliseconds kMinStreamSilence{ 1'200 };
+// Limits the length of a log line.
+constexpr std::size_t kMaxLoggedParts = 8;
 // A stream is considered silent after this multiple of the event gap goal.
 constexpr int kSilenceGapFactor = 4;
 
@@ -212,6 +216,17 @@
                      mBasis.mHoldsCache);
 }
 
+// Returns the ids of the parts of the prompt that other requests may share, separated by commas.
+std::string
+Exchange::SharedPartsText() const
+{
+  std::vector<std::string_view> ids;
+  for (std::size_t i = 0; i + 1 < std::min(mMetadata.mPrompt.size(), kMaxLoggedParts); ++i) {
+    ids.push_back(mMetadata.mPrompt[i].mId);
+  }
+  return fmt::format("{}", fmt::join(ids, ","));
+}
+
 void
 Exchange::ArmSilenceTimer()
 {
@@ -348,14 +363,16 @@
                           aFailure == AttemptFailure::kServerError;
   mState.mLog.Write(LogSeverity::kNotable,
                     LogEvent::kAttemptFailed,
-                    "id={} route={} {} end={} reused={} ms={} last_event={}",
+                    "id={} route={} {} end={} begun={} reused={} ms={} last_event={} parts={}",
                     mMetadata.mRequestId,
                     mRoute->mName,
                     BasisText(),
                     NameOf(kAttemptFailureNames, aFailure),
+                    mAttempt->mAnswerBegun,
                     mAttempt->mConnection->mReused,
                     (SuspendAwareNow() - mAttempt->mSentAt) / Milliseconds{ 1 },
-                    mEvents.mLastId);
+                    mEvents.mLastId,
+                    SharedPartsText());
   DispatchOutcome outcome = DispatchOutcome::kBroken;
   if (aFailure == AttemptFailure::kTurnedAway) {
     outcome = DispatchOutcome::kTurnedAway;
