Refuse requests with a part of a prompt that crashes servers

The record of crashes identifies a request by account, service, path and body. Requests that share only a part of their prompt are each new to it. The class of the fault: evidence is kept by the whole request, while the cause can be a property that many requests have.

Change: trefoil/request/prompt_crash_tracker. Requests that wait for their answer at a server that breaks their connection blame the shared parts of their prompts; an answer that begins afterwards clears the parts. From three crashes on (counted once in 200 ms, since an outage ends many servers at once) the part with the most is refused if it is the only one; parts that were answered before come last; from five on all parts that cannot be told apart are. Crashes that a refused part explains blame no other part. A server that answers within a second has not crashed. A refusal lasts 60 s; the first crash afterwards starts the next one, four times as long, up to 10 minutes. Requests that are refused get 503 with the time as Retry-After, and a request under way is not sent again. Hosts send each other what is new within 10 ms (PromptCrashMessage) and repeat it with each update for 3 s, refusals as long as they last, so that a host that starts knows them; from 32 hosts on aggregators forward it. Merging does not depend on order or number, so hosts pass on what they have heard.

Weighed and left: blaming all requests of a crash (the template in each of these crashes is sound), recording times of answers across hosts (they creep when hosts pass them on), one count by part and server (cannot explain a crash by another part).

The tracker has tests of its own, aggregation_test shows that all hosts of a large fleet learn of a crash.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -494,6 +494,67 @@
   }
 }
 
+// Guards against requests that crash one server after the other, since no two of them are alike and
+// each is sent to a second server (BUDGET).
+SCENARIO("requests with one part of a prompt crash each server that begins to answer them")
+{
+  const auto request = [](const char* aPart, int aNumber) {
+    return fmt::format("POST /talk/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: "
+                       "{0}-{1}\r\nAuthorization: Token k\r\n"
+                       "Prompt-Prefix: aa:100,{0}:50,e{1}:10\r\nContent-Length: 0\r\n\r\n",
+                       aPart,
+                       aNumber);
+  };
+  const ScriptedServer::Script script = [](const ReceivedRequest& aRequest) {
+    const std::string_view parts = HeaderValue(aRequest.mRequest.mHeaders, "Prompt-Prefix");
+    if (parts.find("bad") != std::string_view::npos) {
+      return Reply{ .mClose = true };
+    }
+    return Reply{ .mBytes = MakeStreamStart(aRequest) + MakeEventChunk(1) + kLastChunk };
+  };
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  Gateway gateway;
+  // Enough that none crashes twice.
+  for (int i = 0; i < 12; ++i) {
+    servers.push_back(std::make_unique<ScriptedServer>(script));
+    gateway.AddServer(fmt::format("e{}", i).c_str(), *servers.back());
+  }
+  gateway.Publish();
+  const auto ask = [&](const char* aPart, int aNumber) {
+    Client client = gateway.Connect();
+    client.Send(request(aPart, aNumber));
+    return client.Read();
+  };
+  const auto received = [&servers] {
+    std::size_t requests = 0;
+    for (const auto& server : servers) {
+      requests += server->ReceivedRequests().size();
+    }
+    return requests;
+  };
+  REQUIRE(ask("600d", 0).mStatus == 200);
+  int sent = 0;
+  ReceivedAnswer last;
+  while (last.mStatus != 503 && sent < 40) {
+    last = ask("bad", ++sent);
+    // Crashes that follow each other faster count as one.
+    std::this_thread::sleep_for(kMinPromptCrashDistance);
+  }
+  THEN("they are refused after a few crashes, and no server receives them any more")
+  {
+    CHECK(last.mStatus == 503);
+    CHECK(last.mBody == "prompt_crashes_servers\n");
+    const std::size_t before = received();
+    CHECK(ask("bad", ++sent).mStatus == 503);
+    CHECK(received() == before);
+    CHECK(before <= 1 + std::size_t{ 2 } * kPromptCrashesToRefuseAll);
+  }
+  THEN("requests that share the other parts are served")
+  {
+    CHECK(ask("600d", ++sent).mStatus == 200);
+  }
+}
+
 SCENARIO("a backend server does not answer")
 {
   ScriptedServer server{ [](const ReceivedRequest&) { return Reply{ .mHang = true }; } };
--- a/trefoil/eventlog/event_log.h
+++ b/trefoil/eventlog/event_log.h
@@ -45,6 +45,7 @@
   kRequestCancelled,
   kAttemptFailed,
   kServerAvoided,
+  kPromptPartRefused,
   kConfigurationApplied,
   kServersChanged,
   kPeersChanged,
@@ -58,7 +59,7 @@
   kLinesDropped,
 };
 
-inline constexpr NameTable<LogEvent, 22> kLogEventNames{ {
+inline constexpr NameTable<LogEvent, 23> kLogEventNames{ {
   { LogEvent::kStart, "start" },
   { LogEvent::kStop, "stop" },
   { LogEvent::kReload, "reload" },
@@ -70,6 +71,7 @@
   { LogEvent::kRequestCancelled, "request_cancelled" },
   { LogEvent::kAttemptFailed, "attempt_failed" },
   { LogEvent::kServerAvoided, "server_avoided" },
+  { LogEvent::kPromptPartRefused, "prompt_part_refused" },
   { LogEvent::kConfigurationApplied, "configuration_in_force" },
   { LogEvent::kServersChanged, "servers_changed" },
   { LogEvent::kPeersChanged, "peers_changed" },
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -85,6 +85,9 @@
     const Milliseconds timeout = mMetadata.mClientTimeout.value_or(mRoute->mTimeout);
     mDeadline = mArrivedAt + std::min(timeout, mRoute->mTimeout);
   }
+  for (std::size_t i = 0; i + 1 < mMetadata.mPrompt.size(); ++i) {
+    mSharedParts.push_back(PromptPartKeyOf(mService, mMetadata.mPrompt[i].mId));
+  }
   if (mRoute->mUsesCacheAffinity && mMetadata.mPrompt.size() > 1) {
     for (std::size_t i = 0; i + 1 < mMetadata.mPrompt.size(); ++i) {
       mSharedTokens += mMetadata.mPrompt[i].mTokens;
@@ -126,6 +129,12 @@
     Refuse(kServiceUnavailable, RefusalReason::kCrashesServers, RetryAfter(kRetryAfterFull));
     return false;
   }
+  if (const auto until = RefusedUntil(mState.mPromptCrashes, mSharedParts, mArrivedAt)) {
+    Refuse(kServiceUnavailable,
+           RefusalReason::kPromptCrashesServers,
+           RetryAfter(Remaining(*until, mArrivedAt)));
+    return false;
+  }
   if (mAccount != nullptr) {
     mQuotaCost = QuotaCost(*mAccount, mMetadata.mPromptTokens + mMetadata.mOutputTokens);
     mQuotaDecision =
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -31,6 +31,7 @@
   kMalformedHead,
   kOverQuota,
   kCrashesServers,
+  kPromptCrashesServers,
   kNoServer,
   kServersFull,
   kServerUnreachable,
@@ -38,7 +39,7 @@
   kDeadlineExceeded,
 };
 
-inline constexpr NameTable<RefusalReason, 12> kRefusalReasonNames{ {
+inline constexpr NameTable<RefusalReason, 13> kRefusalReasonNames{ {
   { RefusalReason::kNoConfiguration, "no_configuration" },
   { RefusalReason::kStaleConfiguration, "old_configuration" },
   { RefusalReason::kNoRoute, "no_route" },
@@ -46,6 +47,7 @@
   { RefusalReason::kMalformedHead, "malformed_head" },
   { RefusalReason::kOverQuota, "over_quota" },
   { RefusalReason::kCrashesServers, "crashes_servers" },
+  { RefusalReason::kPromptCrashesServers, "prompt_crashes_servers" },
   { RefusalReason::kNoServer, "no_server" },
   { RefusalReason::kServersFull, "servers_full" },
   { RefusalReason::kServerUnreachable, "server_unreachable" },
@@ -134,6 +136,8 @@
     // An answer to another request was received, so the connection must not be reused.
     bool mHasStrayAnswer = false;
     bool mAnswerBegun = false;
+    // Whether a complete event, or the complete answer, was received.
+    bool mIsSound = false;
     // The received bytes that are counted in TrafficState::mBufferedBytes.
     std::size_t mBufferedBytes = 0;
     AnswerMetadata mAnswerMetadata;
@@ -179,6 +183,8 @@
   Milliseconds TimeLeft() const;
   Milliseconds RetryAfter(Milliseconds aDelay) const;
   void ReportCrash();
+  void ReportPromptCrash();
+  void ReportPromptAnswer();
   RequestDigest Digest() const;
   bool MayRepeat() const;
   ServerStatus& StatusOfServer(const BackendServerId& aServer);
@@ -198,6 +204,8 @@
   bool mUsageCounted = false;
   std::string mCacheKey;
   std::int64_t mSharedTokens = 0;
+  // The parts of the prompt that other requests may share.
+  std::vector<PromptPartKey> mSharedParts;
   Instant mArrivedAt;
   Instant mDeadline;
   EventLoop::TimerId mDeadlineTimer = 0;
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -133,6 +133,9 @@
   }
   const Instant now = SuspendAwareNow();
   mAttempt->mAnswerBegun = true;
+  if (RecordServerAnswer(mState.mPromptCrashes, mAttempt->mServer.mId, now)) {
+    ReportPromptCrashes(mState, true);
+  }
   ServerStatus& status = StatusOfServer(mAttempt->mServer.mId);
   status.mPendingTokens -= std::exchange(mAttempt->mPendingTokens, 0.0);
   if (stream && !mCacheKey.empty()) {
@@ -189,6 +192,7 @@
   if (events.empty()) {
     return;
   }
+  ReportPromptAnswer();
   if (!mStreaming) {
     mStreaming = true;
     mSession->StartAnswer({ .mStatus = head.mStatus,
@@ -219,6 +223,7 @@
     End();
     return;
   }
+  ReportPromptAnswer();
   answer.mBody = std::move(mAttempt->mReader->Body());
   if (answer.mStatus >= kFirstServerError ||
       (mPossibleRuns > 0 && PromisesNotRun(answer.mStatus))) {
@@ -284,6 +289,7 @@
     OnAnswerComplete();
     return;
   }
+  ReportPromptCrash();
   OnAttemptFailed(AttemptFailure::kBroken);
 }
 
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -344,6 +344,9 @@
   const bool notRun = aFailure == AttemptFailure::kConnectFailed ||
                       aFailure == AttemptFailure::kTurnedAway ||
                       aFailure == AttemptFailure::kWrongServer;
+  if (RefusedUntil(mState.mPromptCrashes, mSharedParts, now).has_value()) {
+    return false;
+  }
   if (!notRun && (!MayRepeat() || mPossibleRuns >= mRoute->mAttempts)) {
     return false;
   }
@@ -427,6 +430,44 @@
   Refuse(kServiceUnavailable, aReasonIfNotRun, RetryAfter(kRetryAfterFull));
 }
 
+// Blames the shared parts of the prompt if the request was waiting for its answer at a server that
+// was not about to leave.
+void
+Exchange::ReportPromptCrash()
+{
+  const auto& servers = mState.mView->mServers->mServers;
+  const auto server = servers.find(mAttempt->mServer.mId);
+  const bool isReady = server != servers.end() && server->second.mPhase == ServerPhase::kReady;
+  if (mAttempt->mIsSound || !isReady) {
+    return;
+  }
+  const Instant now = SuspendAwareNow();
+  const auto refusedBefore = RefusedUntil(mState.mPromptCrashes, mSharedParts, now);
+  if (RecordPromptCrash(mState.mPromptCrashes, mAttempt->mServer.mId, mSharedParts, now)) {
+    ReportPromptCrashes(mState, true);
+  }
+  const auto refused = RefusedUntil(mState.mPromptCrashes, mSharedParts, now);
+  if (refused != refusedBefore) {
+    mState.mLog.Write(LogSeverity::kNotable,
+                      LogEvent::kPromptPartRefused,
+                      "id={} service={} parts={} ms={}",
+                      mMetadata.mRequestId,
+                      mService.Value(),
+                      SharedPartsText(),
+                      Remaining(refused.value_or(now), now).count());
+  }
+}
+
+// Clears the shared parts of the prompt when the answer of an attempt begins.
+void
+Exchange::ReportPromptAnswer()
+{
+  if (!std::exchange(mAttempt->mIsSound, true) &&
+      RecordPromptAnswer(mState.mPromptCrashes, mSharedParts, SuspendAwareNow())) {
+    ReportPromptCrashes(mState, true);
+  }
+}
+
 void
 Exchange::ReportCrash()
 {
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -34,6 +34,12 @@
   CrashTracker mCrashes;
   // Crashes that this host has recorded since the last report.
   std::vector<CrashCount> mUnreportedCrashes;
+  PromptCrashTracker mPromptCrashes;
+  // Receives new evidence. mPromptCrashesDue is whether a call is scheduled, and mOwnPromptCrashes
+  // whether it contains observations of this host.
+  std::function<void(PromptCrashEvidence, bool)> mOnPromptCrashes;
+  bool mPromptCrashesDue = false;
+  bool mOwnPromptCrashes = false;
   CacheHints mCacheHints;
   std::map<ServiceId, PrefillRate> mPrefillRates;
   // Dispatches that have not been reported to the other hosts yet, and the callback that reports
@@ -51,6 +57,11 @@
   bool mStopping = false;
 };
 
+// Schedules a report of evidence about prompts that crash servers. `aIsOwn` is whether this host
+// observed it.
+void
+ReportPromptCrashes(TrafficState& aState, bool aIsOwn);
+
 // Returns the parameters of a quota check at this moment, with a new random number.
 QuotaParameters
 QuotaParametersNow(TrafficState& aState);
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -25,6 +25,9 @@
 // second.
 constexpr Milliseconds kBalancerDrainDelay{ 3'000 };
 constexpr Milliseconds kStopCheckInterval{ 50 };
+// Evidence of a crash that is recorded within this time is reported together, since many requests
+// break at once.
+constexpr Milliseconds kCrashReportDelay{ 10 };
 // Usage windows that are retained. They cover more than the time within which usage must be
 // reported.
 constexpr std::size_t kMaxUsageWindows = 8;
@@ -51,6 +54,20 @@
 {
 }
 
+void
+ReportPromptCrashes(TrafficState& aState, bool aIsOwn)
+{
+  aState.mOwnPromptCrashes = aState.mOwnPromptCrashes || aIsOwn;
+  if (!aState.mOnPromptCrashes || std::exchange(aState.mPromptCrashesDue, true)) {
+    return;
+  }
+  aState.mLoop.CallAt(SuspendAwareNow() + kCrashReportDelay, [&aState] {
+    aState.mPromptCrashesDue = false;
+    aState.mOnPromptCrashes(EvidenceToReport(aState.mPromptCrashes, SuspendAwareNow()),
+                            std::exchange(aState.mOwnPromptCrashes, false));
+  });
+}
+
 QuotaParameters
 QuotaParametersNow(TrafficState& aState)
 {
@@ -371,6 +388,7 @@
   CountBusyTime(now);
   TrafficReport report{ .mUsage = mState.mUsage,
                         .mCrashes = std::exchange(mState.mUnreportedCrashes, {}),
+                        .mPromptCrashes = EvidenceToReport(mState.mPromptCrashes, now),
                         .mLoads = mState.mLoads,
                         .mOutcomes = mState.mOutcomes };
   for (const auto& [account, use] : mState.mQuotas.mAccounts) {
@@ -395,6 +413,7 @@
     mState.mConnectionPool.Sweep(*mState.mView->mServers, now);
   }
   Expire(mState.mCrashes, now);
+  ExpirePromptCrashes(mState.mPromptCrashes, now);
   mState.mLoop.CallAt(now + kSweepInterval, [this] { Sweep(); });
 }
 
@@ -495,6 +514,24 @@
   });
 }
 
+void
+TrafficThread::SetPromptCrashCallback(std::function<void(PromptCrashEvidence, bool)> aCallback)
+{
+  mImpl->mState.mLoop.Post([state = mImpl.get(), callback = std::move(aCallback)]() mutable {
+    state->mState.mOnPromptCrashes = std::move(callback);
+  });
+}
+
+void
+TrafficThread::ApplyPromptCrashes(PromptCrashEvidence aEvidence)
+{
+  mImpl->mState.mLoop.Post([state = mImpl.get(), evidence = std::move(aEvidence)] {
+    if (MergeEvidence(state->mState.mPromptCrashes, evidence, SuspendAwareNow())) {
+      ReportPromptCrashes(state->mState, false);
+    }
+  });
+}
+
 void
 TrafficThread::Report(std::function<void(TrafficReport)> aCallback)
 {
--- a/trefoil/forward/traffic_thread.h
+++ b/trefoil/forward/traffic_thread.h
@@ -66,6 +66,13 @@
   void SetDispatchCallback(std::function<void(std::vector<DispatchReport>)> aCallback);
   // Applies dispatches that other hosts have reported.
   void ApplyDispatches(std::vector<DispatchReport> aDispatches);
+  // Sets the callback that receives evidence about prompts that crash servers, within 10 ms of a
+  // change. It is called on the traffic thread; `aIsOwn` tells whether this host observed some of
+  // what is new.
+  void SetPromptCrashCallback(
+    std::function<void(PromptCrashEvidence aEvidence, bool aIsOwn)> aCallback);
+  // Applies evidence that another host has sent.
+  void ApplyPromptCrashes(PromptCrashEvidence aEvidence);
   // Creates a report on the traffic thread and passes it to `aCallback` there.
   void Report(std::function<void(TrafficReport)> aCallback);
 
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -9,6 +9,7 @@
 #include "trefoil/dispatch/quota.h"
 #include "trefoil/dispatch/server_choice.h"
 #include "trefoil/request/crash_tracker.h"
+#include "trefoil/request/prompt_crash_tracker.h"
 
 #include <cstdint>
 #include <map>
@@ -110,6 +111,8 @@
   std::map<ClientAccountId, QuotaUse> mQuotaUsed;
   UsageWindows mUsage;
   std::vector<CrashCount> mCrashes;
+  // Evidence to repeat to the other hosts.
+  PromptCrashEvidence mPromptCrashes;
   // Servers that broke a connection, were unreachable or did not respond, and have not responded
   // since.
   std::vector<BackendServerId> mBroken;
--- /dev/null
+++ b/trefoil/request/prompt_crash_tracker_test.cc
@@ -0,0 +1,254 @@
+#include "trefoil/request/prompt_crash_tracker.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+namespace trefoil {
+namespace {
+
+const Instant kStart{ std::chrono::hours{ 1 } };
+constexpr std::chrono::seconds kSecond{ 1 };
+const ServiceId kService{ "rules" };
+const PromptPartKey kTemplate = PromptPartKeyOf(kService, "template");
+const PromptPartKey kDeadly = PromptPartKeyOf(kService, "deadly");
+const PromptPartKey kRare = PromptPartKeyOf(kService, "rare");
+
+BackendServerId
+Server(int aNumber)
+{
+  return BackendServerId{ fmt::format("e{}", aNumber) };
+}
+
+bool
+IsRefused(const PromptCrashTracker& aTracker, PromptPartKey aPart, Instant aNow)
+{
+  return RefusedUntil(aTracker, { aPart }, aNow).has_value();
+}
+
+// Records one crash a second, each of another server, under a request with the parts.
+void
+CrashServers(PromptCrashTracker& aTracker,
+             const std::vector<PromptPartKey>& aParts,
+             int aFirst,
+             int aCount)
+{
+  for (int i = aFirst; i < aFirst + aCount; ++i) {
+    RecordPromptCrash(aTracker, Server(i), aParts, kStart + i * kSecond);
+  }
+}
+
+// Guards against requests that crash one server after the other since no two are alike, though they
+// share the part of the prompt that is the cause (BUDGET), and against refusing sound requests that
+// share other parts with them (LOST).
+SCENARIO("requests with one part crash the servers that begin to answer them")
+{
+  PromptCrashTracker tracker;
+  GIVEN("a template that other requests share, which are answered")
+  {
+    RecordPromptAnswer(tracker, { kTemplate }, kStart - kSecond);
+    CrashServers(tracker, { kTemplate, kDeadly }, 0, 2);
+    THEN("two crashes are too few to refuse anything")
+    {
+      CHECK_FALSE(IsRefused(tracker, kDeadly, kStart + 2 * kSecond));
+    }
+    WHEN("a third server crashes")
+    {
+      CrashServers(tracker, { kTemplate, kDeadly }, 2, 1);
+      THEN("the part that was never answered is refused, the template is not")
+      {
+        CHECK(IsRefused(tracker, kDeadly, kStart + 3 * kSecond));
+        CHECK_FALSE(IsRefused(tracker, kTemplate, kStart + 3 * kSecond));
+      }
+      AND_WHEN("requests that are still under way crash further servers")
+      {
+        CrashServers(tracker, { kTemplate, kDeadly }, 3, 8);
+        THEN("the refused part explains the crashes")
+        {
+          CHECK_FALSE(IsRefused(tracker, kTemplate, kStart + 11 * kSecond));
+        }
+      }
+    }
+  }
+  GIVEN("a sound part that is seldom requested and was hit by the same crashes")
+  {
+    CrashServers(tracker, { kRare, kDeadly }, 0, 3);
+    THEN("nothing is refused while both are blamed for as many")
+    {
+      CHECK_FALSE(IsRefused(tracker, kDeadly, kStart + 3 * kSecond));
+      CHECK_FALSE(IsRefused(tracker, kRare, kStart + 3 * kSecond));
+    }
+    WHEN("a crash without the sound part follows")
+    {
+      CrashServers(tracker, { kDeadly }, 3, 1);
+      THEN("the other part is refused alone")
+      {
+        CHECK(IsRefused(tracker, kDeadly, kStart + 4 * kSecond));
+        CHECK_FALSE(IsRefused(tracker, kRare, kStart + 4 * kSecond));
+      }
+    }
+    WHEN("an answer with the sound part begins")
+    {
+      RecordPromptAnswer(tracker, { kRare }, kStart + 3 * kSecond);
+      CrashServers(tracker, { kRare, kDeadly }, 4, 1);
+      THEN("the other part is refused alone")
+      {
+        CHECK(IsRefused(tracker, kDeadly, kStart + 5 * kSecond));
+        CHECK_FALSE(IsRefused(tracker, kRare, kStart + 5 * kSecond));
+      }
+    }
+    WHEN("nothing tells them apart up to the fifth crash")
+    {
+      CrashServers(tracker, { kRare, kDeadly }, 3, 2);
+      THEN("both are refused")
+      {
+        CHECK(IsRefused(tracker, kDeadly, kStart + 5 * kSecond));
+        CHECK(IsRefused(tracker, kRare, kStart + 5 * kSecond));
+      }
+      AND_WHEN("a request with one of them, sent before, is answered after all")
+      {
+        RecordPromptAnswer(tracker, { kRare }, kStart + 6 * kSecond);
+        THEN("it is no longer refused")
+        {
+          CHECK_FALSE(IsRefused(tracker, kRare, kStart + 6 * kSecond));
+          CHECK(IsRefused(tracker, kDeadly, kStart + 6 * kSecond));
+        }
+      }
+    }
+  }
+}
+
+SCENARIO("a refusal ends")
+{
+  PromptCrashTracker tracker;
+  CrashServers(tracker, { kDeadly }, 0, 3);
+  const auto until = RefusedUntil(tracker, { kDeadly }, kStart + 3 * kSecond);
+  REQUIRE(until.has_value());
+  REQUIRE_FALSE(IsRefused(tracker, kDeadly, *until));
+  WHEN("the part crashes one more server")
+  {
+    RecordPromptCrash(tracker, Server(9), { kDeadly }, *until);
+    THEN("it is refused again at once, for longer")
+    {
+      const auto again = RefusedUntil(tracker, { kDeadly }, *until);
+      REQUIRE(again.has_value());
+      CHECK(*again - *until > *until - kStart);
+    }
+  }
+}
+
+SCENARIO("servers break connections for other reasons than a prompt")
+{
+  PromptCrashTracker tracker;
+  WHEN("many servers are lost at once")
+  {
+    for (int i = 0; i < 12; ++i) {
+      RecordPromptCrash(tracker, Server(i), { kRare }, kStart + Milliseconds{ i });
+    }
+    THEN("the part of a request that waited at each of them is not refused")
+    {
+      CHECK_FALSE(IsRefused(tracker, kRare, kStart + kSecond));
+    }
+  }
+  WHEN("the servers answer other requests soon afterwards")
+  {
+    for (int i = 0; i < 12; ++i) {
+      RecordPromptCrash(tracker, Server(i), { kRare }, kStart + i * kSecond);
+      RecordServerAnswer(tracker, Server(i), kStart + i * kSecond + Milliseconds{ 300 });
+    }
+    THEN("they have not crashed, and nothing is refused")
+    {
+      CHECK_FALSE(IsRefused(tracker, kRare, kStart + 12 * kSecond));
+    }
+  }
+}
+
+SCENARIO("each host observes other crashes")
+{
+  std::vector<PromptCrashTracker> hosts(4);
+  // Sends the evidence of each host to the next one until nothing is new.
+  const auto exchange = [&hosts](Instant aNow) {
+    bool isNews = true;
+    for (int round = 0; isNews && round < 20; ++round) {
+      isNews = false;
+      for (std::size_t i = 0; i < hosts.size(); ++i) {
+        isNews =
+          MergeEvidence(hosts[(i + 1) % hosts.size()], EvidenceToReport(hosts[i], aNow), aNow) ||
+          isNews;
+      }
+    }
+    return !isNews;
+  };
+  RecordPromptAnswer(hosts[3], { kTemplate }, kStart - kSecond);
+  for (int i = 0; i < 3; ++i) {
+    RecordPromptCrash(
+      hosts[static_cast<std::size_t>(i)], Server(i), { kTemplate, kDeadly }, kStart + i * kSecond);
+    CHECK(exchange(kStart + i * kSecond));
+  }
+  const Instant now = kStart + 3 * kSecond;
+  THEN("all refuse the part, also the one that observed none, and none refuses the other one")
+  {
+    for (const PromptCrashTracker& host : hosts) {
+      CHECK(IsRefused(host, kDeadly, now));
+      CHECK_FALSE(IsRefused(host, kTemplate, now));
+    }
+  }
+  WHEN("a host starts later and hears of one other host only")
+  {
+    const Instant later = now + 20 * kSecond;
+    PromptCrashTracker started;
+    MergeEvidence(started, EvidenceToReport(hosts[0], later), later);
+    THEN("it refuses the part too")
+    {
+      CHECK(IsRefused(started, kDeadly, later));
+    }
+  }
+  WHEN("an answer clears the part at one host")
+  {
+    RecordPromptAnswer(hosts[2], { kDeadly }, now);
+    CHECK(exchange(now));
+    THEN("no host refuses it any more")
+    {
+      for (const PromptCrashTracker& host : hosts) {
+        CHECK_FALSE(IsRefused(host, kDeadly, now));
+      }
+    }
+  }
+}
+
+TEST_CASE("Hosts agree on the crashes, whatever the order and number of reports")
+{
+  const bool holds = rc::check([] {
+    std::vector<PromptCrashEvidence> reports;
+    PromptCrashTracker all;
+    const auto crashes = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 30));
+    Instant now = kStart;
+    for (const int crash : crashes) {
+      now += kSecond;
+      PromptCrashTracker observer;
+      RecordPromptCrash(observer, Server(crash % 5), { static_cast<PromptPartKey>(crash) }, now);
+      reports.push_back(EvidenceToReport(observer, now));
+      MergeEvidence(all, reports.back(), now);
+    }
+    PromptCrashTracker other;
+    for (const auto index : *rc::gen::container<std::vector<std::size_t>>(
+           rc::gen::inRange<std::size_t>(0, std::max<std::size_t>(1, reports.size())))) {
+      if (index < reports.size()) {
+        MergeEvidence(other, reports[index], now);
+      }
+    }
+    for (const PromptCrashEvidence& report : reports) {
+      MergeEvidence(other, report, now);
+      MergeEvidence(other, report, now);
+    }
+    RC_ASSERT(other.mCrashes.size() == all.mCrashes.size());
+    for (std::size_t i = 0; i < all.mCrashes.size(); ++i) {
+      RC_ASSERT(other.mCrashes[i].mServer == all.mCrashes[i].mServer);
+      RC_ASSERT(other.mCrashes[i].mParts == all.mCrashes[i].mParts);
+    }
+  });
+  CHECK(holds);
+}
+
+} // namespace
+} // namespace trefoil
--- a/trefoil/steering/aggregation.cc
+++ b/trefoil/steering/aggregation.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <functional>
+#include <set>
 
 namespace trefoil {
 namespace {
@@ -241,6 +242,50 @@
   return recipients;
 }
 
+std::set<Endpoint>
+PromptCrashRecipients(const PeerTable& aTable,
+                      const AggregationState& aState,
+                      bool aIsOwn,
+                      Instant aNow)
+{
+  std::set<Endpoint> recipients;
+  if (!UsesAggregation(aTable)) {
+    if (aIsOwn) {
+      for (const auto& [endpoint, recipient] : TrafficUpdateRecipients(aTable, aNow)) {
+        recipients.insert(endpoint);
+      }
+    }
+    return recipients;
+  }
+  const auto addAggregators = [&](const AvailabilityZoneId& aZone) {
+    const auto aggregators = ZoneAggregators(aTable, aState, aZone, aNow);
+    for (const HostId& host : aggregators) {
+      if (host != aTable.mSelf) {
+        recipients.insert(aTable.mListedHosts.at(host).mEndpoint);
+      }
+    }
+    return std::ranges::find(aggregators, aTable.mSelf) != aggregators.end();
+  };
+  const bool isAggregator = addAggregators(aTable.mZone);
+  if (!isAggregator) {
+    return aIsOwn ? recipients : std::set<Endpoint>{};
+  }
+  std::set<AvailabilityZoneId> otherZones;
+  for (const auto& [host, listed] : aTable.mListedHosts) {
+    if (listed.mZone != aTable.mZone && !listed.mZone.Empty()) {
+      otherZones.insert(listed.mZone);
+    }
+  }
+  std::ranges::for_each(otherZones, addAggregators);
+  for (const HostId& host : LivePeers(aTable, aNow)) {
+    const TrafficUpdate& member = aTable.mPeers.at(host).mUpdate;
+    if (member.mZone == aTable.mZone) {
+      recipients.insert(member.mEndpoint);
+    }
+  }
+  return recipients;
+}
+
 FleetStatus
 StatusOfFleet(const PeerTable& aTable, const AggregationState& aState, Instant aNow)
 {
--- a/trefoil/steering/aggregation.h
+++ b/trefoil/steering/aggregation.h
@@ -125,6 +125,14 @@
 std::vector<std::pair<HostId, ListedHost>>
 AggregatedUpdateRecipients(const PeerTable& aTable, const AggregationState& aState, Instant aNow);
 
+// Returns the endpoints that evidence about prompts that crash servers is sent to. `aIsOwn` is
+// whether it contains observations of this host; otherwise it is only forwarded.
+std::set<Endpoint>
+PromptCrashRecipients(const PeerTable& aTable,
+                      const AggregationState& aState,
+                      bool aIsOwn,
+                      Instant aNow);
+
 // Returns the view of the fleet, from the totals in a fleet that uses aggregation, otherwise from
 // the updates of the other hosts.
 FleetStatus
--- a/trefoil/steering/aggregation_test.cc
+++ b/trefoil/steering/aggregation_test.cc
@@ -11,6 +11,7 @@
 #include <memory>
 #include <random>
 #include <rapidcheck.h>
+#include <set>
 #include <tuple>
 
 namespace trefoil {
@@ -539,6 +540,53 @@
   }
 }
 
+// The hosts that learn of the evidence of a host, and the messages that this takes.
+struct Propagation
+{
+  std::set<HostId> mInformed;
+  std::size_t mMessages = 0;
+};
+
+// Sends evidence about prompts from one host to the others, which forward it if it is new to them.
+Propagation
+PropagateFrom(const SimulatedFleet& aFleet, const SimulatedHost& aObserver)
+{
+  Propagation propagation{ .mInformed = { aObserver.mName } };
+  std::deque<const SimulatedHost*> senders{ &aObserver };
+  while (!senders.empty()) {
+    const SimulatedHost& sender = *senders.front();
+    senders.pop_front();
+    const bool isOwn = sender.mName == aObserver.mName;
+    for (const Endpoint& to :
+         PromptCrashRecipients(sender.mTable, sender.mState, isOwn, aFleet.Now())) {
+      ++propagation.mMessages;
+      const auto host =
+        std::ranges::find(aFleet.Hosts(), to, [](const auto& aItem) { return aItem->mEndpoint; });
+      REQUIRE(host != aFleet.Hosts().end());
+      if (propagation.mInformed.insert((*host)->mName).second) {
+        senders.push_back(host->get());
+      }
+    }
+  }
+  return propagation;
+}
+
+// Guards against hosts of a large fleet that each see too few crashes to refuse the requests that
+// cause them (BUDGET).
+SCENARIO("a host of a large fleet observes a crash under a request with a prompt")
+{
+  SimulatedFleet fleet{ 4, 12 };
+  fleet.RunRounds(2 * kRoundsToSpread, 0);
+  THEN("all hosts learn of it, with a few messages a host")
+  {
+    for (const auto& observer : fleet.Hosts()) {
+      const Propagation propagation = PropagateFrom(fleet, *observer);
+      CHECK(propagation.mInformed.size() == fleet.Hosts().size());
+      CHECK(propagation.mMessages <= 4 * fleet.Hosts().size());
+    }
+  }
+}
+
 SCENARIO("messages are lost at random")
 {
   const bool passed = rc::check("sums never exceed what was counted, and catch up", [] {
--- a/trefoil/steering/control_thread.cc
+++ b/trefoil/steering/control_thread.cc
@@ -168,6 +168,11 @@
         SendDispatches(state, std::move(dispatches));
       });
     });
+    state.mTraffic.SetPromptCrashCallback([&state](PromptCrashEvidence aEvidence, bool aIsOwn) {
+      state.mLoop.Post([&state, evidence = std::move(aEvidence), aIsOwn] {
+        SendPromptCrashes(state, evidence, aIsOwn);
+      });
+    });
     WatchStore(state);
     CampaignForDuties(state);
     RefreshHostsRegularly(state);
--- a/trefoil/steering/internal/peer_messages.cc
+++ b/trefoil/steering/internal/peer_messages.cc
@@ -6,6 +6,7 @@
 #include "trefoil/steering/internal/store_relay_messages.h"
 #include "trefoil/wire/codec.h"
 #include "trefoil/wire/crash_report_conversion.h"
+#include "trefoil/wire/prompt_crash_conversion.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -152,6 +153,8 @@
     OnTotalsMessage(aState, *totals);
   } else if (const auto* relayed = std::get_if<RelayedDispatches>(&*message)) {
     OnRelayedDispatches(aState, *relayed);
+  } else if (const auto* crashes = std::get_if<PromptCrashMessage>(&*message)) {
+    aState.mTraffic.ApplyPromptCrashes(ToPromptCrashEvidence(*crashes, SuspendAwareNow()));
   } else {
     aState.mLog.Write(LogSeverity::kNotable,
                       LogEvent::kInputRejected,
@@ -162,9 +165,24 @@
 
 } // namespace
 
+void
+SendPromptCrashes(SteeringState& aState, const PromptCrashEvidence& aEvidence, bool aIsOwn)
+{
+  if (aEvidence.Empty()) {
+    return;
+  }
+  const Instant now = SuspendAwareNow();
+  const std::string bytes = Encode(ToPromptCrashMessage(aState.mOptions.mHost, aEvidence, now));
+  for (const Endpoint& to :
+       PromptCrashRecipients(aState.mPeers, aState.mAggregation, aIsOwn, now)) {
+    SendBytes(aState, to, bytes);
+  }
+}
+
 void
 SendTrafficUpdate(SteeringState& aState)
 {
+  SendPromptCrashes(aState, aState.mReport.mPromptCrashes, true);
   HostReport report = MakeHostReport(aState);
   if (UsesAggregation(aState.mPeers)) {
     SendAggregatedUpdate(aState, report);
--- a/trefoil/wire/codec_test.cc
+++ b/trefoil/wire/codec_test.cc
@@ -1,10 +1,12 @@
 #include "trefoil/wire/codec.h"
 
 #include "trefoil/base/digest.h"
+#include "trefoil/wire/prompt_crash_conversion.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
+#include <limits>
 #include <new>
 #include <rapidcheck.h>
 
@@ -67,6 +69,9 @@
       return ServerReports{ .mReports = { { .mServer = BackendServerId{ "engine-1" } } } };
     case 3:
       return DocumentsReply{ .mDocuments = { { .mRevision = 1, .mText = "text" } } };
+    case 4:
+      return PromptCrashMessage{ .mCrashes = { { .mServer = BackendServerId{ "engine-1" },
+                                                 .mParts = { { .mPart = 7 } } } } };
     default:
       return HeartbeatsRequest{ .mHosts = { HostId{ "h3" } } };
   }
@@ -113,6 +118,53 @@
   }
 }
 
+TEST_CASE("Evidence about prompts that crash servers is sent to another host")
+{
+  const Instant sentAt{ std::chrono::hours{ 5 } };
+  const Instant receivedAt{ std::chrono::hours{ 9 } };
+  const PromptCrashEvidence evidence{
+    .mCrashes = { { .mServer = BackendServerId{ "e1" },
+                    .mAt = sentAt - Milliseconds{ 700 },
+                    .mParts = { { 7, PartStanding::kNeverAnswered },
+                                { 8, PartStanding::kAnsweredAfter } },
+                    .mDisproved = true } },
+    .mRefusals = { { 7,
+                     { .mUntil = sentAt + Milliseconds{ 9'000 },
+                       .mGeneration = 3,
+                       .mLevel = 2,
+                       .mAnswered = true } } }
+  };
+  PromptCrashMessage message = ToPromptCrashMessage(HostId{ "h1" }, evidence, sentAt);
+
+  SECTION("it means the same there, relative to the clock of the receiver")
+  {
+    const auto decoded = Decode(Encode(message));
+    REQUIRE(decoded.ok());
+    const PromptCrashEvidence received =
+      ToPromptCrashEvidence(std::get<PromptCrashMessage>(*decoded), receivedAt);
+    REQUIRE(received.mCrashes.size() == 1);
+    CHECK(received.mCrashes[0].mServer == evidence.mCrashes[0].mServer);
+    CHECK(received.mCrashes[0].mAt == receivedAt - Milliseconds{ 700 });
+    CHECK(received.mCrashes[0].mParts == evidence.mCrashes[0].mParts);
+    CHECK(received.mCrashes[0].mDisproved);
+    const PartRefusal& refusal = received.mRefusals.at(7);
+    CHECK(refusal.mUntil == receivedAt + Milliseconds{ 9'000 });
+    CHECK(refusal.mGeneration == 3);
+    CHECK(refusal.mLevel == 2);
+    CHECK(refusal.mAnswered);
+  }
+  SECTION("values out of range are limited")
+  {
+    message.mCrashes[0].mAgeMilliseconds = std::numeric_limits<std::int64_t>::max();
+    message.mCrashes[0].mParts[0].mStanding = 200;
+    message.mRefusals[0].mRemainingMilliseconds = std::numeric_limits<std::int64_t>::max();
+    const PromptCrashEvidence received = ToPromptCrashEvidence(message, receivedAt);
+    CHECK(received.mCrashes[0].mAt < receivedAt);
+    CHECK(received.mCrashes[0].mParts.at(7) == PartStanding::kAnsweredAfter);
+    CHECK(received.mRefusals.at(7).mUntil > receivedAt);
+  }
+}
+
 TEST_CASE("A forged message with a correct checksum causes no large allocation")
 {
   SECTION("when a length exceeds the remaining bytes by far")
@@ -126,7 +178,7 @@
   SECTION("when bytes are changed, removed or appended at random")
   {
     const bool passed = rc::check([] {
-      const Message message = MakeMessage(*rc::gen::inRange(0, 5));
+      const Message message = MakeMessage(*rc::gen::inRange(0, 6));
       std::string payload = Encode(message).substr(kHeaderBytes);
       for (int i = *rc::gen::inRange(1, 6); i > 0; --i) {
         const auto position = *rc::gen::inRange<std::size_t>(0, payload.size());
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -15,6 +15,7 @@
 #include "trefoil/wire/gossip_message.h"
 #include "trefoil/wire/health_message.h"
 #include "trefoil/wire/move_message.h"
+#include "trefoil/wire/prompt_crash_message.h"
 #include "trefoil/wire/store_relay_message.h"
 #include "trefoil/wire/stream_messages.h"
 #include "trefoil/wire/totals_message.h"
@@ -52,7 +53,8 @@
                              TotalsMessage,
                              HostReport,
                              UsageUpdate,
-                             RelayedDispatches>;
+                             RelayedDispatches,
+                             PromptCrashMessage>;
 
 // A message and its destination.
 struct Datagram
--- /dev/null
+++ b/trefoil/wire/prompt_crash_conversion.cc
@@ -0,0 +1,72 @@
+#include "trefoil/wire/prompt_crash_conversion.h"
+
+#include <algorithm>
+
+namespace trefoil {
+namespace {
+
+// Bounds the ages in messages, so that arithmetic with them cannot overflow.
+constexpr std::int64_t kMaxMilliseconds = std::int64_t{ 24 } * 3'600'000;
+
+std::int64_t
+MillisecondsBetween(Instant aFrom, Instant aTo)
+{
+  return std::chrono::duration_cast<Milliseconds>(aTo - aFrom).count();
+}
+
+Milliseconds
+Clamped(std::int64_t aMilliseconds)
+{
+  return Milliseconds{ std::clamp(aMilliseconds, -kMaxMilliseconds, kMaxMilliseconds) };
+}
+
+} // namespace
+
+PromptCrashMessage
+ToPromptCrashMessage(const HostId& aHost, const PromptCrashEvidence& aEvidence, Instant aNow)
+{
+  PromptCrashMessage message{ .mHost = aHost };
+  for (const PromptCrash& crash : aEvidence.mCrashes) {
+    PromptCrashEntry entry{ .mServer = crash.mServer,
+                            .mAgeMilliseconds = MillisecondsBetween(crash.mAt, aNow),
+                            .mDisproved = crash.mDisproved };
+    for (const auto& [part, standing] : crash.mParts) {
+      entry.mParts.push_back({ .mPart = part, .mStanding = static_cast<std::uint8_t>(standing) });
+    }
+    message.mCrashes.push_back(std::move(entry));
+  }
+  for (const auto& [part, refusal] : aEvidence.mRefusals) {
+    message.mRefusals.push_back(
+      { .mPart = part,
+        .mRemainingMilliseconds = MillisecondsBetween(aNow, refusal.mUntil),
+        .mGeneration = refusal.mGeneration,
+        .mLevel = refusal.mLevel,
+        .mAnswered = refusal.mAnswered });
+  }
+  return message;
+}
+
+PromptCrashEvidence
+ToPromptCrashEvidence(const PromptCrashMessage& aMessage, Instant aNow)
+{
+  PromptCrashEvidence evidence;
+  for (const PromptCrashEntry& entry : aMessage.mCrashes) {
+    PromptCrash crash{ .mServer = entry.mServer,
+                       .mAt = aNow - Clamped(entry.mAgeMilliseconds),
+                       .mDisproved = entry.mDisproved };
+    for (const PromptPartMessage& part : entry.mParts) {
+      crash.mParts[part.mPart] =
+        std::min(static_cast<PartStanding>(part.mStanding), PartStanding::kAnsweredAfter);
+    }
+    evidence.mCrashes.push_back(std::move(crash));
+  }
+  for (const PartRefusalEntry& entry : aMessage.mRefusals) {
+    evidence.mRefusals[entry.mPart] = { .mUntil = aNow + Clamped(entry.mRemainingMilliseconds),
+                                        .mGeneration = entry.mGeneration,
+                                        .mLevel = entry.mLevel,
+                                        .mAnswered = entry.mAnswered };
+  }
+  return evidence;
+}
+
+} // namespace trefoil
--- /dev/null
+++ b/trefoil/wire/prompt_crash_message.h
@@ -0,0 +1,73 @@
+// Messages about parts of prompts that crash model engines.
+//
+//   PromptCrashMessage message{ .mHost = self, .mCrashes = crashes };
+//
+// Plain structs; trefoil/wire/codec.h encodes them.
+#pragma once
+
+#include "trefoil/base/ids.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace trefoil {
+
+struct PromptPartMessage
+{
+  // A digest of the service and the id of the part.
+  std::uint64_t mPart = 0;
+  // The numeric value of PartStanding. Receivers take values that they do not know for the highest.
+  std::uint8_t mStanding = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mPart, mStanding);
+  }
+};
+
+struct PromptCrashEntry
+{
+  BackendServerId mServer;
+  std::int64_t mAgeMilliseconds = 0;
+  bool mDisproved = false;
+  std::vector<PromptPartMessage> mParts;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mServer, mAgeMilliseconds, mDisproved, mParts);
+  }
+};
+
+struct PartRefusalEntry
+{
+  std::uint64_t mPart = 0;
+  // How much longer the part is refused; negative if the refusal has ended.
+  std::int64_t mRemainingMilliseconds = 0;
+  std::int64_t mGeneration = 0;
+  std::int64_t mLevel = 0;
+  bool mAnswered = false;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mPart, mRemainingMilliseconds, mGeneration, mLevel, mAnswered);
+  }
+};
+
+// What the sender knows about crashes and refused parts, from whichever host.
+struct PromptCrashMessage
+{
+  HostId mHost;
+  std::vector<PromptCrashEntry> mCrashes;
+  std::vector<PartRefusalEntry> mRefusals;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mHost, mCrashes, mRefusals);
+  }
+};
+
+} // namespace trefoil
