Reset the connection of a call that is given up

What callers saw: nothing directly; the platform got an order of servers from a host that had lost the duty five seconds before (ONE).

Cause: a call without an answer at its deadline closed its connection. Closing leaves the bytes that the path holds up to the kernel, which sends them again until the cut heals, so that the call arrives with a fencing number that others have overtaken.

Change: HttpChannel resets the connection of a call whose deadline passes, as ByteStream::Abort. It serves the calls to the store and to the platform's API alike.

--- a/trefoil/http/http_channel.cc
+++ b/trefoil/http/http_channel.cc
@@ -123,7 +123,8 @@
 {
   if (mPending.front().mId == aId && mAwaitingResponse) {
     const bool connected = mStream->IsConnected();
-    mStream->Close();
+    // The sender may have lost the right to the call when it arrives late.
+    mStream->Abort();
     Finish({ .mKind = connected ? HttpReplyKind::kLost : HttpReplyKind::kNotSent });
     return;
   }
--- a/trefoil/reactor/byte_stream.cc
+++ b/trefoil/reactor/byte_stream.cc
@@ -128,6 +128,19 @@
   }
 }
 
+void
+ByteStream::Abort()
+{
+  try {
+    if (mOpen) {
+      mSocket.setLinger(true, 0);
+    }
+  } catch (const Poco::Exception&) {
+    // The connection has ended already.
+  }
+  Close();
+}
+
 void
 ByteStream::CloseAfterSending()
 {
--- a/trefoil/reactor/byte_stream.h
+++ b/trefoil/reactor/byte_stream.h
@@ -75,8 +75,11 @@
 
   // Sends the bytes, buffering those that cannot be sent yet. Does nothing on a closed stream.
   void Send(std::string_view aBytes);
-  // Closes the connection immediately and discards the unsent bytes.
+  // Closes the connection immediately and discards the unsent bytes. The kernel goes on sending
+  // those that it holds, also when a path that is cut comes back later.
   void Close();
+  // Resets the connection, so that bytes that the peer has not received yet do not arrive later.
+  void Abort();
   // Closes the connection after all buffered bytes have been sent.
   void CloseAfterSending();
 
