Identify crashes, so that late reports do not count them twice

What callers saw: nothing yet; found by reading. Requests with a sound part of a prompt could be refused after a single crash.

Cause: a crash was recognized by its server and its time, which travels as an age. A host that was frozen reads all repeats of a report at once and takes each for a crash of its own, and passes them on. Three of them refuse the part.

Change: the first observation gives a crash a random id that travels with it; the ids of several observers are merged. An answer that clears one of two suspected parts now decides at once, not with the next crash.

--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -443,7 +443,8 @@
   }
   const Instant now = SuspendAwareNow();
   const auto refusedBefore = RefusedUntil(mState.mPromptCrashes, mSharedParts, now);
-  if (RecordPromptCrash(mState.mPromptCrashes, mAttempt->mServer.mId, mSharedParts, now)) {
+  if (RecordPromptCrash(
+        mState.mPromptCrashes, mAttempt->mServer.mId, mSharedParts, mState.mRandom(), now)) {
     ReportPromptCrashes(mState, true);
   }
   const auto refused = RefusedUntil(mState.mPromptCrashes, mSharedParts, now);
--- a/trefoil/request/prompt_crash_tracker.cc
+++ b/trefoil/request/prompt_crash_tracker.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 
 namespace trefoil {
 namespace {
@@ -25,6 +26,7 @@
 // Bounds on memory and on the size of messages.
 constexpr std::size_t kMaxCrashes = 256;
 constexpr std::size_t kMaxPartsOfCrash = 64;
+constexpr std::size_t kMaxIdsOfCrash = 16;
 constexpr std::size_t kMaxAnswered = 20'000;
 constexpr std::size_t kMaxRefusals = 256;
 constexpr std::size_t kMaxReportedCrashes = 32;
@@ -174,13 +176,23 @@
   return changed;
 }
 
+// Returns whether two records are of the same crash.
+bool
+IsSameCrash(const PromptCrash& aLeft, const PromptCrash& aRight)
+{
+  const bool sharesId = std::ranges::any_of(
+    aRight.mIds, [&aLeft](std::uint64_t aId) { return aLeft.mIds.contains(aId); });
+  const Instant::duration distance =
+    std::max(aLeft.mAt, aRight.mAt) - std::min(aLeft.mAt, aRight.mAt);
+  return sharesId || (aLeft.mServer == aRight.mServer && distance < kMinDowntime);
+}
+
 // Adds a crash or merges it with the known one. Returns whether it contained something new.
 bool
 AddCrash(PromptCrashTracker& aTracker, const PromptCrash& aAdded, Instant aNow)
 {
-  auto crash = std::ranges::find_if(aTracker.mCrashes, [&](const PromptCrash& aCrash) {
-    return aCrash.mServer == aAdded.mServer && aCrash.mAt - aAdded.mAt < kMinDowntime &&
-           aAdded.mAt - aCrash.mAt < kMinDowntime;
+  auto crash = std::ranges::find_if(aTracker.mCrashes, [&aAdded](const PromptCrash& aCrash) {
+    return IsSameCrash(aCrash, aAdded);
   });
   const bool isNew = crash == aTracker.mCrashes.end();
   if (isNew) {
@@ -191,6 +203,10 @@
       std::ranges::upper_bound(aTracker.mCrashes, aAdded.mAt, {}, &PromptCrash::mAt);
     crash = aTracker.mCrashes.insert(position, { .mServer = aAdded.mServer, .mAt = aAdded.mAt });
   }
+  crash->mIds.insert(aAdded.mIds.begin(), aAdded.mIds.end());
+  while (crash->mIds.size() > kMaxIdsOfCrash) {
+    crash->mIds.erase(std::prev(crash->mIds.end()));
+  }
   const bool partsChanged = MergeParts(aTracker, *crash, aAdded.mParts);
   const bool disproved = aAdded.mDisproved && !crash->mDisproved;
   crash->mDisproved = crash->mDisproved || aAdded.mDisproved;
@@ -233,12 +249,13 @@
 RecordPromptCrash(PromptCrashTracker& aTracker,
                   const BackendServerId& aServer,
                   const std::vector<PromptPartKey>& aParts,
+                  std::uint64_t aRandomId,
                   Instant aNow)
 {
   if (aParts.empty()) {
     return false;
   }
-  PromptCrash crash{ .mServer = aServer, .mAt = aNow };
+  PromptCrash crash{ .mServer = aServer, .mIds = { aRandomId }, .mAt = aNow };
   for (const PromptPartKey part : aParts) {
     crash.mParts.emplace(part, PartStanding::kNeverAnswered);
   }
@@ -275,6 +292,10 @@
       isNews = true;
     }
   }
+  if (isNews) {
+    // The parts that are left may now be fewer.
+    UpdateRefusals(aTracker, aNow);
+  }
   return isNews;
 }
 
--- a/trefoil/request/prompt_crash_tracker.h
+++ b/trefoil/request/prompt_crash_tracker.h
@@ -2,8 +2,8 @@
 // the requests contain.
 //
 //   PromptCrashTracker tracker;
-//   RecordPromptCrash(tracker, server, parts, aNow);    // the connection broke before an answer
-//   RecordPromptAnswer(tracker, parts, aNow);           // an answer has begun
+//   RecordPromptCrash(tracker, server, parts, aRandomId, aNow);   // no answer had begun
+//   RecordPromptAnswer(tracker, parts, aNow);                     // an answer has begun
 //   if (const auto until = RefusedUntil(tracker, parts, aNow)) { ... }
 //
 // When a server crashes, each request that was waiting there for its answer to begin blames all
@@ -23,6 +23,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -60,6 +61,9 @@
 struct PromptCrash
 {
   BackendServerId mServer;
+  // Identify the crash, one for each host that observed it. A report that arrives late, since its
+  // receiver was frozen, would look like another crash by its time.
+  std::set<std::uint64_t> mIds;
   // When a host first observed it.
   Instant mAt;
   // The parts of the requests that were waiting for an answer.
@@ -108,10 +112,12 @@
 // The functions that record return whether other hosts should be told soon.
 
 // Records that a connection to `aServer` broke before the answer to a request with `aParts` began.
+// `aRandomId` identifies the crash if this host has not recorded it yet.
 bool
 RecordPromptCrash(PromptCrashTracker& aTracker,
                   const BackendServerId& aServer,
                   const std::vector<PromptPartKey>& aParts,
+                  std::uint64_t aRandomId,
                   Instant aNow);
 
 // Records that the answer to a request with `aParts` began.
--- a/trefoil/wire/codec_test.cc
+++ b/trefoil/wire/codec_test.cc
@@ -124,6 +124,7 @@
   const Instant receivedAt{ std::chrono::hours{ 9 } };
   const PromptCrashEvidence evidence{
     .mCrashes = { { .mServer = BackendServerId{ "e1" },
+                    .mIds = { 5, 6 },
                     .mAt = sentAt - Milliseconds{ 700 },
                     .mParts = { { 7, PartStanding::kNeverAnswered },
                                 { 8, PartStanding::kAnsweredAfter } },
@@ -147,6 +148,7 @@
     CHECK(received.mCrashes[0].mAt == receivedAt - Milliseconds{ 700 });
     CHECK(received.mCrashes[0].mParts == evidence.mCrashes[0].mParts);
     CHECK(received.mCrashes[0].mDisproved);
+    CHECK(received.mCrashes[0].mIds == evidence.mCrashes[0].mIds);
     const PartRefusal& refusal = received.mRefusals.at(7);
     CHECK(refusal.mUntil == receivedAt + Milliseconds{ 9'000 });
     CHECK(refusal.mGeneration == 3);
--- a/trefoil/wire/prompt_crash_conversion.cc
+++ b/trefoil/wire/prompt_crash_conversion.cc
@@ -28,6 +28,7 @@
   PromptCrashMessage message{ .mHost = aHost };
   for (const PromptCrash& crash : aEvidence.mCrashes) {
     PromptCrashEntry entry{ .mServer = crash.mServer,
+                            .mIds = { crash.mIds.begin(), crash.mIds.end() },
                             .mAgeMilliseconds = MillisecondsBetween(crash.mAt, aNow),
                             .mDisproved = crash.mDisproved };
     for (const auto& [part, standing] : crash.mParts) {
@@ -52,6 +53,7 @@
   PromptCrashEvidence evidence;
   for (const PromptCrashEntry& entry : aMessage.mCrashes) {
     PromptCrash crash{ .mServer = entry.mServer,
+                       .mIds = { entry.mIds.begin(), entry.mIds.end() },
                        .mAt = aNow - Clamped(entry.mAgeMilliseconds),
                        .mDisproved = entry.mDisproved };
     for (const PromptPartMessage& part : entry.mParts) {
--- a/trefoil/wire/prompt_crash_message.h
+++ b/trefoil/wire/prompt_crash_message.h
@@ -29,6 +29,7 @@
 struct PromptCrashEntry
 {
   BackendServerId mServer;
+  std::vector<std::uint64_t> mIds;
   std::int64_t mAgeMilliseconds = 0;
   bool mDisproved = false;
   std::vector<PromptPartMessage> mParts;
@@ -36,7 +37,7 @@
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mServer, mAgeMilliseconds, mDisproved, mParts);
+    aArchive(mServer, mIds, mAgeMilliseconds, mDisproved, mParts);
   }
 };
 
