Revoke the key in each soak run before checking that it is refused

Seed 228 of a long soak reported that a revoked key was served by all three hosts. Its log, alone among 54 runs, has no line `a key is revoked`: the loop of faults revokes the key when it next comes by, and a host that took long to stop ended the loop before that. So the key was served rightly, and the check was wrong.

The key is now revoked after the loop if it was not before; the check itself is unchanged, six seconds later, and no run escapes it any more. `soak.sh 228 3` always ends the loop before: 3 violations reported without this change, none with it, and the key is revoked. No product code changes.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -39,6 +39,11 @@
   curl -fs -X PUT "http://$platform/admin/key?Key=op%2Fconfig" --data-binary "{\"Version\":$1,\"Routes\":[$routes],
     \"Services\":[{\"Name\":\"app\"}],\"Tenants\":[{\"Name\":\"club\",\"ApiKeys\":[$2]}]}"
 }
+revoke_key() {
+  echo "a key is revoked"
+  configure 2 '"key"'
+  revoked=yes taken_away=$((until + 1))
+}
 gone() { # gone NAME: waits for the end of a process; kills it after 10 s
   local _
   for _ in $(seq 200); do
@@ -86,13 +91,12 @@
 
 build/tests/soak/soak-client --seconds="$seconds" --seed="$seed" "${addresses[@]}" >"$work/results" &
 callers=$!
+revoked=""
 until=$((SECONDS + seconds - 2)) taken_away=$((SECONDS + seconds / 3))
 faults=(delay reset cut_to_target cut_to_caller silence)
 while [ $SECONDS -lt $until ]; do
   if [ $SECONDS -ge $taken_away ]; then
-    echo "a key is revoked"
-    configure 2 '"key"'
-    taken_away=$((until + 1))
+    revoke_key
   fi
   server=$((RANDOM % servers + 1)) host=$((RANDOM % hosts + 1))
   case $((RANDOM % 11)) in
@@ -108,6 +112,8 @@
   esac
   sleep "0.$((RANDOM % 6 + 2))"
 done
+# A host that stops slowly can end the loop before the key was revoked.
+[ -n "$revoked" ] || revoke_key
 wait $callers
 for i in $(seq 0 $((servers + hosts - 1))); do link "$i" none; done
 sleep 6
