Blame the prompt of a stream that ends with its connection before an event

Cause: such an answer ends with its connection, so the end of the connection completed the message, and the attempt failed as a stream without an event, on a path that blames no part of the prompt. Only ends within a message did.

Ruled out: that an answer with chunks that ends without an event is treated alike. Its server has ended it and still runs.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -494,6 +494,44 @@
   }
 }
 
+SCENARIO("a stream has neither a length nor chunks and ends with its connection")
+{
+  const std::string request = "POST /live/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: "
+                              "4\r\nAuthorization: Token k\r\nContent-Length: 0\r\n\r\n";
+  std::string body = "id: 1\ndata: d1\n\n";
+  const ScriptedServer server{ [&body](const ReceivedRequest& aRequest) {
+    return Reply{ .mBytes = MakeUnframedStreamStart(aRequest) + body, .mClose = true };
+  } };
+  Gateway gateway;
+  gateway.AddServer("e1", server);
+  gateway.Publish();
+  WHEN("the connection ends after an event")
+  {
+    Client client = gateway.Connect();
+    client.Send(request);
+    const ReceivedAnswer answer = client.Read();
+    THEN("the client receives a complete answer")
+    {
+      CHECK(answer.mStatus == 200);
+      CHECK(answer.mBody == body);
+      CHECK(answer.mComplete);
+    }
+  }
+  WHEN("the connection ends within an event")
+  {
+    const std::string events = body;
+    body += "id: 2\nda";
+    Client client = gateway.Connect();
+    client.Send(request);
+    const ReceivedAnswer answer = client.Read();
+    THEN("the client receives the complete events and can see that the answer is incomplete")
+    {
+      CHECK(answer.mBody == events);
+      CHECK_FALSE(answer.mComplete);
+    }
+  }
+}
+
 // Guards against requests that crash one server after the other, since no two of them are alike and
 // each is sent to a second server (BUDGET).
 SCENARIO("requests with one part of a prompt crash each server that begins to answer them")
@@ -505,10 +543,13 @@
                        aPart,
                        aNumber);
   };
-  const ScriptedServer::Script script = [](const ReceivedRequest& aRequest) {
+  // The servers that crash have either sent nothing, or the head of an answer whose end is the end
+  // of its connection.
+  const bool hasHead = GENERATE(false, true);
+  const ScriptedServer::Script script = [hasHead](const ReceivedRequest& aRequest) {
     const std::string_view parts = HeaderValue(aRequest.mRequest.mHeaders, "Prompt-Prefix");
     if (parts.find("bad") != std::string_view::npos) {
-      return Reply{ .mClose = true };
+      return Reply{ .mBytes = hasHead ? MakeUnframedStreamStart(aRequest) : "", .mClose = true };
     }
     return Reply{ .mBytes = MakeStreamStart(aRequest) + MakeEventChunk(1) + kLastChunk };
   };
--- a/tests/forward_path/scripted_server.cc
+++ b/tests/forward_path/scripted_server.cc
@@ -13,6 +13,15 @@
 // How often the threads check whether the server was stopped.
 constexpr int kPollIntervalMicroseconds = 20'000;
 
+std::string
+MakeStreamHead(const ReceivedRequest& aRequest, const char* aFramingHeader)
+{
+  return fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: s\r\nContent-Type: "
+                     "text/event-stream\r\n{}\r\n",
+                     HeaderValue(aRequest.mRequest.mHeaders, "Request-Id"),
+                     aFramingHeader);
+}
+
 } // namespace
 
 ScriptedServer::ScriptedServer(Script aScript)
@@ -136,9 +145,13 @@
 std::string
 MakeStreamStart(const ReceivedRequest& aRequest)
 {
-  return fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Seal: s\r\nContent-Type: "
-                     "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-                     HeaderValue(aRequest.mRequest.mHeaders, "Request-Id"));
+  return MakeStreamHead(aRequest, "Transfer-Encoding: chunked\r\n");
+}
+
+std::string
+MakeUnframedStreamStart(const ReceivedRequest& aRequest)
+{
+  return MakeStreamHead(aRequest, "Connection: close\r\n");
 }
 
 std::string
--- a/tests/forward_path/scripted_server.h
+++ b/tests/forward_path/scripted_server.h
@@ -90,6 +90,11 @@
 std::string
 MakeStreamStart(const ReceivedRequest& aRequest);
 
+// Returns the head of an answer that streams events and ends with its connection, with a
+// Response-Seal header.
+std::string
+MakeUnframedStreamStart(const ReceivedRequest& aRequest);
+
 // Returns a chunk that holds one event with the id.
 std::string
 MakeEventChunk(int aId);
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -161,6 +161,8 @@
   void RecordAnswerBegun();
   void RecordUndisturbedPrefill(Instant::duration aTime);
   void CountUsage();
+  bool IsSuccessfulStream() const;
+  bool IsPartialStream() const;
   void OnAnswerComplete();
   void DeliverAnswer(HttpResponse aAnswer);
   void LogCompletion(int aStatus);
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -126,8 +126,7 @@
   if (mAttempt->mAnswerBegun) {
     return;
   }
-  const bool stream =
-    mRoute->mKind == RouteKind::kStream && IsSuccess(mAttempt->mReader->Response().mStatus);
+  const bool stream = IsSuccessfulStream();
   if (stream && mAttempt->mReader->Body().empty()) {
     return;
   }
@@ -175,14 +174,20 @@
   }
 }
 
+bool
+Exchange::IsSuccessfulStream() const
+{
+  return mRoute->mKind == RouteKind::kStream && IsSuccess(mAttempt->mReader->Response().mStatus);
+}
+
 // Relays the complete events of a successful stream to the client.
 void
 Exchange::RelayEvents()
 {
-  const HttpResponse& head = mAttempt->mReader->Response();
-  if (mRoute->mKind != RouteKind::kStream || !IsSuccess(head.mStatus)) {
+  if (!IsSuccessfulStream()) {
     return;
   }
+  const HttpResponse& head = mAttempt->mReader->Response();
   std::string& body = mAttempt->mReader->Body();
   if (body.empty()) {
     return;
@@ -207,13 +212,20 @@
   ArmSilenceTimer();
 }
 
+// Returns whether the bytes received so far are a stream that ends within an event or before the
+// first event.
+bool
+Exchange::IsPartialStream() const
+{
+  return IsSuccessfulStream() && (!mEvents.mPartialEvent.empty() || !mStreaming);
+}
+
 void
 Exchange::OnAnswerComplete()
 {
   HttpResponse answer = mAttempt->mReader->Response();
-  if (mRoute->mKind == RouteKind::kStream && IsSuccess(answer.mStatus)) {
-    if (!mEvents.mPartialEvent.empty() || !mStreaming) {
-      // The stream ended within an event or before the first event.
+  if (IsSuccessfulStream()) {
+    if (IsPartialStream()) {
       OnAttemptFailed(AttemptFailure::kBroken);
       return;
     }
@@ -284,8 +296,10 @@
     OnAttemptFailed(AttemptFailure::kConnectFailed);
     return;
   }
-  if (aEnd == StreamEnd::kClosedByPeer && mAttempt->mHeadChecked && !mAttempt->mSkippingAnswer &&
-      mAttempt->mReader->ConsumeEof() == MessageReadState::kComplete) {
+  const bool isComplete = aEnd == StreamEnd::kClosedByPeer && mAttempt->mHeadChecked &&
+                          !mAttempt->mSkippingAnswer &&
+                          mAttempt->mReader->ConsumeEof() == MessageReadState::kComplete;
+  if (isComplete && !IsPartialStream()) {
     OnAnswerComplete();
     return;
   }
