Do not complete a resumed stream that ends with its connection before an event

What callers saw: a stream could look complete without its last events (ORDER).

Cause: a stream counts as begun once the first attempt has sent an event. If the server that resumes it sends the head of an answer without length and chunks and crashes, the end of its connection completed an answer that has begun and has no incomplete event, and the client got the last chunk.

Evidence: forward_path_test, `a server that resumes a stream closes the connection before an event`, fails without the change: the answer with one event of several is complete.

Change: a stream that ends with its connection needs an event of its own attempt. Answers with chunks are judged as before, as their server says itself that nothing is left to resume. A server that has nothing left and says so only by closing is now taken for broken; the client sees an incomplete answer and may resume it.

Ruled out: the first attempt of a stream; it already needed an event.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -532,6 +532,32 @@
   }
 }
 
+// Guards against a stream that looks complete without its last events (ORDER).
+SCENARIO("a server that resumes a stream closes the connection before an event")
+{
+  const ScriptedServer::Script script = [](const ReceivedRequest& aRequest) {
+    const bool isResumed = !HeaderValue(aRequest.mRequest.mHeaders, "Last-Event-Id").empty();
+    return Reply{ .mBytes = isResumed ? MakeUnframedStreamStart(aRequest)
+                                      : MakeStreamStart(aRequest) + MakeEventChunk(1),
+                  .mClose = true };
+  };
+  const ScriptedServer first{ script };
+  const ScriptedServer second{ script };
+  Gateway gateway;
+  gateway.AddServer("e1", first);
+  gateway.AddServer("e2", second);
+  gateway.Publish();
+  Client client = gateway.Connect();
+  client.Send(MakeRequest("talk", "id-1"));
+  const ReceivedAnswer answer = client.Read();
+  THEN("the client receives the events so far and can see that the answer is incomplete")
+  {
+    CHECK(first.ReceivedRequests().size() + second.ReceivedRequests().size() == 2);
+    CHECK(answer.mBody == "id: 1\ndata: d1\n\n");
+    CHECK_FALSE(answer.mComplete);
+  }
+}
+
 // Guards against requests that crash one server after the other, since no two of them are alike and
 // each is sent to a second server (BUDGET).
 SCENARIO("requests with one part of a prompt crash each server that begins to answer them")
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -162,7 +162,7 @@
   void RecordUndisturbedPrefill(Instant::duration aTime);
   void CountUsage();
   bool IsSuccessfulStream() const;
-  bool IsPartialStream() const;
+  bool IsCutOffStream() const;
   void OnAnswerComplete();
   void DeliverAnswer(HttpResponse aAnswer);
   void LogCompletion(int aStatus);
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -212,12 +212,12 @@
   ArmSilenceTimer();
 }
 
-// Returns whether the bytes received so far are a stream that ends within an event or before the
-// first event.
+// Returns whether the connection ended within or before the events of a stream without a length.
+// A resumed stream needs an event, too: without one, its end cannot be told from a crash.
 bool
-Exchange::IsPartialStream() const
+Exchange::IsCutOffStream() const
 {
-  return IsSuccessfulStream() && (!mEvents.mPartialEvent.empty() || !mStreaming);
+  return IsSuccessfulStream() && (!mEvents.mPartialEvent.empty() || !mAttempt->mIsSound);
 }
 
 void
@@ -225,7 +225,8 @@
 {
   HttpResponse answer = mAttempt->mReader->Response();
   if (IsSuccessfulStream()) {
-    if (IsPartialStream()) {
+    if (!mEvents.mPartialEvent.empty() || !mStreaming) {
+      // The stream ended within an event or before the first event.
       OnAttemptFailed(AttemptFailure::kBroken);
       return;
     }
@@ -299,7 +300,7 @@
   const bool isComplete = aEnd == StreamEnd::kClosedByPeer && mAttempt->mHeadChecked &&
                           !mAttempt->mSkippingAnswer &&
                           mAttempt->mReader->ConsumeEof() == MessageReadState::kComplete;
-  if (isComplete && !IsPartialStream()) {
+  if (isComplete && !IsCutOffStream()) {
     OnAnswerComplete();
     return;
   }
