Test that requests refused for a stale configuration count toward the demand on quotas

No product code changes.

forward_path_test, `a request is rejected before it is forwarded`, with a configuration that is too old: `a refused request counts toward what its account asks for`. With the call in exchange.cc taken out, it fails (the account is not in the report); with it, it passes.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -267,6 +267,17 @@
       CHECK(client.Read().mStatus == 503);
       CHECK(server.ReceivedRequests().empty());
     }
+    // Guards against an account that gets more than its quota when a host that refused its requests
+    // admits them again, since the host took the demand for lower than it was (QUOTA).
+    THEN("a refused request counts toward what its account asks for")
+    {
+      client.Send(MakeRequest("read", "id-1"));
+      CHECK(client.Read().mStatus == 503);
+      const TrafficReport report = gateway.Report();
+      REQUIRE(report.mQuotaUsed.contains(ClientAccountId{ "club" }));
+      CHECK(report.mQuotaUsed.at(ClientAccountId{ "club" }).mTotal.mAsked == 1);
+      CHECK(report.mQuotaUsed.at(ClientAccountId{ "club" }).mTotal.mUsed == 0);
+    }
   }
 }
 
