Keep the refused parts of prompts in the store

Cause: the hosts told each other of refusals only. What must last lives on the platform.

Change: the host that writes the quota record writes the refused parts in the same call, so a call more is made only where no account has a quota. A host that starts reads the record beside that of the quotas. The record has the time of day at which a refusal ends; it is bounded by the longest refusal, since a host's time of day can be wrong. A refusal that an answer has ended is left out.

Ruled out: recording the crashes, too. They change with each crash and answer, and three crashes suffice to refuse a part anew.

Tests: control_path_test, `all hosts are killed while they refuse a part of prompts`, with two hosts in sequence and a store; it found that the record stayed if an answer came within half a second of the start. prompt_refusal_record_test has the times and broken records.

--- a/tests/control_path/control_path_test.cc
+++ b/tests/control_path/control_path_test.cc
@@ -5,12 +5,18 @@
 #include "trefoil/base/base64.h"
 #include "trefoil/steering/control_thread.h"
 #include "trefoil/steering/prefix_watch.h"
+#include "trefoil/steering/prompt_refusal_record.h"
 
 #include "absl/strings/numbers.h"
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <functional>
+#include <future>
+#include <memory>
 #include <thread>
 
 namespace trefoil {
@@ -130,6 +136,54 @@
   return false;
 }
 
+// A host, with its control thread and its traffic thread, that uses the store of a test.
+class TestHost
+{
+public:
+  explicit TestHost(const ScriptedServer& aStore)
+    : mTraffic(
+        TrafficThread::Start({ .mHost = HostId{ "host-1" },
+                               .mZone = AvailabilityZoneId{ "a" },
+                               .mListen = FreeEndpoint(),
+                               .mReadiness = FreeEndpoint(),
+                               .mCodec = platform::MakeForwardCodec(),
+                               .mRetries = { .mRatio = 0.2, .mWindow = std::chrono::seconds{ 10 } },
+                               .mUsageWindow = Milliseconds{ 5'000 },
+                               .mMaxConnections = 10 },
+                             mLog,
+                             mMetrics))
+  {
+    REQUIRE(mTraffic.ok());
+    mControl = ControlThread::Start({ .mHost = HostId{ "host-1" },
+                                      .mZone = AvailabilityZoneId{ "a" },
+                                      .mPeerEndpoint = FreeEndpoint(),
+                                      .mStore = aStore.ListenEndpoint(),
+                                      .mUsageWindow = Milliseconds{ 5'000 },
+                                      .mCodec = platform::MakeControlCodec() },
+                                    **mTraffic,
+                                    mLog);
+    REQUIRE(mControl.ok());
+  }
+
+  ~TestHost()
+  {
+    (*mControl)->Stop();
+    (*mTraffic)->Stop(SuspendAwareNow());
+  }
+
+  TestHost(const TestHost&) = delete;
+  TestHost& operator=(const TestHost&) = delete;
+
+  const Metrics& OwnMetrics() const { return mMetrics; }
+  TrafficThread& Traffic() { return **mTraffic; }
+
+private:
+  EventLog mLog{ "host-1" };
+  Metrics mMetrics;
+  absl::StatusOr<std::unique_ptr<TrafficThread>> mTraffic;
+  absl::StatusOr<std::unique_ptr<ControlThread>> mControl;
+};
+
 // Guards against requests to servers that have said they leave: a watch that was sent while the
 // store was silent used to stay pending long after other calls had proved the store back (DRAIN).
 SCENARIO("the store is silent while the servers are watched")
@@ -138,41 +192,132 @@
   ScriptedServer storeServer{ [&store](const ReceivedRequest& aRequest) {
     return store.Answer(aRequest);
   } };
-  EventLog log{ "host-1" };
-  Metrics metrics;
-  auto traffic =
-    TrafficThread::Start({ .mHost = HostId{ "host-1" },
-                           .mZone = AvailabilityZoneId{ "a" },
-                           .mListen = FreeEndpoint(),
-                           .mReadiness = FreeEndpoint(),
-                           .mCodec = platform::MakeForwardCodec(),
-                           .mRetries = { .mRatio = 0.2, .mWindow = std::chrono::seconds{ 10 } },
-                           .mUsageWindow = Milliseconds{ 5'000 },
-                           .mMaxConnections = 10 },
-                         log,
-                         metrics);
-  REQUIRE(traffic.ok());
-  auto control = ControlThread::Start({ .mHost = HostId{ "host-1" },
-                                        .mZone = AvailabilityZoneId{ "a" },
-                                        .mPeerEndpoint = FreeEndpoint(),
-                                        .mStore = storeServer.ListenEndpoint(),
-                                        .mUsageWindow = Milliseconds{ 5'000 },
-                                        .mCodec = platform::MakeControlCodec() },
-                                      **traffic,
-                                      log);
-  REQUIRE(control.ok());
-  REQUIRE(AwaitReadyServers(metrics, 1));
+  const TestHost host{ storeServer };
+  REQUIRE(AwaitReadyServers(host.OwnMetrics(), 1));
   WHEN("the store answers again, and the server is leaving")
   {
-    REQUIRE(AwaitReadyServers(metrics, 0));
+    REQUIRE(AwaitReadyServers(host.OwnMetrics(), 0));
     THEN("the host asks for the servers as soon as its other watch proves the store back")
     {
       // Each further watch of the operators' keys waits for a second.
       CHECK(store.AnsweredBeforeServers() <= 2);
     }
   }
-  (*control)->Stop();
-  (*traffic)->Stop(SuspendAwareNow());
+}
+
+// A store that has nothing but the value of one key, which hosts read and write.
+class SharedRecordStore
+{
+public:
+  Reply Answer(const ReceivedRequest& aRequest)
+  {
+    const HttpRequest& request = aRequest.mRequest;
+    const std::string_view path = PathOf(request.mTarget);
+    const absl::MutexLock lock{ &mMutex };
+    if (path == "/trefoillb/kv-key" && QueryValue(request.mTarget, "Key") == kKey &&
+        !mValue.empty()) {
+      return { .mBytes = MakeAnswer(aRequest, 200, "", ItemText(kKey, mValue, 1)) };
+    }
+    if (path == "/trefoillb/kv-range") {
+      return { .mBytes = MakeAnswer(aRequest, 200, "", R"({"Items":[],"HasMore":false,"At":2})") };
+    }
+    if (path == "/trefoillb/kv-txn") {
+      const auto body =
+        Poco::JSON::Parser{}.parse(request.mBody).extract<Poco::JSON::Object::Ptr>();
+      for (const auto& write : *body->getArray("Writes")) {
+        const auto& item = *write.extract<Poco::JSON::Object::Ptr>();
+        if (item.getValue<std::string>("Key") == kKey) {
+          mValue = FromBase64(item.getValue<std::string>("Value"));
+        }
+      }
+      return { .mBytes = MakeAnswer(aRequest, 200, "", R"({"Revision":3})") };
+    }
+    return { .mBytes = MakeAnswer(aRequest, path == "/trefoillb/kv-key" ? 404 : 503) };
+  }
+
+  std::string Value() const
+  {
+    const absl::MutexLock lock{ &mMutex };
+    return mValue;
+  }
+
+  static constexpr const char* kKey = kPromptRefusalRecordKey;
+
+private:
+  mutable absl::Mutex mMutex;
+  std::string mValue ABSL_GUARDED_BY(mMutex);
+};
+
+// Waits until the host refuses the part, or no longer refuses it. Returns whether it does.
+bool
+AwaitRefusal(TestHost& aHost, PromptPartKey aPart, bool aRefused)
+{
+  const Instant deadline = SuspendAwareNow() + kTestTimeout;
+  while (!HasPassed(deadline, SuspendAwareNow())) {
+    std::promise<TrafficReport> report;
+    aHost.Traffic().Report([&](TrafficReport aReport) { report.set_value(std::move(aReport)); });
+    const auto& refusals = report.get_future().get().mPromptCrashes.mRefusals;
+    const auto refusal = refusals.find(aPart);
+    if ((refusal != refusals.end() && !refusal->second.mAnswered) == aRefused) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return false;
+}
+
+// Waits until the record in the store has a part, or none. Returns whether it does.
+bool
+AwaitRecord(const SharedRecordStore& aStore, bool aHasPart)
+{
+  const Instant deadline = SuspendAwareNow() + kTestTimeout;
+  while (!HasPassed(deadline, SuspendAwareNow())) {
+    const auto record = ParsePromptRefusalRecord(
+      aStore.Value(), { .mNow = SuspendAwareNow(), .mWallNow = WallNow() });
+    if (record.ok() && record->empty() != aHasPart) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return false;
+}
+
+// Guards against servers that crash again under a part of prompts after all hosts, which knew it
+// and refused it, were killed (BUDGET).
+SCENARIO("all hosts are killed while they refuse a part of prompts")
+{
+  constexpr PromptPartKey kPart = 0xfedcba9876543210;
+  SharedRecordStore store;
+  const ScriptedServer storeServer{ [&store](const ReceivedRequest& aRequest) {
+    return store.Answer(aRequest);
+  } };
+  const auto applyRefusal = [kPart](TestHost& aHost, bool aAnswered) {
+    PromptCrashEvidence evidence;
+    evidence.mRefusals[kPart] = { .mUntil = SuspendAwareNow() + 2 * kTestTimeout,
+                                  .mGeneration = 1,
+                                  .mLevel = 1,
+                                  .mAnswered = aAnswered };
+    aHost.Traffic().ApplyPromptCrashes(evidence);
+  };
+  {
+    TestHost before{ storeServer };
+    applyRefusal(before, false);
+    REQUIRE(AwaitRecord(store, true));
+  }
+  TestHost after{ storeServer };
+  THEN("the hosts that start refuse it")
+  {
+    CHECK(AwaitRefusal(after, kPart, true));
+  }
+  WHEN("a request with the part has been answered since")
+  {
+    REQUIRE(AwaitRefusal(after, kPart, true));
+    applyRefusal(after, true);
+    THEN("the record has it no longer")
+    {
+      CHECK(AwaitRecord(store, false));
+    }
+  }
 }
 
 // Guards against changes that stay unknown although another host has relayed that they exist: the
--- a/trefoil/request/prompt_crash_tracker.cc
+++ b/trefoil/request/prompt_crash_tracker.cc
@@ -18,10 +18,9 @@
 constexpr Milliseconds kMinDowntime{ 1'000 };
 // Answers that a server sent before it crashed arrive within this time.
 constexpr Milliseconds kMaxAnswerDelay{ 50 };
-// The first refusal of a part, and the longest one. Each is kRefusalFactor times as long as the one
-// before.
+// The first refusal of a part. Each is kRefusalFactor times as long as the one before, up to
+// kMaxPartRefusal.
 constexpr std::chrono::seconds kFirstRefusal{ 60 };
-constexpr std::chrono::minutes kMaxRefusal{ 10 };
 constexpr int kRefusalFactor = 4;
 // Bounds on memory and on the size of messages.
 constexpr std::size_t kMaxCrashes = 256;
@@ -89,10 +88,10 @@
   PartRefusal& refusal = aTracker.mRefusals[aPart];
   const std::int64_t level = refusal.mAnswered ? 0 : refusal.mLevel;
   Instant::duration duration = kFirstRefusal;
-  for (std::int64_t i = 0; i < level && duration < kMaxRefusal; ++i) {
+  for (std::int64_t i = 0; i < level && duration < kMaxPartRefusal; ++i) {
     duration *= kRefusalFactor;
   }
-  refusal = { .mUntil = aNow + std::min<Instant::duration>(duration, kMaxRefusal),
+  refusal = { .mUntil = aNow + std::min<Instant::duration>(duration, kMaxPartRefusal),
               .mGeneration = refusal.mGeneration + 1,
               .mLevel = level + 1 };
 }
--- a/trefoil/request/prompt_crash_tracker.h
+++ b/trefoil/request/prompt_crash_tracker.h
@@ -40,6 +40,9 @@
 // Crashes of different servers within this time count once, since an outage ends many at once.
 inline constexpr Milliseconds kMinPromptCrashDistance{ 200 };
 
+// The longest refusal of a part.
+inline constexpr std::chrono::minutes kMaxPartRefusal{ 10 };
+
 // What is known about a part of a request that was waiting at a server when that crashed. Merging
 // keeps the later one.
 enum class PartStanding : std::uint8_t
--- a/trefoil/steering/aggregation.cc
+++ b/trefoil/steering/aggregation.cc
@@ -317,7 +317,7 @@
 }
 
 bool
-IsQuotaRecordWriter(const PeerTable& aTable, const AggregationState& aState, Instant aNow)
+IsSharedRecordWriter(const PeerTable& aTable, const AggregationState& aState, Instant aNow)
 {
   if (!UsesAggregation(aTable)) {
     return std::ranges::all_of(LivePeers(aTable, aNow),
--- a/trefoil/steering/aggregation.h
+++ b/trefoil/steering/aggregation.h
@@ -138,9 +138,10 @@
 FleetStatus
 StatusOfFleet(const PeerTable& aTable, const AggregationState& aState, Instant aNow);
 
-// Returns whether this host writes the quota record. Hosts that are in touch agree on one writer.
+// Returns whether this host writes the records that the hosts share. Hosts that are in touch agree
+// on one writer.
 bool
-IsQuotaRecordWriter(const PeerTable& aTable, const AggregationState& aState, Instant aNow);
+IsSharedRecordWriter(const PeerTable& aTable, const AggregationState& aState, Instant aNow);
 
 // Returns what all other hosts have counted since this one hears of them.
 const Counters&
--- a/trefoil/steering/control_thread.cc
+++ b/trefoil/steering/control_thread.cc
@@ -14,9 +14,9 @@
 namespace trefoil {
 namespace {
 
-// Interval between writes of the quota record. The quota used since the last write is lost if
+// Interval between writes of the shared records. The quota used since the last write is lost if
 // all hosts are killed; it is within the slack of the quotas.
-constexpr Milliseconds kQuotaRecordInterval{ 500 };
+constexpr Milliseconds kSharedRecordInterval{ 500 };
 // Interval between reads of the store's list of entry hosts, and the time of the second read, when
 // all hosts that started together have registered. With aggregation the list only names the hosts
 // of each zone, whether they are up is known from their messages, so it is read less often.
@@ -58,9 +58,9 @@
   LogPeersInTouch(aState);
   RegisterHost(aState);
   RunDuties(aState);
-  if (now - aState.mQuotaWrittenAt >= kQuotaRecordInterval) {
-    aState.mQuotaWrittenAt = now;
-    WriteQuotaRecord(aState);
+  if (now - aState.mRecordsWrittenAt >= kSharedRecordInterval) {
+    aState.mRecordsWrittenAt = now;
+    WriteSharedRecords(aState);
   }
 }
 
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -3,6 +3,7 @@
 #include "trefoil/steering/host_entry.h"
 #include "trefoil/steering/internal/duties.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
+#include "trefoil/steering/prompt_refusal_record.h"
 #include "trefoil/steering/quota_record.h"
 
 #include <algorithm>
@@ -307,6 +308,54 @@
   aState.mOperatorWatch->Start();
 }
 
+ClockReading
+ReadClocks(const SteeringState& aState)
+{
+  return { .mNow = SuspendAwareNow(), .mWallNow = WallNow() + aState.mView.mClockCorrection };
+}
+
+void
+OnPromptRefusalRecord(SteeringState& aState, const StoreAnswer& aAnswer)
+{
+  if (aAnswer.mOutcome != StoreOutcome::kDone || aAnswer.mItems.empty()) {
+    return;
+  }
+  const auto record = ParsePromptRefusalRecord(aAnswer.mItems.front().mValue, ReadClocks(aState));
+  if (!record.ok()) {
+    LogRejectedInput(aState, "input=prompt_refusal_record", record.status());
+    return;
+  }
+  aState.mHasPromptRefusals = !record->empty();
+  aState.mTraffic.ApplyPromptCrashes({ .mRefusals = *record });
+}
+
+// Adds the refused parts of prompts to `aCommit`. Once none is left, an empty record replaces the
+// last one.
+void
+AddPromptRefusals(SteeringState& aState, Commit& aCommit)
+{
+  const ClockReading clock = ReadClocks(aState);
+  const PromptRefusalRecord record =
+    RefusalsInForce(aState.mReport.mPromptCrashes.mRefusals, clock.mNow);
+  if (std::exchange(aState.mHasPromptRefusals, !record.empty()) || !record.empty()) {
+    aCommit.mWrites.push_back(
+      { .mKey = kPromptRefusalRecordKey, .mValue = RenderPromptRefusalRecord(record, clock) });
+  }
+}
+
+// Adds the levels of the quotas and the demand on them to `aCommit`.
+void
+AddQuotas(const SteeringState& aState, Commit& aCommit)
+{
+  QuotaRecord record;
+  for (const auto& [account, use] : aState.mReport.mQuotaUsed) {
+    record[account] = use.mSnapshot;
+  }
+  if (!record.empty()) {
+    aCommit.mWrites.push_back({ .mKey = kQuotaRecordKey, .mValue = RenderQuotaRecord(record) });
+  }
+}
+
 } // namespace
 
 void
@@ -333,22 +382,19 @@
 }
 
 void
-WriteQuotaRecord(SteeringState& aState)
+WriteSharedRecords(SteeringState& aState)
 {
   const Instant now = SuspendAwareNow();
-  if (aState.mReport.mQuotaUsed.empty() ||
-      !IsQuotaRecordWriter(aState.mPeers, aState.mAggregation, now)) {
+  Commit commit;
+  AddQuotas(aState, commit);
+  AddPromptRefusals(aState, commit);
+  if (commit.mWrites.empty() || !IsSharedRecordWriter(aState.mPeers, aState.mAggregation, now)) {
     return;
   }
-  QuotaRecord record;
-  for (const auto& [account, use] : aState.mReport.mQuotaUsed) {
-    record[account] = use.mSnapshot;
-  }
-  aState.mStore.Call(
-    Commit{ .mWrites = { { .mKey = kQuotaRecordKey, .mValue = RenderQuotaRecord(record) } } },
-    now + kStoreCallTimeout,
-    // A failed write needs no retry: the next record follows.
-    [](const StoreAnswer& /*aAnswer*/) {});
+  aState.mStore.Call(std::move(commit),
+                     now + kStoreCallTimeout,
+                     // A failed write needs no retry: the next record follows.
+                     [](const StoreAnswer& /*aAnswer*/) {});
 }
 
 void
@@ -383,6 +429,10 @@
                                                     .mBatchDelay = kOperatorBatchDelay,
                                                     .mKeepsChanges = true },
                                 std::move(operators));
+  aState.mStore.Call(
+    ReadKey{ .mKey = kPromptRefusalRecordKey },
+    SuspendAwareNow() + kStoreCallTimeout,
+    [&aState](const StoreAnswer& aAnswer) { OnPromptRefusalRecord(aState, aAnswer); });
   aState.mStore.Call(ReadKey{ .mKey = kQuotaRecordKey },
                      SuspendAwareNow() + kStoreCallTimeout,
                      [&aState](const StoreAnswer& aAnswer) { OnQuotaRecord(aState, aAnswer); });
--- a/trefoil/steering/internal/store_updates.h
+++ b/trefoil/steering/internal/store_updates.h
@@ -10,8 +10,8 @@
 void
 LogRejectedInput(SteeringState& aState, std::string_view aInput, const absl::Status& aReason);
 
-// Starts to watch the keys of the operators and of the backend servers. Reads the quota record
-// first, as the operators' keys are listed only after it was read.
+// Starts to watch the keys of the operators and of the backend servers. Reads the shared records
+// first; the operators' keys are listed only after the quota record was read.
 void
 WatchStore(SteeringState& aState);
 
@@ -34,10 +34,10 @@
 void
 RefreshHosts(SteeringState& aState);
 
-// Writes the levels of the quotas to the store if this host has the lowest id of the live
-// hosts.
+// Writes the levels of the quotas and the refused parts of prompts to the store if this host is
+// the one that writes them.
 void
-WriteQuotaRecord(SteeringState& aState);
+WriteSharedRecords(SteeringState& aState);
 
 // Updates the view with the state of the peers and of the version moves, and publishes it to
 // the traffic thread.
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -60,7 +60,10 @@
   // to the hosts of its zone.
   std::vector<DispatchUpdate> mDispatchesForZones;
   std::vector<DispatchUpdate> mDispatchesForMembers;
-  Instant mQuotaWrittenAt;
+  Instant mRecordsWrittenAt;
+  // Whether the record of refused parts of prompts, as this host read or would have written it
+  // last, has any.
+  bool mHasPromptRefusals = false;
   // The number of live peers that was logged last.
   std::size_t mPeersInTouch = 0;
   TrafficReport mReport;
