Compare the times of versions by route

Cause: a new version was compared by the mean time of all its answers. The answers of a slow version to short requests come first, so its mean over a mixture of mostly short requests looks like that of the old version over the usual mixture.

Ruled out: that too few answers decide (25 are needed, 28 came), cold caches (the time to the first event is a small part), another share.

Change: hosts count the answers and their time by route and version while a service moves (two more kinds of counters, which hosts of an earlier version pass on unread). The time of a version is compared with what the others take for as many requests of the same routes; one route with ten answers decides alone from a factor of 2.5 on, since a version can be slow on one route only. The time spent for clients that leave counts, or a version that is too slow for its clients would show its fast answers only. Without counts by route the means decide as before.

--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -194,8 +194,10 @@
   }
   if (mAttempt.has_value()) {
     // Closing the connection makes the server stop the work. The outcome is not recorded, since it
-    // is not caused by the server.
-    ReleaseAttempt().mConnection->mStream->Close();
+    // is not caused by the server, except for the time that the server took.
+    const Attempt attempt = ReleaseAttempt();
+    CountForRoute(attempt, 0);
+    attempt.mConnection->mStream->Close();
   }
   mState.mLog.Write(LogSeverity::kRoutine,
                     LogEvent::kRequestCancelled,
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -167,6 +167,7 @@
   void DeliverAnswer(HttpResponse aAnswer);
   void LogCompletion(int aStatus);
   Attempt ReleaseAttempt();
+  void CountForRoute(const Attempt& aAttempt, int aServed);
   void FinishAttempt(DispatchOutcome aOutcome, bool aKeepConnection);
   void OnAttemptFailed(AttemptFailure aFailure);
   bool MayRetry(AttemptFailure aFailure);
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -287,6 +287,20 @@
   return attempt;
 }
 
+// Counts an attempt that has ended toward the times of its route if the service moves to another
+// version. `aServed` is 1 if the request was served, otherwise 0.
+void
+Exchange::CountForRoute(const Attempt& aAttempt, int aServed)
+{
+  if (mState.mView->mSteering.contains(mService)) {
+    RouteOutcomes& outcomes =
+      mState.mOutcomes[mService][aAttempt.mServer.mVersion].mRoutes[mRoute->mName];
+    outcomes.mServed += aServed;
+    outcomes.mSpentMs +=
+      std::chrono::duration<double, std::milli>(SuspendAwareNow() - aAttempt.mSentAt).count();
+  }
+}
+
 void
 Exchange::FinishAttempt(DispatchOutcome aOutcome, bool aKeepConnection)
 {
@@ -314,6 +328,7 @@
   if (aOutcome == DispatchOutcome::kServed) {
     ++outcomes.mServed;
     outcomes.mLatencyMs += std::chrono::duration<double, std::milli>(now - attempt.mSentAt).count();
+    CountForRoute(attempt, 1);
   } else if (aOutcome != DispatchOutcome::kTurnedAway) {
     ++outcomes.mFailed;
   }
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -74,6 +74,15 @@
 // numbered from the Unix epoch.
 using UsageWindows = std::map<std::int64_t, std::map<ClientAccountId, std::int64_t>>;
 
+// The requests of one route to one version of a service.
+struct RouteOutcomes
+{
+  std::int64_t mServed = 0;
+  // The time that servers took for these, and for requests until their clients left. Without the
+  // latter, a version that is too slow for its clients would look fast.
+  double mSpentMs = 0;
+};
+
 // The outcomes of requests to one version of a service.
 struct VersionOutcomes
 {
@@ -81,6 +90,8 @@
   std::int64_t mFailed = 0;
   // Sum of the latencies of the served requests, to compute their mean.
   double mLatencyMs = 0;
+  // By the name of the route. Counted from the first order of a move of the service on.
+  std::map<std::string, RouteOutcomes> mRoutes;
 };
 
 // A host's use of an account's quota.
--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -3,6 +3,7 @@
 #include "trefoil/base/digest.h"
 #include "trefoil/duty/holder_record.h"
 #include "trefoil/steering/internal/store_updates.h"
+#include "trefoil/steering/route_counters.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -345,6 +346,8 @@
       case CounterKind::kServed:
       case CounterKind::kFailed:
       case CounterKind::kLatencyMs:
+      case CounterKind::kRouteServed:
+      case CounterKind::kRouteSpentMs:
         break;
     }
   }
@@ -436,6 +439,7 @@
     sums = own->second;
   }
   for (const auto& [key, total] : CountersOfOthers(aState.mPeers, aState.mAggregation)) {
+    AddRouteTotal(sums, aService, key, total);
     if (key.mVersion.empty() || key.mSubject != aService.Value()) {
       continue;
     }
@@ -456,6 +460,8 @@
       case CounterKind::kPrefillTokens:
       case CounterKind::kPrefillMs:
       case CounterKind::kBusyMs:
+      case CounterKind::kRouteServed:
+      case CounterKind::kRouteSpentMs:
         break;
     }
   }
--- a/trefoil/steering/internal/peer_messages.cc
+++ b/trefoil/steering/internal/peer_messages.cc
@@ -4,6 +4,7 @@
 #include "trefoil/steering/internal/datagrams.h"
 #include "trefoil/steering/internal/duties.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
+#include "trefoil/steering/route_counters.h"
 #include "trefoil/wire/codec.h"
 #include "trefoil/wire/crash_report_conversion.h"
 #include "trefoil/wire/prompt_crash_conversion.h"
@@ -85,6 +86,9 @@
     add(CounterKind::kPrefillMs, load.mPrefillMs);
     add(CounterKind::kBusyMs, load.mBusyMs);
   }
+  for (const auto& [service, versions] : aState.mReport.mOutcomes) {
+    AddRouteCounters(report.mCounters, service, versions);
+  }
   for (const auto& [account, used] : aState.mReport.mQuotaUsed) {
     report.mCounters.push_back({ .mKind = CounterKind::kQuotaAsked,
                                  .mSubject = account.Value(),
--- a/trefoil/steering/version_moves.cc
+++ b/trefoil/steering/version_moves.cc
@@ -1,5 +1,7 @@
 #include "trefoil/steering/version_moves.h"
 
+#include <algorithm>
+
 namespace trefoil {
 namespace {
 
@@ -11,10 +13,13 @@
 constexpr std::int64_t kMinAnswers = 25;
 constexpr std::int64_t kMinFailures = 4;
 // A version is worse if its failure rate exceeds that of the other versions by more than
-// kMaxFailureRateIncrease, or its mean latency exceeds theirs by more than the factor
-// kMaxSlowdown.
+// kMaxFailureRateIncrease, or if it takes longer for the same requests by more than the factor
+// kMaxSlowdown, or for those of one route by kMaxRouteSlowdown. Fewer answers suffice for the
+// latter.
 constexpr double kMaxFailureRateIncrease = 0.1;
 constexpr double kMaxSlowdown = 1.8;
+constexpr double kMaxRouteSlowdown = 2.5;
+constexpr std::int64_t kMinRouteAnswers = 10;
 // The fraction of the order's time after which the move is decided by the answers so far.
 constexpr double kDecisionShare = 0.8;
 
@@ -41,14 +46,78 @@
   return summary;
 }
 
+// Adds the outcomes since `aBefore`.
+void
+AddSince(VersionOutcomes& aSum, const VersionOutcomes& aTotal, const VersionOutcomes& aBefore)
+{
+  aSum.mServed += aTotal.mServed - aBefore.mServed;
+  aSum.mFailed += aTotal.mFailed - aBefore.mFailed;
+  aSum.mLatencyMs += aTotal.mLatencyMs - aBefore.mLatencyMs;
+  for (const auto& [route, total] : aTotal.mRoutes) {
+    const auto found = aBefore.mRoutes.find(route);
+    const RouteOutcomes before = found == aBefore.mRoutes.end() ? RouteOutcomes{} : found->second;
+    aSum.mRoutes[route].mServed += total.mServed - before.mServed;
+    aSum.mRoutes[route].mSpentMs += total.mSpentMs - before.mSpentMs;
+  }
+}
+
+// The time that the new version took for requests, and the time that the other versions take for
+// as many of the same routes.
+struct LatencyComparison
+{
+  std::int64_t mAnswers = 0;
+  double mSpentMs = 0;
+  double mExpectedMs = 0;
+  // Whether one route alone shows that the new version is slow.
+  bool mHasSlowRoute = false;
+};
+
+// Compares by route, since the versions can have answered different mixtures of requests: of a slow
+// version, the answers to short requests come first.
+LatencyComparison
+CompareRoutes(const VersionOutcomes& aNew, const VersionOutcomes& aOld)
+{
+  LatencyComparison comparison;
+  for (const auto& [route, current] : aNew.mRoutes) {
+    const auto old = aOld.mRoutes.find(route);
+    if (old == aOld.mRoutes.end() || old->second.mServed == 0) {
+      continue;
+    }
+    const double expected = old->second.mSpentMs / static_cast<double>(old->second.mServed) *
+                            static_cast<double>(current.mServed);
+    comparison.mAnswers += current.mServed;
+    comparison.mSpentMs += current.mSpentMs;
+    comparison.mExpectedMs += expected;
+    comparison.mHasSlowRoute =
+      comparison.mHasSlowRoute ||
+      (std::min(current.mServed, old->second.mServed) >= kMinRouteAnswers &&
+       current.mSpentMs > kMaxRouteSlowdown * expected);
+  }
+  return comparison;
+}
+
+bool
+IsSlow(const VersionOutcomes& aNew, const VersionOutcomes& aOld)
+{
+  const LatencyComparison routes = CompareRoutes(aNew, aOld);
+  if (routes.mAnswers > 0) {
+    return routes.mHasSlowRoute ||
+           (routes.mAnswers >= kMinAnswers && routes.mSpentMs > kMaxSlowdown * routes.mExpectedMs);
+  }
+  // Hosts of an earlier version do not count by route.
+  const OutcomeSummary current = Summarize(aNew);
+  const OutcomeSummary old = Summarize(aOld);
+  return current.mAnswers >= kMinAnswers && old.mMeanLatencyMs > 0 &&
+         current.mMeanLatencyMs > kMaxSlowdown * old.mMeanLatencyMs;
+}
+
 bool
-IsWorse(const OutcomeSummary& aNew, const OutcomeSummary& aOld)
+IsWorse(const VersionOutcomes& aNew, const VersionOutcomes& aOld)
 {
-  const bool fails =
-    aNew.mFailed >= kMinFailures && aNew.mFailureRate > aOld.mFailureRate + kMaxFailureRateIncrease;
-  const bool slow = aNew.mAnswers >= kMinAnswers && aOld.mMeanLatencyMs > 0 &&
-                    aNew.mMeanLatencyMs > kMaxSlowdown * aOld.mMeanLatencyMs;
-  return fails || slow;
+  const OutcomeSummary current = Summarize(aNew);
+  const bool fails = current.mFailed >= kMinFailures &&
+                     current.mFailureRate > Summarize(aOld).mFailureRate + kMaxFailureRateIncrease;
+  return fails || IsSlow(aNew, aOld);
 }
 
 } // namespace
@@ -82,15 +151,11 @@
   VersionOutcomes others;
   for (const auto& [version, total] : aOutcomes) {
     const auto baseline = aMove.mBaseline.find(version);
-    const VersionOutcomes before =
-      baseline == aMove.mBaseline.end() ? VersionOutcomes{} : baseline->second;
-    VersionOutcomes& sum = version == aMove.mOrder.mTarget ? target : others;
-    sum.mServed += total.mServed - before.mServed;
-    sum.mFailed += total.mFailed - before.mFailed;
-    sum.mLatencyMs += total.mLatencyMs - before.mLatencyMs;
+    AddSince(version == aMove.mOrder.mTarget ? target : others,
+             total,
+             baseline == aMove.mBaseline.end() ? VersionOutcomes{} : baseline->second);
   }
-  const OutcomeSummary current = Summarize(target);
-  if (IsWorse(current, Summarize(others))) {
+  if (IsWorse(target, others)) {
     aMove.mState = VersionMoveState::kRolledBack;
     return true;
   }
@@ -98,8 +163,8 @@
   if (elapsed < kDecisionShare * std::chrono::duration<double>(aMove.mOrder.mTimeLimit)) {
     return false;
   }
-  aMove.mState =
-    current.mAnswers >= kMinAnswers ? VersionMoveState::kCompleted : VersionMoveState::kRolledBack;
+  aMove.mState = Summarize(target).mAnswers >= kMinAnswers ? VersionMoveState::kCompleted
+                                                           : VersionMoveState::kRolledBack;
   return true;
 }
 
--- a/trefoil/steering/version_moves_test.cc
+++ b/trefoil/steering/version_moves_test.cc
@@ -53,6 +53,59 @@
       CHECK(move.mState == VersionMoveState::kRolledBack);
     }
   }
+  // Guards against a version that is kept although it answers several times slower (EXPOSURE): the
+  // mean over all requests hid it, since the long ones had not been answered yet.
+  WHEN("the new version is slow, and most of its answers so far are to short requests")
+  {
+    outcomes[kOld] = { 1'805, 5, 1'050'000 };
+    outcomes[kOld].mRoutes = { { "chat", { 297, 488'000 } },
+                               { "digest", { 204, 488'000 } },
+                               { "lookup", { 304, 49'000 } } };
+    outcomes[kNew] = { 28, 0, 64'400 };
+    outcomes[kNew].mRoutes = { { "chat", { 5, 18'900 } },
+                               { "digest", { 5, 33'200 } },
+                               { "lookup", { 18, 12'400 } } };
+    THEN("the move is rolled back")
+    {
+      CHECK(EvaluateMove(move, outcomes, kNow + std::chrono::seconds{ 10 }));
+      CHECK(move.mState == VersionMoveState::kRolledBack);
+    }
+  }
+  WHEN("the new version is slow for one route only")
+  {
+    outcomes[kOld].mRoutes = { { "chat", { 600, 900'000 } }, { "lookup", { 300, 30'000 } } };
+    outcomes[kNew] = { 40, 0, 49'000 };
+    outcomes[kNew].mRoutes = { { "chat", { 30, 45'000 } }, { "lookup", { 10, 4'000 } } };
+    THEN("the move is rolled back")
+    {
+      CHECK(EvaluateMove(move, outcomes, kNow + std::chrono::seconds{ 5 }));
+      CHECK(move.mState == VersionMoveState::kRolledBack);
+    }
+  }
+  WHEN("the new version is so slow for long requests that most of their clients leave")
+  {
+    outcomes[kOld].mRoutes = { { "chat", { 600, 900'000 } }, { "lookup", { 300, 30'000 } } };
+    outcomes[kNew] = { 32, 0, 18'000 };
+    outcomes[kNew].mRoutes = { { "chat", { 2, 80'000 } }, { "lookup", { 30, 3'000 } } };
+    THEN("the move is rolled back")
+    {
+      CHECK(EvaluateMove(move, outcomes, kNow + std::chrono::seconds{ 5 }));
+      CHECK(move.mState == VersionMoveState::kRolledBack);
+    }
+  }
+  WHEN("the new version is as fast, and most of its answers are to long requests")
+  {
+    outcomes[kOld] = { 1'900, 5, 980'000 };
+    outcomes[kOld].mRoutes = { { "chat", { 600, 900'000 } }, { "lookup", { 300, 30'000 } } };
+    outcomes[kNew] = { 40, 0, 61'000 };
+    outcomes[kNew].mRoutes = { { "chat", { 38, 60'800 } }, { "lookup", { 2, 200 } } };
+    THEN("the move completes")
+    {
+      CHECK_FALSE(EvaluateMove(move, outcomes, kNow + std::chrono::seconds{ 5 }));
+      CHECK(EvaluateMove(move, outcomes, kNow + std::chrono::seconds{ 10 }));
+      CHECK(move.mState == VersionMoveState::kCompleted);
+    }
+  }
   WHEN("the new version gets too few requests")
   {
     outcomes[kNew] = { 3, 0, 150 };
--- a/trefoil/wire/totals_message.h
+++ b/trefoil/wire/totals_message.h
@@ -36,9 +36,14 @@
   kBusyMs,
   // The cost of all requests of an account, admitted or not.
   kQuotaAsked,
+  // The served requests of one route to one version of a service, and the time that servers took
+  // for the route's requests. The subject names the service and the route, see
+  // steering/route_counters.h.
+  kRouteServed,
+  kRouteSpentMs,
 };
 
-inline constexpr NameTable<CounterKind, 9> kCounterKindNames{ {
+inline constexpr NameTable<CounterKind, 11> kCounterKindNames{ {
   { CounterKind::kQuotaUsed, "quota_used" },
   { CounterKind::kPromptTokens, "prompt_tokens" },
   { CounterKind::kServed, "served" },
@@ -48,6 +53,8 @@
   { CounterKind::kPrefillMs, "prefill_ms" },
   { CounterKind::kBusyMs, "busy_ms" },
   { CounterKind::kQuotaAsked, "quota_asked" },
+  { CounterKind::kRouteServed, "route_served" },
+  { CounterKind::kRouteSpentMs, "route_spent_ms" },
 } };
 
 struct CounterTotal
