Start each round of an aggregator's totals with other hosts

Cause: an aggregator sends the totals of the fleet to the hosts of its zone in one burst, in the order of their names. While a zone is cut off, the totals carry crash reports and are six times as long, the aggregator's link (10 Mbit/s for some) is full, and what is sent last is lost. Both aggregators use the same order, so the same hosts hear nothing, round after round.

At 8.9 and 9.4 s all hosts of the three zones in contact are charged some 500,000 tokens. At 9.9, 10.4 and 10.9 s only durban-depot-1, -10 to -13, -7 and -9, and likewise in the other zones; -14 to -16, -2 to -6 and -8 are charged nothing until 11.3 or 13.2 s, their buckets stand full, and they admit. With the bytes logged (trial), umlazi-works-7, an aggregator, sends 18 KB in half a second before the cut and 110 to 310 KB from 9.5 to 13.8 s; no send fails.

Ruled out: totals that sources align wrongly (hosts served by the same aggregators are charged rightly), a full socket (no failed send).

Change: each round starts at another quarter of the members, so that each is in the first half within two rounds and in the first quarter within four, the time after which a host counts as out of touch.

aggregation_test, `the links of the aggregators carry only a part of what they send at once` (a third), fails without the change: 12,150 requests unknown to a host, bound 3,290.

--- a/trefoil/steering/aggregation_test.cc
+++ b/trefoil/steering/aggregation_test.cc
@@ -1,5 +1,6 @@
 #include "trefoil/steering/aggregation.h"
 
+#include "trefoil/steering/internal/aggregation_helpers.h"
 #include "trefoil/steering/totals_messages.h"
 #include "trefoil/wire/codec.h"
 
@@ -13,6 +14,7 @@
 #include <rapidcheck.h>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace trefoil {
 namespace {
@@ -587,6 +589,39 @@
   }
 }
 
+// Guards against an account that gets more than its quota since the same hosts of a zone hear of
+// nobody else's requests while the links of their aggregators are full (QUOTA).
+SCENARIO("the links of the aggregators carry only a part of what they send at once")
+{
+  constexpr std::size_t kZoneSize = 12;
+  SimulatedFleet fleet{ 4, kZoneSize };
+  fleet.RunRounds(2 * kRoundsToSpread, 0);
+  // A third of the messages to the hosts of a zone fit.
+  constexpr std::size_t kCarried = kZoneSize / 3;
+  std::map<HostId, std::pair<Instant, std::size_t>> carried;
+  fleet.SetLoss([&](const SimulatedHost& aFrom, const SimulatedHost&, const Message& aMessage) {
+    const auto* totals = std::get_if<TotalsMessage>(&aMessage);
+    if (totals == nullptr || totals->mScope != TotalsScope::kFleet) {
+      return false;
+    }
+    auto& [sentAt, count] = carried[aFrom.mName];
+    count = std::exchange(sentAt, fleet.Now()) == fleet.Now() ? count + 1 : 1;
+    return count > kCarried;
+  });
+  THEN("each host hears of all requests within the time after which it counts as out of touch")
+  {
+    const int maxRounds = static_cast<int>(kTotalsMaxAge / kInterval) + kRoundsToSpread;
+    double mostUncounted = 0;
+    for (int round = 0; round < 40; ++round) {
+      fleet.RunRound(kRequests);
+      for (const auto& host : fleet.Hosts()) {
+        mostUncounted = std::max(mostUncounted, fleet.CountedByOthers(*host) - host->mOthers);
+      }
+    }
+    CHECK(mostUncounted <= maxRounds * 47.0 * kRequests);
+  }
+}
+
 SCENARIO("messages are lost at random")
 {
   const bool passed = rc::check("sums never exceed what was counted, and catch up", [] {
--- a/trefoil/steering/totals_messages.cc
+++ b/trefoil/steering/totals_messages.cc
@@ -4,6 +4,7 @@
 #include "trefoil/steering/internal/aggregation_helpers.h"
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <functional>
 #include <initializer_list>
@@ -167,6 +168,18 @@
   return servers;
 }
 
+// Starts with another part of the members in each round. A full link loses what is sent last, so
+// that a fixed order would keep the same hosts without news.
+void
+RotateMembers(std::vector<const Peer*>& aMembers, std::uint64_t aSequence)
+{
+  // Within two rounds, each member is in the first half once; within four, in the first quarter.
+  constexpr std::array<std::size_t, 4> kFirstQuarters{ 0, 2, 1, 3 };
+  const std::size_t first =
+    aMembers.size() * kFirstQuarters[aSequence % kFirstQuarters.size()] / kFirstQuarters.size();
+  std::ranges::rotate(aMembers, aMembers.begin() + static_cast<std::ptrdiff_t>(first));
+}
+
 // Returns how far the median wall clock of the zone is ahead of this host's.
 Milliseconds
 ZoneClockOffset(const ZoneMembers& aMembers)
@@ -370,7 +383,7 @@
                    Instant aNow)
 {
   Datagrams datagrams;
-  const ZoneMembers members = MembersOfZone(aTable, aNow);
+  ZoneMembers members = MembersOfZone(aTable, aNow);
   const auto aggregators = ZoneAggregators(aTable, aState, aTable.mZone, aNow);
   const bool isAggregator = std::ranges::find(aggregators, aTable.mSelf) != aggregators.end();
   if (aState.mWasFrozen || (members.mLive.empty() && !isAggregator)) {
@@ -388,6 +401,7 @@
   }
   const FleetSums sums =
     MakeFleetSums(aTable, aState, members, zoneTotals, aOwnReport, aWallNow, aNow);
+  RotateMembers(members.mLive, aState.mSequence);
   for (const Peer* member : members.mLive) {
     datagrams.push_back({ .mTo = member->mUpdate.mEndpoint,
                           .mMessage = FleetTotalsFor(
