Send evidence about prompts after the updates, and only what is new at once

Cause: hosts sent their evidence about prompts that crash servers before each update, and aggregators forwarded all evidence of the last 3 s to each host of the zone whenever any of it was new, up to once in 10 ms. On a link that was full already, the updates came last and were lost.

Change: evidence is sent after the updates of a round. At once goes only what has changed since the last time; all of it is repeated with the rounds, as before.

Ruled out: reporting less of a crash. Its identifiers are needed to recognize late reports.

prompt_crash_tracker_test, `a host observes many crashes one after the other`, is new.

--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -39,6 +39,7 @@
   // whether it contains observations of this host.
   std::function<void(PromptCrashEvidence, bool)> mOnPromptCrashes;
   bool mPromptCrashesDue = false;
+  Instant mPromptCrashesSentAt;
   bool mOwnPromptCrashes = false;
   CacheHints mCacheHints;
   std::map<ServiceId, PrefillRate> mPrefillRates;
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -63,7 +63,8 @@
   }
   aState.mLoop.CallAt(SuspendAwareNow() + kCrashReportDelay, [&aState] {
     aState.mPromptCrashesDue = false;
-    aState.mOnPromptCrashes(EvidenceToReport(aState.mPromptCrashes, SuspendAwareNow()),
+    const Instant since = std::exchange(aState.mPromptCrashesSentAt, SuspendAwareNow());
+    aState.mOnPromptCrashes(EvidenceChangedSince(aState.mPromptCrashes, since),
                             std::exchange(aState.mOwnPromptCrashes, false));
   });
 }
--- a/trefoil/request/prompt_crash_tracker.cc
+++ b/trefoil/request/prompt_crash_tracker.cc
@@ -93,7 +93,8 @@
   }
   refusal = { .mUntil = aNow + std::min<Instant::duration>(duration, kMaxPartRefusal),
               .mGeneration = refusal.mGeneration + 1,
-              .mLevel = level + 1 };
+              .mLevel = level + 1,
+              .mChangedAt = aNow };
 }
 
 // Refuses the parts again that crashed a server after their refusal had ended.
@@ -212,7 +213,7 @@
   if (!isNew && !partsChanged && !disproved) {
     return false;
   }
-  crash->mReportUntil = aNow + kReportTime;
+  crash->mChangedAt = aNow;
   return true;
 }
 
@@ -232,7 +233,7 @@
     known = aRefusal;
   }
   known.mAnswered = known.mAnswered || isAnswered;
-  known.mReportUntil = aNow + kReportTime;
+  known.mChangedAt = aNow;
   return true;
 }
 
@@ -280,14 +281,14 @@
       const auto part = crash.mParts.find(key);
       if (part != crash.mParts.end() && IsBlamed(crash, part->second)) {
         part->second = PartStanding::kAnsweredAfter;
-        crash.mReportUntil = aNow + kReportTime;
+        crash.mChangedAt = aNow;
         isNews = true;
       }
     }
     const auto refusal = aTracker.mRefusals.find(key);
     if (refusal != aTracker.mRefusals.end() && !refusal->second.mAnswered) {
       refusal->second.mAnswered = true;
-      refusal->second.mReportUntil = aNow + kReportTime;
+      refusal->second.mChangedAt = aNow;
       isNews = true;
     }
   }
@@ -306,7 +307,7 @@
     if (crash.mServer == aServer && !crash.mDisproved && aNow - crash.mAt > kMaxAnswerDelay &&
         aNow - crash.mAt < kMinDowntime) {
       crash.mDisproved = true;
-      crash.mReportUntil = aNow + kReportTime;
+      crash.mChangedAt = aNow;
       isNews = true;
     }
   }
@@ -315,18 +316,29 @@
 
 PromptCrashEvidence
 EvidenceToReport(const PromptCrashTracker& aTracker, Instant aNow)
+{
+  PromptCrashEvidence evidence = EvidenceChangedSince(aTracker, aNow - kReportTime);
+  for (const auto& [part, refusal] : aTracker.mRefusals) {
+    if (!refusal.mAnswered && !HasPassed(refusal.mUntil, aNow)) {
+      evidence.mRefusals[part] = refusal;
+    }
+  }
+  return evidence;
+}
+
+PromptCrashEvidence
+EvidenceChangedSince(const PromptCrashTracker& aTracker, Instant aSince)
 {
   PromptCrashEvidence evidence;
   for (auto crash = aTracker.mCrashes.rbegin();
        crash != aTracker.mCrashes.rend() && evidence.mCrashes.size() < kMaxReportedCrashes;
        ++crash) {
-    if (!HasPassed(crash->mReportUntil, aNow)) {
+    if (crash->mChangedAt >= aSince) {
       evidence.mCrashes.push_back(*crash);
     }
   }
   for (const auto& [part, refusal] : aTracker.mRefusals) {
-    const bool isInForce = !refusal.mAnswered && !HasPassed(refusal.mUntil, aNow);
-    if (isInForce || !HasPassed(refusal.mReportUntil, aNow)) {
+    if (refusal.mChangedAt >= aSince) {
       evidence.mRefusals[part] = refusal;
     }
   }
--- a/trefoil/request/prompt_crash_tracker.h
+++ b/trefoil/request/prompt_crash_tracker.h
@@ -73,8 +73,8 @@
   std::map<PromptPartKey, PartStanding> mParts;
   // Whether the server has answered since on an older connection, so that it did not crash.
   bool mDisproved = false;
-  // Until when the crash is reported to other hosts.
-  Instant mReportUntil;
+  // When this host last learned something new of it.
+  Instant mChangedAt;
 };
 
 struct PartRefusal
@@ -86,8 +86,8 @@
   std::int64_t mLevel = 0;
   // Whether a request with the part has been answered since, which ends the refusal.
   bool mAnswered = false;
-  // Until when a refusal that has ended is reported to other hosts.
-  Instant mReportUntil;
+  // When it last changed on this host.
+  Instant mChangedAt;
 };
 
 struct PromptCrashTracker
@@ -100,7 +100,7 @@
   std::map<PromptPartKey, PartRefusal> mRefusals;
 };
 
-// What a host reports to others. mReportUntil is not used.
+// What a host reports to others. mChangedAt is not used.
 struct PromptCrashEvidence
 {
   std::vector<PromptCrash> mCrashes;
@@ -134,10 +134,15 @@
 bool
 RecordServerAnswer(PromptCrashTracker& aTracker, const BackendServerId& aServer, Instant aNow);
 
-// Returns the evidence to send to other hosts.
+// Returns the evidence to send to other hosts regularly: what has changed recently, since a
+// datagram can be lost, and the refusals in force, for hosts that start.
 PromptCrashEvidence
 EvidenceToReport(const PromptCrashTracker& aTracker, Instant aNow);
 
+// Returns the evidence that has changed since `aSince`, to send at once.
+PromptCrashEvidence
+EvidenceChangedSince(const PromptCrashTracker& aTracker, Instant aSince);
+
 // Applies the evidence of another host. Returns whether it contained something new.
 bool
 MergeEvidence(PromptCrashTracker& aTracker, const PromptCrashEvidence& aEvidence, Instant aNow);
--- a/trefoil/request/prompt_crash_tracker_test.cc
+++ b/trefoil/request/prompt_crash_tracker_test.cc
@@ -171,6 +171,26 @@
   }
 }
 
+// Guards against links that are full of evidence that the receivers already have.
+SCENARIO("a host observes many crashes one after the other")
+{
+  PromptCrashTracker tracker;
+  for (int i = 0; i < 20; ++i) {
+    RecordPromptCrash(
+      tracker, Server(i), { kTemplate + i }, NewId(), kStart + i * Milliseconds{ 20 });
+  }
+  const Instant sentAt = kStart + 20 * Milliseconds{ 20 };
+  RecordPromptCrash(tracker, Server(20), { kTemplate }, NewId(), sentAt + Milliseconds{ 20 });
+  THEN("only the new one is sent at once, and all are repeated regularly for a few seconds")
+  {
+    const auto changed = EvidenceChangedSince(tracker, sentAt);
+    REQUIRE(changed.mCrashes.size() == 1);
+    CHECK(changed.mCrashes.front().mServer == Server(20));
+    CHECK(EvidenceToReport(tracker, sentAt + kSecond).mCrashes.size() == 21);
+    CHECK(EvidenceToReport(tracker, sentAt + 10 * kSecond).Empty());
+  }
+}
+
 SCENARIO("each host observes other crashes")
 {
   std::vector<PromptCrashTracker> hosts(4);
--- a/trefoil/steering/internal/peer_messages.cc
+++ b/trefoil/steering/internal/peer_messages.cc
@@ -167,6 +167,25 @@
   }
 }
 
+// Sends the update to all other hosts.
+void
+SendUpdateToPeers(SteeringState& aState, HostReport aReport)
+{
+  // The usage of the holder itself is sent to all hosts, since no other host forwards it.
+  for (const bool withUsage : { true, false }) {
+    if (!withUsage) {
+      aReport.mUpdate.mUsage.clear();
+    }
+    const std::string full = Encode(aReport);
+    const std::string updateAlone = Encode(aReport.mUpdate);
+    for (const auto& [to, recipient] : TrafficUpdateRecipients(aState.mPeers, SuspendAwareNow())) {
+      if ((recipient.mNeedsUsage || aState.mHoldsDuties) == withUsage) {
+        SendBytes(aState, to, recipient.mTakesReports ? full : updateAlone);
+      }
+    }
+  }
+}
+
 } // namespace
 
 void
@@ -186,25 +205,14 @@
 void
 SendTrafficUpdate(SteeringState& aState)
 {
-  SendPromptCrashes(aState, aState.mReport.mPromptCrashes, true);
   HostReport report = MakeHostReport(aState);
   if (UsesAggregation(aState.mPeers)) {
     SendAggregatedUpdate(aState, report);
-    return;
-  }
-  // The usage of the holder itself is sent to all hosts, since no other host forwards it.
-  for (const bool withUsage : { true, false }) {
-    if (!withUsage) {
-      report.mUpdate.mUsage.clear();
-    }
-    const std::string full = Encode(report);
-    const std::string updateAlone = Encode(report.mUpdate);
-    for (const auto& [to, recipient] : TrafficUpdateRecipients(aState.mPeers, SuspendAwareNow())) {
-      if ((recipient.mNeedsUsage || aState.mHoldsDuties) == withUsage) {
-        SendBytes(aState, to, recipient.mTakesReports ? full : updateAlone);
-      }
-    }
+  } else {
+    SendUpdateToPeers(aState, std::move(report));
   }
+  // Sent last: a full link loses what is sent last, and the quotas depend on the updates.
+  SendPromptCrashes(aState, aState.mReport.mPromptCrashes, true);
 }
 
 void
