--- a/trefoil/steering/totals_messages.cc
+++ b/trefoil/steering/totals_messages.cc
@@ -177,7 +177,9 @@
   constexpr std::array<std::size_t, 4> kFirstQuarters{ 0, 2, 1, 3 };
   const std::size_t first =
     aMembers.size() * kFirstQuarters[aSequence % kFirstQuarters.size()] / kFirstQuarters.size();
-  std::ranges::rotate(aMembers, aMembers.begin() + static_cast<std::ptrdiff_t>(first));
+  // Not the ranges version: clang 14 rejects it with this library.
+  std::rotate(
+    aMembers.begin(), aMembers.begin() + static_cast<std::ptrdiff_t>(first), aMembers.end());
 }
 
 // Returns how far the median wall clock of the zone is ahead of this host's.
