Spread the totals of an aggregator over half of the update interval

Cause: an aggregator sends some twenty datagrams of up to 7 KB in one burst. Links carry 10 Mbit/s in places and hold little; what does not fit is lost, while the link is idle for the rest of the half second.

Evidence: in the zone that is cut off, lima-e, hosts reckon with 5.4 to 8 million tokens asked for a second from 8.5 to 12 s, a third of the 16 to 17 million that is asked, and with 5 to 9 of 15 hosts in contact (`quota_share` 0.07 to 0.12); they admit twice the zone's share.

Change: totals wait in a queue and are sent in ten slices, 25 ms apart; they are encoded then, and their wall clock is that of the sending. A host that leaves sends them at once. The propagation time that quotas reckon with is four intervals, of which this takes half of one a hop.

Ruled out: dropping crash reports from the totals.

--- a/trefoil/steering/internal/aggregation_messages.cc
+++ b/trefoil/steering/internal/aggregation_messages.cc
@@ -125,10 +125,8 @@
     SendUsageToHolder(aState, aReport);
   }
   PeerUpdate added;
-  for (const Datagram& datagram :
-       MakeTotalsMessages(aState.mPeers, aState.mAggregation, aReport, added, WallNow(), now)) {
-    SendDatagram(aState, datagram.mTo, datagram.mMessage);
-  }
+  SendTotals(
+    aState, MakeTotalsMessages(aState.mPeers, aState.mAggregation, aReport, added, WallNow(), now));
   AddToPeerUpdate(aState, added);
 }
 
--- a/trefoil/steering/internal/datagrams.h
+++ b/trefoil/steering/internal/datagrams.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "trefoil/steering/steering_state.h"
+#include "trefoil/steering/totals_messages.h"
 #include "trefoil/wire/message.h"
 
 #include <string_view>
@@ -17,4 +18,9 @@
 void
 SendDatagram(SteeringState& aState, const Endpoint& aTo, const Message& aMessage);
 
+// Sends totals over a part of the update interval, since many at once exceed what a link carries.
+// While the host leaves, they are sent at once.
+void
+SendTotals(SteeringState& aState, const Datagrams& aTotals);
+
 } // namespace trefoil
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -9,6 +9,7 @@
 #include "trefoil/steering/prefix_watch.h"
 #include "trefoil/steering/scaling.h"
 #include "trefoil/steering/store_relay.h"
+#include "trefoil/steering/totals_messages.h"
 #include "trefoil/steering/usage_duty.h"
 #include "trefoil/steering/version_moves.h"
 
@@ -60,6 +61,11 @@
   // to the hosts of its zone.
   std::vector<DispatchUpdate> mDispatchesForZones;
   std::vector<DispatchUpdate> mDispatchesForMembers;
+  // Totals to send, and when they were made.
+  std::deque<std::pair<Instant, Datagram>> mWaitingTotals;
+  std::size_t mTotalsPerSlice = 0;
+  // Whether the next slice of totals is scheduled.
+  bool mSendsTotals = false;
   Instant mRecordsWrittenAt;
   // Whether the record of refused parts of prompts, as this host read or would have written it
   // last, has any.
