Bound the routes that versions are compared by

What callers saw: nothing yet; found by reading.

Cause: hosts sent two counters for each route and version, and the number of routes is the operators'.

Change: the first 32 routes of the catalogue are counted by name, all others together. So messages have at most 66 counters more a version.

forward_path_test, `a service with very many routes moves to another version`, fails without the bound (98 entries, 30 expected).

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -116,13 +116,30 @@
                      .mRevision = 1 });
   }
 
+  // Adds routes with no other purpose than to be many; `/many-N/` for N from 0.
+  void AddManyRoutes(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      mCatalogue.mRoutes.push_back({ .mName = fmt::format("many-{}", i),
+                                     .mHost = "h.example",
+                                     .mPathPrefix = fmt::format("/many-{}/", i),
+                                     .mTimeout = Milliseconds{ 8'000 },
+                                     .mTargets = { { .mService = ServiceId{ "s" } } },
+                                     .mAttempts = 2 });
+    }
+  }
+
+  // Moves the service to a version that none of its servers has yet.
+  void OrderMove() { mSteering[ServiceId{ "s" }] = { .mTarget = VersionId{ "v2" } }; }
+
   void Publish(Instant aConfirmedAt = SuspendAwareNow())
   {
     mTraffic->Publish(std::make_shared<TrafficView>(
       TrafficView{ .mCatalogue = std::make_shared<PublishedCatalogue>(
                      PublishedCatalogue{ mCatalogue, MakeCatalogueIndex(mCatalogue) }),
                    .mServers = std::make_shared<ServerRegistry>(mServers),
-                   .mConfirmedCurrentAt = aConfirmedAt }));
+                   .mConfirmedCurrentAt = aConfirmedAt,
+                   .mSteering = mSteering }));
   }
 
   TrafficReport Report()
@@ -151,6 +168,7 @@
 
   Catalogue mCatalogue;
   ServerRegistry mServers;
+  std::map<ServiceId, VersionSteering> mSteering;
 
 private:
   EventLog mLog{ "host-1" };
@@ -281,6 +299,54 @@
   }
 }
 
+// Guards against messages between hosts that grow with the number of routes.
+SCENARIO("a service with very many routes moves to another version")
+{
+  const ScriptedServer server{ [](const ReceivedRequest& aRequest) {
+    return Reply{ .mBytes = MakeSealedAnswer(aRequest, 200, "ok") };
+  } };
+  Gateway gateway;
+  gateway.AddServer("e1", server);
+  gateway.AddManyRoutes(100);
+  const auto outcomes = [&gateway] {
+    const TrafficReport report = gateway.Report();
+    return report.mOutcomes.at(ServiceId{ "s" }).begin()->second;
+  };
+  const auto askAll = [&gateway] {
+    Client client = gateway.Connect();
+    client.Send(MakeRequest("read", "id-read"));
+    CHECK(client.Read().mStatus == 200);
+    for (int i = 0; i < 100; ++i) {
+      client.Send(MakeRequest(fmt::format("many-{}", i), fmt::format("id-{}", i)));
+      CHECK(client.Read().mStatus == 200);
+    }
+  };
+  WHEN("no move is ordered")
+  {
+    gateway.Publish();
+    askAll();
+    THEN("nothing is counted by route")
+    {
+      CHECK(outcomes().mServed == 101);
+      CHECK(outcomes().mRoutes.empty());
+    }
+  }
+  WHEN("a move is ordered")
+  {
+    gateway.OrderMove();
+    gateway.Publish();
+    askAll();
+    THEN("the first routes are counted by name, and the others together")
+    {
+      const auto routes = outcomes().mRoutes;
+      // Three of the first routes have no requests.
+      CHECK(routes.size() == kMaxRoutesCounted - 3 + 1);
+      CHECK(routes.at("read").mServed == 1);
+      CHECK(routes.at("").mServed == 100 + 4 - kMaxRoutesCounted);
+    }
+  }
+}
+
 SCENARIO("a backend server closes the connection without an answer")
 {
   ScriptedServer broken{ [](const ReceivedRequest&) { return Reply{ .mClose = true }; } };
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -292,13 +292,16 @@
 void
 Exchange::CountForRoute(const Attempt& aAttempt, int aServed)
 {
-  if (mState.mView->mSteering.contains(mService)) {
-    RouteOutcomes& outcomes =
-      mState.mOutcomes[mService][aAttempt.mServer.mVersion].mRoutes[mRoute->mName];
-    outcomes.mServed += aServed;
-    outcomes.mSpentMs +=
-      std::chrono::duration<double, std::milli>(SuspendAwareNow() - aAttempt.mSentAt).count();
+  if (!mState.mView->mSteering.contains(mService)) {
+    return;
   }
+  const std::ptrdiff_t position = mRoute - mCatalogue->mCatalogue.mRoutes.data();
+  RouteOutcomes& outcomes =
+    mState.mOutcomes[mService][aAttempt.mServer.mVersion]
+      .mRoutes[position < kMaxRoutesCounted ? mRoute->mName : std::string{}];
+  outcomes.mServed += aServed;
+  outcomes.mSpentMs +=
+    std::chrono::duration<double, std::milli>(SuspendAwareNow() - aAttempt.mSentAt).count();
 }
 
 void
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -11,6 +11,7 @@
 #include "trefoil/request/crash_tracker.h"
 #include "trefoil/request/prompt_crash_tracker.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -74,6 +75,9 @@
 // numbered from the Unix epoch.
 using UsageWindows = std::map<std::int64_t, std::map<ClientAccountId, std::int64_t>>;
 
+// Hosts exchange the outcomes of each of these, so their number bounds the size of messages.
+inline constexpr std::ptrdiff_t kMaxRoutesCounted = 32;
+
 // The requests of one route to one version of a service.
 struct RouteOutcomes
 {
@@ -90,7 +94,8 @@
   std::int64_t mFailed = 0;
   // Sum of the latencies of the served requests, to compute their mean.
   double mLatencyMs = 0;
-  // By the name of the route. Counted from the first order of a move of the service on.
+  // By the name of the route; the first kMaxRoutesCounted of the catalogue, and "" for the others.
+  // Counted from the first order of a move of the service on.
   std::map<std::string, RouteOutcomes> mRoutes;
 };
 
