--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -212,8 +212,9 @@
   ArmSilenceTimer();
 }
 
-// Returns whether the connection ended within or before the events of a stream without a length.
-// A resumed stream needs an event, too: without one, its end cannot be told from a crash.
+// Returns whether an answer that ends with its connection is a stream that was cut off: within an
+// event, or before the first one of this attempt, where its end cannot be told from a crash. A
+// stream with a length or chunks can end without an event, if it was resumed after the last one.
 bool
 Exchange::IsCutOffStream() const
 {
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -287,8 +287,8 @@
   return attempt;
 }
 
-// Counts an attempt that has ended toward the times of its route if the service moves to another
-// version. `aServed` is 1 if the request was served, otherwise 0.
+// Adds the time of an attempt that has ended to that of its route and version, if a move of the
+// service was ordered. `aServed` is 1 if the request was served, otherwise 0.
 void
 Exchange::CountForRoute(const Attempt& aAttempt, int aServed)
 {
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -39,6 +39,7 @@
   // whether it contains observations of this host.
   std::function<void(PromptCrashEvidence, bool)> mOnPromptCrashes;
   bool mPromptCrashesDue = false;
+  // When evidence was last passed to mOnPromptCrashes.
   Instant mPromptCrashesSentAt;
   bool mOwnPromptCrashes = false;
   CacheHints mCacheHints;
--- a/trefoil/steering/internal/datagrams.cc
+++ b/trefoil/steering/internal/datagrams.cc
@@ -4,17 +4,17 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
-#include <algorithm>
-#include <utility>
 
 namespace trefoil {
 namespace {
 
-// Totals are sent in this number of slices at this interval, together half of the update interval.
+// The totals of a round are sent in this number of slices, which are this far apart. Together they
+// take half of the update interval of fleets that use aggregation.
 constexpr std::size_t kTotalsSlices = 10;
 constexpr Milliseconds kSliceInterval{ 25 };
 
-// Sends the next slice of the totals that wait, and the following ones later.
+// Sends the next slice of the totals that wait and schedules the one after it. A scheduled call
+// that finds none waiting has no effect.
 void
 SendTotalsSlice(SteeringState& aState)
 {
@@ -22,7 +22,7 @@
   for (std::size_t i = 0; i < aState.mTotalsPerSlice && !aState.mWaitingTotals.empty(); ++i) {
     auto& [madeAt, datagram] = aState.mWaitingTotals.front();
     if (auto* totals = std::get_if<TotalsMessage>(&datagram.mMessage)) {
-      // The receivers read their clock offset from it.
+      // Receivers derive the offset of their clock from it when they get it.
       totals->mWallMs += std::chrono::duration_cast<Milliseconds>(now - madeAt).count();
     }
     SendDatagram(aState, datagram.mTo, datagram.mMessage);
--- a/trefoil/steering/internal/peer_messages.cc
+++ b/trefoil/steering/internal/peer_messages.cc
@@ -211,7 +211,8 @@
   } else {
     SendUpdateToPeers(aState, std::move(report));
   }
-  // Sent last: a full link loses what is sent last, and the quotas depend on the updates.
+  // After the updates, or the first of the totals: a full link loses what is sent last, and the
+  // quotas depend on these.
   SendPromptCrashes(aState, aState.mReport.mPromptCrashes, true);
 }
 
--- a/trefoil/steering/totals_messages.cc
+++ b/trefoil/steering/totals_messages.cc
@@ -177,7 +177,7 @@
   constexpr std::array<std::size_t, 4> kFirstQuarters{ 0, 2, 1, 3 };
   const std::size_t first =
     aMembers.size() * kFirstQuarters[aSequence % kFirstQuarters.size()] / kFirstQuarters.size();
-  // Not the ranges version: clang 14 rejects it with this library.
+  // clang-tidy 14 cannot compile std::ranges::rotate.
   std::rotate(
     aMembers.begin(), aMembers.begin() + static_cast<std::ptrdiff_t>(first), aMembers.end());
 }
