Render the shared records on the host that writes them only

Nothing that callers saw; found by reading the whole change once more. Only what the other hosts need to know, whether any part is refused, is still computed everywhere. The condition under which a refusal is in force stood in three places and is one function (IsInForce); a test of forward_path spelled out a request that MakeRequest makes. Behaviour and assertions stay.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -573,8 +573,7 @@
 
 SCENARIO("a stream has neither a length nor chunks and ends with its connection")
 {
-  const std::string request = "POST /live/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: "
-                              "4\r\nAuthorization: Token k\r\nContent-Length: 0\r\n\r\n";
+  const std::string request = MakeRequest("live", "id-1");
   std::string body = "id: 1\ndata: d1\n\n";
   const ScriptedServer server{ [&body](const ReceivedRequest& aRequest) {
     return Reply{ .mBytes = MakeUnframedStreamStart(aRequest) + body, .mClose = true };
--- a/trefoil/request/prompt_crash_tracker.cc
+++ b/trefoil/request/prompt_crash_tracker.cc
@@ -239,6 +239,12 @@
 
 } // namespace
 
+bool
+IsInForce(const PartRefusal& aRefusal, Instant aNow)
+{
+  return !aRefusal.mAnswered && !HasPassed(aRefusal.mUntil, aNow);
+}
+
 PromptPartKey
 PromptPartKeyOf(const ServiceId& aService, std::string_view aPartId)
 {
@@ -319,7 +325,7 @@
 {
   PromptCrashEvidence evidence = EvidenceChangedSince(aTracker, aNow - kReportTime);
   for (const auto& [part, refusal] : aTracker.mRefusals) {
-    if (!refusal.mAnswered && !HasPassed(refusal.mUntil, aNow)) {
+    if (IsInForce(refusal, aNow)) {
       evidence.mRefusals[part] = refusal;
     }
   }
@@ -374,8 +380,7 @@
   }
   for (const PromptPartKey part : aParts) {
     const auto refusal = aTracker.mRefusals.find(part);
-    if (refusal != aTracker.mRefusals.end() && !refusal->second.mAnswered &&
-        !HasPassed(refusal->second.mUntil, aNow)) {
+    if (refusal != aTracker.mRefusals.end() && IsInForce(refusal->second, aNow)) {
       until = std::max(until.value_or(aNow), refusal->second.mUntil);
     }
   }
--- a/trefoil/request/prompt_crash_tracker.h
+++ b/trefoil/request/prompt_crash_tracker.h
@@ -109,6 +109,10 @@
   bool Empty() const { return mCrashes.empty() && mRefusals.empty(); }
 };
 
+// Returns whether requests with the part are refused at `aNow`.
+bool
+IsInForce(const PartRefusal& aRefusal, Instant aNow);
+
 PromptPartKey
 PromptPartKeyOf(const ServiceId& aService, std::string_view aPartId);
 
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -329,20 +329,6 @@
   aState.mTraffic.ApplyPromptCrashes({ .mRefusals = *record });
 }
 
-// Adds the refused parts of prompts to `aCommit`. Once none is left, an empty record replaces the
-// last one.
-void
-AddPromptRefusals(SteeringState& aState, Commit& aCommit)
-{
-  const ClockReading clock = ReadClocks(aState);
-  const PromptRefusalRecord record =
-    RefusalsInForce(aState.mReport.mPromptCrashes.mRefusals, clock.mNow);
-  if (std::exchange(aState.mHasPromptRefusals, !record.empty()) || !record.empty()) {
-    aCommit.mWrites.push_back(
-      { .mKey = kPromptRefusalRecordKey, .mValue = RenderPromptRefusalRecord(record, clock) });
-  }
-}
-
 // Adds the levels of the quotas and the demand on them to `aCommit`.
 void
 AddQuotas(const SteeringState& aState, Commit& aCommit)
@@ -384,11 +370,22 @@
 void
 WriteSharedRecords(SteeringState& aState)
 {
-  const Instant now = SuspendAwareNow();
+  const ClockReading clock = ReadClocks(aState);
+  const Instant now = clock.mNow;
+  const PromptRefusalRecord refusals =
+    RefusalsInForce(aState.mReport.mPromptCrashes.mRefusals, now);
+  const bool hadRefusals = std::exchange(aState.mHasPromptRefusals, !refusals.empty());
+  if (!IsSharedRecordWriter(aState.mPeers, aState.mAggregation, now)) {
+    return;
+  }
   Commit commit;
   AddQuotas(aState, commit);
-  AddPromptRefusals(aState, commit);
-  if (commit.mWrites.empty() || !IsSharedRecordWriter(aState.mPeers, aState.mAggregation, now)) {
+  // Once no part is refused, an empty record replaces the last one.
+  if (hadRefusals || !refusals.empty()) {
+    commit.mWrites.push_back(
+      { .mKey = kPromptRefusalRecordKey, .mValue = RenderPromptRefusalRecord(refusals, clock) });
+  }
+  if (commit.mWrites.empty()) {
     return;
   }
   aState.mStore.Call(std::move(commit),
--- a/trefoil/steering/prompt_refusal_record.cc
+++ b/trefoil/steering/prompt_refusal_record.cc
@@ -16,7 +16,7 @@
 {
   PromptRefusalRecord record;
   for (const auto& [part, refusal] : aRefusals) {
-    if (!refusal.mAnswered && !HasPassed(refusal.mUntil, aNow)) {
+    if (IsInForce(refusal, aNow)) {
       record[part] = refusal;
     }
   }
