Read and log the limits that servers state

Cause: not yet shown. No code reads the header, and no log line tells what a server stated, so "ignored", "kept to by each host alone" and "repeats of rejected requests" cannot be told apart. Change: the forward codec reads Server-Limit; a host logs each change of what a server states (event=server_limited). No decision uses it yet.

--- a/trefoil/dispatch/server_choice.h
+++ b/trefoil/dispatch/server_choice.h
@@ -13,6 +13,7 @@
 
 #include "trefoil/catalogue/server_registry.h"
 #include "trefoil/dispatch/backlog.h"
+#include "trefoil/dispatch/server_limit.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -44,6 +45,8 @@
   Instant mLastServedAt;
   // Whether several other hosts report the server as broken.
   bool mReportedBroken = false;
+  // The limit that the last answer stated.
+  StatedLimit mStatedLimit;
 };
 
 // The status of the network path to an availability zone. If several of its servers fail at
--- a/trefoil/eventlog/event_log.h
+++ b/trefoil/eventlog/event_log.h
@@ -45,6 +45,7 @@
   kRequestCancelled,
   kAttemptFailed,
   kServerAvoided,
+  kServerLimited,
   kPromptPartRefused,
   kConfigurationApplied,
   kServersChanged,
@@ -59,7 +60,7 @@
   kLinesDropped,
 };
 
-inline constexpr NameTable<LogEvent, 23> kLogEventNames{ {
+inline constexpr NameTable<LogEvent, 24> kLogEventNames{ {
   { LogEvent::kStart, "start" },
   { LogEvent::kStop, "stop" },
   { LogEvent::kReload, "reload" },
@@ -71,6 +72,7 @@
   { LogEvent::kRequestCancelled, "request_cancelled" },
   { LogEvent::kAttemptFailed, "attempt_failed" },
   { LogEvent::kServerAvoided, "server_avoided" },
+  { LogEvent::kServerLimited, "server_limited" },
   { LogEvent::kPromptPartRefused, "prompt_part_refused" },
   { LogEvent::kConfigurationApplied, "configuration_in_force" },
   { LogEvent::kServersChanged, "servers_changed" },
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -156,6 +156,7 @@
   void OnServerBytes();
   void OnServerEnd(StreamEnd aEnd);
   bool CheckRequestHead();
+  void RecordStatedLimit();
   bool CheckBufferedBytes();
   void RelayEvents();
   void RecordAnswerBegun();
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -86,6 +86,9 @@
     OnAttemptFailed(AttemptFailure::kWrongServer);
     return false;
   }
+  if (attempt.mAnswerMetadata.mSealed || attempt.mAnswerMetadata.mNotRun) {
+    RecordStatedLimit();
+  }
   if (attempt.mAnswerMetadata.mNotRun) {
     OnAttemptFailed(AttemptFailure::kTurnedAway);
     return false;
@@ -98,6 +101,27 @@
   return true;
 }
 
+// Records the limit that the answer states for its server.
+void
+Exchange::RecordStatedLimit()
+{
+  const StatedLimit& stated = mAttempt->mAnswerMetadata.mLimit;
+  StatedLimit& known = StatusOfServer(mAttempt->mServer.mId).mStatedLimit;
+  if (stated == known) {
+    return;
+  }
+  mState.mLog.Write(LogSeverity::kNotable,
+                    LogEvent::kServerLimited,
+                    "server={} service={} statement={} per_second={:.3f} before={:.3f} id={}",
+                    mAttempt->mServer.mId.Value(),
+                    mService.Value(),
+                    NameOf(kLimitStatementNames, stated.mKind),
+                    stated.mPerSecond,
+                    known.mPerSecond,
+                    mMetadata.mRequestId);
+  known = stated;
+}
+
 // Counts the bytes of the answer that cannot be relayed yet. Returns false if there are too many of
 // them and the attempt has ended.
 bool
--- a/trefoil/forward/forward_codec.h
+++ b/trefoil/forward/forward_codec.h
@@ -7,6 +7,7 @@
 
 #include "trefoil/base/ids.h"
 #include "trefoil/base/instant.h"
+#include "trefoil/dispatch/server_limit.h"
 #include "trefoil/http/message.h"
 
 #include <cstdint>
@@ -66,6 +67,7 @@
   bool mWrongServer = false;
   // How long the server keeps the idle connection open; empty if it does not state it.
   std::optional<Milliseconds> mKeepAliveTimeout;
+  StatedLimit mLimit;
 };
 
 struct ForwardCodec
