Keep all hosts together within the limit that a server states

Cause: no decision used Server-Limit. Evidence: event=server_limited shows that most hosts have passed the limit on within 2 s and go on as before. Ruled out: that each host keeps to the limit alone, and repeats of rejected requests (the servers reject none). Change: a limit is divided into permits of about one request a second or more, and these among the listed hosts by rendezvous rank, so that hosts agree without exchanging counts. A server without a permit is no candidate. Where all are limited, the least urgent requests are rejected at once. Hosts tell each other what servers state. Why it works: the parts of all hosts add up to nine tenths of the limit and their bursts to the limit of one second, in touch or not; only hosts with different lists of hosts can exceed that, by the parts that move.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -139,6 +139,7 @@
                      PublishedCatalogue{ mCatalogue, MakeCatalogueIndex(mCatalogue) }),
                    .mServers = std::make_shared<ServerRegistry>(mServers),
                    .mConfirmedCurrentAt = aConfirmedAt,
+                   .mHostList = std::make_shared<std::vector<HostId>>(mHostList),
                    .mSteering = mSteering }));
   }
 
@@ -169,6 +170,7 @@
   Catalogue mCatalogue;
   ServerRegistry mServers;
   std::map<ServiceId, VersionSteering> mSteering;
+  std::vector<HostId> mHostList{ HostId{ "host-1" } };
 
 private:
   EventLog mLog{ "host-1" };
@@ -483,6 +485,100 @@
   }
 }
 
+// Guards against a server that gets more requests than the limit that it states (LIMIT).
+SCENARIO("a backend server states a limit on its requests")
+{
+  std::atomic<bool> limited{ true };
+  const auto answer = [&limited](const char* aHeader) {
+    return [&limited, aHeader](const ReceivedRequest& aRequest) {
+      return Reply{
+        .mBytes = MakeAnswer(
+          aRequest, 200, fmt::format("Response-Seal: s\r\n{}", limited ? aHeader : ""), "done")
+      };
+    };
+  };
+  const ScriptedServer first{ answer("Server-Limit: 2\r\n") };
+  const ScriptedServer second{ answer("Server-Limit: 2\r\n") };
+  const ScriptedServer unlimited{ answer("") };
+  Gateway gateway;
+  gateway.AddServer("e1", first);
+  const Instant start = SuspendAwareNow();
+  const auto permitted = [start] {
+    const double seconds = std::chrono::duration<double>(SuspendAwareNow() - start).count();
+    return 1.5 * 2 * std::max(4.0, seconds) + 5;
+  };
+  const auto received = [](const ScriptedServer& aServer) {
+    return static_cast<double>(aServer.ReceivedRequests().size());
+  };
+  // Sends requests one after the other and returns how many were served.
+  const auto ask = [&gateway](int aRequests) {
+    int served = 0;
+    for (int i = 0; i < aRequests; ++i) {
+      served += gateway.Ask("write", fmt::format("id-{}", i)).mStatus == 200 ? 1 : 0;
+    }
+    return served;
+  };
+  GIVEN("another server that states none")
+  {
+    gateway.AddServer("e2", unlimited);
+    gateway.Publish();
+    THEN("all requests are served and the limit is kept")
+    {
+      CHECK(ask(60) == 60);
+      CHECK(received(first) <= permitted());
+    }
+    THEN("the other hosts are told of the limit")
+    {
+      ask(10);
+      const TrafficReport report = gateway.Report();
+      REQUIRE(report.mLimits.size() == 1);
+      CHECK(report.mLimits.front().mServer == BackendServerId{ "e1" });
+      CHECK(report.mLimits.front().mStated == StatedLimit{ LimitStatement::kLimited, 2 });
+    }
+    WHEN("another host reports that the limit has ended")
+    {
+      ask(20);
+      limited = false;
+      const double before = received(first);
+      gateway.Thread().ApplyLimits(
+        { { .mServer = BackendServerId{ "e1" }, .mStatedAt = SuspendAwareNow() } });
+      ask(40);
+      THEN("the server gets its share of the requests again")
+      {
+        CHECK(received(first) - before >= 10);
+      }
+    }
+    WHEN("the limit is divided among so many hosts that this one gets no part of it")
+    {
+      for (int i = 2; i < 300; ++i) {
+        gateway.mHostList.emplace_back(fmt::format("host-{}", i));
+      }
+      gateway.Publish();
+      THEN("the server gets no more requests than are under way when it states the limit")
+      {
+        CHECK(ask(60) == 60);
+        CHECK(received(first) <= 5);
+      }
+    }
+  }
+  GIVEN("only servers that state one")
+  {
+    gateway.AddServer("e2", second);
+    gateway.Publish();
+    const int served = ask(60);
+    THEN("the limits are kept and the rest is rejected as not run, with the time to return")
+    {
+      CHECK(received(first) <= permitted());
+      CHECK(received(second) <= permitted());
+      CHECK(served == static_cast<int>(received(first) + received(second)));
+      const ReceivedAnswer answered = gateway.Ask("write", "id-last");
+      CHECK(answered.mStatus == 503);
+      CHECK(answered.mBody == "servers_limited\n");
+      CHECK_FALSE(HeaderValue(answered.mHeaders, "Retry-After").empty());
+    }
+  }
+}
+
 SCENARIO("a backend server sends two answers to one request")
 {
   ScriptedServer server{ [](const ReceivedRequest& aRequest) {
--- a/trefoil/dispatch/server_choice.h
+++ b/trefoil/dispatch/server_choice.h
@@ -45,8 +45,7 @@
   Instant mLastServedAt;
   // Whether several other hosts report the server as broken.
   bool mReportedBroken = false;
-  // The limit that the last answer stated.
-  StatedLimit mStatedLimit;
+  ServerLimit mLimit;
 };
 
 // The status of the network path to an availability zone. If several of its servers fail at
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -34,12 +34,13 @@
   kPromptCrashesServers,
   kNoServer,
   kServersFull,
+  kServersLimited,
   kServerUnreachable,
   kBrokenAnswer,
   kDeadlineExceeded,
 };
 
-inline constexpr NameTable<RefusalReason, 13> kRefusalReasonNames{ {
+inline constexpr NameTable<RefusalReason, 14> kRefusalReasonNames{ {
   { RefusalReason::kNoConfiguration, "no_configuration" },
   { RefusalReason::kStaleConfiguration, "old_configuration" },
   { RefusalReason::kNoRoute, "no_route" },
@@ -50,6 +51,7 @@
   { RefusalReason::kPromptCrashesServers, "prompt_crashes_servers" },
   { RefusalReason::kNoServer, "no_server" },
   { RefusalReason::kServersFull, "servers_full" },
+  { RefusalReason::kServersLimited, "servers_limited" },
   { RefusalReason::kServerUnreachable, "server_unreachable" },
   { RefusalReason::kBrokenAnswer, "broken_answer" },
   { RefusalReason::kDeadlineExceeded, "out_of_time" },
@@ -149,6 +151,9 @@
   void RecordPromptDemand();
   void TryNextServer();
   std::optional<RegisteredServer> SelectServer();
+  bool UseLimits(std::vector<ServerCandidate>& aCandidates);
+  double MoreUrgentShare() const;
+  int Priority() const;
   void SendTo(const RegisteredServer& aServer);
   MessageReader ResponseReader() const;
   std::string BuildRequest(const RegisteredServer& aServer, Milliseconds aTimeLeft) const;
@@ -186,6 +191,7 @@
   void End();
   Milliseconds TimeLeft() const;
   Milliseconds RetryAfter(Milliseconds aDelay) const;
+  Milliseconds DelayOfRetry();
   void ReportCrash();
   void ReportPromptCrash();
   void ReportPromptAnswer();
@@ -219,6 +225,9 @@
   // Number of ended attempts in which the server may have run the request, and of all dispatches.
   int mPossibleRuns = 0;
   int mDispatches = 0;
+  // Set if the last selection found no server because of their limits: when one of them accepts a
+  // request of this host again.
+  std::optional<Instant> mLimitedUntil;
   EventSplitter mEvents;
   bool mStreaming = false;
   // Describes the last selected server. mAnswerBegunAt is when the first answer began.
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -101,25 +101,35 @@
   return true;
 }
 
-// Records the limit that the answer states for its server.
+// Records the limit that the answer states for its server, or that it states none.
 void
 Exchange::RecordStatedLimit()
 {
+  const RegisteredServer& server = mAttempt->mServer;
   const StatedLimit& stated = mAttempt->mAnswerMetadata.mLimit;
-  StatedLimit& known = StatusOfServer(mAttempt->mServer.mId).mStatedLimit;
-  if (stated == known) {
+  ServerLimit& limit = StatusOfServer(server.mId).mLimit;
+  const double before = limit.mStated.mPerSecond;
+  if (!ObserveLimit(limit,
+                    { .mIncarnation = server.mIncarnation,
+                      .mStated = stated,
+                      .mRequestSentAt = mAttempt->mSentAt,
+                      .mRandomValue = std::generate_canonical<double, 32>(mState.mRandom) },
+                    SuspendAwareNow())) {
     return;
   }
+  ReportLimit(mState, server.mId);
+  const RefillRate part = OwnPartOfLimit(mState, server.mId, limit);
   mState.mLog.Write(LogSeverity::kNotable,
                     LogEvent::kServerLimited,
-                    "server={} service={} statement={} per_second={:.3f} before={:.3f} id={}",
-                    mAttempt->mServer.mId.Value(),
+                    "server={} service={} statement={} per_second={:.3f} before={:.3f} "
+                    "own_per_second={:.3f} id={}",
+                    server.mId.Value(),
                     mService.Value(),
                     NameOf(kLimitStatementNames, stated.mKind),
                     stated.mPerSecond,
-                    known.mPerSecond,
+                    before,
+                    stated.mKind == LimitStatement::kLimited ? part.mPerSecond : 0.0,
                     mMetadata.mRequestId);
-  known = stated;
 }
 
 // Counts the bytes of the answer that cannot be relayed yet. Returns false if there are too many of
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -32,6 +32,9 @@
 constexpr Milliseconds kMinStreamSilence{ 1'200 };
 // Limits the length of a log line.
 constexpr std::size_t kMaxLoggedParts = 8;
+// Retry-After value if this host may use none of the service's servers because of their limits, as
+// other hosts may.
+constexpr Milliseconds kRetryAfterNoPermit{ 500 };
 // A stream is considered silent after this multiple of the event gap goal.
 constexpr int kSilenceGapFactor = 4;
 
@@ -69,6 +72,9 @@
                            .mAvoided = server->mRemovalUnconfirmed ||
                                        !HasPassed(mState.mZones[server->mZone].mAvoidUntil, now) });
   }
+  if (!UseLimits(candidates)) {
+    return std::nullopt;
+  }
   AvoidReportedBroken(candidates, now);
   const auto chosen =
     ChooseServer(candidates,
@@ -84,10 +90,68 @@
   return *candidates[*chosen].mServer;
 }
 
+// Removes the candidates that may get no request of this host now because of their limits. Returns
+// false if there is none left because of that, or if all are limited and what they still accept is
+// kept for more urgent requests.
+bool
+Exchange::UseLimits(std::vector<ServerCandidate>& aCandidates)
+{
+  const Instant now = SuspendAwareNow();
+  PermitSum permits;
+  bool allLimited = !aCandidates.empty();
+  std::erase_if(aCandidates, [&](const ServerCandidate& aItem) {
+    ServerLimit& limit = StatusOfServer(aItem.mServer->mId).mLimit;
+    if (!IsLimited(limit, now)) {
+      allLimited = false;
+      return false;
+    }
+    const RefillRate part = OwnPartOfLimit(mState, aItem.mServer->mId, limit);
+    const bool hasPermit = HasPermit(limit, part, now);
+    AddPermits(permits, limit, part);
+    return !hasPermit;
+  });
+  mLimitedUntil.reset();
+  // Work that has begun is finished before new requests are accepted.
+  const double moreUrgent = mDispatches > 0 ? 0.0 : MoreUrgentShare();
+  if (allLimited && (aCandidates.empty() || !CoversUrgency(permits, moreUrgent))) {
+    mLimitedUntil = now + permits.mNextIn.value_or(kRetryAfterNoPermit);
+    return false;
+  }
+  return true;
+}
+
+// Returns the share of the priorities of the service's routes that are more urgent than that of
+// this request.
+double
+Exchange::MoreUrgentShare() const
+{
+  std::set<int> priorities;
+  for (const Route& route : mCatalogue->mCatalogue.mRoutes) {
+    if (std::ranges::any_of(route.mTargets, [this](const RouteTarget& aTarget) {
+          return aTarget.mService == mService;
+        })) {
+      priorities.insert(route.mPriority);
+    }
+  }
+  const auto moreUrgent = std::distance(priorities.begin(), priorities.lower_bound(Priority()));
+  return static_cast<double>(moreUrgent) / static_cast<double>(priorities.size() + 1);
+}
+
+int
+Exchange::Priority() const
+{
+  return mAccount != nullptr && mAccount->mPriority.has_value() ? *mAccount->mPriority
+                                                                : mRoute->mPriority;
+}
+
 void
 Exchange::TryNextServer()
 {
   const auto server = SelectServer();
+  if (!server.has_value() && mLimitedUntil.has_value()) {
+    FailRequest(RefusalReason::kServersLimited);
+    return;
+  }
   if (!server.has_value()) {
     FailRequest(mTriedServers.empty() ? RefusalReason::kNoServer : RefusalReason::kServersFull);
     return;
@@ -113,9 +177,7 @@
                              .mAfterEventId =
                                mEvents.mLastId.empty() ? mMetadata.mLastEventId : mEvents.mLastId };
   if (mRoute->mUsesCacheAffinity) {
-    dispatch.mUrgency = mAccount != nullptr && mAccount->mPriority.has_value()
-                          ? *mAccount->mPriority
-                          : mRoute->mPriority;
+    dispatch.mUrgency = Priority();
   }
   std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", mRequest.mMethod, mRequest.mTarget);
   AppendHeaders(bytes, mState.mOptions.mCodec.mServerHeaders(mRequest.mHeaders, dispatch));
@@ -143,6 +205,7 @@
   ++mDispatches;
   mTriedServers.insert(aServer.mId);
   ServerStatus& status = StatusOfServer(aServer.mId);
+  UsePermit(status.mLimit);
   ++status.mInFlight;
   status.mPendingTokens += mAttempt->mPendingTokens;
   mState.mMetrics.Add(Counter::kAttempts, 1);
@@ -445,7 +508,22 @@
     Refuse(kBadGateway, RefusalReason::kBrokenAnswer, std::nullopt);
     return;
   }
-  Refuse(kServiceUnavailable, aReasonIfNotRun, RetryAfter(kRetryAfterFull));
+  Refuse(kServiceUnavailable, aReasonIfNotRun, RetryAfter(DelayOfRetry()));
+}
+
+// Returns after which time the client may send the request again. Clients that are refused because
+// of limits return at different times, since their servers accept few requests at once.
+Milliseconds
+Exchange::DelayOfRetry()
+{
+  if (!mLimitedUntil.has_value()) {
+    return kRetryAfterFull;
+  }
+  const Milliseconds untilPermit = Remaining(*mLimitedUntil, SuspendAwareNow());
+  const double spread = 1 + std::generate_canonical<double, 32>(mState.mRandom);
+  return std::max(
+    kRetryAfterFull,
+    Milliseconds{ static_cast<std::int64_t>(spread * static_cast<double>(untilPermit.count())) });
 }
 
 // Blames the shared parts of the prompt if the request was waiting for its answer at a server that
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -48,6 +49,10 @@
   // them.
   std::vector<DispatchReport> mUnsentReports;
   std::function<void(std::vector<DispatchReport>)> mOnDispatchReports;
+  // Servers whose limits have changed and have not been reported to the other hosts yet, and the
+  // callback that reports them.
+  std::set<BackendServerId> mChangedLimits;
+  std::function<void(std::vector<LimitReport>)> mOnLimitReports;
   // Received bytes of all answers that cannot be relayed yet.
   std::size_t mBufferedBytes = 0;
   UsageWindows mUsage;
@@ -64,6 +69,14 @@
 void
 ReportPromptCrashes(TrafficState& aState, bool aIsOwn);
 
+// Returns the part of the server's limit that this host may use.
+RefillRate
+OwnPartOfLimit(const TrafficState& aState, const BackendServerId& aServer, ServerLimit& aLimit);
+
+// Schedules a report of a server's limit to the other hosts.
+void
+ReportLimit(TrafficState& aState, const BackendServerId& aServer);
+
 // Returns the parameters of a quota check at this moment, with a new random number.
 QuotaParameters
 QuotaParametersNow(TrafficState& aState);
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -28,6 +28,8 @@
 // Evidence of a crash that is recorded within this time is reported together, since many requests
 // break at once.
 constexpr Milliseconds kCrashReportDelay{ 10 };
+// Changes of limits within this time are reported in one message.
+constexpr Milliseconds kLimitReportDelay{ 50 };
 // Usage windows that are retained. They cover more than the time within which usage must be
 // reported.
 constexpr std::size_t kMaxUsageWindows = 8;
@@ -69,6 +71,39 @@
   });
 }
 
+RefillRate
+OwnPartOfLimit(const TrafficState& aState, const BackendServerId& aServer, ServerLimit& aLimit)
+{
+  if (!aState.mView || !aState.mView->mHostList) {
+    return {};
+  }
+  const std::vector<HostId>& hosts = *aState.mView->mHostList;
+  if (!aLimit.mRank.has_value()) {
+    aLimit.mRank = RankOfHost(hosts, aState.mOptions.mHost, aServer);
+  }
+  return PartOfLimit(aLimit.mStated.mPerSecond, *aLimit.mRank, hosts.size());
+}
+
+void
+ReportLimit(TrafficState& aState, const BackendServerId& aServer)
+{
+  if (aState.mChangedLimits.empty()) {
+    aState.mLoop.CallAt(SuspendAwareNow() + kLimitReportDelay, [&aState] {
+      std::vector<LimitReport> reports;
+      for (const BackendServerId& server : std::exchange(aState.mChangedLimits, {})) {
+        const auto status = aState.mServerStatuses.find(server);
+        if (status != aState.mServerStatuses.end()) {
+          reports.push_back(LimitReportOf(server, status->second.mLimit));
+        }
+      }
+      if (aState.mOnLimitReports) {
+        aState.mOnLimitReports(std::move(reports));
+      }
+    });
+  }
+  aState.mChangedLimits.insert(aServer);
+}
+
 QuotaParameters
 QuotaParametersNow(TrafficState& aState)
 {
@@ -110,6 +145,7 @@
   void ApplyPeerUpdate(const PeerUpdate& aUpdate);
   void AddPeerQuotaUse(const PeerUpdate& aUpdate, Instant aNow);
   void ApplyDispatches(const std::vector<DispatchReport>& aDispatches);
+  void ApplyLimits(const std::vector<LimitReport>& aLimits);
   void CountBusyTime(Instant aNow);
   TrafficReport MakeReport();
   void Sweep();
@@ -261,13 +297,23 @@
 TrafficThread::Impl::ApplyView(std::shared_ptr<const TrafficView> aView)
 {
   const bool sameServers = mState.mView && mState.mView->mServers == aView->mServers;
+  const bool sameHosts = mState.mView && mState.mView->mHostList == aView->mHostList;
   mState.mView = std::move(aView);
+  if (!sameHosts) {
+    for (auto& [server, status] : mState.mServerStatuses) {
+      status.mLimit.mRank.reset();
+    }
+  }
   if (sameServers || !mState.mView->mServers) {
     return;
   }
   mState.mServers.clear();
   for (const auto& [id, server] : mState.mView->mServers->mServers) {
     mState.mServers[server.mService].push_back(&server);
+    const auto status = mState.mServerStatuses.find(id);
+    if (status != mState.mServerStatuses.end()) {
+      StartLimitIncarnation(status->second.mLimit, server.mIncarnation);
+    }
   }
   std::erase_if(mState.mServerStatuses, [this](const auto& aItem) {
     return aItem.second.mInFlight == 0 && !mState.mView->mServers->mServers.contains(aItem.first);
@@ -335,6 +381,25 @@
   }
 }
 
+void
+TrafficThread::Impl::ApplyLimits(const std::vector<LimitReport>& aLimits)
+{
+  if (!mState.mView || !mState.mView->mServers) {
+    return;
+  }
+  const Instant now = SuspendAwareNow();
+  for (const LimitReport& report : aLimits) {
+    const auto server = mState.mView->mServers->mServers.find(report.mServer);
+    if (server != mState.mView->mServers->mServers.end() &&
+        server->second.mIncarnation == report.mIncarnation) {
+      MergeLimit(mState.mServerStatuses[report.mServer].mLimit,
+                 report,
+                 std::generate_canonical<double, 32>(mState.mRandom),
+                 now);
+    }
+  }
+}
+
 void
 TrafficThread::Impl::UpdateGauges(Instant aNow) const
 {
@@ -395,10 +460,13 @@
   for (const auto& [account, use] : mState.mQuotas.mAccounts) {
     report.mQuotaUsed[account] = { .mTotal = use.mOwnTotal, .mSnapshot = SnapshotOf(use) };
   }
-  for (const auto& [server, status] : mState.mServerStatuses) {
+  for (auto& [server, status] : mState.mServerStatuses) {
     if (IsBroken(status, now)) {
       report.mBroken.push_back(server);
     }
+    if (TakeReportDue(status.mLimit, now)) {
+      report.mLimits.push_back(LimitReportOf(server, status.mLimit));
+    }
   }
   while (mState.mUsage.size() > kMaxUsageWindows) {
     mState.mUsage.erase(mState.mUsage.begin());
@@ -533,6 +601,21 @@
   });
 }
 
+void
+TrafficThread::SetLimitCallback(std::function<void(std::vector<LimitReport>)> aCallback)
+{
+  mImpl->mState.mLoop.Post([state = mImpl.get(), callback = std::move(aCallback)]() mutable {
+    state->mState.mOnLimitReports = std::move(callback);
+  });
+}
+
+void
+TrafficThread::ApplyLimits(std::vector<LimitReport> aLimits)
+{
+  mImpl->mState.mLoop.Post(
+    [state = mImpl.get(), limits = std::move(aLimits)] { state->ApplyLimits(limits); });
+}
+
 void
 TrafficThread::Report(std::function<void(TrafficReport)> aCallback)
 {
--- a/trefoil/forward/traffic_thread.h
+++ b/trefoil/forward/traffic_thread.h
@@ -73,6 +73,11 @@
     std::function<void(PromptCrashEvidence aEvidence, bool aIsOwn)> aCallback);
   // Applies evidence that another host has sent.
   void ApplyPromptCrashes(PromptCrashEvidence aEvidence);
+  // Sets the callback that receives changes of the limits that servers state to this host, within
+  // 50 ms of each. It is called on the traffic thread.
+  void SetLimitCallback(std::function<void(std::vector<LimitReport>)> aCallback);
+  // Applies limits that other hosts have reported.
+  void ApplyLimits(std::vector<LimitReport> aLimits);
   // Creates a report on the traffic thread and passes it to `aCallback` there.
   void Report(std::function<void(TrafficReport)> aCallback);
 
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -50,6 +50,9 @@
   // counts those in contact, including this host.
   int mHosts = 1;
   int mReachableHosts = 1;
+  // All entry hosts, this one included, by which the limits of servers are divided. Null until they
+  // are known.
+  std::shared_ptr<const std::vector<HostId>> mHostList;
   // How long it takes until a request is known to all hosts in contact.
   Milliseconds mPropagationTime{ 500 };
   // Correction to add to this host's wall clock.
@@ -134,6 +137,8 @@
   std::vector<BackendServerId> mBroken;
   std::map<ServiceId, ServiceLoad> mLoads;
   std::map<ServiceId, std::map<VersionId, VersionOutcomes>> mOutcomes;
+  // Limits of servers to repeat to the other hosts.
+  std::vector<LimitReport> mLimits;
 };
 
 } // namespace trefoil
--- a/trefoil/steering/aggregation.cc
+++ b/trefoil/steering/aggregation.cc
@@ -257,30 +257,44 @@
     }
     return recipients;
   }
-  const auto addAggregators = [&](const AvailabilityZoneId& aZone) {
+  const RelayRecipients relay = RelayRecipientsOf(aTable, aState, aNow);
+  if (aIsOwn || relay.mIsAggregator) {
+    recipients = relay.mAggregators;
+  }
+  if (relay.mIsAggregator) {
+    recipients.insert(relay.mOtherZones.begin(), relay.mOtherZones.end());
+    recipients.insert(relay.mMembers.begin(), relay.mMembers.end());
+  }
+  return recipients;
+}
+
+RelayRecipients
+RelayRecipientsOf(const PeerTable& aTable, const AggregationState& aState, Instant aNow)
+{
+  RelayRecipients recipients;
+  const auto addAggregators = [&](std::set<Endpoint>& aEndpoints, const AvailabilityZoneId& aZone) {
     const auto aggregators = ZoneAggregators(aTable, aState, aZone, aNow);
     for (const HostId& host : aggregators) {
       if (host != aTable.mSelf) {
-        recipients.insert(aTable.mListedHosts.at(host).mEndpoint);
+        aEndpoints.insert(aTable.mListedHosts.at(host).mEndpoint);
       }
     }
     return std::ranges::find(aggregators, aTable.mSelf) != aggregators.end();
   };
-  const bool isAggregator = addAggregators(aTable.mZone);
-  if (!isAggregator) {
-    return aIsOwn ? recipients : std::set<Endpoint>{};
-  }
+  recipients.mIsAggregator = addAggregators(recipients.mAggregators, aTable.mZone);
   std::set<AvailabilityZoneId> otherZones;
   for (const auto& [host, listed] : aTable.mListedHosts) {
     if (listed.mZone != aTable.mZone && !listed.mZone.Empty()) {
       otherZones.insert(listed.mZone);
     }
   }
-  std::ranges::for_each(otherZones, addAggregators);
+  for (const AvailabilityZoneId& zone : otherZones) {
+    addAggregators(recipients.mOtherZones, zone);
+  }
   for (const HostId& host : LivePeers(aTable, aNow)) {
     const TrafficUpdate& member = aTable.mPeers.at(host).mUpdate;
     if (member.mZone == aTable.mZone) {
-      recipients.insert(member.mEndpoint);
+      recipients.mMembers.insert(member.mEndpoint);
     }
   }
   return recipients;
--- a/trefoil/steering/aggregation.h
+++ b/trefoil/steering/aggregation.h
@@ -133,6 +133,20 @@
                       bool aIsOwn,
                       Instant aNow);
 
+// The endpoints that news is relayed to in a fleet that uses aggregation.
+struct RelayRecipients
+{
+  bool mIsAggregator = false;
+  // The aggregators of this host's zone and of the others, without this host.
+  std::set<Endpoint> mAggregators;
+  std::set<Endpoint> mOtherZones;
+  // The hosts of this zone.
+  std::set<Endpoint> mMembers;
+};
+
+RelayRecipients
+RelayRecipientsOf(const PeerTable& aTable, const AggregationState& aState, Instant aNow);
+
 // Returns the view of the fleet, from the totals in a fleet that uses aggregation, otherwise from
 // the updates of the other hosts.
 FleetStatus
--- a/trefoil/steering/control_thread.cc
+++ b/trefoil/steering/control_thread.cc
@@ -2,6 +2,7 @@
 
 #include "trefoil/steering/internal/duties.h"
 #include "trefoil/steering/internal/peer_messages.h"
+#include "trefoil/steering/internal/server_limit_messages.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
 #include "trefoil/steering/internal/store_updates.h"
 #include "trefoil/steering/steering_state.h"
@@ -173,6 +174,10 @@
         SendPromptCrashes(state, evidence, aIsOwn);
       });
     });
+    state.mTraffic.SetLimitCallback([&state](std::vector<LimitReport> aReports) {
+      state.mLoop.Post(
+        [&state, reports = std::move(aReports)] { SendServerLimits(state, reports); });
+    });
     WatchStore(state);
     CampaignForDuties(state);
     RefreshHostsRegularly(state);
--- a/trefoil/steering/internal/peer_messages.cc
+++ b/trefoil/steering/internal/peer_messages.cc
@@ -3,6 +3,7 @@
 #include "trefoil/steering/internal/aggregation_messages.h"
 #include "trefoil/steering/internal/datagrams.h"
 #include "trefoil/steering/internal/duties.h"
+#include "trefoil/steering/internal/server_limit_messages.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
 #include "trefoil/steering/route_counters.h"
 #include "trefoil/wire/codec.h"
@@ -159,6 +160,8 @@
     OnRelayedDispatches(aState, *relayed);
   } else if (const auto* crashes = std::get_if<PromptCrashMessage>(&*message)) {
     aState.mTraffic.ApplyPromptCrashes(ToPromptCrashEvidence(*crashes, SuspendAwareNow()));
+  } else if (const auto* limits = std::get_if<ServerLimitMessage>(&*message)) {
+    OnServerLimitMessage(aState, *limits);
   } else {
     aState.mLog.Write(LogSeverity::kNotable,
                       LogEvent::kInputRejected,
@@ -214,6 +217,7 @@
   // After the updates, or the first of the totals: a full link loses what is sent last, and the
   // quotas depend on these.
   SendPromptCrashes(aState, aState.mReport.mPromptCrashes, true);
+  SendServerLimits(aState, aState.mReport.mLimits);
 }
 
 void
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -269,6 +269,21 @@
   return options;
 }
 
+// Updates the hosts of the view from the list of hosts in the store.
+void
+UpdateHostList(SteeringState& aState)
+{
+  std::vector<HostId> hosts{ aState.mOptions.mHost };
+  for (const auto& [host, listed] : aState.mPeers.mListedHosts) {
+    if (host != aState.mOptions.mHost) {
+      hosts.push_back(host);
+    }
+  }
+  if (!aState.mView.mHostList || *aState.mView.mHostList != hosts) {
+    aState.mView.mHostList = std::make_shared<const std::vector<HostId>>(std::move(hosts));
+  }
+}
+
 void
 OnHostList(SteeringState& aState, const StoreAnswer& aAnswer)
 {
@@ -289,6 +304,7 @@
     aState.mLog.Write(LogSeverity::kNotable, LogEvent::kPeersChanged, "listed={}", listed.size());
   }
   aState.mPeers.mListedHosts = std::move(listed);
+  UpdateHostList(aState);
 }
 
 // Sends the snapshots of the quota record to the traffic thread, then starts the watch that
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -61,6 +61,11 @@
   // to the hosts of its zone.
   std::vector<DispatchUpdate> mDispatchesForZones;
   std::vector<DispatchUpdate> mDispatchesForMembers;
+  // Limits of servers that this host forwards as an aggregator, and the last one that it forwarded
+  // of each server.
+  std::vector<LimitReport> mLimitsForZones;
+  std::vector<LimitReport> mLimitsForMembers;
+  std::map<BackendServerId, LimitReport> mForwardedLimits;
   // Totals to send, and when they were made.
   std::deque<std::pair<Instant, Datagram>> mWaitingTotals;
   std::size_t mTotalsPerSlice = 0;
--- a/trefoil/wire/codec_test.cc
+++ b/trefoil/wire/codec_test.cc
@@ -2,6 +2,7 @@
 
 #include "trefoil/base/digest.h"
 #include "trefoil/wire/prompt_crash_conversion.h"
+#include "trefoil/wire/server_limit_conversion.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -72,6 +73,10 @@
     case 4:
       return PromptCrashMessage{ .mCrashes = { { .mServer = BackendServerId{ "engine-1" },
                                                  .mParts = { { .mPart = 7 } } } } };
+    case 5:
+      return ServerLimitMessage{ .mEntries = { { .mServer = BackendServerId{ "engine-1" },
+                                                 .mLimited = true,
+                                                 .mPerSecond = 1.5 } } };
     default:
       return HeartbeatsRequest{ .mHosts = { HostId{ "h3" } } };
   }
@@ -167,6 +172,45 @@
   }
 }
 
+TEST_CASE("The limit of a server is sent to another host")
+{
+  const Instant sentAt{ std::chrono::hours{ 5 } };
+  const Instant receivedAt{ std::chrono::hours{ 9 } };
+  ServerLimitMessage message =
+    ToServerLimitMessage(HostId{ "h1" },
+                         RelayStage::kOtherZones,
+                         { { .mServer = BackendServerId{ "e1" },
+                             .mIncarnation = 12,
+                             .mStated = { .mKind = LimitStatement::kLimited, .mPerSecond = 1.5 },
+                             .mStatedAt = sentAt - Milliseconds{ 700 } } },
+                         sentAt);
+
+  SECTION("it means the same there, relative to the clock of the receiver")
+  {
+    const auto decoded = Decode(Encode(message));
+    REQUIRE(decoded.ok());
+    const auto& received = std::get<ServerLimitMessage>(*decoded);
+    CHECK(received.mStage == RelayStage::kOtherZones);
+    const auto reports = ToLimitReports(received, receivedAt);
+    REQUIRE(reports.size() == 1);
+    CHECK(reports[0].mServer == BackendServerId{ "e1" });
+    CHECK(reports[0].mIncarnation == 12);
+    CHECK(reports[0].mStated == StatedLimit{ LimitStatement::kLimited, 1.5 });
+    CHECK(reports[0].mStatedAt == receivedAt - Milliseconds{ 700 });
+  }
+  SECTION("values out of range are limited or left out")
+  {
+    message.mEntries[0].mAgeMilliseconds = std::numeric_limits<std::int64_t>::min();
+    CHECK(ToLimitReports(message, receivedAt).at(0).mStatedAt == receivedAt);
+    for (const double limit : { -1.0,
+                                std::numeric_limits<double>::infinity(),
+                                std::numeric_limits<double>::quiet_NaN() }) {
+      message.mEntries[0].mPerSecond = limit;
+      CHECK(ToLimitReports(message, receivedAt).empty());
+    }
+  }
+}
+
 TEST_CASE("A forged message with a correct checksum causes no large allocation")
 {
   SECTION("when a length exceeds the remaining bytes by far")
@@ -180,7 +224,7 @@
   SECTION("when bytes are changed, removed or appended at random")
   {
     const bool passed = rc::check([] {
-      const Message message = MakeMessage(*rc::gen::inRange(0, 6));
+      const Message message = MakeMessage(*rc::gen::inRange(0, 7));
       std::string payload = Encode(message).substr(kHeaderBytes);
       for (int i = *rc::gen::inRange(1, 6); i > 0; --i) {
         const auto position = *rc::gen::inRange<std::size_t>(0, payload.size());
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -16,6 +16,7 @@
 #include "trefoil/wire/health_message.h"
 #include "trefoil/wire/move_message.h"
 #include "trefoil/wire/prompt_crash_message.h"
+#include "trefoil/wire/server_limit_message.h"
 #include "trefoil/wire/store_relay_message.h"
 #include "trefoil/wire/stream_messages.h"
 #include "trefoil/wire/totals_message.h"
@@ -54,7 +55,8 @@
                              HostReport,
                              UsageUpdate,
                              RelayedDispatches,
-                             PromptCrashMessage>;
+                             PromptCrashMessage,
+                             ServerLimitMessage>;
 
 // A message and its destination.
 struct Datagram
