Log the era of the store and configurations that look older than known

Cause: suspected only. The logs said nothing about configurations after the return, so "dropped as older", "watch not sent again" and "version refused" could not be told apart. Change: the store codec reads Store-Era; a host logs each change of it (event=store_replaced) and each configuration that it drops for its revision. No decision changes.

--- a/trefoil/eventlog/event_log.h
+++ b/trefoil/eventlog/event_log.h
@@ -39,6 +39,7 @@
   kReload,
   kDependencyLost,
   kDependencyRegained,
+  kStoreReplaced,
   kRequestDone,
   kRequestRefused,
   kRequestFailed,
@@ -60,12 +61,13 @@
   kLinesDropped,
 };
 
-inline constexpr NameTable<LogEvent, 24> kLogEventNames{ {
+inline constexpr NameTable<LogEvent, 25> kLogEventNames{ {
   { LogEvent::kStart, "start" },
   { LogEvent::kStop, "stop" },
   { LogEvent::kReload, "reload" },
   { LogEvent::kDependencyLost, "dependency_lost" },
   { LogEvent::kDependencyRegained, "dependency_regained" },
+  { LogEvent::kStoreReplaced, "store_replaced" },
   { LogEvent::kRequestDone, "request_done" },
   { LogEvent::kRequestRefused, "request_refused" },
   { LogEvent::kRequestFailed, "request_failed" },
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -34,7 +34,16 @@
 void
 ApplyCatalogue(SteeringState& aState, const StoreItem& aItem)
 {
-  if (aItem.mRemoved || aItem.mRevision <= aState.mCatalogueRevision) {
+  if (aItem.mRemoved || aItem.mRevision == aState.mCatalogueRevision) {
+    return;
+  }
+  if (aItem.mRevision < aState.mCatalogueRevision) {
+    aState.mLog.Write(LogSeverity::kNotable,
+                      LogEvent::kInputRejected,
+                      "input=configuration revision={} era={} reason=\"revision is below {}\"",
+                      aItem.mRevision,
+                      aState.mStoreEra,
+                      aState.mCatalogueRevision);
     return;
   }
   auto catalogue = aState.mOptions.mCodec.mDecodeCatalogue(aItem.mValue);
@@ -236,6 +245,23 @@
   }
 }
 
+// Records the era that an answer of the store states. Returns whether the answer is used.
+bool
+OnStoreEra(SteeringState& aState, std::int64_t aEra)
+{
+  if (aEra != aState.mStoreEra) {
+    aState.mLog.Write(LogSeverity::kNotable,
+                      LogEvent::kStoreReplaced,
+                      "era={} before={} operators_revision={} servers_revision={}",
+                      aEra,
+                      aState.mStoreEra,
+                      aState.mOperatorWatch->Record().mRevision,
+                      aState.mServerWatch->Record().mRevision);
+    aState.mStoreEra = aEra;
+  }
+  return true;
+}
+
 PrefixWatchCallbacks
 LoggingCallbacks(SteeringState& aState, const char* aName)
 {
@@ -255,7 +281,8 @@
                                  "dependency=store watch={} lost_ms={}",
                                  aName,
                                  aLostFor.count());
-             } };
+             },
+           .mOnEra = [&aState](std::int64_t aEra) { return OnStoreEra(aState, aEra); } };
 }
 
 PrefixWatchOptions
@@ -414,6 +441,7 @@
 WatchStore(SteeringState& aState)
 {
   const ControlCodec& codec = aState.mOptions.mCodec;
+  aState.mStore.SetEraCallback([&aState](std::int64_t aEra) { return OnStoreEra(aState, aEra); });
   PrefixWatchCallbacks operators = LoggingCallbacks(aState, "operators");
   operators.mOnList = [&aState](const std::vector<StoreItem>& aItems, std::int64_t /*aRevision*/) {
     OnOperatorItems(aState, aItems);
--- a/trefoil/steering/prefix_watch.cc
+++ b/trefoil/steering/prefix_watch.cc
@@ -39,6 +39,7 @@
   , mCallbacks(std::move(aCallbacks))
   , mRandom(std::random_device{}())
 {
+  mChannel.SetEraCallback(mCallbacks.mOnEra);
 }
 
 void
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -50,6 +50,8 @@
   // between.
   std::function<void(StoreOutcome, Milliseconds aPending)> mOnStoreLost;
   std::function<void(Instant aSentAt, Milliseconds aLostFor)> mOnStoreRegained;
+  // See StoreChannel::SetEraCallback.
+  StoreChannel::EraCallback mOnEra;
 };
 
 // Returns how long the store may hold a watch open so that changes are known within `aKnownWithin`
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -40,6 +40,8 @@
   std::uint64_t mSequence = 0;
   bool mLeaving = false;
 
+  // The latest era that the store has stated.
+  std::int64_t mStoreEra = 0;
   TrafficView mView;
   std::int64_t mCatalogueRevision = 0;
   ServerRegistry mServers;
--- a/trefoil/store/store_call.h
+++ b/trefoil/store/store_call.h
@@ -129,6 +129,8 @@
 struct StoreAnswer
 {
   StoreOutcome mOutcome = StoreOutcome::kUnknown;
+  // How often the store has been restored from an earlier state; 0 if the answer does not state it.
+  std::int64_t mEra = 0;
   std::vector<StoreItem> mItems;
   // Whether a list has further pages.
   bool mHasMore = false;
--- a/trefoil/store/store_channel.cc
+++ b/trefoil/store/store_channel.cc
@@ -24,24 +24,29 @@
 void
 StoreChannel::Call(const StoreCall& aCall, Instant aDeadline, Callback aCallback)
 {
-  mChannel.Send(
-    mCodec.mEncode(aCall),
-    aDeadline,
-    [aCall, callback = std::move(aCallback), decode = mCodec.mDecode](const HttpReply& aReply) {
-      if (aReply.mKind != HttpReplyKind::kAnswered) {
-        callback({ .mOutcome = aReply.mKind == HttpReplyKind::kNotSent ? StoreOutcome::kRefused
-                                                                       : StoreOutcome::kUnknown });
-        return;
-      }
-      const auto answer = decode(aCall, aReply.mResponse);
-      if (!answer.ok()) {
-        spdlog::warn("event=store_answer_unreadable reason=\"{}\"",
-                     std::string{ answer.status().message() });
-        callback({ .mOutcome = StoreOutcome::kUnknown });
-        return;
-      }
-      callback(*answer);
-    });
+  mChannel.Send(mCodec.mEncode(aCall),
+                aDeadline,
+                [this, aCall, callback = std::move(aCallback), decode = mCodec.mDecode](
+                  const HttpReply& aReply) {
+                  if (aReply.mKind != HttpReplyKind::kAnswered) {
+                    callback({ .mOutcome = aReply.mKind == HttpReplyKind::kNotSent
+                                             ? StoreOutcome::kRefused
+                                             : StoreOutcome::kUnknown });
+                    return;
+                  }
+                  const auto answer = decode(aCall, aReply.mResponse);
+                  if (!answer.ok()) {
+                    spdlog::warn("event=store_answer_unreadable reason=\"{}\"",
+                                 std::string{ answer.status().message() });
+                    callback({ .mOutcome = StoreOutcome::kUnknown });
+                    return;
+                  }
+                  if (answer->mEra != 0 && mOnEra && !mOnEra(answer->mEra)) {
+                    callback({ .mOutcome = StoreOutcome::kUnknown });
+                    return;
+                  }
+                  callback(*answer);
+                });
 }
 
 } // namespace trefoil
--- a/trefoil/store/store_channel.h
+++ b/trefoil/store/store_channel.h
@@ -29,8 +29,15 @@
 public:
   using Callback = std::function<void(const StoreAnswer&)>;
 
+  // Called with the era of each answer that states one, before the callback of the call. Returns
+  // whether the answer is used; otherwise the outcome of the call is kUnknown.
+  using EraCallback = std::function<bool(std::int64_t aEra)>;
+
   StoreChannel(EventLoop& aLoop, const Endpoint& aStore, StoreCodec aCodec);
 
+  // Must be called before the first call.
+  void SetEraCallback(EraCallback aCallback) { mOnEra = std::move(aCallback); }
+
   // Sends a call. The loop runs the callback once, at `aDeadline` at the latest, unless Reset() is
   // called before. The outcome is kRefused if the call was not sent, and kUnknown if no valid
   // answer arrived.
@@ -41,6 +48,7 @@
 private:
   HttpChannel mChannel;
   StoreCodec mCodec;
+  EraCallback mOnEra;
 };
 
 } // namespace trefoil
