Order revisions over all lives of the store

Cause: a list of the restored store has a lower revision than the host knows. The host keeps the higher one, so its next watch gets 410 again and it lists in a loop, and drops each configuration as older. Class of fault: an order that holds within one life of its source is used across lives. Ruled out: watches that are not sent again, and versions that are refused. Change: revisions carry the era of the store in their upper bits; only the store codec knows the store's own numbers. Any answer of a new era makes a host give up its lease and claims and write its entry, reported usage and the states of moves again; answers of an earlier era are not used. Servers known to leave or to be gone stay so. Relayed state of an earlier era confirms nothing. A watch whose history is gone right after a list backs off. Why it works: every comparison of revisions, here, between hosts and at the platform (fencing numbers), is by era first.

--- a/tests/control_path/control_path_test.cc
+++ b/tests/control_path/control_path_test.cc
@@ -17,6 +17,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <set>
 #include <thread>
 
 namespace trefoil {
@@ -121,11 +122,11 @@
   int mAnsweredBeforeServers ABSL_GUARDED_BY(mMutex) = -1;
 };
 
-// Waits until the gauge of ready servers has the value. Returns whether it has.
+// Waits until a gauge has a value, both in `aText`. Returns whether it has.
 bool
-AwaitReadyServers(const Metrics& aMetrics, int aCount)
+AwaitGauge(const Metrics& aMetrics, std::string_view aText)
 {
-  const std::string line = fmt::format("\ntrefoil_servers_ready {}\n", aCount);
+  const std::string line = fmt::format("\n{}\n", aText);
   const Instant deadline = SuspendAwareNow() + kTestTimeout;
   while (!HasPassed(deadline, SuspendAwareNow())) {
     if (aMetrics.Render().find(line) != std::string::npos) {
@@ -136,6 +137,13 @@
   return false;
 }
 
+// Waits until the gauge of ready servers has the value. Returns whether it has.
+bool
+AwaitReadyServers(const Metrics& aMetrics, int aCount)
+{
+  return AwaitGauge(aMetrics, fmt::format("trefoil_servers_ready {}", aCount));
+}
+
 // A host, with its control thread and its traffic thread, that uses the store of a test.
 class TestHost
 {
@@ -205,6 +213,113 @@
   }
 }
 
+// A store that is restored from a copy once the host watches both prefixes. The copy has an older
+// configuration, and a server that has left since as ready; afterwards the operator writes a newer
+// configuration under a revision that was given out before.
+class RestoredStore
+{
+public:
+  Reply Answer(const ReceivedRequest& aRequest)
+  {
+    const std::string& target = aRequest.mRequest.mTarget;
+    const std::string_view path = PathOf(target);
+    const std::string prefix = QueryValue(target, "PathPrefix");
+    const absl::MutexLock lock{ &mMutex };
+    if (path == "/trefoillb/kv-range") {
+      ++mLists;
+      return Answered(aRequest, 200, List(prefix));
+    }
+    if (path == "/trefoillb/kv-watch") {
+      std::int64_t after = 0;
+      (void)absl::SimpleAtoi(QueryValue(target, "After"), &after);
+      return Watch(aRequest, prefix, after);
+    }
+    return Answered(aRequest, path == "/trefoillb/kv-key" ? 404 : 503, "");
+  }
+
+  int Lists() const
+  {
+    const absl::MutexLock lock{ &mMutex };
+    return mLists;
+  }
+
+private:
+  static constexpr int kCopyRevision = 99;
+  static constexpr int kRevision = 118;
+
+  static std::string Configuration(int aVersion, int aRevision)
+  {
+    return ItemText("op/config",
+                    fmt::format(R"({{"Version":{},"Routes":[],"Services":[]}})", aVersion),
+                    aRevision);
+  }
+
+  std::string List(std::string_view aPrefix) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex)
+  {
+    std::string items;
+    if (aPrefix == kOperatorPrefix) {
+      items = mRestored ? Configuration(10, kCopyRevision) : Configuration(13, kRevision);
+    } else if (aPrefix == kServerPrefix) {
+      items = mRestored ? ServerItem("ready", 80) : ServerItem("draining", 110);
+    }
+    return fmt::format(
+      R"({{"Items":[{}],"HasMore":false,"At":{}}})", items, mRestored ? kCopyRevision : kRevision);
+  }
+
+  Reply Watch(const ReceivedRequest& aRequest, const std::string& aPrefix, std::int64_t aAfter)
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex)
+  {
+    mWatched.insert(aPrefix);
+    if (mWatched.size() < 2) {
+      // Repeated by the host, until it watches the other prefix, too.
+      return Answered(aRequest, 503, "");
+    }
+    mRestored = true;
+    if (aAfter > kCopyRevision + 1) {
+      return Answered(aRequest, 410, "");
+    }
+    const std::string event =
+      aPrefix == kOperatorPrefix ? Configuration(17, kCopyRevision + 1) : std::string{};
+    return Answered(
+      aRequest, 200, fmt::format(R"({{"events":[{}],"At":{}}})", event, kCopyRevision + 1));
+  }
+
+  Reply Answered(const ReceivedRequest& aRequest, int aStatus, const std::string& aBody) const
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex)
+  {
+    return { .mBytes = MakeAnswer(
+               aRequest, aStatus, fmt::format("Store-Era: {}\r\n", mRestored ? 2 : 1), aBody) };
+  }
+
+  mutable absl::Mutex mMutex;
+  std::set<std::string> mWatched ABSL_GUARDED_BY(mMutex);
+  bool mRestored ABSL_GUARDED_BY(mMutex) = false;
+  int mLists ABSL_GUARDED_BY(mMutex) = 0;
+};
+
+// Guards against confirmed configurations that never come into force after the store came back from
+// a copy, as their revisions are below those of the store's former life (CONFIG).
+SCENARIO("the store is restored from a copy")
+{
+  RestoredStore store;
+  ScriptedServer storeServer{ [&store](const ReceivedRequest& aRequest) {
+    return store.Answer(aRequest);
+  } };
+  const TestHost host{ storeServer };
+  THEN("what operators write afterwards comes into force")
+  {
+    CHECK(AwaitGauge(host.OwnMetrics(), "trefoil_configuration_version 17"));
+    CHECK(AwaitReadyServers(host.OwnMetrics(), 0));
+  }
+  THEN("the host does not list the keys over and over")
+  {
+    REQUIRE(AwaitGauge(host.OwnMetrics(), "trefoil_configuration_version 17"));
+    const int lists = store.Lists();
+    // Two prefixes, before and after the return, and the list of hosts.
+    CHECK(lists <= 10);
+  }
+}
+
 // A store that has nothing but the value of one key, which hosts read and write.
 class SharedRecordStore
 {
--- a/trefoil/base/base_test.cc
+++ b/trefoil/base/base_test.cc
@@ -1,8 +1,10 @@
 #include "trefoil/base/digest.h"
 #include "trefoil/base/endpoint.h"
+#include "trefoil/base/store_revision.h"
 #include "trefoil/base/verdict.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 
 namespace trefoil {
 namespace {
@@ -53,5 +55,28 @@
   CHECK(RendezvousScore("a", "k") != RendezvousScore("b", "k"));
 }
 
+TEST_CASE("Revisions are ordered over the lives of a store")
+{
+  const std::int64_t revision = MakeStoreRevision(3, 118);
+  CHECK(EraOf(revision) == 3);
+  CHECK(NumberOf(revision) == 118);
+  CHECK(MakeStoreRevision(4, 1) > revision);
+  CHECK(MakeStoreRevision(3, 119) > revision);
+
+  SECTION("a store that states no era uses its own numbers")
+  {
+    CHECK(MakeStoreRevision(0, 118) == 118);
+    CHECK(RevisionText(118) == "118");
+    CHECK(RevisionText(revision) == "3/118");
+  }
+  SECTION("values out of range keep the order of eras")
+  {
+    constexpr std::int64_t kMax = std::numeric_limits<std::int64_t>::max();
+    CHECK(MakeStoreRevision(3, kMax) < MakeStoreRevision(4, -5));
+    CHECK(MakeStoreRevision(kMax, kMax) > MakeStoreRevision(4, kMax));
+    CHECK(EraOf(MakeStoreRevision(-1, 7)) == 0);
+  }
+}
+
 } // namespace
 } // namespace trefoil
--- a/trefoil/catalogue/catalogue_test.cc
+++ b/trefoil/catalogue/catalogue_test.cc
@@ -1,3 +1,4 @@
+#include "trefoil/base/store_revision.h"
 #include "trefoil/catalogue/catalogue.h"
 #include "trefoil/catalogue/server_registry.h"
 
@@ -87,5 +88,73 @@
   }
 }
 
+// Guards against requests to servers that were known to leave or to be gone when the store was
+// restored from a copy of before that (DRAIN).
+SCENARIO("the store is restored from a copy after servers have left")
+{
+  const BackendServerId id{ "e" };
+  ServerRegistry registry;
+  const RegisteredServer ready{ .mId = id,
+                                .mIncarnation = 7,
+                                .mRevision = MakeStoreRevision(1, 80) };
+  RegisterServer(registry, ready);
+  RegisteredServer restored = ready;
+  restored.mRevision = MakeStoreRevision(2, 80);
+  GIVEN("a server that is known to be draining")
+  {
+    RegisteredServer draining = ready;
+    draining.mPhase = ServerPhase::kDraining;
+    draining.mRevision = MakeStoreRevision(1, 110);
+    RegisterServer(registry, draining);
+    THEN("the ready entry of the copy does not make it ready")
+    {
+      CHECK_FALSE(RegisterServer(registry, restored));
+      CHECK(registry.mServers.at(id).mPhase == ServerPhase::kDraining);
+    }
+    THEN("it is ready once it has started again")
+    {
+      restored.mIncarnation = 8;
+      CHECK(RegisterServer(registry, restored));
+      CHECK(registry.mServers.at(id).mPhase == ServerPhase::kReady);
+    }
+  }
+  GIVEN("a server that is known to be gone")
+  {
+    DeregisterServer(registry, id, MakeStoreRevision(1, 110));
+    THEN("the entry of the copy does not bring it back")
+    {
+      CHECK_FALSE(RegisterServer(registry, restored));
+      CHECK(registry.mServers.empty());
+    }
+    THEN("an entry that was written after the return does")
+    {
+      restored.mRevision = MakeStoreRevision(2, 105);
+      CHECK(RegisterServer(registry, restored));
+    }
+  }
+  GIVEN("a server that has started again since the copy was made")
+  {
+    RegisteredServer startedAgain = ready;
+    startedAgain.mIncarnation = 9;
+    startedAgain.mRevision = MakeStoreRevision(1, 110);
+    RegisterServer(registry, startedAgain);
+    THEN("the entry of its former incarnation does not replace it")
+    {
+      CHECK_FALSE(RegisterServer(registry, restored));
+      CHECK(registry.mServers.at(id).mIncarnation == 9);
+    }
+  }
+  GIVEN("a server that is known to be ready")
+  {
+    THEN("a change after the return applies, though its number was given out before")
+    {
+      restored.mPhase = ServerPhase::kDraining;
+      restored.mRevision = MakeStoreRevision(2, 70);
+      CHECK(RegisterServer(registry, restored));
+      CHECK(registry.mServers.at(id).mPhase == ServerPhase::kDraining);
+    }
+  }
+}
+
 } // namespace
 } // namespace trefoil
--- a/trefoil/catalogue/server_registry.cc
+++ b/trefoil/catalogue/server_registry.cc
@@ -1,18 +1,47 @@
 #include "trefoil/catalogue/server_registry.h"
 
+#include "trefoil/base/store_revision.h"
+
 #include <algorithm>
 
 namespace trefoil {
+namespace {
+
+// Returns whether an entry that the store has after a removal is the removed one: older than the
+// removal, or from the copy that the store was restored from.
+bool
+IsRemovedEntry(const ServerRemoval& aRemoval, const RegisteredServer& aServer)
+{
+  if (EraOf(aServer.mRevision) <= EraOf(aRemoval.mRevision)) {
+    return aServer.mRevision <= aRemoval.mRevision;
+  }
+  return aServer.mIncarnation < aRemoval.mIncarnation ||
+         (aServer.mIncarnation == aRemoval.mIncarnation &&
+          NumberOf(aServer.mRevision) <= NumberOf(aRemoval.mEntryRevision));
+}
+
+// Returns whether the known entry holds although the store has another one in a later era: the
+// server has started again since, or is leaving.
+bool
+OutlivesRestore(const RegisteredServer& aKnown, const RegisteredServer& aRestored)
+{
+  return EraOf(aRestored.mRevision) > EraOf(aKnown.mRevision) &&
+         (aRestored.mIncarnation < aKnown.mIncarnation ||
+          (aRestored.mIncarnation == aKnown.mIncarnation &&
+           aKnown.mPhase == ServerPhase::kDraining && aRestored.mPhase == ServerPhase::kReady));
+}
+
+} // namespace
 
 bool
 RegisterServer(ServerRegistry& aRegistry, const RegisteredServer& aServer)
 {
-  const auto removed = aRegistry.mRemovedAtRevision.find(aServer.mId);
-  if (removed != aRegistry.mRemovedAtRevision.end()) {
-    if (removed->second >= aServer.mRevision) {
+  const auto removal = aRegistry.mRemovals.find(aServer.mId);
+  if (removal != aRegistry.mRemovals.end()) {
+    if (IsRemovedEntry(removal->second, aServer)) {
       return false;
     }
-    aRegistry.mRemovedAtRevision.erase(removed);
+    aRegistry.mRemovals.erase(removal);
   }
   const auto [entry, inserted] = aRegistry.mServers.try_emplace(aServer.mId, aServer);
   if (inserted) {
@@ -21,6 +50,10 @@
   if (entry->second.mRevision >= aServer.mRevision) {
     return false;
   }
+  if (OutlivesRestore(entry->second, aServer)) {
+    entry->second.mRevision = aServer.mRevision;
+    return false;
+  }
   RegisteredServer before = entry->second;
   entry->second = aServer;
   before.mRevision = aServer.mRevision;
@@ -34,11 +67,13 @@
   if (entry != aRegistry.mServers.end() && entry->second.mRevision > aRevision) {
     return false;
   }
-  std::int64_t& removed = aRegistry.mRemovedAtRevision[aId];
-  removed = std::max(removed, aRevision);
+  ServerRemoval& removal = aRegistry.mRemovals[aId];
+  removal.mRevision = std::max(removal.mRevision, aRevision);
   if (entry == aRegistry.mServers.end()) {
     return false;
   }
+  removal.mIncarnation = entry->second.mIncarnation;
+  removal.mEntryRevision = entry->second.mRevision;
   aRegistry.mServers.erase(entry);
   return true;
 }
--- a/trefoil/catalogue/server_registry.h
+++ b/trefoil/catalogue/server_registry.h
@@ -4,7 +4,10 @@
 //   RegisterServer(registry, server);
 //   DeregisterServer(registry, id, revision);
 //
-// Each entry has the store revision of its last change. Updates with an older revision are ignored.
+// Each entry has the store revision (base/store_revision.h) of its last change. Updates with an
+// older revision are ignored. After the store was restored from a copy, its entries are older than
+// their revisions suggest: a server that was known to be leaving or gone stays so, unless it has
+// started again or registered after that.
 //
 // Plain data and pure functions; the caller serializes access.
 #pragma once
@@ -61,11 +64,21 @@
   friend bool operator==(const RegisteredServer&, const RegisteredServer&) = default;
 };
 
+// The removal of an entry.
+struct ServerRemoval
+{
+  // The store revision of the removal.
+  std::int64_t mRevision = 0;
+  // The incarnation and the revision of the removed entry; 0 if it was not known.
+  std::int64_t mIncarnation = 0;
+  std::int64_t mEntryRevision = 0;
+};
+
 struct ServerRegistry
 {
   std::map<BackendServerId, RegisteredServer> mServers;
-  // The store revisions at which entries were removed, so that delayed updates do not restore them.
-  std::map<BackendServerId, std::int64_t> mRemovedAtRevision;
+  // Removed entries, so that delayed updates do not restore them.
+  std::map<BackendServerId, ServerRemoval> mRemovals;
 };
 
 // Inserts or updates an entry unless the registry has a newer revision of it or of its removal.
--- a/trefoil/duty/duty.cc
+++ b/trefoil/duty/duty.cc
@@ -241,6 +241,28 @@
   return OnTimer(aState, aNow);
 }
 
+DutyEffects
+On(DutyState& aState, const StoreRestored&, Instant aNow)
+{
+  // A host that holds a valid claim until now knows that no other one does.
+  const bool holds =
+    IsLeaseValid(aState.mLease, aNow) && std::ranges::any_of(aState.mClaims, [](const auto& aItem) {
+      return aItem.second.mPhase == DutyClaimPhase::kHeld;
+    });
+  if (!holds) {
+    aState.mFormerClaimsEndAt = aNow + kHostLeaseDuration;
+  }
+  DropLease(aState, aNow);
+  for (auto& [service, claim] : aState.mClaims) {
+    // An answer to a call in progress is about a claim or a lease that is gone.
+    if (claim.mPhase != DutyClaimPhase::kWaiting) {
+      claim.mPhase = DutyClaimPhase::kWaiting;
+      claim.mClaimTimerAt = aNow + kRankDelay * claim.mRank + ClaimJitter(aState);
+    }
+  }
+  return OnTimer(aState, aNow);
+}
+
 DutyEffects
 On(DutyState& aState, const LeaseCallFailed& aEvent, Instant aNow)
 {
@@ -264,7 +286,7 @@
   }
   aClaim.mPhase = DutyClaimPhase::kHeld;
   aClaim.mFencing = aRevision;
-  aClaim.mMayActFrom = aNow + kMaxOrderDuration;
+  aClaim.mMayActFrom = std::max(aNow + kMaxOrderDuration, aState.mFormerClaimsEndAt);
 }
 
 DutyEffects
--- a/trefoil/duty/duty.h
+++ b/trefoil/duty/duty.h
@@ -118,6 +118,8 @@
   StoreRetryBudget mRetryBudget;
   std::uint64_t mRandomState = 0;
   std::uint64_t mLastCallNumber = 0;
+  // Until then another host may act under a claim that the store has lost.
+  Instant mFormerClaimsEndAt;
 };
 
 // The host starts to campaign for the duty, or its rank has changed.
@@ -156,6 +158,10 @@
   std::uint64_t mLease = 0;
 };
 
+// The store was restored from a copy, so that all leases and claims are gone.
+struct StoreRestored
+{};
+
 // A lease call got no reply. The call may have taken effect.
 struct LeaseCallFailed
 {
@@ -194,6 +200,7 @@
                                HolderAnnouncementReceived,
                                LeaseCallSucceeded,
                                LeaseLost,
+                               StoreRestored,
                                LeaseCallFailed,
                                DutyClaimCompleted,
                                DutyTimerFired>;
--- a/trefoil/duty/duty_test.cc
+++ b/trefoil/duty/duty_test.cc
@@ -125,5 +125,79 @@
   }
 }
 
+// Guards against two holders at once after the store came back without its latest leases and claims
+// (ONE).
+SCENARIO("the store is restored from a copy while duties are held")
+{
+  DutyState duties = MakeDutyState({ .mHost = HostId{ "h1" }, .mRandomSeed = 1 }, kStart);
+  const WriteDutyClaim write = StartClaimWrite(duties);
+  const Instant claimed = kStart + Milliseconds{ 400 };
+  // Claims the duty again under a new lease and returns when that is done.
+  const auto claimAgain = [&duties](const DutyEffects& aEffects, Instant aNow) {
+    const auto grant = std::get<GrantLease>(aEffects.at(0));
+    Step(duties, LeaseCallSucceeded{ .mCallNumber = grant.mCallNumber, .mLease = 6 }, aNow);
+    const Instant later = aNow + Milliseconds{ 300 };
+    const auto effects = Step(duties, DutyTimerFired{}, later);
+    const auto claim = std::get<WriteDutyClaim>(effects.at(0));
+    Step(duties,
+         DutyClaimCompleted{ .mService = kService,
+                             .mCallNumber = claim.mCallNumber,
+                             .mResult = DutyClaimResult::kWritten,
+                             .mRecord = claim.mRecord,
+                             .mRevision = 50 },
+         later);
+    return later;
+  };
+  GIVEN("a host that holds the duty")
+  {
+    Step(duties,
+         DutyClaimCompleted{ .mService = kService,
+                             .mCallNumber = write.mCallNumber,
+                             .mResult = DutyClaimResult::kWritten,
+                             .mRecord = write.mRecord,
+                             .mRevision = 41 },
+         claimed);
+    REQUIRE(HoldsDuty(duties, kService, claimed));
+    const auto effects = Step(duties, StoreRestored{}, claimed);
+    THEN("it stops acting at once, although its lease would still be valid")
+    {
+      CHECK_FALSE(HoldsDuty(duties, kService, claimed));
+      CHECK(FencingNumber(duties, kService) == 0);
+    }
+    THEN("an answer about the former lease does not restore it")
+    {
+      Step(duties, LeaseCallSucceeded{ .mCallNumber = 1, .mLease = 5 }, claimed);
+      CHECK_FALSE(HoldsDuty(duties, kService, claimed));
+    }
+    THEN("it goes on as soon as it has claimed the duty again")
+    {
+      const Instant again = claimAgain(effects, claimed);
+      CHECK(MayAct(duties, kService, again + kMaxOrderDuration, kMaxOrderDuration));
+    }
+  }
+  GIVEN("a host that does not hold it")
+  {
+    const auto effects = Step(duties, StoreRestored{}, claimed);
+    THEN("an answer about its former claim has no effect")
+    {
+      Step(duties,
+           DutyClaimCompleted{ .mService = kService,
+                               .mCallNumber = write.mCallNumber,
+                               .mResult = DutyClaimResult::kWritten,
+                               .mRecord = write.mRecord,
+                               .mRevision = 41 },
+           claimed);
+      CHECK_FALSE(HoldsDuty(duties, kService, claimed));
+    }
+    THEN("it acts only when the lease of a former holder has ended, which may not know it yet")
+    {
+      const Instant again = claimAgain(effects, claimed);
+      REQUIRE(HoldsDuty(duties, kService, again));
+      CHECK_FALSE(MayAct(duties, kService, again + kMaxOrderDuration, kMaxOrderDuration));
+      CHECK(duties.mClaims.at(kService).mMayActFrom >= claimed + kHostLeaseDuration);
+    }
+  }
+}
+
 } // namespace
 } // namespace trefoil
--- a/trefoil/steering/control_codec.h
+++ b/trefoil/steering/control_codec.h
@@ -59,6 +59,8 @@
   ServiceId mService;
   VersionId mTarget;
   Milliseconds mTimeLimit{ 0 };
+
+  friend bool operator==(const VersionOrder&, const VersionOrder&) = default;
 };
 
 struct ControlCodec
--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -244,6 +244,25 @@
     });
 }
 
+// Writes counts again that the store has lost, so that another holder sends the same ones.
+void
+RewriteLostUsage(SteeringState& aState)
+{
+  for (const UsageReport& report : TakeLostRecords(aState.mUsage)) {
+    aState.mStore.Call(
+      Commit{ .mExpected = { { .mKey = UsageKey(report.mWindow) } },
+              .mWrites = { { .mKey = UsageKey(report.mWindow), .mValue = RenderUsage(report) } } },
+      SuspendAwareNow() + kStoreCallTimeout,
+      [&aState, window = report.mWindow](const StoreAnswer& aAnswer) {
+        const auto task = aState.mUsage.mTasks.find(window);
+        if (task != aState.mUsage.mTasks.end()) {
+          task->second.mIsRecordLost =
+            aAnswer.mOutcome != StoreOutcome::kDone && aAnswer.mOutcome != StoreOutcome::kConflict;
+        }
+      });
+  }
+}
+
 void
 ReadUsage(SteeringState& aState, std::int64_t aWindow)
 {
@@ -484,6 +503,21 @@
   ApplyDutyEvent(aState, HostShutdownStarted{});
 }
 
+void
+OnStoreRestored(SteeringState& aState)
+{
+  const Instant now = SuspendAwareNow();
+  if (aState.mOptions.mReportsUsage) {
+    OnStoreRestored(aState.mUsage,
+                    { .mWindow = aState.mOptions.mUsageWindow },
+                    HoldsDuty(aState.mDuties, kFleetDuty, now),
+                    WallNow() + aState.mView.mClockCorrection);
+    RewriteLostUsage(aState);
+  }
+  OnStoreRestored(aState.mMoves);
+  ApplyDutyEvent(aState, StoreRestored{});
+}
+
 void
 OnHolderSeen(SteeringState& aState)
 {
@@ -494,6 +528,7 @@
 RunDuties(SteeringState& aState)
 {
   UpdateHoldsDuties(aState);
+  RewriteLostUsage(aState);
   if (!aState.mCloud.has_value() || aState.mLeaving) {
     return;
   }
--- a/trefoil/steering/internal/duties.h
+++ b/trefoil/steering/internal/duties.h
@@ -14,6 +14,10 @@
 void
 ResignDuties(SteeringState& aState);
 
+// Must be called when the store was restored from a copy.
+void
+OnStoreRestored(SteeringState& aState);
+
 // Must be called when another host reports that it holds the duties.
 void
 OnHolderSeen(SteeringState& aState);
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -1,5 +1,6 @@
 #include "trefoil/steering/internal/store_updates.h"
 
+#include "trefoil/base/store_revision.h"
 #include "trefoil/steering/host_entry.h"
 #include "trefoil/steering/internal/duties.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
@@ -40,16 +41,16 @@
   if (aItem.mRevision < aState.mCatalogueRevision) {
     aState.mLog.Write(LogSeverity::kNotable,
                       LogEvent::kInputRejected,
-                      "input=configuration revision={} era={} reason=\"revision is below {}\"",
-                      aItem.mRevision,
-                      aState.mStoreEra,
-                      aState.mCatalogueRevision);
+                      "input=configuration revision={} reason=\"revision is below {}\"",
+                      RevisionText(aItem.mRevision),
+                      RevisionText(aState.mCatalogueRevision));
     return;
   }
   auto catalogue = aState.mOptions.mCodec.mDecodeCatalogue(aItem.mValue);
   if (!catalogue.ok()) {
-    LogRejectedInput(
-      aState, fmt::format("input=configuration revision={}", aItem.mRevision), catalogue.status());
+    LogRejectedInput(aState,
+                     fmt::format("input=configuration revision={}", RevisionText(aItem.mRevision)),
+                     catalogue.status());
     return;
   }
   aState.mCatalogueRevision = aItem.mRevision;
@@ -59,7 +60,7 @@
     aState.mLog.Write(LogSeverity::kNotable,
                       LogEvent::kInputRejected,
                       "input=configuration revision={} reason=\"version {} is below {}\"",
-                      aItem.mRevision,
+                      RevisionText(aItem.mRevision),
                       catalogue->mVersion,
                       before);
     return;
@@ -70,7 +71,7 @@
                     "version={} before={} revision={} routes={} accounts={}",
                     catalogue->mVersion,
                     before,
-                    aItem.mRevision,
+                    RevisionText(aItem.mRevision),
                     catalogue->mRoutes.size(),
                     catalogue->mAccounts.size());
   aState.mView.mCatalogue = std::make_shared<const PublishedCatalogue>(
@@ -78,7 +79,7 @@
 }
 
 void
-ApplyVersionOrder(SteeringState& aState, const StoreItem& aItem)
+ApplyVersionOrder(SteeringState& aState, const StoreItem& aItem, OrderSource aSource)
 {
   if (aItem.mRemoved) {
     return;
@@ -91,6 +92,7 @@
   if (OnVersionOrder(aState.mMoves,
                      *order,
                      aItem.mRevision,
+                     aSource,
                      SumOutcomes(aState, order->mService),
                      SuspendAwareNow())) {
     aState.mLog.Write(LogSeverity::kNotable,
@@ -98,12 +100,12 @@
                       "service={} target={} state=running revision={}",
                       order->mService.Value(),
                       order->mTarget.Value(),
-                      aItem.mRevision);
+                      RevisionText(aItem.mRevision));
   }
 }
 
 void
-OnOperatorItems(SteeringState& aState, const std::vector<StoreItem>& aItems)
+OnOperatorItems(SteeringState& aState, const std::vector<StoreItem>& aItems, OrderSource aSource)
 {
   const ControlCodec& codec = aState.mOptions.mCodec;
   // Only the newest of several configurations is decoded.
@@ -114,7 +116,7 @@
       newest = &item;
     }
     if (item.mKey.starts_with(codec.mVersionOrderPrefix)) {
-      ApplyVersionOrder(aState, item);
+      ApplyVersionOrder(aState, item, aSource);
     }
   }
   if (newest != nullptr) {
@@ -148,7 +150,7 @@
                     aServer.mVersion.Value(),
                     NameOf(kServerPhaseNames, aServer.mPhase),
                     aServer.mReclaimable,
-                    aServer.mRevision);
+                    RevisionText(aServer.mRevision));
 }
 
 // Removes a server, or marks the removal as unconfirmed shortly after an outage of the store.
@@ -168,7 +170,7 @@
                       LogEvent::kServersChanged,
                       "server={} phase=gone revision={}",
                       aId.Value(),
-                      aRevision);
+                      RevisionText(aRevision));
   }
   return removed;
 }
@@ -196,9 +198,10 @@
   const bool reregistered = aState.mUnconfirmedRemovals.erase(id) > 0;
   const auto server = aState.mOptions.mCodec.mDecodeServer(aItem);
   if (!server.ok()) {
-    LogRejectedInput(aState,
-                     fmt::format("input=server key={} revision={}", aItem.mKey, aItem.mRevision),
-                     server.status());
+    LogRejectedInput(
+      aState,
+      fmt::format("input=server key={} revision={}", aItem.mKey, RevisionText(aItem.mRevision)),
+      server.status());
     return DeregisterServer(aState.mServers, id, aItem.mRevision);
   }
   const bool changed = RegisterServer(aState.mServers, *server);
@@ -245,19 +248,40 @@
   }
 }
 
-// Records the era that an answer of the store states. Returns whether the answer is used.
+// Handles the return of the store from a copy: what was written lately is gone, leases too, and
+// calls in progress are answered by the store's former life, if at all.
+void
+OnStoreReplaced(SteeringState& aState)
+{
+  const Instant now = SuspendAwareNow();
+  RecordStoreRegained(aState, now);
+  aState.mHostEntryLease = 0;
+  OnStoreRestored(aState);
+  // Not within the answer that stated the era, as its watch repeats its call by itself.
+  aState.mLoop.Post([&aState, now] {
+    aState.mOperatorWatch->RenewCallSentBefore(now);
+    aState.mServerWatch->RenewCallSentBefore(now);
+  });
+}
+
+// Records the era that an answer of the store states. Returns whether the answer is used: not if it
+// comes from an earlier life of the store.
 bool
 OnStoreEra(SteeringState& aState, std::int64_t aEra)
 {
-  if (aEra != aState.mStoreEra) {
+  if (aEra <= aState.mStoreEra) {
+    return aEra == aState.mStoreEra;
+  }
+  const std::int64_t before = std::exchange(aState.mStoreEra, aEra);
+  if (before != 0) {
     aState.mLog.Write(LogSeverity::kNotable,
                       LogEvent::kStoreReplaced,
                       "era={} before={} operators_revision={} servers_revision={}",
                       aEra,
-                      aState.mStoreEra,
-                      aState.mOperatorWatch->Record().mRevision,
-                      aState.mServerWatch->Record().mRevision);
-    aState.mStoreEra = aEra;
+                      before,
+                      RevisionText(aState.mOperatorWatch->Record().mRevision),
+                      RevisionText(aState.mServerWatch->Record().mRevision));
+    OnStoreReplaced(aState);
   }
   return true;
 }
@@ -444,11 +468,11 @@
   aState.mStore.SetEraCallback([&aState](std::int64_t aEra) { return OnStoreEra(aState, aEra); });
   PrefixWatchCallbacks operators = LoggingCallbacks(aState, "operators");
   operators.mOnList = [&aState](const std::vector<StoreItem>& aItems, std::int64_t /*aRevision*/) {
-    OnOperatorItems(aState, aItems);
+    OnOperatorItems(aState, aItems, OrderSource::kList);
     PushStoreChanges(aState);
   };
   operators.mOnChanges = [&aState](const std::vector<StoreItem>& aItems) {
-    OnOperatorItems(aState, aItems);
+    OnOperatorItems(aState, aItems, OrderSource::kChange);
     PushStoreChanges(aState);
   };
   operators.mOnConfirmed = [&aState](Instant aWhen) {
--- a/trefoil/steering/prefix_watch.cc
+++ b/trefoil/steering/prefix_watch.cc
@@ -1,5 +1,7 @@
 #include "trefoil/steering/prefix_watch.h"
 
+#include "trefoil/base/store_revision.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -71,6 +73,16 @@
     OnCallFailed(aAnswer.mOutcome, true);
     return;
   }
+  const std::int64_t era = EraOf(aAnswer.mRevision);
+  if (era < EraOf(mRecord.mRevision)) {
+    OnCallFailed(StoreOutcome::kUnknown, true);
+    return;
+  }
+  if (era != EraOf(mListRevision)) {
+    // The store was replaced between two pages.
+    List({});
+    return;
+  }
   mListedItems.insert(mListedItems.end(), aAnswer.mItems.begin(), aAnswer.mItems.end());
   if (aAnswer.mHasMore && !aAnswer.mItems.empty()) {
     List(aAnswer.mItems.back().mKey);
@@ -143,6 +155,9 @@
     return;
   }
   const UpdateOutcome outcome = ApplyPrefixUpdate(mRecord, aUpdate, mOptions.mKeepsChanges);
+  if (outcome == UpdateOutcome::kOutdated) {
+    return;
+  }
   if (outcome == UpdateOutcome::kBehind) {
     if (mNextCallTimer != 0 && !mStoreLost) {
       mLoop.Cancel(std::exchange(mNextCallTimer, 0));
@@ -179,13 +194,21 @@
 PrefixWatch::OnWatchAnswer(const StoreAnswer& aAnswer, Instant aSentAt)
 {
   if (aAnswer.mOutcome == StoreOutcome::kCompacted) {
-    List({});
+    OnHistoryGone();
     return;
   }
-  if (aAnswer.mOutcome != StoreOutcome::kDone) {
-    OnCallFailed(aAnswer.mOutcome, false);
+  const std::int64_t eraBefore = EraOf(mRecord.mRevision);
+  if (aAnswer.mOutcome != StoreOutcome::kDone || EraOf(aAnswer.mRevision) < eraBefore) {
+    OnCallFailed(
+      aAnswer.mOutcome == StoreOutcome::kDone ? StoreOutcome::kUnknown : aAnswer.mOutcome, false);
     return;
   }
+  if (EraOf(aAnswer.mRevision) > eraBefore) {
+    // The changes after a revision of an earlier life do not lead to the present.
+    List({});
+    return;
+  }
+  mListsWithoutWatch = 0;
   OnCallSucceeded(aSentAt);
   mLastReceivedAt = SuspendAwareNow();
   ApplyChanges(mRecord, aAnswer.mItems, aAnswer.mRevision, aSentAt, mOptions.mKeepsChanges);
@@ -200,6 +223,20 @@
   ScheduleCall(SuspendAwareNow() + mOptions.mBatchDelay, false);
 }
 
+// Lists the prefix again. If the store does not have the changes after that list either, the calls
+// are repeated with increasing delays.
+void
+PrefixWatch::OnHistoryGone()
+{
+  if (mListsWithoutWatch++ == 0) {
+    List({});
+    return;
+  }
+  const Milliseconds delay =
+    std::min(kMaxBackoff, kMinBackoff * (1 << std::min(mListsWithoutWatch, kMaxDoublings)));
+  ScheduleCall(SuspendAwareNow() + delay, true);
+}
+
 void
 PrefixWatch::OnCallFailed(StoreOutcome aOutcome, bool aRelist)
 {
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -89,6 +89,7 @@
   void ScheduleCall(Instant aWhen, bool aRelist);
   void Watch();
   void OnWatchAnswer(const StoreAnswer& aAnswer, Instant aSentAt);
+  void OnHistoryGone();
   void OnCallFailed(StoreOutcome aOutcome, bool aRelist);
   void OnCallSucceeded(Instant aSentAt);
 
@@ -109,6 +110,8 @@
   Instant mCallSentAt;
   bool mCallIsList = false;
   int mFailures = 0;
+  // Lists after which the store did not have the changes, since the last watch that succeeded.
+  int mListsWithoutWatch = 0;
   bool mStoreLost = false;
   // When the store was lost; meaningful while mStoreLost is true.
   Instant mStoreLostAt;
--- a/trefoil/steering/usage_duty.cc
+++ b/trefoil/steering/usage_duty.cc
@@ -3,7 +3,9 @@
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
+#include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace trefoil {
 namespace {
@@ -40,6 +42,8 @@
     const auto [entry, inserted] = aDuty.mTasks.try_emplace(window);
     if (inserted) {
       entry->second.mReport = { .mWindow = window, .mCounts = aCounts(window) };
+      entry->second.mPhase =
+        window < aDuty.mFirstCountedWindow ? UsagePhase::kUnsure : UsagePhase::kCounted;
     }
   }
   aDuty.mTasks.erase(aDuty.mTasks.begin(), aDuty.mTasks.lower_bound(firstWindow - kWindowsKept));
@@ -94,7 +98,7 @@
     task->mReport = aReport;
     task->mPhase = UsagePhase::kRecorded;
     task->mNextCallAt = aNow;
-  } else if (aOutcome == StoreOutcome::kNotFound) {
+  } else if (aOutcome == StoreOutcome::kNotFound && aWindow >= aDuty.mFirstCountedWindow) {
     task->mPhase = UsagePhase::kCounted;
   }
 }
@@ -113,6 +117,36 @@
   }
 }
 
+void
+OnStoreRestored(UsageDuty& aDuty, const UsageTimes& aTimes, bool aHoldsDuty, WallTime aWallNow)
+{
+  for (auto& [window, task] : aDuty.mTasks) {
+    task.mIsRecordLost = task.mPhase == UsagePhase::kRecorded || task.mPhase == UsagePhase::kSent;
+  }
+  if (aHoldsDuty) {
+    return;
+  }
+  aDuty.mFirstCountedWindow =
+    std::max(aDuty.mFirstCountedWindow, UnixMilliseconds(aWallNow) / aTimes.mWindow.count());
+  for (auto& [window, task] : aDuty.mTasks) {
+    if (task.mPhase == UsagePhase::kCounted && window < aDuty.mFirstCountedWindow) {
+      task.mPhase = UsagePhase::kUnsure;
+    }
+  }
+}
+
+std::vector<UsageReport>
+TakeLostRecords(UsageDuty& aDuty)
+{
+  std::vector<UsageReport> reports;
+  for (auto& [window, task] : aDuty.mTasks) {
+    if (std::exchange(task.mIsRecordLost, false)) {
+      reports.push_back(task.mReport);
+    }
+  }
+  return reports;
+}
+
 std::string
 UsageKey(std::int64_t aWindow)
 {
--- a/trefoil/steering/usage_duty.h
+++ b/trefoil/steering/usage_duty.h
@@ -45,11 +45,16 @@
   // The earliest time of the next call: the timeout of a call in progress, or the end of a
   // retry delay.
   Instant mNextCallAt;
+  // Whether the stored counts may have been lost and have to be written again.
+  bool mIsRecordLost = false;
 };
 
 struct UsageDuty
 {
   std::map<std::int64_t, UsageTask> mTasks;
+  // Another host may have reported earlier windows with counts that the store has lost. They are
+  // reported only with counts that are stored again.
+  std::int64_t mFirstCountedWindow = 0;
 };
 
 struct UsageTimes
@@ -99,6 +104,17 @@
 void
 OnUsageSent(UsageDuty& aDuty, std::int64_t aWindow, bool aAccepted, Instant aNow);
 
+// Must be called when the store was restored from a copy. `aHoldsDuty` is whether this host has
+// held the duty until now.
+void
+OnStoreRestored(UsageDuty& aDuty, const UsageTimes& aTimes, bool aHoldsDuty, WallTime aWallNow);
+
+// Returns the reports whose stored counts have to be written again, unless the store has others.
+// Every host that has recorded them must do so, whether or not it still holds the duty. They are
+// not returned again.
+std::vector<UsageReport>
+TakeLostRecords(UsageDuty& aDuty);
+
 // Returns the key of a window in the store.
 std::string
 UsageKey(std::int64_t aWindow);
--- a/trefoil/steering/usage_duty_test.cc
+++ b/trefoil/steering/usage_duty_test.cc
@@ -100,5 +100,55 @@
   CHECK_FALSE(ParseUsage(R"({"window":7})").ok());
 }
 
+// Guards against two reports of one window with different counts after the store has lost the
+// counts that were sent (ONE).
+SCENARIO("the store is restored from a copy after a usage window was reported")
+{
+  UsageDuty duty;
+  const auto actionsAt = [&duty](std::int64_t aWall) {
+    return NextUsageActions(duty, kTimes, At(aWall), kNow, kCallTimeout, Counts);
+  };
+  GIVEN("the host that has reported it")
+  {
+    REQUIRE(actionsAt(506'000).size() == 1);
+    OnUsageRecorded(duty, 99, StoreOutcome::kDone, kNow);
+    OnUsageSent(duty, 99, true, kNow);
+    const bool holdsDuty = GENERATE(true, false);
+    OnStoreRestored(duty, kTimes, holdsDuty, At(506'500));
+    THEN("it writes the counts again, also if it no longer holds the duty")
+    {
+      const auto lost = TakeLostRecords(duty);
+      REQUIRE(lost.size() == 1);
+      CHECK(lost[0].mWindow == 99);
+      CHECK(lost[0].mCounts == Counts(99));
+      CHECK(TakeLostRecords(duty).empty());
+    }
+  }
+  GIVEN("another host that becomes the holder afterwards")
+  {
+    OnStoreRestored(duty, kTimes, false, At(506'000));
+    const auto actions = actionsAt(506'500);
+    REQUIRE(actions.size() == 1);
+    THEN("it only reads the counts")
+    {
+      CHECK(actions[0].mPhase == UsagePhase::kUnsure);
+    }
+    WHEN("they have not been written again yet")
+    {
+      OnUsageRead(duty, 99, StoreOutcome::kNotFound, {}, kNow);
+      THEN("it does not count by itself")
+      {
+        CHECK(duty.mTasks.at(99).mPhase == UsagePhase::kUnsure);
+      }
+    }
+    THEN("it counts windows that had not ended")
+    {
+      for (const UsageAction& action : actionsAt(512'000)) {
+        CHECK((action.mReport.mWindow < 101) == (action.mPhase == UsagePhase::kUnsure));
+      }
+    }
+  }
+}
+
 } // namespace
 } // namespace trefoil
--- a/trefoil/steering/version_moves.cc
+++ b/trefoil/steering/version_moves.cc
@@ -1,5 +1,7 @@
 #include "trefoil/steering/version_moves.h"
 
+#include "trefoil/base/store_revision.h"
+
 #include <algorithm>
 
 namespace trefoil {
@@ -120,17 +122,35 @@
   return fails || IsSlow(aNew, aOld);
 }
 
+// Returns whether an order in the store is the recorded one or one that it has replaced.
+bool
+IsKnownOrder(const VersionMove& aMove,
+             const VersionOrder& aOrder,
+             std::int64_t aRevision,
+             OrderSource aSource)
+{
+  if (EraOf(aRevision) <= EraOf(aMove.mRevision)) {
+    return aRevision <= aMove.mRevision;
+  }
+  return aOrder == aMove.mOrder ||
+         (aSource == OrderSource::kList && NumberOf(aRevision) <= NumberOf(aMove.mRevision));
+}
+
 } // namespace
 
 bool
 OnVersionOrder(VersionMoves& aMoves,
                const VersionOrder& aOrder,
                std::int64_t aRevision,
+               OrderSource aSource,
                const std::map<VersionId, VersionOutcomes>& aOutcomes,
                Instant aNow)
 {
   const auto found = aMoves.mMoves.find(aOrder.mService);
-  if (found != aMoves.mMoves.end() && found->second.mRevision >= aRevision) {
+  if (found != aMoves.mMoves.end() && IsKnownOrder(found->second, aOrder, aRevision, aSource)) {
+    if (found->second.mOrder == aOrder) {
+      found->second.mRevision = std::max(found->second.mRevision, aRevision);
+    }
     return false;
   }
   aMoves.mMoves[aOrder.mService] = VersionMove{
@@ -139,6 +159,15 @@
   return true;
 }
 
+void
+OnStoreRestored(VersionMoves& aMoves)
+{
+  for (auto& [service, move] : aMoves.mMoves) {
+    move.mWrittenState.reset();
+    move.mNextWriteAt = {};
+  }
+}
+
 bool
 EvaluateMove(VersionMove& aMove,
              const std::map<VersionId, VersionOutcomes>& aOutcomes,
--- a/trefoil/steering/version_moves.h
+++ b/trefoil/steering/version_moves.h
@@ -36,15 +36,37 @@
   std::map<ServiceId, VersionMove> mMoves;
 };
 
-// Records an order that was stored at `aRevision`, with the outcomes counted so far. Returns
-// false if this order or a later one of the service is already recorded.
+// How an order became known.
+enum class OrderSource
+{
+  // From a list of all orders.
+  kList,
+  // As a change.
+  kChange,
+};
+
+inline constexpr NameTable<OrderSource, 2> kOrderSourceNames{ {
+  { OrderSource::kList, "list" },
+  { OrderSource::kChange, "change" },
+} };
+
+// Records an order that was stored at `aRevision` (base/store_revision.h), with the outcomes
+// counted so far. Returns false if this order or a later one of the service is already recorded.
+// After the store was restored from a copy, its list can have an order that a known one has
+// replaced, and the known one is written again.
 bool
 OnVersionOrder(VersionMoves& aMoves,
                const VersionOrder& aOrder,
                std::int64_t aRevision,
+               OrderSource aSource,
                const std::map<VersionId, VersionOutcomes>& aOutcomes,
                Instant aNow);
 
+// Must be called when the store was restored from a copy: the states of the moves are written
+// again.
+void
+OnStoreRestored(VersionMoves& aMoves);
+
 // Decides on a running move by the outcomes since its order. `aOutcomes` are totals. Returns
 // whether the state of the move changed.
 bool
--- a/trefoil/steering/version_moves_test.cc
+++ b/trefoil/steering/version_moves_test.cc
@@ -1,5 +1,7 @@
 #include "trefoil/steering/version_moves.h"
 
+#include "trefoil/base/store_revision.h"
+
 #include <catch2/catch.hpp>
 
 namespace trefoil {
@@ -17,8 +19,8 @@
                             .mTarget = kNew,
                             .mTimeLimit = Milliseconds{ 12'000 } };
   std::map<VersionId, VersionOutcomes> outcomes{ { kOld, { 1'000, 5, 50'000 } } };
-  REQUIRE(OnVersionOrder(moves, order, 40, outcomes, kNow));
-  CHECK_FALSE(OnVersionOrder(moves, order, 40, outcomes, kNow));
+  REQUIRE(OnVersionOrder(moves, order, 40, OrderSource::kChange, outcomes, kNow));
+  CHECK_FALSE(OnVersionOrder(moves, order, 40, OrderSource::kChange, outcomes, kNow));
   VersionMove& move = moves.mMoves.at(kService);
   CHECK(SteeringOf(moves).at(kService).mTargetShare < 0.1);
   WHEN("the answers of the new version are as good as those of the old one")
@@ -117,5 +119,44 @@
   }
 }
 
+// Guards against a move that starts again when its order is written again into a store that was
+// restored from a copy (EXPOSURE).
+SCENARIO("the store is restored from a copy while a version moves")
+{
+  VersionMoves moves;
+  const VersionOrder before{ .mService = kService, .mTarget = kOld };
+  const VersionOrder order{ .mService = kService, .mTarget = kNew };
+  const auto apply =
+    [&moves](const VersionOrder& aOrder, std::int64_t aRevision, OrderSource aFrom) {
+      return OnVersionOrder(moves, aOrder, aRevision, aFrom, {}, kNow);
+    };
+  REQUIRE(apply(before, MakeStoreRevision(1, 80), OrderSource::kChange));
+  REQUIRE(apply(order, MakeStoreRevision(1, 110), OrderSource::kChange));
+  VersionMove& move = moves.mMoves.at(kService);
+  move.mState = VersionMoveState::kRolledBack;
+  move.mWrittenState = VersionMoveState::kRolledBack;
+  OnStoreRestored(moves);
+  THEN("the state of the move is written again")
+  {
+    CHECK_FALSE(move.mWrittenState.has_value());
+  }
+  THEN("the order that the copy has instead is not taken for a new one")
+  {
+    CHECK_FALSE(apply(before, MakeStoreRevision(2, 80), OrderSource::kList));
+    CHECK(move.mOrder == order);
+  }
+  THEN("the same order written again continues the move")
+  {
+    CHECK_FALSE(apply(order, MakeStoreRevision(2, 105), OrderSource::kChange));
+    CHECK(move.mState == VersionMoveState::kRolledBack);
+  }
+  THEN("another order is a new one, also under a number that was given out before")
+  {
+    const VersionOrder next{ .mService = kService, .mTarget = VersionId{ "v9" } };
+    CHECK(apply(next, MakeStoreRevision(2, 107), OrderSource::kChange));
+    CHECK(moves.mMoves.at(kService).mState == VersionMoveState::kRunning);
+  }
+}
+
 } // namespace
 } // namespace trefoil
--- a/trefoil/store/prefix_record.cc
+++ b/trefoil/store/prefix_record.cc
@@ -1,5 +1,7 @@
 #include "trefoil/store/prefix_record.h"
 
+#include "trefoil/base/store_revision.h"
+
 #include <algorithm>
 
 namespace trefoil {
@@ -55,6 +57,13 @@
 UpdateOutcome
 ApplyPrefixUpdate(PrefixRecord& aRecord, const PrefixUpdate& aUpdate, bool aRetainChanges)
 {
+  if (EraOf(aUpdate.mRevision) < EraOf(aRecord.mRevision)) {
+    return UpdateOutcome::kOutdated;
+  }
+  // Changes of one life of the store do not lead from another one to the present.
+  if (EraOf(aUpdate.mRevision) > EraOf(aRecord.mRevision)) {
+    return UpdateOutcome::kBehind;
+  }
   const Instant currentAt = aUpdate.mConfirmedAt.value_or(Instant{});
   if (aUpdate.mLastChange <= aRecord.mRevision) {
     aRecord.mConfirmedAt = std::max(aRecord.mConfirmedAt, currentAt);
--- a/trefoil/store/prefix_record.h
+++ b/trefoil/store/prefix_record.h
@@ -55,8 +55,12 @@
   kChanged,
   // The update omits changes that this host lacks, so the host must fetch them from the store.
   kBehind,
+  // The update is from an earlier life of the store and confirms nothing.
+  kOutdated,
 };
 
+// Revisions are those of store_revision.h.
+
 // Records that a list of all keys, complete at `aRevision`, was received. The request for it was
 // sent at `aSentAt`. Drops the retained changes.
 void
--- a/trefoil/store/prefix_record_test.cc
+++ b/trefoil/store/prefix_record_test.cc
@@ -1,5 +1,7 @@
 #include "trefoil/store/prefix_record.h"
 
+#include "trefoil/base/store_revision.h"
+
 #include <catch2/catch.hpp>
 
 namespace trefoil {
@@ -152,5 +154,55 @@
   }
 }
 
+// Guards against hosts that confirm each other a configuration of before the store was restored
+// from a copy, or that never read the present one (CONFIG).
+SCENARIO("the store was restored from a copy")
+{
+  PrefixRecord record;
+  ApplyList(record, MakeStoreRevision(1, 118), kNow);
+  WHEN("this host has not noticed it yet and another one sends what the store has now")
+  {
+    const auto outcome = ApplyPrefixUpdate(record,
+                                           { .mRevision = MakeStoreRevision(2, 130),
+                                             .mLastChange = MakeStoreRevision(2, 99),
+                                             .mItemsSince = MakeStoreRevision(1, 118),
+                                             .mConfirmedAt = kNow + kStep },
+                                           true);
+    THEN("it queries the store, and nothing is confirmed")
+    {
+      CHECK(outcome == UpdateOutcome::kBehind);
+      CHECK(record.mConfirmedAt == kNow);
+    }
+  }
+  WHEN("this host has listed the keys again")
+  {
+    ApplyList(record, MakeStoreRevision(2, 99), kNow + kStep);
+    CHECK(record.mRevision == MakeStoreRevision(2, 99));
+    THEN("hosts that know only the former life must query the store, too")
+    {
+      CHECK_FALSE(ChangesSince(record, MakeStoreRevision(1, 118)).has_value());
+    }
+    THEN("a host that has not noticed it confirms nothing")
+    {
+      const auto outcome = ApplyPrefixUpdate(record,
+                                             { .mRevision = MakeStoreRevision(1, 300),
+                                               .mLastChange = MakeStoreRevision(1, 118),
+                                               .mConfirmedAt = kNow + 9 * kStep },
+                                             true);
+      CHECK(outcome == UpdateOutcome::kOutdated);
+      CHECK(record.mConfirmedAt == kNow + kStep);
+    }
+    THEN("a revision that is given out again is a new change")
+    {
+      ApplyChanges(record,
+                   { MakeItem("a", MakeStoreRevision(2, 110)) },
+                   MakeStoreRevision(2, 110),
+                   kNow + 2 * kStep,
+                   true);
+      CHECK(ChangesSince(record, MakeStoreRevision(2, 99))->size() == 1);
+    }
+  }
+}
+
 } // namespace
 } // namespace trefoil
