Send no requests to a server whose answers say that it leaves

What callers saw: nothing yet; by the users' new rule (DRAIN) a request that a host sends later than DrainMs after such an answer is one too many. Cause: no code reads Server-Leaving; a host learns that a server leaves from its entry in the store only, which can come later or, while the store is away, not at all. Evidence: the new scenario of forward_path_test fails on the code before: 10 requests instead of 1 beside another server, and one answered instead of rejected without one. Ruled out: nothing else reads answers for that; Connection: close, which leaving servers send too, also comes from others. Change: an answer with the header takes the incarnation of the server out of the choice at once. The next incarnation is a candidate again.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -579,6 +579,50 @@
   }
 }
 
+// Guards against requests to a server that says in its answers that it leaves, while its entry in
+// the store does not say so yet (DRAIN).
+SCENARIO("a backend server states in its answers that it leaves")
+{
+  const ScriptedServer leaving{ [](const ReceivedRequest& aRequest) {
+    return Reply{ .mBytes = MakeAnswer(
+                    aRequest, 200, "Response-Seal: s\r\nServer-Leaving: 1\r\n", "done") };
+  } };
+  const ScriptedServer other{ AnswerSuccess };
+  Gateway gateway;
+  gateway.AddServer("e1", leaving);
+  gateway.Publish();
+  REQUIRE(gateway.Ask("write", "id-0").mStatus == 200);
+  GIVEN("another server")
+  {
+    gateway.AddServer("e2", other);
+    gateway.Publish();
+    THEN("the leaving one gets no further request")
+    {
+      for (int i = 1; i < 20; ++i) {
+        CHECK(gateway.Ask("write", fmt::format("id-{}", i)).mStatus == 200);
+      }
+      CHECK(leaving.ReceivedRequests().size() == 1);
+    }
+  }
+  GIVEN("no other server")
+  {
+    THEN("requests are rejected as not run")
+    {
+      CHECK(gateway.Ask("write", "id-1").mStatus == 503);
+      CHECK(leaving.ReceivedRequests().size() == 1);
+    }
+    WHEN("the server has started again")
+    {
+      gateway.mServers.mServers.at(BackendServerId{ "e1" }).mIncarnation = 1;
+      gateway.Publish();
+      THEN("it gets requests")
+      {
+        CHECK(gateway.Ask("write", "id-1").mStatus == 200);
+      }
+    }
+  }
+}
+
 SCENARIO("a backend server sends two answers to one request")
 {
   ScriptedServer server{ [](const ReceivedRequest& aRequest) {
--- a/trefoil/dispatch/server_choice.cc
+++ b/trefoil/dispatch/server_choice.cc
@@ -166,6 +166,13 @@
                                        : ChooseByCache(aCandidates, aParameters, useAvoided, aNow);
 }
 
+bool
+AcceptsRequests(const RegisteredServer& aServer, const ServerStatus& aStatus)
+{
+  return aServer.mPhase == ServerPhase::kReady &&
+         aStatus.mLeavingIncarnation != aServer.mIncarnation;
+}
+
 void
 AvoidReportedBroken(std::vector<ServerCandidate>& aCandidates, Instant aNow)
 {
--- a/trefoil/dispatch/server_choice.h
+++ b/trefoil/dispatch/server_choice.h
@@ -46,6 +46,8 @@
   // Whether several other hosts report the server as broken.
   bool mReportedBroken = false;
   ServerLimit mLimit;
+  // The incarnation that has stated in an answer that it leaves; empty if none has.
+  std::optional<std::int64_t> mLeavingIncarnation;
 };
 
 // The status of the network path to an availability zone. If several of its servers fail at
@@ -70,6 +72,11 @@
   bool mAvoided = false;
 };
 
+// Returns whether a server may get requests: not while its entry or one of its answers says that it
+// leaves.
+bool
+AcceptsRequests(const RegisteredServer& aServer, const ServerStatus& aStatus);
+
 // Marks the candidates that other hosts report as broken as avoided, unless they are more than
 // half: then the network paths of the reporting hosts are the more likely cause, or the
 // remaining servers would be overloaded. A server that has served this host recently is not
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -162,6 +162,7 @@
   void OnServerEnd(StreamEnd aEnd);
   bool CheckRequestHead();
   void RecordStatedLimit();
+  void RecordLeaving();
   bool CheckBufferedBytes();
   void RelayEvents();
   void RecordAnswerBegun();
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -88,6 +88,7 @@
   }
   if (attempt.mAnswerMetadata.mSealed || attempt.mAnswerMetadata.mNotRun) {
     RecordStatedLimit();
+    RecordLeaving();
   }
   if (attempt.mAnswerMetadata.mNotRun) {
     OnAttemptFailed(AttemptFailure::kTurnedAway);
@@ -132,6 +133,24 @@
                     mMetadata.mRequestId);
 }
 
+// Records that the server leaves, if the answer states it. Its entry in the store can say so later.
+void
+Exchange::RecordLeaving()
+{
+  const RegisteredServer& server = mAttempt->mServer;
+  ServerStatus& status = StatusOfServer(server.mId);
+  if (!mAttempt->mAnswerMetadata.mLeaving || status.mLeavingIncarnation >= server.mIncarnation) {
+    return;
+  }
+  status.mLeavingIncarnation = server.mIncarnation;
+  mState.mLog.Write(LogSeverity::kNotable,
+                    LogEvent::kServerAvoided,
+                    "server={} service={} reason=leaving id={}",
+                    server.mId.Value(),
+                    mService.Value(),
+                    mMetadata.mRequestId);
+}
+
 // Counts the bytes of the answer that cannot be relayed yet. Returns false if there are too many of
 // them and the attempt has ended.
 bool
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -62,8 +62,8 @@
   std::vector<ServerCandidate> candidates;
   for (const RegisteredServer* server : found->second) {
     const bool isTarget = hasSteering && server->mVersion == steering->second.mTarget;
-    if (server->mPhase != ServerPhase::kReady || mTriedServers.contains(server->mId) ||
-        isTarget != useTarget) {
+    if (!AcceptsRequests(*server, StatusOfServer(server->mId)) ||
+        mTriedServers.contains(server->mId) || isTarget != useTarget) {
       continue;
     }
     candidates.push_back({ .mServer = server,
--- a/trefoil/forward/forward_codec.h
+++ b/trefoil/forward/forward_codec.h
@@ -68,6 +68,8 @@
   // How long the server keeps the idle connection open; empty if it does not state it.
   std::optional<Milliseconds> mKeepAliveTimeout;
   StatedLimit mLimit;
+  // Whether the server states that it leaves.
+  bool mLeaving = false;
 };
 
 struct ForwardCodec
