Send no requests to a server that has asked for a pause

What callers saw: nothing yet; by the users' new rule (BUDGET) at most two requests may reach a server that has answered 503 with Retry-After, until that time is over. Cause: the time was not read. A server that rejects a request is avoided for 100 ms only, and used all the same if no other one is left. Evidence: the new scenario of forward_path_test. Whether it fails on the code before was not run; that code has no reader of the header. Ruled out: mRetryNotBefore of trefoil/fleet is about orders. Change: a host sends nothing to the server, for its incarnation, until the stated time. Requests for which no other server is left are rejected at once with the time to return.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -623,6 +623,52 @@
   }
 }
 
+// Guards against requests to a server that has rejected one and asked for a pause (BUDGET).
+SCENARIO("a backend server rejects a request and states when it accepts the next one")
+{
+  const ScriptedServer pausing{ [](const ReceivedRequest& aRequest) {
+    return Reply{ .mBytes =
+                    MakeAnswer(aRequest, 503, "Not-Executed: 1\r\nRetry-After: 3600\r\n", "") };
+  } };
+  const ScriptedServer other{ AnswerSuccess };
+  Gateway gateway;
+  gateway.AddServer("e1", pausing);
+  gateway.Publish();
+  GIVEN("another server")
+  {
+    gateway.AddServer("e2", other);
+    gateway.Publish();
+    THEN("the other one gets all further requests")
+    {
+      for (int i = 0; i < 30; ++i) {
+        CHECK(gateway.Ask("write", fmt::format("id-{}", i)).mStatus == 200);
+      }
+      CHECK(pausing.ReceivedRequests().size() <= 1);
+    }
+  }
+  GIVEN("no other server")
+  {
+    CHECK(gateway.Ask("write", "id-0").mStatus == 503);
+    THEN("further requests are rejected at once, with the time to return")
+    {
+      const ReceivedAnswer answer = gateway.Ask("write", "id-1");
+      CHECK(answer.mStatus == 503);
+      CHECK_FALSE(HeaderValue(answer.mHeaders, "Retry-After").empty());
+      CHECK(pausing.ReceivedRequests().size() == 1);
+    }
+    WHEN("the server has started again")
+    {
+      gateway.mServers.mServers.at(BackendServerId{ "e1" }).mIncarnation = 1;
+      gateway.Publish();
+      gateway.Ask("write", "id-2");
+      THEN("it gets requests")
+      {
+        CHECK(pausing.ReceivedRequests().size() == 2);
+      }
+    }
+  }
+}
+
 SCENARIO("a backend server sends two answers to one request")
 {
   ScriptedServer server{ [](const ReceivedRequest& aRequest) {
--- a/trefoil/dispatch/server_choice.cc
+++ b/trefoil/dispatch/server_choice.cc
@@ -173,6 +173,24 @@
          aStatus.mLeavingIncarnation != aServer.mIncarnation;
 }
 
+void
+RecordPause(ServerStatus& aStatus, const RegisteredServer& aServer, Instant aUntil)
+{
+  if (aServer.mIncarnation > aStatus.mPausedIncarnation) {
+    aStatus.mPausedIncarnation = aServer.mIncarnation;
+    aStatus.mPausedUntil = aUntil;
+  } else if (aServer.mIncarnation == aStatus.mPausedIncarnation) {
+    aStatus.mPausedUntil = std::max(aStatus.mPausedUntil, aUntil);
+  }
+}
+
+bool
+IsPaused(const RegisteredServer& aServer, const ServerStatus& aStatus, Instant aNow)
+{
+  return aServer.mIncarnation == aStatus.mPausedIncarnation &&
+         !HasPassed(aStatus.mPausedUntil, aNow);
+}
+
 void
 AvoidReportedBroken(std::vector<ServerCandidate>& aCandidates, Instant aNow)
 {
--- a/trefoil/dispatch/server_choice.h
+++ b/trefoil/dispatch/server_choice.h
@@ -48,6 +48,9 @@
   ServerLimit mLimit;
   // The incarnation that has stated in an answer that it leaves; empty if none has.
   std::optional<std::int64_t> mLeavingIncarnation;
+  // The incarnation that has asked this host to send no requests, and until when.
+  std::int64_t mPausedIncarnation = 0;
+  Instant mPausedUntil;
 };
 
 // The status of the network path to an availability zone. If several of its servers fail at
@@ -77,6 +80,14 @@
 bool
 AcceptsRequests(const RegisteredServer& aServer, const ServerStatus& aStatus);
 
+// Records that the server wants no requests of this host until `aUntil`.
+void
+RecordPause(ServerStatus& aStatus, const RegisteredServer& aServer, Instant aUntil);
+
+// Returns whether the server wants no requests of this host at `aNow`.
+bool
+IsPaused(const RegisteredServer& aServer, const ServerStatus& aStatus, Instant aNow);
+
 // Marks the candidates that other hosts report as broken as avoided, unless they are more than
 // half: then the network paths of the reporting hosts are the more likely cause, or the
 // remaining servers would be overloaded. A server that has served this host recently is not
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -89,6 +89,11 @@
   if (attempt.mAnswerMetadata.mSealed || attempt.mAnswerMetadata.mNotRun) {
     RecordStatedLimit();
     RecordLeaving();
+    if (attempt.mAnswerMetadata.mPause.has_value()) {
+      RecordPause(StatusOfServer(attempt.mServer.mId),
+                  attempt.mServer,
+                  SuspendAwareNow() + *attempt.mAnswerMetadata.mPause);
+    }
   }
   if (attempt.mAnswerMetadata.mNotRun) {
     OnAttemptFailed(AttemptFailure::kTurnedAway);
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -90,34 +90,43 @@
   return *candidates[*chosen].mServer;
 }
 
-// Removes the candidates that may get no request of this host now because of their limits. Returns
-// false if there is none left because of that, or if all are limited and what they still accept is
-// kept for more urgent requests.
+// Removes the candidates that may get no request of this host now, because of their limits or
+// because they have asked for a pause. Returns false if none is left because of that, or if all are
+// limited and what they still accept is kept for more urgent requests.
 bool
 Exchange::UseLimits(std::vector<ServerCandidate>& aCandidates)
 {
   const Instant now = SuspendAwareNow();
   PermitSum permits;
-  bool allLimited = !aCandidates.empty();
+  bool hasLimited = false;
+  bool hasUnlimited = false;
+  std::optional<Instant> acceptsAt;
   std::erase_if(aCandidates, [&](const ServerCandidate& aItem) {
-    ServerLimit& limit = StatusOfServer(aItem.mServer->mId).mLimit;
-    if (!IsLimited(limit, now)) {
-      allLimited = false;
+    ServerStatus& status = StatusOfServer(aItem.mServer->mId);
+    if (IsPaused(*aItem.mServer, status, now)) {
+      acceptsAt = std::min(acceptsAt.value_or(status.mPausedUntil), status.mPausedUntil);
+      return true;
+    }
+    if (!IsLimited(status.mLimit, now)) {
+      hasUnlimited = true;
       return false;
     }
-    const RefillRate part = OwnPartOfLimit(mState, aItem.mServer->mId, limit);
-    const bool hasPermit = HasPermit(limit, part, now);
-    AddPermits(permits, limit, part);
+    hasLimited = true;
+    const RefillRate part = OwnPartOfLimit(mState, aItem.mServer->mId, status.mLimit);
+    const bool hasPermit = HasPermit(status.mLimit, part, now);
+    AddPermits(permits, status.mLimit, part);
     return !hasPermit;
   });
-  mLimitedUntil.reset();
+  if (hasLimited) {
+    const Instant permitAt = now + permits.mNextIn.value_or(kRetryAfterNoPermit);
+    acceptsAt = std::min(acceptsAt.value_or(permitAt), permitAt);
+  }
   // Work that has begun is finished before new requests are accepted.
   const double moreUrgent = mDispatches > 0 ? 0.0 : MoreUrgentShare();
-  if (allLimited && (aCandidates.empty() || !CoversUrgency(permits, moreUrgent))) {
-    mLimitedUntil = now + permits.mNextIn.value_or(kRetryAfterNoPermit);
-    return false;
-  }
-  return true;
+  const bool isRejected = !hasUnlimited && acceptsAt.has_value() &&
+                          (aCandidates.empty() || !CoversUrgency(permits, moreUrgent));
+  mLimitedUntil = isRejected ? acceptsAt : std::nullopt;
+  return !isRejected;
 }
 
 // Returns the share of the priorities of the service's routes that are more urgent than that of
--- a/trefoil/forward/forward_codec.h
+++ b/trefoil/forward/forward_codec.h
@@ -70,6 +70,8 @@
   StatedLimit mLimit;
   // Whether the server states that it leaves.
   bool mLeaving = false;
+  // How long the server wants no further request of this host; empty if it does not state it.
+  std::optional<Milliseconds> mPause;
 };
 
 struct ForwardCodec
