Do not trust a rejection without an id on a kept connection

What callers saw: nothing here; other operators report that clients were told "not run" for requests that had run, after a server had sent an earlier rejection once more (REFUSED, TWICE). Cause: an answer without Request-Id was taken for a rejection of the request that waits, also on a kept connection, where it can be a late copy. With another id it was skipped already. Evidence: the new scenario of forward_path_test got 503 before, for a request that the server was about to answer. Ruled out: a server that resumes a stream and answers with an error (400, 404, 500, 503): the new scenario holds on the code before; its error does not reach the client. Change: such an answer counts as a broken attempt that may have run.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -669,6 +669,59 @@
   }
 }
 
+// Guards against a request that runs twice, or is answered "not run" although it ran, because a
+// server sent an earlier rejection once more on a kept connection (TWICE, REFUSED).
+SCENARIO("a rejection on a kept connection does not say which request it belongs to")
+{
+  const std::string stray = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  const ScriptedServer first{ [&stray](const ReceivedRequest& aRequest) {
+    return Reply{ .mBytes = aRequest.mIndex == 0 ? MakeSealedAnswer(aRequest, 200, "done")
+                                                 : stray + MakeSealedAnswer(aRequest, 200, "ran") };
+  } };
+  const ScriptedServer second{ AnswerSuccess };
+  Gateway gateway;
+  gateway.AddServer("e1", first);
+  gateway.Publish();
+  Client client = gateway.Connect();
+  client.Send(MakeRequest("write", "id-1"));
+  REQUIRE(client.Read().mStatus == 200);
+  client.Send(MakeRequest("write", "id-2"));
+  const ReceivedAnswer answer = client.Read();
+  THEN("the request is not taken for one that has not run")
+  {
+    CHECK(answer.mStatus != 503);
+    CHECK(first.ReceivedRequests().size() == 2);
+  }
+}
+
+// Guards against the error of a server inside the stream that another one began (ORDER, MIXED).
+SCENARIO("a server that resumes a stream answers with an error")
+{
+  const int status = GENERATE(400, 404, 500, 503);
+  const ScriptedServer::Script script = [status](const ReceivedRequest& aRequest) {
+    if (HeaderValue(aRequest.mRequest.mHeaders, "Last-Event-Id").empty()) {
+      return Reply{ .mBytes = MakeStreamStart(aRequest) + MakeEventChunk(1), .mClose = true };
+    }
+    return Reply{ .mBytes = MakeSealedAnswer(aRequest, status, "id: 2\ndata: oops\n\n") };
+  };
+  const ScriptedServer first{ script };
+  const ScriptedServer second{ script };
+  Gateway gateway;
+  gateway.AddServer("e1", first);
+  gateway.AddServer("e2", second);
+  gateway.Publish();
+  Client client = gateway.Connect();
+  client.Send(MakeRequest("talk", "id-1"));
+  const ReceivedAnswer answer = client.Read();
+  CAPTURE(status);
+  CHECK(first.ReceivedRequests().size() + second.ReceivedRequests().size() == 2);
+  THEN("nothing of it reaches the client, and the stream does not look complete")
+  {
+    CHECK(answer.mBody.find("oops") == std::string::npos);
+    CHECK_FALSE(answer.mComplete);
+  }
+}
+
 SCENARIO("a backend server sends two answers to one request")
 {
   ScriptedServer server{ [](const ReceivedRequest& aRequest) {
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -82,6 +82,11 @@
     attempt.mHasStrayAnswer = true;
     return true;
   }
+  // On a kept connection, an answer without an id can be a late copy of an earlier one.
+  if (withoutId && attempt.mConnection->mReused) {
+    OnAttemptFailed(AttemptFailure::kBroken);
+    return false;
+  }
   if (attempt.mAnswerMetadata.mWrongServer) {
     OnAttemptFailed(AttemptFailure::kWrongServer);
     return false;
