Leave out work on limits that nobody needs, and share a commit

Behaviour stays as it is. - The share of more urgent priorities is worked out only when all servers of a request are limited, not for each request. - Nothing is done for limits when there are none to send. - Both writes of a window's usage counts use one function.

--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -122,9 +122,9 @@
     acceptsAt = std::min(acceptsAt.value_or(permitAt), permitAt);
   }
   // Work that has begun is finished before new requests are accepted.
-  const double moreUrgent = mDispatches > 0 ? 0.0 : MoreUrgentShare();
-  const bool isRejected = !hasUnlimited && acceptsAt.has_value() &&
-                          (aCandidates.empty() || !CoversUrgency(permits, moreUrgent));
+  const bool isRejected =
+    !hasUnlimited && acceptsAt.has_value() &&
+    (aCandidates.empty() || !CoversUrgency(permits, mDispatches > 0 ? 0.0 : MoreUrgentShare()));
   mLimitedUntil = isRejected ? acceptsAt : std::nullopt;
   return !isRejected;
 }
--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -231,17 +231,24 @@
   return counts;
 }
 
+// Returns the write of a window's counts, on condition that the store has none.
+Commit
+UsageCommit(const UsageReport& aReport)
+{
+  const std::string key = UsageKey(aReport.mWindow);
+  return { .mExpected = { { .mKey = key } },
+           .mWrites = { { .mKey = key, .mValue = RenderUsage(aReport) } } };
+}
+
 void
 RecordUsage(SteeringState& aState, const UsageReport& aReport)
 {
-  aState.mStore.Call(
-    Commit{ .mExpected = { { .mKey = UsageKey(aReport.mWindow) } },
-            .mWrites = { { .mKey = UsageKey(aReport.mWindow), .mValue = RenderUsage(aReport) } } },
-    SuspendAwareNow() + kStoreCallTimeout,
-    [&aState, window = aReport.mWindow](const StoreAnswer& aAnswer) {
-      OnUsageRecorded(aState.mUsage, window, aAnswer.mOutcome, SuspendAwareNow());
-      RunDuties(aState);
-    });
+  aState.mStore.Call(UsageCommit(aReport),
+                     SuspendAwareNow() + kStoreCallTimeout,
+                     [&aState, window = aReport.mWindow](const StoreAnswer& aAnswer) {
+                       OnUsageRecorded(aState.mUsage, window, aAnswer.mOutcome, SuspendAwareNow());
+                       RunDuties(aState);
+                     });
 }
 
 // Writes counts again that the store has lost, so that another holder sends the same ones.
@@ -249,17 +256,15 @@
 RewriteLostUsage(SteeringState& aState)
 {
   for (const UsageReport& report : TakeLostRecords(aState.mUsage)) {
-    aState.mStore.Call(
-      Commit{ .mExpected = { { .mKey = UsageKey(report.mWindow) } },
-              .mWrites = { { .mKey = UsageKey(report.mWindow), .mValue = RenderUsage(report) } } },
-      SuspendAwareNow() + kStoreCallTimeout,
-      [&aState, window = report.mWindow](const StoreAnswer& aAnswer) {
-        const auto task = aState.mUsage.mTasks.find(window);
-        if (task != aState.mUsage.mTasks.end()) {
-          task->second.mIsRecordLost =
-            aAnswer.mOutcome != StoreOutcome::kDone && aAnswer.mOutcome != StoreOutcome::kConflict;
-        }
-      });
+    aState.mStore.Call(UsageCommit(report),
+                       SuspendAwareNow() + kStoreCallTimeout,
+                       [&aState, window = report.mWindow](const StoreAnswer& aAnswer) {
+                         const auto task = aState.mUsage.mTasks.find(window);
+                         if (task != aState.mUsage.mTasks.end()) {
+                           task->second.mIsRecordLost = aAnswer.mOutcome != StoreOutcome::kDone &&
+                                                        aAnswer.mOutcome != StoreOutcome::kConflict;
+                         }
+                       });
   }
 }
 
--- a/trefoil/steering/internal/server_limit_messages.cc
+++ b/trefoil/steering/internal/server_limit_messages.cc
@@ -92,6 +92,9 @@
 void
 SendServerLimits(SteeringState& aState, const std::vector<LimitReport>& aReports)
 {
+  if (aReports.empty()) {
+    return;
+  }
   const Instant now = SuspendAwareNow();
   if (!UsesAggregation(aState.mPeers)) {
     std::set<Endpoint> peers;
