Read answers of the blocking client with the message reader

Bytes of a body that arrived alone were lost: a body of one byte failed, chunks lost their first bytes.

Cause: client.cc drove Poco's stream library by hand; a head that ended early lost its framing with it, and readsome after a failed read dropped what read had got. The project has a second reader, MessageReader, that does neither; the gateway uses it and was not affected.

Change: the client sends and receives on a socket and leaves the framing to MessageReader. An answer is complete if the reader says so. A body that ends with its connection inside a line is cut off for ReadLine. A malformed answer is DataLoss, so that it does not count as a crash of its server. The deadline bounds the whole head; before, each received piece started the time anew.

--- a/trefoil/http/client.cc
+++ b/trefoil/http/client.cc
@@ -1,31 +1,26 @@
 #include "trefoil/http/client.h"
 
+#include "trefoil/http/message_reader.h"
+
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
-#include <istream>
+#include <string_view>
 
 namespace trefoil {
 
-using Poco::Net::HTTPClientSession;
-
 struct HttpStream::Connection
 {
-  explicit Connection(const Poco::Net::StreamSocket& aSocket)
-    : mSession(aSocket)
-  {
-    mSession.setKeepAlive(false);
-  }
-
-  HTTPClientSession mSession;
-  Poco::Net::HTTPResponse mResponse;
-  std::istream* mBody = nullptr;
+  Poco::Net::StreamSocket mSocket;
+  MessageReader mReader;
+  // Received bytes that the reader has not consumed yet.
+  std::string mReceived;
+  // Whether the end of the connection was the end of the body.
+  bool mEndedWithConnection = false;
 };
 
 namespace {
@@ -43,13 +38,12 @@
   return Poco::Timespan{ std::chrono::duration_cast<std::chrono::microseconds>(remaining).count() };
 }
 
-Failure
-MakeFailure(Verdict aVerdict, const Poco::Exception& aError)
+absl::Status
+StatusOf(const Poco::Exception& aError)
 {
   const std::string text = aError.displayText();
   const bool timedOut = dynamic_cast<const Poco::TimeoutException*>(&aError) != nullptr;
-  return { .mVerdict = aVerdict,
-           .mStatus = timedOut ? absl::DeadlineExceededError(text) : absl::UnavailableError(text) };
+  return timedOut ? absl::DeadlineExceededError(text) : absl::UnavailableError(text);
 }
 
 // Connects without sending a byte, so that the verdict of a failure is kNotRun.
@@ -65,77 +59,88 @@
   return socket;
 }
 
-void
-Send(HTTPClientSession& aSession, const HttpCall& aCall)
-{
-  const HttpRequest& source = aCall.mRequest;
-  Poco::Net::HTTPRequest request{ source.mMethod,
-                                  source.mTarget,
-                                  Poco::Net::HTTPMessage::HTTP_1_1 };
-  for (const HttpHeader& header : source.mHeaders) {
-    request.add(header.mName, header.mValue);
-  }
-  request.setHost(aCall.mServer.mAddress, aCall.mServer.mPort);
-  request.setContentLength64(static_cast<Poco::Int64>(source.mBody.size()));
-  std::ostream& body = aSession.sendRequest(request);
-  body.write(source.mBody.data(), static_cast<std::streamsize>(source.mBody.size()));
-  body.flush();
+// Returns whether the client sets the header itself.
+bool
+IsSetByClient(std::string_view aName)
+{
+  return IsSameHeaderName(aName, "Host") || IsSameHeaderName(aName, "Content-Length") ||
+         IsHopByHop(aName);
 }
 
-HttpResponse
-ResponseHead(const Poco::Net::HTTPResponse& aResponse)
+std::string
+RenderRequest(const HttpCall& aCall)
 {
-  HttpResponse head{ .mStatus = aResponse.getStatus() };
-  for (const auto& [name, value] : aResponse) {
-    head.mHeaders.push_back({ .mName = name, .mValue = value });
-  }
-  return head;
+  const HttpRequest& request = aCall.mRequest;
+  HttpHeaders headers = request.mHeaders;
+  std::erase_if(headers, [](const HttpHeader& aHeader) { return IsSetByClient(aHeader.mName); });
+  std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", request.mMethod, request.mTarget);
+  AppendHeaders(bytes, headers);
+  bytes += fmt::format("Host: {}:{}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+                       aCall.mServer.mAddress,
+                       aCall.mServer.mPort,
+                       request.mBody.size());
+  bytes += request.mBody;
+  return bytes;
 }
 
-// Appends the body to `aContent` until it ends, the deadline passes or it exceeds the maximum size.
-absl::Status
-ReadBody(HTTPClientSession& aSession,
-         std::istream& aBody,
-         const HttpCall& aCall,
-         std::string& aContent)
+void
+Send(Poco::Net::StreamSocket& aSocket, std::string_view aBytes, Instant aDeadline)
 {
-  std::array<char, kReadBufferBytes> buffer{};
-  while (aBody.good()) {
-    aSession.socket().setReceiveTimeout(TimeoutUntil(aCall.mDeadline));
-    aBody.read(buffer.data(), 1);
-    const std::streamsize extraBytes =
-      aBody.good() ? aBody.readsome(buffer.data() + 1, buffer.size() - 1) : 0;
-    aContent.append(
-      buffer.data(),
-      static_cast<std::size_t>(aBody.gcount() > 0 || extraBytes > 0 ? 1 + extraBytes : 0));
-    if (aContent.size() > aCall.mMaxBodyBytes) {
-      return absl::ResourceExhaustedError("the answer's body is too long");
-    }
-    if (HasPassed(aCall.mDeadline, Now())) {
-      return absl::DeadlineExceededError("the answer did not end in time");
+  while (!aBytes.empty()) {
+    aSocket.setSendTimeout(TimeoutUntil(aDeadline));
+    const int sent = aSocket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
+    aBytes.remove_prefix(static_cast<std::size_t>(std::max(sent, 0)));
+    if (!aBytes.empty() && HasPassed(aDeadline, Now())) {
+      throw Poco::TimeoutException("the request was not sent in time");
     }
   }
-  if (aBody.bad()) {
-    return absl::UnavailableError("the connection broke inside the answer");
-  }
-  return absl::OkStatus();
 }
 
-// Returns whether the whole body was received. A response without a Content-Length header and the
-// response to a HEAD request count as complete.
-bool
-IsBodyComplete(const Poco::Net::HTTPResponse& aResponse,
-               const HttpRequest& aRequest,
-               std::size_t aBodyBytes)
+// Returns an error if the answer can no longer be completed.
+absl::Status
+StatusOf(MessageReadState aState)
 {
-  if (aRequest.mMethod == "HEAD" || !aResponse.hasContentLength()) {
-    return true;
+  switch (aState) {
+    case MessageReadState::kHead:
+    case MessageReadState::kBody:
+    case MessageReadState::kComplete:
+      return absl::OkStatus();
+    case MessageReadState::kMalformed:
+      return absl::DataLossError("the answer is malformed");
+    case MessageReadState::kHeadTooLarge:
+      return absl::ResourceExhaustedError("the answer's headers are too long");
+    case MessageReadState::kBodyTooLarge:
+      return absl::ResourceExhaustedError("the answer's body is too long");
   }
-  return static_cast<std::size_t>(aResponse.getContentLength64()) == aBodyBytes;
+  return absl::InternalError("unknown state of a message");
 }
 
 } // namespace
 
+absl::Status
+HttpStream::Receive(Connection& aConnection, Instant aDeadline)
+{
+  if (HasPassed(aDeadline, Now())) {
+    return absl::DeadlineExceededError("the answer did not arrive in time");
+  }
+  std::array<char, kReadBufferBytes> buffer{};
+  int count = 0;
+  try {
+    aConnection.mSocket.setReceiveTimeout(TimeoutUntil(aDeadline));
+    count = aConnection.mSocket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+  } catch (const Poco::Exception& error) {
+    return StatusOf(error);
+  }
+  if (count <= 0) {
+    aConnection.mEndedWithConnection = true;
+    return aConnection.mReader.ConsumeEof() == MessageReadState::kComplete
+             ? absl::OkStatus()
+             : absl::UnavailableError("the connection ended inside the answer");
+  }
+  aConnection.mReceived.append(buffer.data(), static_cast<std::size_t>(count));
+  return StatusOf(aConnection.mReader.Consume(aConnection.mReceived));
+}
+
 HttpResult
 Call(const HttpCall& aCall)
 {
@@ -146,9 +151,8 @@
   return std::get<HttpStream>(opened).ReadAll(aCall);
 }
 
-HttpStream::HttpStream(std::unique_ptr<Connection> aConnection, HttpResponse aHead)
+HttpStream::HttpStream(std::unique_ptr<Connection> aConnection)
   : mConnection(std::move(aConnection))
-  , mHead(std::move(aHead))
 {
 }
 
@@ -157,68 +161,79 @@
 HttpStream::operator=(HttpStream&&) noexcept = default;
 HttpStream::~HttpStream() = default;
 
+int
+HttpStream::Status() const
+{
+  return mConnection->mReader.Response().mStatus;
+}
+
+const HttpHeaders&
+HttpStream::Headers() const
+{
+  return mConnection->mReader.Response().mHeaders;
+}
+
 HttpStream::OpenResult
 HttpStream::Open(const HttpCall& aCall)
 {
   std::unique_ptr<Connection> connection;
   try {
-    connection = std::make_unique<Connection>(Connect(aCall));
+    connection = std::make_unique<Connection>(
+      Connection{ .mSocket = Connect(aCall),
+                  .mReader = MessageReader::ForResponse({ .mMaxBodyBytes = aCall.mMaxBodyBytes },
+                                                        aCall.mRequest.mMethod != "HEAD") });
   } catch (const Poco::Exception& error) {
-    return MakeFailure(Verdict::kNotRun, error);
+    return Failure{ .mVerdict = Verdict::kNotRun, .mStatus = StatusOf(error) };
   }
   try {
-    HTTPClientSession& session = connection->mSession;
-    session.socket().setSendTimeout(TimeoutUntil(aCall.mDeadline));
-    session.socket().setReceiveTimeout(TimeoutUntil(aCall.mDeadline));
-    Send(session, aCall);
-    connection->mBody = &session.receiveResponse(connection->mResponse);
-    HttpResponse head = ResponseHead(connection->mResponse);
-    return HttpStream{ std::move(connection), std::move(head) };
+    Send(connection->mSocket, RenderRequest(aCall), aCall.mDeadline);
   } catch (const Poco::Exception& error) {
-    return MakeFailure(Verdict::kMayHaveRun, error);
+    return Failure{ .mVerdict = Verdict::kMayHaveRun, .mStatus = StatusOf(error) };
   }
+  while (!connection->mReader.IsHeadComplete()) {
+    const absl::Status received = Receive(*connection, aCall.mDeadline);
+    if (!received.ok()) {
+      return Failure{ .mVerdict = Verdict::kMayHaveRun, .mStatus = received };
+    }
+  }
+  return HttpStream{ std::move(connection) };
 }
 
 HttpResult
 HttpStream::ReadAll(const HttpCall& aCall)
 {
-  HttpResponse response = mHead;
-  try {
-    const absl::Status read =
-      ReadBody(mConnection->mSession, *mConnection->mBody, aCall, response.mBody);
-    if (!read.ok()) {
-      return Failure{ .mVerdict = Verdict::kMayHaveRun, .mStatus = read };
+  MessageReader& reader = mConnection->mReader;
+  while (reader.State() != MessageReadState::kComplete) {
+    const absl::Status received = Receive(*mConnection, aCall.mDeadline);
+    if (!received.ok()) {
+      return Failure{ .mVerdict = Verdict::kMayHaveRun, .mStatus = received };
     }
-  } catch (const Poco::Exception& error) {
-    return MakeFailure(Verdict::kMayHaveRun, error);
-  }
-  if (!IsBodyComplete(mConnection->mResponse, aCall.mRequest, response.mBody.size())) {
-    return Failure{ .mVerdict = Verdict::kMayHaveRun,
-                    .mStatus = absl::UnavailableError("the answer's body was cut short") };
   }
+  HttpResponse response = reader.Response();
+  response.mBody = std::move(reader.Body());
   return response;
 }
 
 absl::StatusOr<std::string>
 HttpStream::ReadLine(Instant aDeadline)
 {
-  if (HasPassed(aDeadline, Now())) {
-    return absl::DeadlineExceededError("no line came in time");
-  }
-  try {
-    mConnection->mSession.socket().setReceiveTimeout(TimeoutUntil(aDeadline));
-  } catch (const Poco::Exception& error) {
-    return absl::UnavailableError(error.displayText());
-  }
-  std::string line;
-  std::getline(*mConnection->mBody, line);
-  if (mConnection->mBody->bad()) {
-    return HasPassed(aDeadline, Now()) ? absl::DeadlineExceededError("no line came in time")
-                                       : absl::UnavailableError("the connection broke");
+  MessageReader& reader = mConnection->mReader;
+  std::size_t end = reader.Body().find('\n');
+  while (end == std::string::npos && reader.State() != MessageReadState::kComplete) {
+    const std::size_t searched = reader.Body().size();
+    const absl::Status received = Receive(*mConnection, aDeadline);
+    if (!received.ok()) {
+      return received;
+    }
+    end = reader.Body().find('\n', searched);
   }
-  if (mConnection->mBody->eof()) {
-    return absl::OutOfRangeError("the body ended");
+  if (end == std::string::npos) {
+    const bool isCutOff = mConnection->mEndedWithConnection && !reader.Body().empty();
+    return isCutOff ? absl::UnavailableError("the connection ended inside a line")
+                    : absl::OutOfRangeError("the body ended");
   }
+  std::string line = reader.Body().substr(0, end);
+  reader.Body().erase(0, end + 1);
   if (!line.empty() && line.back() == '\r') {
     line.pop_back();
   }
--- a/trefoil/http/client.h
+++ b/trefoil/http/client.h
@@ -8,11 +8,12 @@
 //   }
 //
 // Each call opens a new connection. If a kept-alive connection broke on reuse, it would be unknown
-// whether the request arrived, and Poco would send the request a second time.
+// whether the request arrived.
 //
 // Call is thread-safe. An HttpStream must be used by one thread at a time.
 #pragma once
 
+#include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "trefoil/base/endpoint.h"
 #include "trefoil/base/instant.h"
@@ -56,12 +57,13 @@
   HttpStream& operator=(HttpStream&&) noexcept;
   ~HttpStream();
 
-  int Status() const { return mHead.mStatus; }
-  const HttpHeaders& Headers() const { return mHead.mHeaders; }
+  int Status() const;
+  const HttpHeaders& Headers() const;
 
   // Returns the next line without its line terminator. Returns DeadlineExceeded if no line was
-  // received before `aDeadline`, OutOfRange at the end of the body, and Unavailable if the
-  // connection broke.
+  // received before `aDeadline`, OutOfRange at the end of the body, Unavailable if the
+  // connection broke, or ended within a line of a body whose end it is, and DataLoss if the
+  // response is malformed.
   absl::StatusOr<std::string> ReadLine(Instant aDeadline);
 
   // Reads the rest of the body and returns the whole response. `aCall` must be the call that the
@@ -70,10 +72,13 @@
 
 private:
   struct Connection;
-  HttpStream(std::unique_ptr<Connection> aConnection, HttpResponse aHead);
+  explicit HttpStream(std::unique_ptr<Connection> aConnection);
+
+  // Receives the next bytes of a response that is incomplete. Returns an error if it can no longer
+  // be completed.
+  static absl::Status Receive(Connection& aConnection, Instant aDeadline);
 
   std::unique_ptr<Connection> mConnection;
-  HttpResponse mHead;
 };
 
 } // namespace trefoil
--- a/trefoil/http/http_test.cc
+++ b/trefoil/http/http_test.cc
@@ -1,6 +1,7 @@
 #include "trefoil/http/client.h"
 #include "trefoil/http/server.h"
 
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <algorithm>
@@ -8,6 +9,8 @@
 #include <catch2/catch.hpp>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace trefoil {
 namespace {
@@ -35,6 +38,102 @@
            .mDeadline = Now() + aTimeout };
 }
 
+// Accepts one connection, sends the pieces one after the other, and closes it.
+class PiecewiseServer
+{
+public:
+  explicit PiecewiseServer(std::vector<std::string> aPieces)
+    : mListener(Poco::Net::SocketAddress{ "127.0.0.1", 0 })
+    , mThread([this, pieces = std::move(aPieces)] { Serve(pieces); })
+  {
+  }
+  ~PiecewiseServer() { mThread.join(); }
+  PiecewiseServer(const PiecewiseServer&) = delete;
+  PiecewiseServer& operator=(const PiecewiseServer&) = delete;
+
+  HttpCall MakeCall() const
+  {
+    return { .mServer = { .mAddress = "127.0.0.1", .mPort = mListener.address().port() },
+             .mRequest = { .mMethod = "GET", .mTarget = "/" },
+             .mDeadline = Now() + kTestTimeout };
+  }
+
+private:
+  void Serve(const std::vector<std::string>& aPieces)
+  {
+    Poco::Net::StreamSocket socket = mListener.acceptConnection();
+    socket.setNoDelay(true);
+    std::array<char, 4096> buffer{};
+    socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    for (const std::string& piece : aPieces) {
+      // Long enough for the client to receive each piece alone.
+      std::this_thread::sleep_for(Milliseconds{ 20 });
+      socket.sendBytes(piece.data(), static_cast<int>(piece.size()));
+    }
+  }
+
+  Poco::Net::ServerSocket mListener;
+  std::thread mThread;
+};
+
+// Guards against an answer whose head was cut off and that looks complete, with an empty body.
+TEST_CASE("A server closes the connection within the head of its answer")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: 2\r\n\r\n";
+  const std::size_t length = GENERATE_COPY(range(std::size_t{ 0 }, head.size()));
+  const PiecewiseServer server{ { head.substr(0, length) } };
+  const HttpResult result = Call(server.MakeCall());
+  INFO("after " << length << " bytes");
+  REQUIRE(std::holds_alternative<Failure>(result));
+  CHECK(std::get<Failure>(result).mVerdict == Verdict::kMayHaveRun);
+}
+
+// Guards against bytes of a body that are lost if they arrive alone.
+TEST_CASE("The bytes of an answer arrive one by one")
+{
+  std::vector<std::string> pieces;
+  SECTION("of a body with a length")
+  {
+    pieces = { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "a", "b", "\n" };
+  }
+  SECTION("of a body in chunks")
+  {
+    pieces = { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+               "1\r\na\r\n",
+               "2\r\nb",
+               "\n\r\n",
+               "0\r\n\r\n" };
+  }
+  SECTION("of a body that ends with its connection")
+  {
+    pieces = { "HTTP/1.1 200 OK\r\n\r\n", "a", "b", "\n" };
+  }
+  const PiecewiseServer server{ pieces };
+  const HttpResult result = Call(server.MakeCall());
+  REQUIRE(std::holds_alternative<HttpResponse>(result));
+  CHECK(std::get<HttpResponse>(result).mBody == "ab\n");
+}
+
+TEST_CASE("A stream ends with its connection")
+{
+  const auto read = [](const std::string& aBody) {
+    const PiecewiseServer server{ { "HTTP/1.1 200 OK\r\n\r\n" + aBody } };
+    auto opened = HttpStream::Open(server.MakeCall());
+    REQUIRE(std::holds_alternative<HttpStream>(opened));
+    auto& stream = std::get<HttpStream>(opened);
+    CHECK(stream.ReadLine(Now() + kTestTimeout).value() == "one");
+    return stream.ReadLine(Now() + kTestTimeout).status();
+  };
+  SECTION("after a line: the body has ended")
+  {
+    CHECK(absl::IsOutOfRange(read("one\r\n")));
+  }
+  SECTION("within a line: it was cut off")
+  {
+    CHECK(absl::IsUnavailable(read("one\r\ntw")));
+  }
+}
+
 TEST_CASE("A failed call reports whether the request may have run")
 {
   HttpServer server = StartServer([](HttpExchange& aExchange) {
