Track the crashes of trefoild with the tracker of the gateway

Only completions were recorded there, by account, service and body, in a datagram that was sent once.

Cause: the same as in the gateway, found by looking for it: which requests are recorded depended on the path they came in by, and a host that missed the one datagram, or started later, knew nothing.

Change: the crash registry keeps the evidence of the shared tracker; requests to plain services are recorded, run alone as suspects, and are refused like completions. The host that saw a crash repeats it for 3 s; the first live host by name tells refusals every 5 s. A completion is also known by its interface, since two of them take the same body.

After: 3 servers on the first host, at most 6 requests until the other one refuses it too.

--- a/tests/request_life/request_life_test.cc
+++ b/tests/request_life/request_life_test.cc
@@ -1,11 +1,14 @@
 // Runs callers, entry hosts and stand-in engines in one process, and checks that each caller
 // receives its complete answer while engines, entry hosts or connections are lost.
 #include "standin/token_text.h"
+#include "tests/forward_path/scripted_server.h"
 #include "tests/site/site.h"
 
 #include "absl/time/clock.h"
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -156,6 +159,58 @@
   }
 }
 
+// Guards against a request to a plain service that crashes one server after the other, since only
+// completions were recorded.
+TEST_CASE("A request to a plain service crashes each server that runs it")
+{
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  std::vector<Endpoint> endpoints;
+  for (int i = 0; i < 12; ++i) {
+    servers.push_back(std::make_unique<ScriptedServer>([](const ReceivedRequest& aRequest) {
+      return aRequest.mRequest.mTarget == "/bad" ? Reply{ .mClose = true }
+                                                 : Reply{ .mBytes = MakeAnswer(aRequest, 200) };
+    }));
+    endpoints.push_back(servers.back()->ListenEndpoint());
+  }
+  Site site{ { .mEngines = 1, .mHosts = 2, .mPlainServers = endpoints } };
+  const auto statusOf = [&site](const char* aTarget, std::size_t aHost) {
+    const HttpResult result = Call(
+      MakeAuthorizedCall(site.ListenEndpoint(aHost), { .mMethod = "GET", .mTarget = aTarget }));
+    return std::holds_alternative<HttpResponse>(result) ? std::get<HttpResponse>(result).mStatus
+                                                        : 0;
+  };
+  // Returns how often servers received the request. They are also asked whether they are healthy.
+  const auto received = [&servers] {
+    std::ptrdiff_t requests = 0;
+    for (const auto& server : servers) {
+      requests += std::ranges::count(server->ReceivedRequests(), "/bad", &HttpRequest::mTarget);
+    }
+    return requests;
+  };
+  const int first = statusOf("/app/bad", 0);
+  CHECK(first != 200);
+  CHECK(received() == 3);
+  SECTION("its copies are refused, and the client is told that they have not run")
+  {
+    CHECK(statusOf("/app/bad", 0) == 422);
+    CHECK(received() == 3);
+  }
+  SECTION("the other host learns of it, also if the first news was lost")
+  {
+    const Instant deadline = Now() + Milliseconds{ 20'000 };
+    while (statusOf("/app/bad", 1) != 422 && !HasPassed(deadline, Now())) {
+      absl::SleepFor(absl::Milliseconds(50));
+    }
+    CHECK(statusOf("/app/bad", 1) == 422);
+    CHECK(received() <= 6);
+  }
+  SECTION("other reads of the account are served")
+  {
+    CHECK(statusOf("/app/good", 0) == 200);
+    CHECK(statusOf("/app/good", 1) == 200);
+  }
+}
+
 TEST_CASE("An entry host stops")
 {
   SECTION("with a notice that is long enough: no stream is cut off")
--- a/tests/site/site.cc
+++ b/tests/site/site.cc
@@ -151,12 +151,28 @@
   }
 }
 
+std::string
+PlainDocumentText(const std::vector<Endpoint>& aServers)
+{
+  std::string text = fmt::format("service = \"app\"\nkind = \"plain\"\n"
+                                 "[[version]]\nversion = \"v1\"\nshare_percent = 100\n"
+                                 "[[account]]\naccount = \"a\"\ncredential_sha256 = \"{}\"\n",
+                                 Sha256Hex(kCredential));
+  for (std::size_t i = 0; i < aServers.size(); ++i) {
+    text += fmt::format("[[backend_server]]\nserver = \"app-{}\"\nendpoint = \"{}\"\n"
+                        "availability_zone = \"zone-0\"\nversion = \"v1\"\n",
+                        i,
+                        ToText(aServers[i]));
+  }
+  return text;
+}
+
 } // namespace
 
 Site::Site(const SiteOptions& aOptions)
 {
   StartEngines(aOptions);
-  StartStore();
+  StartStore(aOptions);
   StartHosts(aOptions);
   WaitForHosts();
 }
@@ -208,15 +224,22 @@
 }
 
 void
-Site::StartStore()
+Site::StartStore(const SiteOptions& aOptions)
 {
   mStoreServer.push_back(StartServer([this](HttpExchange& aExchange) { mStore.Serve(aExchange); }));
+  WriteDocument("services/rules", DocumentText());
+  if (!aOptions.mPlainServers.empty()) {
+    WriteDocument("services/app", PlainDocumentText(aOptions.mPlainServers));
+  }
+}
+
+void
+Site::WriteDocument(const std::string& aKey, const std::string& aText)
+{
   const StoreClient client{ .mEndpoint = { .mAddress = kAddress,
                                            .mPort = mStoreServer.front().Port() } };
   const StoreWriteResult write =
-    CompareAndSwap(client,
-                   { .mKey = "services/rules", .mValue = DocumentText(), .mExpected = 0 },
-                   Now() + kTestTimeout);
+    CompareAndSwap(client, { .mKey = aKey, .mValue = aText, .mExpected = 0 }, Now() + kTestTimeout);
   if (write.mState != StoreWriteState::kWritten) {
     throw std::runtime_error("the store did not accept the document");
   }
--- a/tests/site/site.h
+++ b/tests/site/site.h
@@ -32,6 +32,8 @@
   std::int64_t mTokenIntervalMilliseconds = 5;
   // The rate at which an engine exports its KV cache; 0 disables the export.
   std::int64_t mExportTokensPerSecond = 100'000;
+  // The backend servers of the plain service "app", which exists unless there are none.
+  std::vector<Endpoint> mPlainServers;
   // The time between the request to stop a host and its end.
   std::int64_t mStopNoticeMilliseconds = 20'000;
 };
@@ -62,10 +64,11 @@
 
 private:
   void StartEngines(const SiteOptions& aOptions);
-  void StartStore();
+  void StartStore(const SiteOptions& aOptions);
   void StartHosts(const SiteOptions& aOptions);
   void WaitForHosts() const;
   std::string DocumentText() const;
+  void WriteDocument(const std::string& aKey, const std::string& aText);
 
   standin::Store mStore;
   std::vector<std::unique_ptr<standin::Engine>> mEngines;
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -594,7 +594,8 @@
 void
 Exchange::ReportCompletion()
 {
-  if (RecordCompletion(mState.mPromptCrashes, mRequestKey, SuspendAwareNow())) {
+  if (RecordCompletion(mState.mPromptCrashes, mRequestKey, SuspendAwareNow()) >=
+      kMinCrashesToRunAlone) {
     ReportPromptCrashes(mState, true);
   }
 }
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -10,6 +10,7 @@
 
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
+#include <algorithm>
 #include <spdlog/spdlog.h>
 
 namespace trefoil {
@@ -311,6 +312,9 @@
 {
   while (!mStopping.load()) {
     const auto bytes = mSocket.Receive(Now() + kReceiveTimeout);
+    const auto& members = mSnapshots.Read()->mMembers.mByHost;
+    mRequestState->mCrashes.RepeatEvidence(std::ranges::all_of(
+      members, [this](const auto& aItem) { return mSettings.mHost <= aItem.first; }));
     if (!bytes.ok()) {
       continue;
     }
--- a/trefoil/node/internal/completion_handler.cc
+++ b/trefoil/node/internal/completion_handler.cc
@@ -38,8 +38,9 @@
   if (caller->mDocument->mKind != ServiceKind::kModel) {
     return absl::InvalidArgumentError("the service is no model service");
   }
-  const RequestDigest digest = RequestDigestOf(caller->mAccount, request->mService, request->mBody);
-  if (aContext.mRequestState->mCrashes.CurrentDecision(digest) == CrashDecision::kRefuse) {
+  const SuspectKey key =
+    RequestKeyOfCompletion(caller->mAccount, request->mService, aForm, request->mBody);
+  if (aContext.mRequestState->mCrashes.CurrentDecision(key) == CrashDecision::kRefuse) {
     return absl::FailedPreconditionError("backend servers crashed each time they ran this request");
   }
   return AcceptedCompletion{ .mRequest = *request, .mCaller = *caller };
--- a/trefoil/node/internal/crash_registry.cc
+++ b/trefoil/node/internal/crash_registry.cc
@@ -1,7 +1,8 @@
 #include "trefoil/node/internal/crash_registry.h"
 
-#include "trefoil/wire/crash_report_conversion.h"
+#include "trefoil/wire/prompt_crash_conversion.h"
 
+#include <fmt/format.h>
 #include <utility>
 
 namespace trefoil {
@@ -9,6 +10,17 @@
 
 // A reservation expires after this time, also if the host that made it vanishes.
 constexpr Milliseconds kMaxReservationDuration{ 10'000 };
+// How long and how often a host repeats what it has observed.
+constexpr Milliseconds kRepeatTime{ 3'000 };
+constexpr Milliseconds kRepeatInterval{ 500 };
+// How often the refusals in force are told to all hosts.
+constexpr Milliseconds kRefusalsInterval{ 5'000 };
+
+std::string
+TextOf(SuspectKey aRequest)
+{
+  return fmt::format("{:016x}", aRequest);
+}
 
 } // namespace
 
@@ -19,60 +31,89 @@
 }
 
 CrashDecision
-CrashRegistry::CurrentDecision(const RequestDigest& aDigest) const
+CrashRegistry::CurrentDecision(SuspectKey aRequest) const
 {
   const absl::MutexLock lock{ &mMutex };
-  return CrashDecisionFor(mTracker, aDigest, Now());
+  return CrashDecisionFor(mTracker, aRequest, Now());
 }
 
 void
-CrashRegistry::RecordServerCrash(const RequestDigest& aDigest, const BackendServerId& aServer)
+CrashRegistry::RecordServerCrash(SuspectKey aRequest, const BackendServerId& aServer)
 {
-  CrashCount count;
+  PromptCrashEvidence evidence;
   {
     const absl::MutexLock lock{ &mMutex };
     const auto avoided = mAvoided.find(aServer);
     const bool reserved =
       avoided != mAvoided.end() && avoided->second.mReason == AvoidReason::kReserved;
-    if (reserved && avoided->second.mSuspect != aDigest) {
+    if (reserved && avoided->second.mSuspect != TextOf(aRequest)) {
       return;
     }
-    Expire(mTracker, Now());
-    count = RecordCrash(mTracker, mHost, aDigest, aServer, Now());
+    const Instant now = Now();
+    ExpirePromptCrashes(mTracker, now);
+    RecordCrash(mTracker, aServer, { .mRequest = aRequest }, mRandom(), now);
+    mRepeatUntil = now + kRepeatTime;
+    evidence = EvidenceToReport(mTracker, now);
   }
-  BroadcastCount(count);
+  BroadcastEvidence(evidence);
 }
 
 void
-CrashRegistry::RecordRequestCompletion(const RequestDigest& aDigest)
+CrashRegistry::RecordRequestCompletion(SuspectKey aRequest)
 {
-  CrashCount count;
+  PromptCrashEvidence evidence;
   {
     const absl::MutexLock lock{ &mMutex };
-    count = RecordCompletion(mTracker, mHost, aDigest);
+    const Instant now = Now();
+    if (RecordCompletion(mTracker, aRequest, now) == 0) {
+      return;
+    }
+    mRepeatUntil = now + kRepeatTime;
+    evidence = EvidenceToReport(mTracker, now);
   }
-  if (!count.mDigest.Empty()) {
-    BroadcastCount(count);
+  BroadcastEvidence(evidence);
+}
+
+void
+CrashRegistry::RepeatEvidence(bool aTellsRefusals)
+{
+  PromptCrashEvidence evidence;
+  {
+    const absl::MutexLock lock{ &mMutex };
+    const Instant now = Now();
+    const bool repeats = !HasPassed(mRepeatUntil, now) && HasPassed(mNextRepeatAt, now);
+    const bool tellsRefusals = aTellsRefusals && HasPassed(mNextRefusalsAt, now);
+    if (!repeats && !tellsRefusals) {
+      return;
+    }
+    mNextRepeatAt = now + kRepeatInterval;
+    if (tellsRefusals) {
+      mNextRefusalsAt = now + kRefusalsInterval;
+    }
+    evidence = EvidenceToReport(mTracker, now);
   }
+  BroadcastEvidence(evidence);
 }
 
 void
-CrashRegistry::BroadcastCount(const CrashCount& aCount) const
+CrashRegistry::BroadcastEvidence(const PromptCrashEvidence& aEvidence) const
 {
-  mBroadcast(ToCrashReport(aCount));
+  if (!aEvidence.Empty()) {
+    mBroadcast(ToPromptCrashMessage(mHost, aEvidence, Now()));
+  }
 }
 
 void
-CrashRegistry::ReserveServer(const BackendServerId& aServer, const RequestDigest& aDigest)
+CrashRegistry::ReserveServer(const BackendServerId& aServer, SuspectKey aRequest)
 {
   {
     const absl::MutexLock lock{ &mMutex };
     mAvoided[aServer] = { .mReason = AvoidReason::kReserved,
                           .mUntil = Now() + kMaxReservationDuration,
-                          .mSuspect = aDigest };
+                          .mSuspect = TextOf(aRequest) };
   }
   mBroadcast(ServerReservation{ .mServer = aServer,
-                                .mDigest = aDigest.Value(),
+                                .mDigest = TextOf(aRequest),
                                 .mDurationMilliseconds = kMaxReservationDuration.count() });
 }
 
@@ -123,9 +164,13 @@
 bool
 CrashRegistry::ApplyPeerMessage(const Message& aMessage)
 {
-  if (const auto* report = std::get_if<CrashReport>(&aMessage)) {
+  if (const auto* crashes = std::get_if<PromptCrashMessage>(&aMessage)) {
     const absl::MutexLock lock{ &mMutex };
-    Merge(mTracker, ToCrashCount(*report), Now());
+    MergeEvidence(mTracker, ToPromptCrashEvidence(*crashes, Now()), Now());
+    return true;
+  }
+  if (std::holds_alternative<CrashReport>(aMessage)) {
+    // From a host of an earlier version, whose digests name no request here.
     return true;
   }
   if (const auto* reservation = std::get_if<ServerReservation>(&aMessage)) {
@@ -136,7 +181,7 @@
       mAvoided[reservation->mServer] = {
         .mReason = AvoidReason::kReserved,
         .mUntil = Now() + Milliseconds{ reservation->mDurationMilliseconds },
-        .mSuspect = RequestDigest{ reservation->mDigest }
+        .mSuspect = reservation->mDigest
       };
     }
     return true;
--- a/trefoil/node/internal/crash_registry.h
+++ b/trefoil/node/internal/crash_registry.h
@@ -2,7 +2,7 @@
 // limited time.
 //
 //   CrashRegistry registry{ host, [](const Message& aMessage) { ... send it to all hosts ... } };
-//   if (registry.CurrentDecision(digest) == CrashDecision::kRefuse) { ... }
+//   if (registry.CurrentDecision(request) == CrashDecision::kRefuse) { ... }
 //
 // A request that is suspected to crash servers runs alone: its server is reserved for it on all
 // hosts. Thread-safe.
@@ -13,12 +13,14 @@
 #include "trefoil/base/ids.h"
 #include "trefoil/base/instant.h"
 #include "trefoil/base/name_table.h"
-#include "trefoil/request/crash_tracker.h"
+#include "trefoil/request/prompt_crash_tracker.h"
 #include "trefoil/wire/message.h"
 
 #include <functional>
 #include <map>
+#include <random>
 #include <set>
+#include <string>
 
 namespace trefoil {
 
@@ -47,17 +49,22 @@
   CrashRegistry(HostId aHost, BroadcastFunction aBroadcast);
 
   // Returns whether a request may run now, must run alone or is refused.
-  CrashDecision CurrentDecision(const RequestDigest& aDigest) const;
+  CrashDecision CurrentDecision(SuspectKey aRequest) const;
 
-  // Records a crash of a server while it ran the request, and broadcasts the count. Does nothing
+  // Records a crash of a server while it ran the request, and broadcasts the evidence. Does nothing
   // if the server is reserved for another request, which is then the suspected cause.
-  void RecordServerCrash(const RequestDigest& aDigest, const BackendServerId& aServer);
+  void RecordServerCrash(SuspectKey aRequest, const BackendServerId& aServer);
 
   // Clears the crashes of a request that has completed and broadcasts that, if there were any.
-  void RecordRequestCompletion(const RequestDigest& aDigest);
+  void RecordRequestCompletion(SuspectKey aRequest);
+
+  // Broadcasts again what this host has observed recently, since datagrams can be lost, and if
+  // `aTellsRefusals`, at longer intervals the refusals in force, for hosts that have started. Must
+  // be called regularly.
+  void RepeatEvidence(bool aTellsRefusals);
 
   // Reserves a server on all hosts for a suspected request, for kMaxReservationDuration.
-  void ReserveServer(const BackendServerId& aServer, const RequestDigest& aDigest);
+  void ReserveServer(const BackendServerId& aServer, SuspectKey aRequest);
   // Ends the reservation of a server on all hosts.
   void ReleaseServer(const BackendServerId& aServer);
 
@@ -68,7 +75,7 @@
   // Returns the servers that receive no new work now.
   std::set<BackendServerId> AvoidedServers() const;
 
-  // Applies a crash report or a reservation of another host. Returns false for other messages.
+  // Applies evidence or a reservation of another host. Returns false for other messages.
   bool ApplyPeerMessage(const Message& aMessage);
 
 private:
@@ -77,17 +84,23 @@
   {
     AvoidReason mReason = AvoidReason::kFailed;
     Instant mUntil;
-    // The request that the server is reserved for. Empty for the other reasons.
-    RequestDigest mSuspect;
+    // The request that the server is reserved for, as text. Empty for the other reasons.
+    std::string mSuspect;
   };
 
   void EndReservation(const BackendServerId& aServer) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
-  void BroadcastCount(const CrashCount& aCount) const;
+  void BroadcastEvidence(const PromptCrashEvidence& aEvidence) const;
 
   const HostId mHost;
   const BroadcastFunction mBroadcast;
   mutable absl::Mutex mMutex;
-  CrashTracker mTracker ABSL_GUARDED_BY(mMutex);
+  PromptCrashTracker mTracker ABSL_GUARDED_BY(mMutex);
+  // Identifies the crashes that this host records.
+  std::mt19937_64 mRandom ABSL_GUARDED_BY(mMutex){ std::random_device{}() };
+  // Until when this host repeats what it has observed, and when it does next.
+  Instant mRepeatUntil ABSL_GUARDED_BY(mMutex);
+  Instant mNextRepeatAt ABSL_GUARDED_BY(mMutex);
+  Instant mNextRefusalsAt ABSL_GUARDED_BY(mMutex);
   std::map<BackendServerId, AvoidedServer> mAvoided ABSL_GUARDED_BY(mMutex);
 };
 
--- a/trefoil/node/internal/generation.cc
+++ b/trefoil/node/internal/generation.cc
@@ -291,32 +291,14 @@
   return ReadEngineStream(aGeneration, attempt);
 }
 
-// Returns the server for a request that must run alone. Rendezvous hashing by the request's digest
-// makes all hosts choose the same server while they avoid the same servers.
-std::optional<BackendServerSpec>
-ServerForSuspect(const Generation& aGeneration)
-{
-  const std::set<BackendServerId> avoided = CrashRegistryOf(aGeneration).AvoidedServers();
-  const BackendServerSpec* best = nullptr;
-  std::uint64_t bestScore = 0;
-  for (const BackendServerSpec& server : aGeneration.mDocument->mServers) {
-    const std::uint64_t score =
-      RendezvousScore(server.mServer.Value(), aGeneration.mDigest.Value());
-    const bool usable =
-      !aGeneration.mFailedServers.contains(server.mServer) && !avoided.contains(server.mServer);
-    if (usable && (best == nullptr || score > bestScore)) {
-      best = &server;
-      bestScore = score;
-    }
-  }
-  return best == nullptr ? std::nullopt : std::optional{ *best };
-}
-
 std::optional<BackendServerSpec>
 ServerForNextAttempt(const Generation& aGeneration, CrashDecision aDecision)
 {
   if (aDecision == CrashDecision::kRunAlone) {
-    if (auto server = ServerForSuspect(aGeneration)) {
+    std::set<BackendServerId> excluded = CrashRegistryOf(aGeneration).AvoidedServers();
+    excluded.insert(aGeneration.mFailedServers.begin(), aGeneration.mFailedServers.end());
+    if (auto server =
+          PickServerForSuspect(*aGeneration.mDocument, excluded, aGeneration.mRequestKey)) {
       return server;
     }
   }
@@ -338,7 +320,7 @@
 {
   CrashRegistry& registry = CrashRegistryOf(aGeneration);
   if (aResult == AttemptResult::kComplete) {
-    registry.RecordRequestCompletion(aGeneration.mDigest);
+    registry.RecordRequestCompletion(aGeneration.mRequestKey);
     return;
   }
   if (aResult == AttemptResult::kStreamEnded || HasPassed(aGeneration.mProgress.mDeadline, Now())) {
@@ -350,7 +332,7 @@
     RecordAttemptNotStarted(aGeneration.mProgress);
   }
   if (aResult == AttemptResult::kConnectionLost) {
-    registry.RecordServerCrash(aGeneration.mDigest, aServer.mServer);
+    registry.RecordServerCrash(aGeneration.mRequestKey, aServer.mServer);
   }
   if (aResult != AttemptResult::kEngineLeaving) {
     const bool stalled = aResult == AttemptResult::kStalled;
@@ -401,7 +383,7 @@
 {
   const bool alone = aDecision == CrashDecision::kRunAlone;
   if (alone) {
-    CrashRegistryOf(aGeneration).ReserveServer(aServer.mServer, aGeneration.mDigest);
+    CrashRegistryOf(aGeneration).ReserveServer(aServer.mServer, aGeneration.mRequestKey);
   }
   StartMeter(aGeneration, aServer);
   const AttemptResult result = RunAttempt(aGeneration, aServer);
@@ -434,7 +416,7 @@
 {
   while (!aGeneration.mRecord.Ended()) {
     const CrashDecision decision =
-      CrashRegistryOf(aGeneration).CurrentDecision(aGeneration.mDigest);
+      CrashRegistryOf(aGeneration).CurrentDecision(aGeneration.mRequestKey);
     if (decision == CrashDecision::kRefuse) {
       Fail(
         aGeneration,
@@ -464,11 +446,25 @@
 
 } // namespace
 
+SuspectKey
+RequestKeyOfCompletion(const ClientAccountId& aAccount,
+                       const ServiceId& aService,
+                       CompletionApi aApi,
+                       std::string_view aBody)
+{
+  return RequestKeyOf({ .mAccount = aAccount,
+                        .mService = aService,
+                        .mMethod = "POST",
+                        .mTarget = NameOf(kCompletionPaths, aApi),
+                        .mBody = aBody });
+}
+
 void
 Generate(Generation& aGeneration)
 {
   const StreamIdentity& identity = aGeneration.mRecord.Identity();
-  aGeneration.mDigest = RequestDigestOf(identity.mAccount, identity.mService, identity.mBody);
+  aGeneration.mRequestKey =
+    RequestKeyOfCompletion(identity.mAccount, identity.mService, identity.mApi, identity.mBody);
   if (aGeneration.mProgress.mTokens > 0) {
     WaitForResume(aGeneration);
   }
--- a/trefoil/node/internal/generation.h
+++ b/trefoil/node/internal/generation.h
@@ -9,7 +9,7 @@
 #include "trefoil/node/internal/attempt_meter.h"
 #include "trefoil/node/internal/stream_record.h"
 #include "trefoil/node/request_routing.h"
-#include "trefoil/request/crash_tracker.h"
+#include "trefoil/request/prompt_crash_tracker.h"
 #include "trefoil/request/stream_progress.h"
 #include "trefoil/service/service_document.h"
 
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace trefoil {
 
@@ -33,7 +34,8 @@
   std::function<bool(const TokenEvent& aToken)> mOnToken;
   // Servers on which an attempt of this request did not complete.
   std::set<BackendServerId> mFailedServers;
-  RequestDigest mDigest;
+  // Identifies the request and its copies.
+  SuspectKey mRequestKey = 0;
   // The KV cache that the last engine exported. Empty if there is none.
   std::string mCache;
   // The ticket of the resumption in progress, which counts against the limit of concurrent
@@ -50,6 +52,13 @@
   OutcomeKind mFailureOutcome = OutcomeKind::kError;
 };
 
+// Returns the key that identifies a completion and its copies.
+SuspectKey
+RequestKeyOfCompletion(const ClientAccountId& aAccount,
+                       const ServiceId& aService,
+                       CompletionApi aApi,
+                       std::string_view aBody);
+
 // Generates the response until its record has ended: complete, failed or handed over. Blocks the
 // calling thread.
 void
--- a/trefoil/node/internal/pick_server.cc
+++ b/trefoil/node/internal/pick_server.cc
@@ -1,7 +1,12 @@
 #include "trefoil/node/internal/pick_server.h"
 
+#include "trefoil/base/digest.h"
+
 #include <algorithm>
+#include <fmt/format.h>
 #include <random>
+#include <string>
+#include <utility>
 
 namespace trefoil {
 namespace {
@@ -126,4 +131,20 @@
   return server == nullptr ? std::nullopt : std::optional{ *server };
 }
 
+std::optional<BackendServerSpec>
+PickServerForSuspect(const ServiceDocument& aDocument,
+                     const std::set<BackendServerId>& aExcluded,
+                     SuspectKey aRequest)
+{
+  const std::string key = fmt::format("{:016x}", aRequest);
+  std::optional<std::pair<std::uint64_t, BackendServerSpec>> best;
+  for (const BackendServerSpec& server : aDocument.mServers) {
+    const std::uint64_t score = RendezvousScore(server.mServer.Value(), key);
+    if (!aExcluded.contains(server.mServer) && (!best.has_value() || score > best->first)) {
+      best = { score, server };
+    }
+  }
+  return best.has_value() ? std::optional{ best->second } : std::nullopt;
+}
+
 } // namespace trefoil
--- a/trefoil/node/internal/pick_server.h
+++ b/trefoil/node/internal/pick_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "trefoil/node/request_routing.h"
+#include "trefoil/request/prompt_crash_tracker.h"
 #include "trefoil/routing/prefix_index.h"
 #include "trefoil/service/service_document.h"
 
@@ -42,4 +43,11 @@
            const std::set<BackendServerId>& aExcluded,
            const WorkHint& aHint = {});
 
+// Returns the server for a request that must run alone, none of `aExcluded`. Rendezvous hashing by
+// the request's key makes all hosts choose the same server while they exclude the same ones.
+std::optional<BackendServerSpec>
+PickServerForSuspect(const ServiceDocument& aDocument,
+                     const std::set<BackendServerId>& aExcluded,
+                     SuspectKey aRequest);
+
 } // namespace trefoil
--- a/trefoil/node/internal/plain_service_handler.cc
+++ b/trefoil/node/internal/plain_service_handler.cc
@@ -7,8 +7,10 @@
 #include "trefoil/node/internal/caller.h"
 #include "trefoil/node/internal/keyed_request_handler.h"
 #include "trefoil/node/internal/pick_server.h"
+#include "trefoil/node/internal/shared_request_state.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <string_view>
 
@@ -79,29 +81,98 @@
   return RepeatableOf(*aCaller.mDocument, aRequest.mMethod, PathOf(aRequest.mTarget));
 }
 
+SuspectKey
+KeyOf(const Caller& aCaller, const HttpRequest& aRequest)
+{
+  return RequestKeyOf({ .mAccount = aCaller.mAccount,
+                        .mService = aCaller.mDocument->mService,
+                        .mMethod = aRequest.mMethod,
+                        .mTarget = aRequest.mTarget,
+                        .mBody = aRequest.mBody });
+}
+
+std::optional<BackendServerSpec>
+ServerForAttempt(const TrafficContext& aContext,
+                 const Caller& aCaller,
+                 std::set<BackendServerId> aExcluded,
+                 std::optional<SuspectKey> aSuspect)
+{
+  aExcluded.merge(aContext.mRequestState->mCrashes.AvoidedServers());
+  if (aSuspect.has_value()) {
+    if (auto server = PickServerForSuspect(*aCaller.mDocument, aExcluded, *aSuspect)) {
+      return server;
+    }
+  }
+  return PickServer(aContext, *aCaller.mDocument, aExcluded);
+}
+
+// Returns whether the server ended the connection while it may have run the request.
+bool
+HasLostServer(const Failure& aFailure)
+{
+  return aFailure.mVerdict == Verdict::kMayHaveRun && absl::IsUnavailable(aFailure.mStatus);
+}
+
+// Calls a server, and records whether the request completed there or ended the connection.
+HttpResult
+CallServer(const TrafficContext& aContext,
+           const Caller& aCaller,
+           const HttpRequest& aRequest,
+           const BackendServerSpec& aServer,
+           SuspectKey aKey)
+{
+  const InFlightGuard inFlight{ *aContext.mRouting, aServer.mServer };
+  AttemptMeter meter{ aContext,
+                      { .mService = aCaller.mDocument->mService,
+                        .mServer = &aServer,
+                        .mRoute = RouteLabel(aRequest),
+                        .mIdentity = aCaller.mAccount.Value() + aRequest.mBody } };
+  HttpResult result =
+    Call({ .mServer = aServer.mEndpoint, .mRequest = aRequest, .mDeadline = aCaller.mDeadline });
+  const auto* failure = std::get_if<Failure>(&result);
+  meter.ReportOutcome(failure == nullptr ? OutcomeOf(std::get<HttpResponse>(result))
+                                         : OutcomeOf(*failure));
+  CrashRegistry& crashes = aContext.mRequestState->mCrashes;
+  if (failure == nullptr) {
+    crashes.RecordRequestCompletion(aKey);
+  } else if (HasLostServer(*failure)) {
+    crashes.RecordServerCrash(aKey, aServer.mServer);
+  }
+  return result;
+}
+
 HttpResult
 CallService(const TrafficContext& aContext, const Caller& aCaller, const HttpRequest& aRequest)
 {
   const Repeatable repeatable = IsRepeatable(aCaller, aRequest);
+  const SuspectKey key = KeyOf(aCaller, aRequest);
+  CrashRegistry& crashes = aContext.mRequestState->mCrashes;
   std::set<BackendServerId> failedServers;
   Failure lastFailure{ .mVerdict = Verdict::kNotRun,
                        .mStatus = absl::UnavailableError("the service has no backend server") };
   for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    const auto server = PickServer(aContext, *aCaller.mDocument, failedServers);
+    const CrashDecision decision = crashes.CurrentDecision(key);
+    if (decision == CrashDecision::kRefuse) {
+      lastFailure.mStatus =
+        absl::FailedPreconditionError("backend servers crashed each time they ran this request");
+      return lastFailure;
+    }
+    const bool runsAlone = decision == CrashDecision::kRunAlone;
+    const auto server = ServerForAttempt(
+      aContext, aCaller, failedServers, runsAlone ? std::optional{ key } : std::nullopt);
     if (!server.has_value()) {
       return lastFailure;
     }
-    const InFlightGuard inFlight{ *aContext.mRouting, server->mServer };
-    AttemptMeter meter{ aContext,
-                        { .mService = aCaller.mDocument->mService,
-                          .mServer = &*server,
-                          .mRoute = RouteLabel(aRequest),
-                          .mIdentity = aCaller.mAccount.Value() + aRequest.mBody } };
-    HttpResult result =
-      Call({ .mServer = server->mEndpoint, .mRequest = aRequest, .mDeadline = aCaller.mDeadline });
+    if (runsAlone) {
+      crashes.ReserveServer(server->mServer, key);
+    }
+    HttpResult result = CallServer(aContext, aCaller, aRequest, *server, key);
     const auto* failure = std::get_if<Failure>(&result);
-    meter.ReportOutcome(failure == nullptr ? OutcomeOf(std::get<HttpResponse>(result))
-                                           : OutcomeOf(*failure));
+    // After a crash the reservation stays until it expires, so that the crash is not recorded for
+    // the other requests that were running on the server.
+    if (runsAlone && (failure == nullptr || !HasLostServer(*failure))) {
+      crashes.ReleaseServer(server->mServer);
+    }
     if (failure == nullptr) {
       return result;
     }
--- a/trefoil/request/prompt_crash_tracker.cc
+++ b/trefoil/request/prompt_crash_tracker.cc
@@ -506,10 +506,10 @@
   return isNews;
 }
 
-bool
+int
 RecordCompletion(PromptCrashTracker& aTracker, SuspectKey aRequest, Instant aNow)
 {
-  return Clear(aTracker, aRequest, &PromptCrash::mRequests, aNow) >= kMinCrashesToRunAlone;
+  return Clear(aTracker, aRequest, &PromptCrash::mRequests, aNow);
 }
 
 bool
--- a/trefoil/request/prompt_crash_tracker.h
+++ b/trefoil/request/prompt_crash_tracker.h
@@ -189,8 +189,9 @@
                    const std::vector<PromptPartKey>& aParts,
                    Instant aNow);
 
-// Records that the answer to a request is complete.
-bool
+// Records that the answer to a request is complete. Returns the number of crashes that it was
+// blamed for. Other hosts should be told soon from kMinCrashesToRunAlone on.
+int
 RecordCompletion(PromptCrashTracker& aTracker, SuspectKey aRequest, Instant aNow);
 
 // Records that `aServer` answered. A crash that was recorded shortly before was none, since a
--- a/trefoil/request/prompt_crash_tracker_test.cc
+++ b/trefoil/request/prompt_crash_tracker_test.cc
@@ -266,7 +266,7 @@
       }
       AND_WHEN("a copy that was still running completes")
       {
-        CHECK(RecordCompletion(tracker, request, kStart + kSecond));
+        CHECK(RecordCompletion(tracker, request, kStart + kSecond) == 3);
         MergeEvidence(other, EvidenceToReport(tracker, kStart + kSecond), kStart + kSecond);
         THEN("no host refuses it any more, whatever late reports say")
         {
