Go on sending when the send buffer of a connection is full

Cause: on a socket that does not block, Poco reports a full send buffer as an IOException with code EAGAIN, while an empty receive buffer is a count of -1. The stream took the exception for a broken connection and dropped the rest.

Evidence: a small program of ours, sendBytes in a loop: 3,919,467 bytes, then "I/O error: Operation would block", code 11. The new scenario of forward_path (7 MB, read after 0.5 s) gets 4,224,051 bytes before and all of them now.

Ruled out: the timeout for clients that acknowledge nothing (6 s).

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -43,6 +43,9 @@
     mSocket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
   }
 
+  // Lets the peer send only about this many bytes before they are read.
+  void LimitReceiveBuffer(int aBytes) { mSocket.setReceiveBufferSize(aBytes); }
+
   ReceivedAnswer Read()
   {
     MessageReader reader = MessageReader::ForResponse({});
@@ -1181,6 +1184,29 @@
   }
 }
 
+// Guards against long answers that are cut off when the send buffer of their connection is full.
+SCENARIO("a client reads a long answer slowly")
+{
+  // More than the kernel buffers for one connection.
+  const std::string body(std::size_t{ 7 } * 1024 * 1024, 'x');
+  const ScriptedServer server{ [&body](const ReceivedRequest& aRequest) {
+    return Reply{ .mBytes = MakeSealedAnswer(aRequest, 200, body) };
+  } };
+  Gateway gateway;
+  gateway.AddServer("e1", server);
+  gateway.Publish();
+  Client client = gateway.Connect();
+  client.LimitReceiveBuffer(262'144);
+  client.Send(MakeRequest("write", "id-1"));
+  std::this_thread::sleep_for(Milliseconds{ 500 });
+  const ReceivedAnswer answer = client.Read();
+  THEN("the client receives all of it")
+  {
+    CHECK(answer.mComplete);
+    CHECK(answer.mBody.size() == body.size());
+  }
+}
+
 SCENARIO("a host at its connection limit stops")
 {
   const ScriptedServer server{ AnswerSuccess };
--- a/trefoil/reactor/byte_stream.cc
+++ b/trefoil/reactor/byte_stream.cc
@@ -4,6 +4,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -214,12 +215,15 @@
       }
       sent += static_cast<std::size_t>(count);
     }
-  } catch (const Poco::Exception&) {
-    // Reported from the event loop, because the caller of Send does not expect a callback during
-    // the call.
-    mUnsent.clear();
-    mLoop.Post([self = shared_from_this()] { self->CloseAndNotify(StreamEnd::kReset); });
-    return;
+  } catch (const Poco::Exception& error) {
+    // Poco reports a full send buffer as an error, unlike an empty receive buffer.
+    if (error.code() != EAGAIN && error.code() != EWOULDBLOCK) {
+      // Reported from the event loop, because the caller of Send does not expect a callback during
+      // the call.
+      mUnsent.clear();
+      mLoop.Post([self = shared_from_this()] { self->CloseAndNotify(StreamEnd::kReset); });
+      return;
+    }
   }
   mUnsent.erase(0, sent);
   if (mUnsent.empty() && mCloseWhenSent) {
