Answer every request that a stopping host has taken

Long answers to slow readers were cut with them.

Cause: nothing asked at admission whether the answer can come before the end; at the end requests in flight were dropped; sessions whose answer was still being sent did not count as open, or were closed as idle.

Change: a request is refused at once with 503 host_stops, "not run" and Retry-After 0, unless its deadline passes before the end or twice the slowest recent answer of its route is left (trefoil/dispatch/answer_times). 0.3 s before the end the requests that are left get 504 if a server may have run them, else 503; streams are cut off. The host waits for answers that are being sent.

Weighed: refusing all that comes after SIGTERM sends clients away whose answers take milliseconds; an estimate of the mean takes requests that are then cut.

Evidence: the scenarios of a stopping host fail on (8 of 16 assertions: the late request is run, requests and streams in flight get no end within 10 s), and pass now.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -1207,6 +1207,146 @@
   }
 }
 
+// Stops a gateway on a thread of its own, and waits for its end when it is destroyed.
+class StoppingGateway
+{
+public:
+  StoppingGateway(Gateway& aGateway, Milliseconds aGrace)
+    : mThread([&aGateway, deadline = SuspendAwareNow() + aGrace, this] {
+      mAborted = aGateway.Thread().Stop(deadline);
+    })
+  {
+  }
+  ~StoppingGateway() { Wait(); }
+  StoppingGateway(const StoppingGateway&) = delete;
+  StoppingGateway& operator=(const StoppingGateway&) = delete;
+
+  // Waits until the gateway has stopped. Returns the number of requests that it did not finish.
+  int Wait()
+  {
+    if (mThread.joinable()) {
+      mThread.join();
+    }
+    return mAborted;
+  }
+
+private:
+  int mAborted = 0;
+  std::thread mThread;
+};
+
+// Guards against requests that are cut without an answer at the end of a planned stop (LOST).
+SCENARIO("a host stops that has requests which take longer than it has left")
+{
+  std::atomic<bool> isSlow{ true };
+  ScriptedServer server{ [&isSlow](const ReceivedRequest& aRequest) {
+    if (aRequest.mRequest.mTarget.starts_with("/live/")) {
+      return Reply{ .mBytes = MakeStreamStart(aRequest) + MakeEventChunk(1), .mHang = true };
+    }
+    return isSlow ? Reply{ .mHang = true } : AnswerSuccess(aRequest);
+  } };
+  Gateway gateway;
+  gateway.AddServer("e1", server);
+  gateway.Publish();
+  GIVEN("a request that arrives during the stop, on a kept connection")
+  {
+    isSlow = false;
+    Client client = gateway.Connect();
+    client.Send(MakeRequest("read", "id-0"));
+    CHECK(client.Read().mStatus == 200);
+    StoppingGateway stop{ gateway, Milliseconds{ 5'000 } };
+    const Instant deadline = SuspendAwareNow() + kTestTimeout;
+    ReceivedAnswer readiness{ .mStatus = 200 };
+    while (readiness.mStatus == 200 && !HasPassed(deadline, SuspendAwareNow())) {
+      Client ready = gateway.ConnectToReadiness();
+      ready.Send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+      readiness = ready.Read();
+    }
+    const std::size_t before = server.ReceivedRequests().size();
+    client.Send(MakeRequest("write", "id-1"));
+    const ReceivedAnswer answer = client.Read();
+    THEN("it is refused at once as not run, and its client can go to another host")
+    {
+      CHECK(answer.mStatus == 503);
+      CHECK(answer.mBody == "host_stops\n");
+      CHECK(HeaderValue(answer.mHeaders, "Connection") == "close");
+      CHECK(HeaderValue(answer.mHeaders, "Retry-After") == "0.000");
+      CHECK(server.ReceivedRequests().size() == before);
+    }
+    THEN("one that ends in time at the latest is served")
+    {
+      Client other = gateway.Connect();
+      other.Send(MakeRequest("write", "id-2", "k", 2'000));
+      CHECK(other.Read().mStatus == 200);
+    }
+    THEN("one of a route whose answers have been fast is served")
+    {
+      CHECK(gateway.Ask("read", "id-2").mStatus == 200);
+    }
+  }
+  GIVEN("a request that a server is running")
+  {
+    Client client = gateway.Connect();
+    client.Send(MakeRequest("write", "id-1"));
+    const Instant deadline = SuspendAwareNow() + kTestTimeout;
+    while (server.ReceivedRequests().empty() && !HasPassed(deadline, SuspendAwareNow())) {
+      std::this_thread::sleep_for(Milliseconds{ 5 });
+    }
+    StoppingGateway stop{ gateway, Milliseconds{ 1'000 } };
+    const ReceivedAnswer answer = client.Read();
+    THEN("its client is told that it may have run, before the host ends")
+    {
+      CHECK(answer.mStatus == 504);
+      CHECK(answer.mComplete);
+      CHECK(stop.Wait() == 1);
+    }
+  }
+  GIVEN("a stream that has begun")
+  {
+    Client client = gateway.Connect();
+    client.Send(MakeRequest("live", "id-1"));
+    const Instant deadline = SuspendAwareNow() + kTestTimeout;
+    while (server.ReceivedRequests().empty() && !HasPassed(deadline, SuspendAwareNow())) {
+      std::this_thread::sleep_for(Milliseconds{ 5 });
+    }
+    StoppingGateway stop{ gateway, Milliseconds{ 1'000 } };
+    const ReceivedAnswer answer = client.Read();
+    THEN("its client can see that it is incomplete")
+    {
+      CHECK_FALSE(answer.mComplete);
+      CHECK(stop.Wait() == 1);
+    }
+  }
+}
+
+// Guards against answers that are cut since their clients read them slowly while the host stops.
+SCENARIO("a host stops while a client reads a long answer slowly")
+{
+  const std::string body(std::size_t{ 7 } * 1024 * 1024, 'x');
+  const ScriptedServer server{ [&body](const ReceivedRequest& aRequest) {
+    return Reply{ .mBytes = MakeSealedAnswer(aRequest, 200, body) };
+  } };
+  Gateway gateway;
+  gateway.AddServer("e1", server);
+  gateway.Publish();
+  Client client = gateway.Connect();
+  client.LimitReceiveBuffer(262'144);
+  client.Send(MakeRequest("write", "id-1"));
+  const Instant deadline = SuspendAwareNow() + kTestTimeout;
+  while (server.ReceivedRequests().empty() && !HasPassed(deadline, SuspendAwareNow())) {
+    std::this_thread::sleep_for(Milliseconds{ 5 });
+  }
+  StoppingGateway stop{ gateway, 3 * kTestTimeout };
+  // Longer than the balancer needs to send no new connections.
+  std::this_thread::sleep_for(Milliseconds{ 3'500 });
+  const ReceivedAnswer answer = client.Read();
+  THEN("the client receives all of it")
+  {
+    CHECK(answer.mComplete);
+    CHECK(answer.mBody.size() == body.size());
+  }
+}
+
 SCENARIO("a host at its connection limit stops")
 {
   const ScriptedServer server{ AnswerSuccess };
--- a/trefoil/forward/client_session.cc
+++ b/trefoil/forward/client_session.cc
@@ -70,7 +70,7 @@
     RejectMalformed(kRequestTimeout, "the request did not arrive in time");
     return;
   }
-  OnEnd();
+  CloseAfterSending();
 }
 
 void
@@ -217,13 +217,7 @@
 {
   mAwaitingAnswer = false;
   if (mCloseAfterAnswer) {
-    const auto keep = shared_from_this();
-    mLoop.Cancel(mTimer);
-    mTimer = 0;
-    // Ignore anything that the client sends from here on.
-    mStream->SetCallbacks({});
-    mStream->CloseAfterSending();
-    mCallbacks->mOnClosed(keep);
+    CloseAfterSending();
     return;
   }
   SetTimer(mCallbacks->mLimits().mIdleTimeout);
@@ -236,6 +230,19 @@
   }
 }
 
+// Ends the session. The connection is closed when the client has received what was sent.
+void
+ClientSession::CloseAfterSending()
+{
+  const auto keep = shared_from_this();
+  mLoop.Cancel(mTimer);
+  mTimer = 0;
+  // Ignore anything that the client sends from here on.
+  mStream->SetCallbacks({});
+  mStream->CloseAfterSending();
+  mCallbacks->mOnClosed(keep);
+}
+
 void
 ClientSession::Abort()
 {
@@ -251,7 +258,7 @@
   const bool awaitsFirstRequest = !HasPassed(mFirstRequestDeadline, aNow);
   if (!mAwaitingAnswer && !mReader.has_value() && !awaitsFirstRequest &&
       !mStream->HasUnreadBytes()) {
-    OnEnd();
+    CloseAfterSending();
   }
 }
 
--- a/trefoil/forward/client_session.h
+++ b/trefoil/forward/client_session.h
@@ -60,6 +60,8 @@
   void CloseIfIdle(Instant aNow);
 
   bool AnswerStarted() const { return mAnswerStarted; }
+  // Returns whether the connection is open and has bytes to send.
+  bool IsSending() const { return mStream->IsOpen() && mStream->Unsent() > 0; }
   // Returns the number of bytes that are buffered for the client.
   std::size_t Unsent() const { return mStream->Unsent(); }
 
@@ -70,6 +72,7 @@
   void RejectMalformed(int aStatus, std::string_view aReason);
   void SendHead(const HttpResponse& aHead, std::string_view aFraming);
   void OnAnswerSent();
+  void CloseAfterSending();
   void SetTimer(Milliseconds aDelay);
   void OnTimer();
 
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -46,7 +46,7 @@
   mState.mMetrics.Add(Counter::kRequests, 1);
   mMetadata = mState.mOptions.mCodec.mReadRequest(mRequest);
   mDeadline = mArrivedAt + mMetadata.mClientTimeout.value_or(Milliseconds{ 0 });
-  if (!CheckRequest() || !CheckAccount()) {
+  if (!CheckRequest() || !CanEndBeforeStop() || !CheckAccount()) {
     return;
   }
   mDeadlineTimer =
@@ -175,13 +175,52 @@
     }
     FinishAttempt(DispatchOutcome::kFailed, false);
   }
+  RecordAnswerTime(mState.mAnswerTimes, mRoute->mName, mArrivedAt, SuspendAwareNow());
+  EndUnanswered(RefusalReason::kDeadlineExceeded);
+}
+
+void
+Exchange::OnHostStops()
+{
+  if (mOver) {
+    return;
+  }
+  if (mAttempt.has_value()) {
+    ++mPossibleRuns;
+    if (mRoute->mKind != RouteKind::kStream) {
+      CountUsage();
+    }
+    // The outcome is not recorded, since it is not caused by the server.
+    const Attempt attempt = ReleaseAttempt();
+    attempt.mConnection->mStream->Close();
+  }
+  EndUnanswered(RefusalReason::kHostStops);
+}
+
+// Ends a request whose attempts have ended.
+void
+Exchange::EndUnanswered(RefusalReason aReason)
+{
   if (mStreaming) {
-    AbortAnswer(RefusalReason::kDeadlineExceeded);
+    AbortAnswer(aReason);
     return;
   }
-  Refuse(mPossibleRuns > 0 ? kGatewayTimeout : kServiceUnavailable,
-         RefusalReason::kDeadlineExceeded,
-         std::nullopt);
+  Refuse(mPossibleRuns > 0 ? kGatewayTimeout : kServiceUnavailable, aReason, std::nullopt);
+}
+
+// Returns false if the host stops too soon to finish the request, which was refused then. Its
+// client can go to another host at once.
+bool
+Exchange::CanEndBeforeStop()
+{
+  if (!mState.mStopping || CanEndBefore(mState.mAnswerTimes,
+                                        { .mRoute = mRoute->mName, .mDeadline = mDeadline },
+                                        mState.mStopsAt,
+                                        mArrivedAt)) {
+    return true;
+  }
+  Refuse(kServiceUnavailable, RefusalReason::kHostStops, Milliseconds{ 0 });
+  return false;
 }
 
 void
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -38,9 +38,10 @@
   kServerUnreachable,
   kBrokenAnswer,
   kDeadlineExceeded,
+  kHostStops,
 };
 
-inline constexpr NameTable<RefusalReason, 14> kRefusalReasonNames{ {
+inline constexpr NameTable<RefusalReason, 15> kRefusalReasonNames{ {
   { RefusalReason::kNoConfiguration, "no_configuration" },
   { RefusalReason::kStaleConfiguration, "old_configuration" },
   { RefusalReason::kNoRoute, "no_route" },
@@ -55,6 +56,7 @@
   { RefusalReason::kServerUnreachable, "server_unreachable" },
   { RefusalReason::kBrokenAnswer, "broken_answer" },
   { RefusalReason::kDeadlineExceeded, "out_of_time" },
+  { RefusalReason::kHostStops, "host_stops" },
 } };
 
 // Why an attempt yielded no answer that can be relayed to the client.
@@ -121,6 +123,9 @@
 
   // Must be called when the client has closed its connection. Cancels the request.
   void OnClientGone();
+  // Must be called shortly before the host ends. Ends the request with an answer that is true of
+  // it, or cuts off a stream that has begun.
+  void OnHostStops();
   bool IsOver() const { return mOver; }
 
 private:
@@ -187,6 +192,8 @@
   std::string SharedPartsText() const;
 
   void OnDeadline();
+  void EndUnanswered(RefusalReason aReason);
+  bool CanEndBeforeStop();
   void Refuse(int aStatus, RefusalReason aReason, std::optional<Milliseconds> aRetryAfter);
   void AbortAnswer(RefusalReason aReason);
   void End();
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -332,6 +332,7 @@
 Exchange::LogCompletion(int aStatus)
 {
   const Instant now = SuspendAwareNow();
+  RecordAnswerTime(mState.mAnswerTimes, mRoute->mName, mArrivedAt, now);
   mState.mLog.Write(LogSeverity::kRoutine,
                     LogEvent::kRequestDone,
                     "id={} route={} account={} service={} status={} dispatches={} {} prompt={} "
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -1,6 +1,7 @@
 // The state of a traffic thread, shared by the code that runs on it.
 #pragma once
 
+#include "trefoil/dispatch/answer_times.h"
 #include "trefoil/forward/cache_hints.h"
 #include "trefoil/forward/server_connection_pool.h"
 #include "trefoil/forward/traffic_thread.h"
@@ -58,7 +59,10 @@
   Instant mBusyCountedUntil;
   std::map<ServiceId, std::map<VersionId, VersionOutcomes>> mOutcomes;
   std::mt19937_64 mRandom;
+  AnswerTimes mAnswerTimes;
   bool mStopping = false;
+  // When the requests that are left are ended; set while mStopping is true.
+  Instant mStopsAt;
 };
 
 // Schedules a report of evidence about prompts that crash servers. `aIsOwn` is whether this host
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -25,6 +25,8 @@
 // second.
 constexpr Milliseconds kBalancerDrainDelay{ 3'000 };
 constexpr Milliseconds kStopCheckInterval{ 50 };
+// How long before its end a host ends the requests that are left, so that their answers are sent.
+constexpr Milliseconds kFinalAnswerTime{ 300 };
 // Evidence of a crash that is recorded within this time is reported together, since many requests
 // break at once.
 constexpr Milliseconds kCrashReportDelay{ 10 };
@@ -150,6 +152,8 @@
   TrafficReport MakeReport();
   void Sweep();
   void StopListening();
+  void EndUnfinishedRequests();
+  void DropSentSessions();
   void CheckStop(Instant aStoppedAt, Instant aDeadline);
 
   TrafficState mState;
@@ -161,6 +165,8 @@
 
   std::vector<Listener> mListeners;
   std::unordered_set<std::shared_ptr<ClientSession>> mSessions;
+  // Sessions that have ended, but still send their last answer.
+  std::unordered_set<std::shared_ptr<ClientSession>> mSendingSessions;
   std::unordered_map<const ClientSession*, std::shared_ptr<Exchange>> mExchanges;
   std::thread mThread;
   int mAbortedRequests = 0;
@@ -172,6 +178,9 @@
   auto callbacks = std::make_shared<SessionCallbacks>();
   callbacks->mOnClosed = [this](const std::shared_ptr<ClientSession>& aSession) {
     mSessions.erase(aSession);
+    if (aSession->IsSending()) {
+      mSendingSessions.insert(aSession);
+    }
     const auto found = mExchanges.find(aSession.get());
     if (found != mExchanges.end()) {
       const auto exchange = found->second;
@@ -478,6 +487,7 @@
     mState.mConnectionPool.Sweep(*mState.mView->mServers, now);
   }
   ExpirePromptCrashes(mState.mPromptCrashes, now);
+  DropSentSessions();
   mState.mLoop.CallAt(now + kSweepInterval, [this] { Sweep(); });
 }
 
@@ -495,6 +505,23 @@
   mListeners.clear();
 }
 
+void
+TrafficThread::Impl::DropSentSessions()
+{
+  std::erase_if(mSendingSessions, [](const auto& aSession) { return !aSession->IsSending(); });
+}
+
+// Ends the requests that are left with an answer that is true of them.
+void
+TrafficThread::Impl::EndUnfinishedRequests()
+{
+  mAbortedRequests += static_cast<int>(mExchanges.size());
+  const auto exchanges = mExchanges;
+  for (const auto& [session, exchange] : exchanges) {
+    exchange->OnHostStops();
+  }
+}
+
 void
 TrafficThread::Impl::CheckStop(Instant aStoppedAt, Instant aDeadline)
 {
@@ -507,9 +534,13 @@
       session->CloseIfIdle(now);
     }
   }
+  if (HasPassed(mState.mStopsAt, now)) {
+    EndUnfinishedRequests();
+  }
+  DropSentSessions();
   // Sessions that are left have a request, or a client that is about to send its first one.
-  if ((balancerDrained && mSessions.empty() && mExchanges.empty()) || HasPassed(aDeadline, now)) {
-    mAbortedRequests = static_cast<int>(mExchanges.size());
+  const bool isIdle = mSessions.empty() && mExchanges.empty() && mSendingSessions.empty();
+  if ((balancerDrained && isIdle) || HasPassed(aDeadline, now)) {
     mState.mLoop.Stop();
     return;
   }
@@ -623,6 +654,7 @@
 {
   mImpl->mState.mLoop.Post([state = mImpl.get(), aDeadline] {
     state->mState.mStopping = true;
+    state->mState.mStopsAt = aDeadline - kFinalAnswerTime;
     state->CheckStop(SuspendAwareNow(), aDeadline);
   });
   mImpl->mThread.join();
