Answer requests to plain services before a stopping trefoild ends

Clients of trefoild in a planned stop got no answer from plain services whose answer took longer than the notice: the same fault as in the gateway, found by looking for it there. Completions are handed to other hosts and were not affected.

Cause: calls of plain services had the deadline of their caller alone; nothing asked at admission whether the answer can come before the end.

Change: a stopping host refuses such a request at once with 503 "not_run", by the same rule as the gateway (answer_times). Calls take an earlier deadline that is set while they run; 0.5 s before the end those that are left are answered with 504.

Evidence: the new test of request_life fails on (the late request gets no answer; the section with the running one did not end within 100 s) and passes now.

--- a/tests/request_life/request_life_test.cc
+++ b/tests/request_life/request_life_test.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <future>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -211,6 +212,59 @@
   }
 }
 
+// Guards against requests that are cut without an answer at the end of a planned stop (LOST).
+TEST_CASE("An entry host stops that has requests to a plain service")
+{
+  const ScriptedServer server{ [](const ReceivedRequest& aRequest) {
+    return aRequest.mRequest.mTarget == "/slow" ? Reply{ .mHang = true }
+                                                : Reply{ .mBytes = MakeAnswer(aRequest, 200) };
+  } };
+  Site site{ { .mEngines = 1,
+               .mHosts = 1,
+               .mPlainServers = { server.ListenEndpoint() },
+               .mStopNoticeMilliseconds = 4'000 } };
+  const auto call = [&site](const char* aMethod, const char* aTarget) {
+    return std::async(std::launch::async, [&site, aMethod, aTarget] {
+      return Call(
+        MakeAuthorizedCall(site.ListenEndpoint(0), { .mMethod = aMethod, .mTarget = aTarget }));
+    });
+  };
+  const auto received = [&server](const char* aTarget) {
+    return std::ranges::count(server.ReceivedRequests(), aTarget, &HttpRequest::mTarget);
+  };
+  REQUIRE(std::holds_alternative<HttpResponse>(call("GET", "/app/quick").get()));
+  auto running = call("POST", "/app/slow");
+  const Instant deadline = Now() + Milliseconds{ 20'000 };
+  while (received("/slow") == 0 && !HasPassed(deadline, Now())) {
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  auto stopped = std::async(std::launch::async, [&site] { return site.HostAt(0).Stop(); });
+  // The host still accepts connections, since the balancer needs some time to notice the stop.
+  absl::SleepFor(absl::Milliseconds(50));
+  auto late = call("POST", "/app/slow");
+  auto quick = call("GET", "/app/quick");
+  SECTION("one that may not end in time is refused as not run, others are served")
+  {
+    const HttpResult result = late.get();
+
+    REQUIRE(std::holds_alternative<HttpResponse>(result));
+    CHECK(std::get<HttpResponse>(result).mStatus == 503);
+    CHECK(HeaderValue(std::get<HttpResponse>(result).mHeaders, "X-Trefoil-Verdict") == "not_run");
+    CHECK(received("/slow") == 1);
+    const HttpResult other = quick.get();
+    REQUIRE(std::holds_alternative<HttpResponse>(other));
+    CHECK(std::get<HttpResponse>(other).mStatus == 200);
+  }
+  SECTION("one that a server runs is answered before the host ends")
+  {
+    CHECK(stopped.get() == 0);
+    site.DestroyHost(0);
+    const HttpResult result = running.get();
+    REQUIRE(std::holds_alternative<HttpResponse>(result));
+    CHECK(std::get<HttpResponse>(result).mStatus == 504);
+  }
+}
+
 TEST_CASE("An entry host stops")
 {
   SECTION("with a notice that is long enough: no stream is cut off")
--- a/trefoil/http/client.cc
+++ b/trefoil/http/client.cc
@@ -19,6 +19,7 @@
   MessageReader mReader;
   // Received bytes that the reader has not consumed yet.
   std::string mReceived;
+  const AtomicDeadline* mEarlierDeadline = nullptr;
   // Whether the end of the connection was the end of the body.
   bool mEndedWithConnection = false;
 };
@@ -29,6 +30,8 @@
 constexpr Milliseconds kConnectTimeout{ 1000 };
 // A socket interprets a timeout of zero as "no timeout".
 constexpr Milliseconds kMinSocketTimeout{ 1 };
+// How often a call checks whether an earlier deadline has been set.
+constexpr Milliseconds kDeadlineCheckInterval{ 100 };
 constexpr std::size_t kReadBufferBytes = std::size_t{ 16 } * 1024;
 
 Poco::Timespan
@@ -117,16 +120,36 @@
 
 } // namespace
 
+absl::Status
+HttpStream::WaitUntilReadable(Connection& aConnection, Instant aDeadline)
+{
+  const AtomicDeadline* earlier = aConnection.mEarlierDeadline;
+  while (true) {
+    const Instant deadline = earlier == nullptr ? aDeadline : std::min(aDeadline, earlier->Read());
+    if (HasPassed(deadline, Now())) {
+      return absl::DeadlineExceededError("the answer did not arrive in time");
+    }
+    const Instant waitUntil =
+      earlier == nullptr ? deadline : std::min(deadline, Now() + kDeadlineCheckInterval);
+    try {
+      if (aConnection.mSocket.poll(TimeoutUntil(waitUntil), Poco::Net::Socket::SELECT_READ)) {
+        return absl::OkStatus();
+      }
+    } catch (const Poco::Exception& error) {
+      return StatusOf(error);
+    }
+  }
+}
+
 absl::Status
 HttpStream::Receive(Connection& aConnection, Instant aDeadline)
 {
-  if (HasPassed(aDeadline, Now())) {
-    return absl::DeadlineExceededError("the answer did not arrive in time");
+  if (const absl::Status readable = WaitUntilReadable(aConnection, aDeadline); !readable.ok()) {
+    return readable;
   }
   std::array<char, kReadBufferBytes> buffer{};
   int count = 0;
   try {
-    aConnection.mSocket.setReceiveTimeout(TimeoutUntil(aDeadline));
     count = aConnection.mSocket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
   } catch (const Poco::Exception& error) {
     return StatusOf(error);
@@ -181,7 +204,8 @@
     connection = std::make_unique<Connection>(
       Connection{ .mSocket = Connect(aCall),
                   .mReader = MessageReader::ForResponse({ .mMaxBodyBytes = aCall.mMaxBodyBytes },
-                                                        aCall.mRequest.mMethod != "HEAD") });
+                                                        aCall.mRequest.mMethod != "HEAD"),
+                  .mEarlierDeadline = aCall.mEarlierDeadline });
   } catch (const Poco::Exception& error) {
     return Failure{ .mVerdict = Verdict::kNotRun, .mStatus = StatusOf(error) };
   }
--- a/trefoil/http/client.h
+++ b/trefoil/http/client.h
@@ -15,6 +15,7 @@
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
+#include "trefoil/base/atomic_deadline.h"
 #include "trefoil/base/endpoint.h"
 #include "trefoil/base/instant.h"
 #include "trefoil/base/verdict.h"
@@ -32,6 +33,8 @@
   Endpoint mServer;
   HttpRequest mRequest;
   Instant mDeadline;
+  // A deadline that may be set during the call, and counts if it is earlier. Null if there is none.
+  const AtomicDeadline* mEarlierDeadline = nullptr;
   // A response with a longer body is an error.
   std::size_t mMaxBodyBytes = std::size_t{ 64 } << 20;
 };
@@ -74,6 +77,9 @@
   struct Connection;
   explicit HttpStream(std::unique_ptr<Connection> aConnection);
 
+  // Waits until bytes or the end of the connection can be read. Returns DeadlineExceeded if they
+  // do not come in time.
+  static absl::Status WaitUntilReadable(Connection& aConnection, Instant aDeadline);
   // Receives the next bytes of a response that is incomplete. Returns an error if it can no longer
   // be completed.
   static absl::Status Receive(Connection& aConnection, Instant aDeadline);
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -30,6 +30,8 @@
 constexpr Milliseconds kReceiveTimeout{ 200 };
 // How often a shutdown checks whether the requests in flight have completed.
 constexpr Milliseconds kDrainCheckInterval{ 20 };
+// How long before its end a host ends the calls that are left, so that their answers are sent.
+constexpr Milliseconds kFinalAnswerTime{ 500 };
 // How long the load balancer may take to detect that the host is not ready.
 constexpr Milliseconds kBalancerReactionTime{ 300 };
 constexpr std::string_view kDocumentPrefix = "services/";
@@ -149,6 +151,7 @@
 {
   const Instant end = Now() + Milliseconds{ mSettings.mStopNoticeMilliseconds };
   mQueue.Push(StopRequested{});
+  mRequestState->mStopsAt.Set(end - kFinalAnswerTime);
   absl::SleepFor(absl::FromChrono(std::min(kBalancerReactionTime, Remaining(end, Now()))));
   const Instant handOverAt = end - HandOverReserve(mSettings.mStopNoticeMilliseconds);
   HandOverStreams(mTraffic, handOverAt, end);
--- a/trefoil/node/internal/plain_service_handler.cc
+++ b/trefoil/node/internal/plain_service_handler.cc
@@ -127,8 +127,10 @@
                         .mServer = &aServer,
                         .mRoute = RouteLabel(aRequest),
                         .mIdentity = aCaller.mAccount.Value() + aRequest.mBody } };
-  HttpResult result =
-    Call({ .mServer = aServer.mEndpoint, .mRequest = aRequest, .mDeadline = aCaller.mDeadline });
+  HttpResult result = Call({ .mServer = aServer.mEndpoint,
+                             .mRequest = aRequest,
+                             .mDeadline = aCaller.mDeadline,
+                             .mEarlierDeadline = &aContext.mRequestState->mStopsAt });
   const auto* failure = std::get_if<Failure>(&result);
   meter.ReportOutcome(failure == nullptr ? OutcomeOf(std::get<HttpResponse>(result))
                                          : OutcomeOf(*failure));
@@ -178,7 +180,8 @@
     }
     lastFailure = { .mVerdict = CombineVerdicts(lastFailure.mVerdict, failure->mVerdict),
                     .mStatus = failure->mStatus };
-    if (!MayRetry(*failure, repeatable, aCaller.mDeadline)) {
+    const Instant endsAt = std::min(aCaller.mDeadline, aContext.mRequestState->mStopsAt.Read());
+    if (!MayRetry(*failure, repeatable, endsAt)) {
       return lastFailure;
     }
     failedServers.insert(server->mServer);
@@ -186,12 +189,33 @@
   return lastFailure;
 }
 
+// Returns the name under which the times of answers are kept.
+std::string
+AnswerTimesRoute(const Caller& aCaller, const HttpRequest& aRequest)
+{
+  return aCaller.mDocument->mService.Value() + " " + RouteLabel(aRequest);
+}
+
+// Returns whether the request ends before this host does, if the host stops.
+bool
+CanEndBeforeStop(const TrafficContext& aContext, const Caller& aCaller, const HttpRequest& aRequest)
+{
+  const SharedRequestState& state = *aContext.mRequestState;
+  return !state.mStopsAt.IsSet() ||
+         state.mPlainAnswerTimes.CanEndBefore(
+           { .mRoute = AnswerTimesRoute(aCaller, aRequest), .mDeadline = aCaller.mDeadline },
+           state.mStopsAt.Read(),
+           Now());
+}
+
 // Calls the service, records the latency and filters the headers of the response.
 HttpResult
 CallAndMeasure(const TrafficContext& aContext, const Caller& aCaller, const HttpRequest& aRequest)
 {
   const Instant startedAt = Now();
   HttpResult result = CallService(aContext, aCaller, aRequest);
+  aContext.mRequestState->mPlainAnswerTimes.Record(
+    AnswerTimesRoute(aCaller, aRequest), startedAt, Now());
   aContext.mMetrics->Observe(Latency::kPlainResponse, Now() - startedAt);
   if (auto* answer = std::get_if<HttpResponse>(&result)) {
     answer->mHeaders = ForwardedHeaders(answer->mHeaders);
@@ -219,13 +243,17 @@
     refuse(absl::InvalidArgumentError("the service is no plain service"));
     return;
   }
+  HttpRequest request = aExchange.Request();
+  request.mTarget = target.mServiceTarget;
+  if (!CanEndBeforeStop(aContext, *caller, request)) {
+    refuse(absl::UnavailableError("the host stops"));
+    return;
+  }
   const auto admission = Admit(aContext, *caller, aExchange.Request(), 1);
   if (!admission.ok()) {
     refuse(admission.status());
     return;
   }
-  HttpRequest request = aExchange.Request();
-  request.mTarget = target.mServiceTarget;
   request.mHeaders = ForwardedHeaders(aExchange.Request().mHeaders);
   SetHeader(request.mHeaders, kRequestIdHeader, id.Value());
   const auto dispatch = [&] { return CallAndMeasure(aContext, *caller, request); };
