--- a/tests/control_path/control_path_test.cc
+++ b/tests/control_path/control_path_test.cc
@@ -5,7 +5,7 @@
 #include "trefoil/base/base64.h"
 #include "trefoil/steering/control_thread.h"
 #include "trefoil/steering/prefix_watch.h"
-#include "trefoil/steering/prompt_refusal_record.h"
+#include "trefoil/steering/refusal_record.h"
 
 #include "absl/strings/numbers.h"
 #include <Poco/JSON/Array.h>
@@ -356,7 +356,7 @@
     return mValue;
   }
 
-  static constexpr const char* kKey = kPromptRefusalRecordKey;
+  static constexpr const char* kKey = kRefusalRecordKey;
 
 private:
   mutable absl::Mutex mMutex;
@@ -371,7 +371,7 @@
   while (!HasPassed(deadline, SuspendAwareNow())) {
     std::promise<TrafficReport> report;
     aHost.Traffic().Report([&](TrafficReport aReport) { report.set_value(std::move(aReport)); });
-    const auto& refusals = report.get_future().get().mPromptCrashes.mRefusals;
+    const auto& refusals = report.get_future().get().mCrashes.mRefusals;
     const auto refusal = refusals.find(aPart);
     if ((refusal != refusals.end() && !refusal->second.mAnswered) == aRefused) {
       return true;
@@ -387,8 +387,8 @@
 {
   const Instant deadline = SuspendAwareNow() + kTestTimeout;
   while (!HasPassed(deadline, SuspendAwareNow())) {
-    const auto record = ParsePromptRefusalRecord(
-      aStore.Value(), { .mNow = SuspendAwareNow(), .mWallNow = WallNow() });
+    const auto record =
+      ParseRefusalRecord(aStore.Value(), { .mNow = SuspendAwareNow(), .mWallNow = WallNow() });
     if (record.ok() && record->empty() != aHasPart) {
       return true;
     }
@@ -407,12 +407,12 @@
     return store.Answer(aRequest);
   } };
   const auto applyRefusal = [kPart](TestHost& aHost, bool aAnswered) {
-    PromptCrashEvidence evidence;
+    CrashEvidence evidence;
     evidence.mRefusals[kPart] = { .mUntil = SuspendAwareNow() + 2 * kTestTimeout,
                                   .mGeneration = 1,
                                   .mLevel = 1,
                                   .mAnswered = aAnswered };
-    aHost.Traffic().ApplyPromptCrashes(evidence);
+    aHost.Traffic().ApplyCrashEvidence(evidence);
   };
   {
     TestHost before{ storeServer };
--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -923,7 +923,7 @@
   while (last.mStatus != 503 && sent < 40) {
     last = ask("bad", ++sent);
     // Crashes that follow each other faster count as one.
-    std::this_thread::sleep_for(kMinPromptCrashDistance);
+    std::this_thread::sleep_for(kMinCrashDistance);
   }
   THEN("they are refused after a few crashes, and no server receives them any more")
   {
@@ -932,7 +932,7 @@
     const std::size_t before = received();
     CHECK(ask("bad", ++sent).mStatus == 503);
     CHECK(received() == before);
-    CHECK(before <= 1 + std::size_t{ 2 } * kPromptCrashesToRefuseAll);
+    CHECK(before <= 1 + std::size_t{ 2 } * kCrashesToRefuseAllParts);
   }
   THEN("requests that share the other parts are served")
   {
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -132,11 +132,11 @@
                    .mBody = mRequest.mBody });
   // The Retry-After values are not limited to the client's time: a client that came back within it
   // would be refused again.
-  if (const auto until = RefusedUntil(mState.mPromptCrashes, { mRequestKey }, mArrivedAt)) {
+  if (const auto until = RefusedUntil(mState.mCrashes, { mRequestKey }, mArrivedAt)) {
     Refuse(kServiceUnavailable, RefusalReason::kCrashesServers, Remaining(*until, mArrivedAt));
     return false;
   }
-  if (const auto until = RefusedUntil(mState.mPromptCrashes, mSharedParts, mArrivedAt)) {
+  if (const auto until = RefusedUntil(mState.mCrashes, mSharedParts, mArrivedAt)) {
     Refuse(
       kServiceUnavailable, RefusalReason::kPromptCrashesServers, Remaining(*until, mArrivedAt));
     return false;
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -195,8 +195,8 @@
   }
   const Instant now = SuspendAwareNow();
   mAttempt->mAnswerBegun = true;
-  if (RecordServerAnswer(mState.mPromptCrashes, mAttempt->mServer.mId, now)) {
-    ReportPromptCrashes(mState, true);
+  if (RecordServerAnswer(mState.mCrashes, mAttempt->mServer.mId, now)) {
+    ReportCrashEvidence(mState, true);
   }
   ServerStatus& status = StatusOfServer(mAttempt->mServer.mId);
   status.mPendingTokens -= std::exchange(mAttempt->mPendingTokens, 0.0);
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -535,8 +535,8 @@
 bool
 Exchange::IsRefused(Instant aNow) const
 {
-  return RefusedUntil(mState.mPromptCrashes, { mRequestKey }, aNow).has_value() ||
-         RefusedUntil(mState.mPromptCrashes, mSharedParts, aNow).has_value();
+  return RefusedUntil(mState.mCrashes, { mRequestKey }, aNow).has_value() ||
+         RefusedUntil(mState.mCrashes, mSharedParts, aNow).has_value();
 }
 
 // Blames the request for the end of its connection to a server that was not about to leave, and the
@@ -554,7 +554,7 @@
   const auto logIfRefused = [&](const std::vector<SuspectKey>& aSuspects,
                                 const std::optional<Instant>& aRefusedBefore,
                                 LogEvent aEvent) {
-    const auto refused = RefusedUntil(mState.mPromptCrashes, aSuspects, now);
+    const auto refused = RefusedUntil(mState.mCrashes, aSuspects, now);
     if (refused != aRefusedBefore) {
       mState.mLog.Write(LogSeverity::kNotable,
                         aEvent,
@@ -566,15 +566,15 @@
                         Remaining(refused.value_or(now), now).count());
     }
   };
-  const auto requestBefore = RefusedUntil(mState.mPromptCrashes, { mRequestKey }, now);
-  const auto partsBefore = RefusedUntil(mState.mPromptCrashes, mSharedParts, now);
-  if (RecordCrash(mState.mPromptCrashes,
+  const auto requestBefore = RefusedUntil(mState.mCrashes, { mRequestKey }, now);
+  const auto partsBefore = RefusedUntil(mState.mCrashes, mSharedParts, now);
+  if (RecordCrash(mState.mCrashes,
                   mAttempt->mServer.mId,
                   { .mRequest = mRequestKey,
                     .mParts = mAttempt->mIsSound ? std::vector<PromptPartKey>{} : mSharedParts },
                   mState.mRandom(),
                   now)) {
-    ReportPromptCrashes(mState, true);
+    ReportCrashEvidence(mState, true);
   }
   logIfRefused({ mRequestKey }, requestBefore, LogEvent::kCrashingRequestRefused);
   logIfRefused(mSharedParts, partsBefore, LogEvent::kPromptPartRefused);
@@ -585,8 +585,8 @@
 Exchange::ReportPromptAnswer()
 {
   if (!std::exchange(mAttempt->mIsSound, true) &&
-      RecordPromptAnswer(mState.mPromptCrashes, mSharedParts, SuspendAwareNow())) {
-    ReportPromptCrashes(mState, true);
+      RecordPromptAnswer(mState.mCrashes, mSharedParts, SuspendAwareNow())) {
+    ReportCrashEvidence(mState, true);
   }
 }
 
@@ -594,9 +594,8 @@
 void
 Exchange::ReportCompletion()
 {
-  if (RecordCompletion(mState.mPromptCrashes, mRequestKey, SuspendAwareNow()) >=
-      kMinCrashesToRunAlone) {
-    ReportPromptCrashes(mState, true);
+  if (RecordCompletion(mState.mCrashes, mRequestKey, SuspendAwareNow()) >= kMinCrashesToRunAlone) {
+    ReportCrashEvidence(mState, true);
   }
 }
 
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -33,14 +33,14 @@
   std::map<AvailabilityZoneId, ZoneStatus> mZones;
   QuotaState mQuotas;
   ServiceRetryBudget mRetries;
-  PromptCrashTracker mPromptCrashes;
-  // Receives new evidence. mPromptCrashesDue is whether a call is scheduled, and mOwnPromptCrashes
+  CrashTracker mCrashes;
+  // Receives new evidence. mEvidenceDue is whether a call is scheduled, and mHasOwnEvidence
   // whether it contains observations of this host.
-  std::function<void(PromptCrashEvidence, bool)> mOnPromptCrashes;
-  bool mPromptCrashesDue = false;
-  // When evidence was last passed to mOnPromptCrashes.
-  Instant mPromptCrashesSentAt;
-  bool mOwnPromptCrashes = false;
+  std::function<void(CrashEvidence, bool)> mOnCrashEvidence;
+  bool mEvidenceDue = false;
+  // When evidence was last passed to mOnCrashEvidence.
+  Instant mEvidenceSentAt;
+  bool mHasOwnEvidence = false;
   CacheHints mCacheHints;
   std::map<ServiceId, PrefillRate> mPrefillRates;
   // Dispatches that have not been reported to the other hosts yet, and the callback that reports
@@ -68,7 +68,7 @@
 // Schedules a report of evidence about prompts that crash servers. `aIsOwn` is whether this host
 // observed it.
 void
-ReportPromptCrashes(TrafficState& aState, bool aIsOwn);
+ReportCrashEvidence(TrafficState& aState, bool aIsOwn);
 
 // Returns the part of the server's limit that this host may use.
 RefillRate
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -59,17 +59,17 @@
 }
 
 void
-ReportPromptCrashes(TrafficState& aState, bool aIsOwn)
+ReportCrashEvidence(TrafficState& aState, bool aIsOwn)
 {
-  aState.mOwnPromptCrashes = aState.mOwnPromptCrashes || aIsOwn;
-  if (!aState.mOnPromptCrashes || std::exchange(aState.mPromptCrashesDue, true)) {
+  aState.mHasOwnEvidence = aState.mHasOwnEvidence || aIsOwn;
+  if (!aState.mOnCrashEvidence || std::exchange(aState.mEvidenceDue, true)) {
     return;
   }
   aState.mLoop.CallAt(SuspendAwareNow() + kCrashReportDelay, [&aState] {
-    aState.mPromptCrashesDue = false;
-    const Instant since = std::exchange(aState.mPromptCrashesSentAt, SuspendAwareNow());
-    aState.mOnPromptCrashes(EvidenceChangedSince(aState.mPromptCrashes, since),
-                            std::exchange(aState.mOwnPromptCrashes, false));
+    aState.mEvidenceDue = false;
+    const Instant since = std::exchange(aState.mEvidenceSentAt, SuspendAwareNow());
+    aState.mOnCrashEvidence(EvidenceChangedSince(aState.mCrashes, since),
+                            std::exchange(aState.mHasOwnEvidence, false));
   });
 }
 
@@ -459,7 +459,7 @@
   EndQuotaRound(mState.mQuotas, QuotaParametersNow(mState), now);
   CountBusyTime(now);
   TrafficReport report{ .mUsage = mState.mUsage,
-                        .mPromptCrashes = EvidenceToReport(mState.mPromptCrashes, now),
+                        .mCrashes = EvidenceToReport(mState.mCrashes, now),
                         .mLoads = mState.mLoads,
                         .mOutcomes = mState.mOutcomes };
   for (const auto& [account, use] : mState.mQuotas.mAccounts) {
@@ -486,7 +486,7 @@
   if (mState.mView && mState.mView->mServers) {
     mState.mConnectionPool.Sweep(*mState.mView->mServers, now);
   }
-  ExpirePromptCrashes(mState.mPromptCrashes, now);
+  ExpireCrashes(mState.mCrashes, now);
   DropSentSessions();
   mState.mLoop.CallAt(now + kSweepInterval, [this] { Sweep(); });
 }
@@ -610,19 +610,19 @@
 }
 
 void
-TrafficThread::SetPromptCrashCallback(std::function<void(PromptCrashEvidence, bool)> aCallback)
+TrafficThread::SetCrashEvidenceCallback(std::function<void(CrashEvidence, bool)> aCallback)
 {
   mImpl->mState.mLoop.Post([state = mImpl.get(), callback = std::move(aCallback)]() mutable {
-    state->mState.mOnPromptCrashes = std::move(callback);
+    state->mState.mOnCrashEvidence = std::move(callback);
   });
 }
 
 void
-TrafficThread::ApplyPromptCrashes(PromptCrashEvidence aEvidence)
+TrafficThread::ApplyCrashEvidence(CrashEvidence aEvidence)
 {
   mImpl->mState.mLoop.Post([state = mImpl.get(), evidence = std::move(aEvidence)] {
-    if (MergeEvidence(state->mState.mPromptCrashes, evidence, SuspendAwareNow())) {
-      ReportPromptCrashes(state->mState, false);
+    if (MergeEvidence(state->mState.mCrashes, evidence, SuspendAwareNow())) {
+      ReportCrashEvidence(state->mState, false);
     }
   });
 }
--- a/trefoil/forward/traffic_thread.h
+++ b/trefoil/forward/traffic_thread.h
@@ -69,10 +69,10 @@
   // Sets the callback that receives evidence about prompts that crash servers, within 10 ms of a
   // change. It is called on the traffic thread; `aIsOwn` tells whether this host observed some of
   // what is new.
-  void SetPromptCrashCallback(
-    std::function<void(PromptCrashEvidence aEvidence, bool aIsOwn)> aCallback);
+  void SetCrashEvidenceCallback(
+    std::function<void(CrashEvidence aEvidence, bool aIsOwn)> aCallback);
   // Applies evidence that another host has sent.
-  void ApplyPromptCrashes(PromptCrashEvidence aEvidence);
+  void ApplyCrashEvidence(CrashEvidence aEvidence);
   // Sets the callback that receives changes of the limits that servers state to this host, within
   // 50 ms of each. It is called on the traffic thread.
   void SetLimitCallback(std::function<void(std::vector<LimitReport>)> aCallback);
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -8,7 +8,7 @@
 #include "trefoil/catalogue/server_registry.h"
 #include "trefoil/dispatch/quota.h"
 #include "trefoil/dispatch/server_choice.h"
-#include "trefoil/request/prompt_crash_tracker.h"
+#include "trefoil/request/crash_tracker.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -128,7 +128,7 @@
   std::map<ClientAccountId, QuotaUse> mQuotaUsed;
   UsageWindows mUsage;
   // Evidence to repeat to the other hosts.
-  PromptCrashEvidence mPromptCrashes;
+  CrashEvidence mCrashes;
   // Servers that broke a connection, were unreachable or did not respond, and have not responded
   // since.
   std::vector<BackendServerId> mBroken;
--- a/trefoil/node/internal/crash_registry.cc
+++ b/trefoil/node/internal/crash_registry.cc
@@ -1,6 +1,6 @@
 #include "trefoil/node/internal/crash_registry.h"
 
-#include "trefoil/wire/prompt_crash_conversion.h"
+#include "trefoil/wire/crash_evidence_conversion.h"
 
 #include <fmt/format.h>
 #include <utility>
@@ -40,7 +40,7 @@
 void
 CrashRegistry::RecordServerCrash(SuspectKey aRequest, const BackendServerId& aServer)
 {
-  PromptCrashEvidence evidence;
+  CrashEvidence evidence;
   {
     const absl::MutexLock lock{ &mMutex };
     const auto avoided = mAvoided.find(aServer);
@@ -50,7 +50,7 @@
       return;
     }
     const Instant now = Now();
-    ExpirePromptCrashes(mTracker, now);
+    ExpireCrashes(mTracker, now);
     RecordCrash(mTracker, aServer, { .mRequest = aRequest }, mRandom(), now);
     mRepeatUntil = now + kRepeatTime;
     evidence = EvidenceToReport(mTracker, now);
@@ -61,7 +61,7 @@
 void
 CrashRegistry::RecordRequestCompletion(SuspectKey aRequest)
 {
-  PromptCrashEvidence evidence;
+  CrashEvidence evidence;
   {
     const absl::MutexLock lock{ &mMutex };
     const Instant now = Now();
@@ -77,7 +77,7 @@
 void
 CrashRegistry::RepeatEvidence(bool aTellsRefusals)
 {
-  PromptCrashEvidence evidence;
+  CrashEvidence evidence;
   {
     const absl::MutexLock lock{ &mMutex };
     const Instant now = Now();
@@ -96,10 +96,10 @@
 }
 
 void
-CrashRegistry::BroadcastEvidence(const PromptCrashEvidence& aEvidence) const
+CrashRegistry::BroadcastEvidence(const CrashEvidence& aEvidence) const
 {
   if (!aEvidence.Empty()) {
-    mBroadcast(ToPromptCrashMessage(mHost, aEvidence, Now()));
+    mBroadcast(ToCrashEvidenceMessage(mHost, aEvidence, Now()));
   }
 }
 
@@ -164,9 +164,9 @@
 bool
 CrashRegistry::ApplyPeerMessage(const Message& aMessage)
 {
-  if (const auto* crashes = std::get_if<PromptCrashMessage>(&aMessage)) {
+  if (const auto* crashes = std::get_if<CrashEvidenceMessage>(&aMessage)) {
     const absl::MutexLock lock{ &mMutex };
-    MergeEvidence(mTracker, ToPromptCrashEvidence(*crashes, Now()), Now());
+    MergeEvidence(mTracker, ToCrashEvidence(*crashes, Now()), Now());
     return true;
   }
   if (std::holds_alternative<CrashReport>(aMessage)) {
--- a/trefoil/node/internal/crash_registry.h
+++ b/trefoil/node/internal/crash_registry.h
@@ -13,7 +13,7 @@
 #include "trefoil/base/ids.h"
 #include "trefoil/base/instant.h"
 #include "trefoil/base/name_table.h"
-#include "trefoil/request/prompt_crash_tracker.h"
+#include "trefoil/request/crash_tracker.h"
 #include "trefoil/wire/message.h"
 
 #include <functional>
@@ -89,12 +89,12 @@
   };
 
   void EndReservation(const BackendServerId& aServer) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
-  void BroadcastEvidence(const PromptCrashEvidence& aEvidence) const;
+  void BroadcastEvidence(const CrashEvidence& aEvidence) const;
 
   const HostId mHost;
   const BroadcastFunction mBroadcast;
   mutable absl::Mutex mMutex;
-  PromptCrashTracker mTracker ABSL_GUARDED_BY(mMutex);
+  CrashTracker mTracker ABSL_GUARDED_BY(mMutex);
   // Identifies the crashes that this host records.
   std::mt19937_64 mRandom ABSL_GUARDED_BY(mMutex){ std::random_device{}() };
   // Until when this host repeats what it has observed, and when it does next.
--- a/trefoil/node/internal/generation.h
+++ b/trefoil/node/internal/generation.h
@@ -9,7 +9,7 @@
 #include "trefoil/node/internal/attempt_meter.h"
 #include "trefoil/node/internal/stream_record.h"
 #include "trefoil/node/request_routing.h"
-#include "trefoil/request/prompt_crash_tracker.h"
+#include "trefoil/request/crash_tracker.h"
 #include "trefoil/request/stream_progress.h"
 #include "trefoil/service/service_document.h"
 
--- a/trefoil/node/internal/pick_server.h
+++ b/trefoil/node/internal/pick_server.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "trefoil/node/request_routing.h"
-#include "trefoil/request/prompt_crash_tracker.h"
+#include "trefoil/request/crash_tracker.h"
 #include "trefoil/routing/prefix_index.h"
 #include "trefoil/service/service_document.h"
 
--- a/trefoil/request/prompt_crash_tracker.cc
+++ b/trefoil/request/crash_tracker.cc
@@ -1,4 +1,4 @@
-#include "trefoil/request/prompt_crash_tracker.h"
+#include "trefoil/request/crash_tracker.h"
 
 #include "trefoil/base/digest.h"
 
@@ -21,7 +21,7 @@
 // Answers that a server sent before it crashed arrive within this time.
 constexpr Milliseconds kMaxAnswerDelay{ 50 };
 // The first refusal of a part. Each is kRefusalFactor times as long as the one before, up to
-// kMaxPartRefusal.
+// kMaxRefusal.
 constexpr std::chrono::seconds kFirstRefusal{ 60 };
 constexpr int kRefusalFactor = 4;
 // Bounds on memory and on the size of messages.
@@ -36,14 +36,14 @@
 constexpr std::size_t kMaxReportedRequests = 48;
 
 bool
-IsBlamed(const PromptCrash& aCrash, PartStanding aStanding)
+IsBlamed(const ServerCrash& aCrash, SuspectStanding aStanding)
 {
-  return !aCrash.mDisproved && aStanding != PartStanding::kAnsweredAfter;
+  return !aCrash.mDisproved && aStanding != SuspectStanding::kAnsweredAfter;
 }
 
 bool
-IsBlamed(const PromptCrash& aCrash,
-         const std::map<SuspectKey, PartStanding>& aSuspects,
+IsBlamed(const ServerCrash& aCrash,
+         const std::map<SuspectKey, SuspectStanding>& aSuspects,
          SuspectKey aSuspect)
 {
   const auto suspect = aSuspects.find(aSuspect);
@@ -53,7 +53,7 @@
 // Returns whether a part that is or was refused explains the crash. A refused request explains
 // none, since the cause may be one of its parts.
 bool
-IsExplained(const PromptCrashTracker& aTracker, const PromptCrash& aCrash)
+IsExplained(const CrashTracker& aTracker, const ServerCrash& aCrash)
 {
   return std::ranges::any_of(aTracker.mRefusals, [&](const auto& aItem) {
     return !aItem.second.mAnswered && IsBlamed(aCrash, aCrash.mParts, aItem.first);
@@ -61,7 +61,7 @@
 }
 
 std::optional<Instant>
-LastAnswerAt(const PromptCrashTracker& aTracker, SuspectKey aSuspect)
+LastAnswerAt(const CrashTracker& aTracker, SuspectKey aSuspect)
 {
   for (const auto* answers : { &aTracker.mAnsweredAt, &aTracker.mAnsweredEarlier }) {
     const auto answered = answers->find(aSuspect);
@@ -73,14 +73,15 @@
 }
 
 // Returns the standing of a suspect by the answers on this host.
-PartStanding
-StandingAt(const PromptCrashTracker& aTracker, SuspectKey aSuspect, Instant aCrashedAt)
+SuspectStanding
+StandingAt(const CrashTracker& aTracker, SuspectKey aSuspect, Instant aCrashedAt)
 {
   const auto answeredAt = LastAnswerAt(aTracker, aSuspect);
   if (!answeredAt.has_value()) {
-    return PartStanding::kNeverAnswered;
+    return SuspectStanding::kNeverAnswered;
   }
-  return *answeredAt > aCrashedAt ? PartStanding::kAnsweredAfter : PartStanding::kAnsweredBefore;
+  return *answeredAt > aCrashedAt ? SuspectStanding::kAnsweredAfter
+                                  : SuspectStanding::kAnsweredBefore;
 }
 
 // The crashes that a suspect is blamed for.
@@ -94,7 +95,7 @@
 void
 AddBlame(Blame& aBlame, Instant aAt)
 {
-  if (aBlame.mCrashes == 0 || aAt - aBlame.mLastCrashAt >= kMinPromptCrashDistance) {
+  if (aBlame.mCrashes == 0 || aAt - aBlame.mLastCrashAt >= kMinCrashDistance) {
     ++aBlame.mCrashes;
     aBlame.mLastCrashAt = aAt;
   }
@@ -103,7 +104,7 @@
 // What a request is blamed for. A host counts as few crashes as the standing permits.
 struct RequestBlame
 {
-  // All crashes, and those that are kMinPromptCrashDistance apart.
+  // All crashes, and those that are kMinCrashDistance apart.
   int mCrashes = 0;
   Blame mDistant;
 
@@ -115,10 +116,10 @@
 };
 
 RequestBlame
-BlameOfRequest(const PromptCrashTracker& aTracker, SuspectKey aRequest)
+BlameOfRequest(const CrashTracker& aTracker, SuspectKey aRequest)
 {
   RequestBlame blame;
-  for (const PromptCrash& crash : aTracker.mCrashes) {
+  for (const ServerCrash& crash : aTracker.mCrashes) {
     const auto request = crash.mRequests.find(aRequest);
     if (request == crash.mRequests.end() || !IsBlamed(crash, request->second) ||
         IsExplained(aTracker, crash)) {
@@ -127,14 +128,14 @@
     ++blame.mCrashes;
     AddBlame(blame.mDistant, crash.mAt);
     blame.mDistant.mAnsweredBefore =
-      blame.mDistant.mAnsweredBefore || request->second == PartStanding::kAnsweredBefore;
+      blame.mDistant.mAnsweredBefore || request->second == SuspectStanding::kAnsweredBefore;
   }
   return blame;
 }
 
 // Makes room for one more refusal: drops the one that ends first.
 void
-LimitRefusals(PromptCrashTracker& aTracker)
+LimitRefusals(CrashTracker& aTracker)
 {
   if (aTracker.mRefusals.size() >= kMaxRefusals) {
     aTracker.mRefusals.erase(std::ranges::min_element(
@@ -145,18 +146,18 @@
 // Refuses a suspect from `aNow` on, for longer than the time before if it has not been answered
 // since.
 void
-Refuse(PromptCrashTracker& aTracker, SuspectKey aSuspect, Instant aNow)
+Refuse(CrashTracker& aTracker, SuspectKey aSuspect, Instant aNow)
 {
   if (!aTracker.mRefusals.contains(aSuspect)) {
     LimitRefusals(aTracker);
   }
-  PartRefusal& refusal = aTracker.mRefusals[aSuspect];
+  Refusal& refusal = aTracker.mRefusals[aSuspect];
   const std::int64_t level = refusal.mAnswered ? 0 : refusal.mLevel;
   Instant::duration duration = kFirstRefusal;
-  for (std::int64_t i = 0; i < level && duration < kMaxPartRefusal; ++i) {
+  for (std::int64_t i = 0; i < level && duration < kMaxRefusal; ++i) {
     duration *= kRefusalFactor;
   }
-  refusal = { .mUntil = aNow + std::min<Instant::duration>(duration, kMaxPartRefusal),
+  refusal = { .mUntil = aNow + std::min<Instant::duration>(duration, kMaxRefusal),
               .mGeneration = refusal.mGeneration + 1,
               .mLevel = level + 1,
               .mChangedAt = aNow };
@@ -164,10 +165,10 @@
 
 // Refuses the suspects again that crashed a server after their refusal had ended.
 void
-RenewRefusals(PromptCrashTracker& aTracker, Instant aNow)
+RenewRefusals(CrashTracker& aTracker, Instant aNow)
 {
   for (const auto& [suspect, refusal] : aTracker.mRefusals) {
-    for (const PromptCrash& crash : aTracker.mCrashes) {
+    for (const ServerCrash& crash : aTracker.mCrashes) {
       if (!refusal.mAnswered && crash.mAt >= refusal.mUntil &&
           (IsBlamed(crash, crash.mParts, suspect) || IsBlamed(crash, crash.mRequests, suspect))) {
         Refuse(aTracker, suspect, aNow);
@@ -179,7 +180,7 @@
 // Ends the first refusal of a request that is blamed for too few crashes: one was disproved, or the
 // host that refused it did not know that it had been answered before.
 void
-Exonerate(PromptCrashTracker& aTracker, SuspectKey aRequest, Instant aNow)
+Exonerate(CrashTracker& aTracker, SuspectKey aRequest, Instant aNow)
 {
   const auto refusal = aTracker.mRefusals.find(aRequest);
   if (refusal == aTracker.mRefusals.end() || refusal->second.mAnswered ||
@@ -197,7 +198,7 @@
 // Refuses the request if it is blamed for enough crashes and was not refused before. Returns
 // whether it is more than one of the many that an outage breaks.
 bool
-JudgeRequest(PromptCrashTracker& aTracker, SuspectKey aRequest, Instant aNow)
+JudgeRequest(CrashTracker& aTracker, SuspectKey aRequest, Instant aNow)
 {
   const RequestBlame blame = BlameOfRequest(aTracker, aRequest);
   const auto refusal = aTracker.mRefusals.find(aRequest);
@@ -213,11 +214,11 @@
 // Returns the parts that are blamed for the most crashes that no refused part explains. If some of
 // them have never been answered, these only.
 std::map<PromptPartKey, Blame>
-MostBlamedParts(const PromptCrashTracker& aTracker)
+MostBlamedParts(const CrashTracker& aTracker)
 {
   std::map<PromptPartKey, Blame> blamed;
   int most = 0;
-  for (const PromptCrash& crash : aTracker.mCrashes) {
+  for (const ServerCrash& crash : aTracker.mCrashes) {
     if (IsExplained(aTracker, crash)) {
       continue;
     }
@@ -225,7 +226,8 @@
       if (IsBlamed(crash, standing)) {
         Blame& blame = blamed[part];
         AddBlame(blame, crash.mAt);
-        blame.mAnsweredBefore = blame.mAnsweredBefore || standing == PartStanding::kAnsweredBefore;
+        blame.mAnsweredBefore =
+          blame.mAnsweredBefore || standing == SuspectStanding::kAnsweredBefore;
         most = std::max(most, blame.mCrashes);
       }
     }
@@ -240,14 +242,14 @@
 
 // Decides which parts are refused. Must be called when crashes have been added.
 void
-UpdateRefusals(PromptCrashTracker& aTracker, Instant aNow)
+UpdateRefusals(CrashTracker& aTracker, Instant aNow)
 {
   RenewRefusals(aTracker, aNow);
   while (aTracker.mRefusals.size() < kMaxRefusals) {
     const auto blamed = MostBlamedParts(aTracker);
     const int crashes = blamed.empty() ? 0 : blamed.begin()->second.mCrashes;
-    if (crashes < kMinPromptCrashesToRefuse ||
-        (blamed.size() > 1 && crashes < kPromptCrashesToRefuseAll)) {
+    if (crashes < kMinCrashesToRefusePart ||
+        (blamed.size() > 1 && crashes < kCrashesToRefuseAllParts)) {
       return;
     }
     for (const auto& [part, blame] : blamed) {
@@ -259,9 +261,9 @@
 // Merges the standing of suspects of a report into those of a crash at `aCrashedAt`, and what this
 // host knows of them. Returns the suspects whose standing has changed.
 std::vector<SuspectKey>
-MergeSuspects(const PromptCrashTracker& aTracker,
-              std::map<SuspectKey, PartStanding>& aKnown,
-              const std::map<SuspectKey, PartStanding>& aAdded,
+MergeSuspects(const CrashTracker& aTracker,
+              std::map<SuspectKey, SuspectStanding>& aKnown,
+              const std::map<SuspectKey, SuspectStanding>& aAdded,
               std::size_t aMaxSuspects,
               Instant aCrashedAt)
 {
@@ -270,7 +272,7 @@
     if (!aKnown.contains(suspect) && aKnown.size() >= aMaxSuspects) {
       continue;
     }
-    const PartStanding merged = std::max(standing, StandingAt(aTracker, suspect, aCrashedAt));
+    const SuspectStanding merged = std::max(standing, StandingAt(aTracker, suspect, aCrashedAt));
     const auto [known, inserted] = aKnown.try_emplace(suspect, merged);
     if (inserted || known->second < merged) {
       changed.push_back(suspect);
@@ -282,7 +284,7 @@
 
 // Returns whether two records are of the same crash.
 bool
-IsSameCrash(const PromptCrash& aLeft, const PromptCrash& aRight)
+IsSameCrash(const ServerCrash& aLeft, const ServerCrash& aRight)
 {
   const bool sharesId = std::ranges::any_of(
     aRight.mIds, [&aLeft](std::uint64_t aId) { return aLeft.mIds.contains(aId); });
@@ -302,9 +304,9 @@
 
 // Adds a crash or merges it with the known one.
 CrashChanges
-AddCrash(PromptCrashTracker& aTracker, const PromptCrash& aAdded, Instant aNow)
+AddCrash(CrashTracker& aTracker, const ServerCrash& aAdded, Instant aNow)
 {
-  auto crash = std::ranges::find_if(aTracker.mCrashes, [&aAdded](const PromptCrash& aCrash) {
+  auto crash = std::ranges::find_if(aTracker.mCrashes, [&aAdded](const ServerCrash& aCrash) {
     return IsSameCrash(aCrash, aAdded);
   });
   const bool isNew = crash == aTracker.mCrashes.end();
@@ -313,7 +315,7 @@
       aTracker.mCrashes.erase(aTracker.mCrashes.begin());
     }
     const auto position =
-      std::ranges::upper_bound(aTracker.mCrashes, aAdded.mAt, {}, &PromptCrash::mAt);
+      std::ranges::upper_bound(aTracker.mCrashes, aAdded.mAt, {}, &ServerCrash::mAt);
     crash = aTracker.mCrashes.insert(position, { .mServer = aAdded.mServer, .mAt = aAdded.mAt });
   }
   crash->mIds.insert(aAdded.mIds.begin(), aAdded.mIds.end());
@@ -343,7 +345,7 @@
 // Refuses the requests that are blamed for enough crashes after a change. Returns whether other
 // hosts should be told soon.
 bool
-JudgeRequests(PromptCrashTracker& aTracker, const CrashChanges& aChanges, Instant aNow)
+JudgeRequests(CrashTracker& aTracker, const CrashChanges& aChanges, Instant aNow)
 {
   bool isNews = aChanges.mParts;
   for (const SuspectKey request : aChanges.mRequests) {
@@ -353,15 +355,12 @@
 }
 
 bool
-MergeRefusal(PromptCrashTracker& aTracker,
-             SuspectKey aSuspect,
-             const PartRefusal& aRefusal,
-             Instant aNow)
+MergeRefusal(CrashTracker& aTracker, SuspectKey aSuspect, const Refusal& aRefusal, Instant aNow)
 {
   if (!aTracker.mRefusals.contains(aSuspect)) {
     LimitRefusals(aTracker);
   }
-  PartRefusal& known = aTracker.mRefusals[aSuspect];
+  Refusal& known = aTracker.mRefusals[aSuspect];
   const bool isLater = known.mGeneration < aRefusal.mGeneration;
   const bool isAnswered = known.mGeneration == aRefusal.mGeneration && aRefusal.mAnswered;
   if (!isLater && (!isAnswered || known.mAnswered)) {
@@ -376,7 +375,7 @@
 }
 
 void
-RememberAnswer(PromptCrashTracker& aTracker, SuspectKey aSuspect, Instant aNow)
+RememberAnswer(CrashTracker& aTracker, SuspectKey aSuspect, Instant aNow)
 {
   if (aTracker.mAnsweredAt.size() >= kMaxAnswered) {
     aTracker.mAnsweredEarlier = std::exchange(aTracker.mAnsweredAt, {});
@@ -387,17 +386,17 @@
 // Clears a suspect that has been answered. Returns the number of crashes that it was blamed for;
 // a refusal that ends counts as the crashes that it takes.
 int
-Clear(PromptCrashTracker& aTracker,
+Clear(CrashTracker& aTracker,
       SuspectKey aSuspect,
-      std::map<SuspectKey, PartStanding> PromptCrash::*aSuspects,
+      std::map<SuspectKey, SuspectStanding> ServerCrash::*aSuspects,
       Instant aNow)
 {
   RememberAnswer(aTracker, aSuspect, aNow);
   int cleared = 0;
-  for (PromptCrash& crash : aTracker.mCrashes) {
+  for (ServerCrash& crash : aTracker.mCrashes) {
     const auto suspect = (crash.*aSuspects).find(aSuspect);
     if (suspect != (crash.*aSuspects).end() && IsBlamed(crash, suspect->second)) {
-      suspect->second = PartStanding::kAnsweredAfter;
+      suspect->second = SuspectStanding::kAnsweredAfter;
       crash.mChangedAt = aNow;
       ++cleared;
     }
@@ -414,11 +413,11 @@
 // Returns the requests of the crashes that a report contains: those with the most crashes, and of
 // the others those of the latest crashes. An outage breaks very many at once.
 std::set<SuspectKey>
-RequestsToReport(const PromptCrashTracker& aTracker, const std::vector<PromptCrash>& aCrashes)
+RequestsToReport(const CrashTracker& aTracker, const std::vector<ServerCrash>& aCrashes)
 {
   std::vector<std::pair<int, SuspectKey>> ranked;
   std::set<SuspectKey> requests;
-  for (const PromptCrash& crash : aCrashes) {
+  for (const ServerCrash& crash : aCrashes) {
     for (const auto& [request, standing] : crash.mRequests) {
       if (requests.insert(request).second) {
         ranked.emplace_back(BlameOfRequest(aTracker, request).mCrashes, request);
@@ -440,7 +439,7 @@
 } // namespace
 
 bool
-IsInForce(const PartRefusal& aRefusal, Instant aNow)
+IsInForce(const Refusal& aRefusal, Instant aNow)
 {
   return !aRefusal.mAnswered && !HasPassed(aRefusal.mUntil, aNow);
 }
@@ -470,18 +469,18 @@
 }
 
 bool
-RecordCrash(PromptCrashTracker& aTracker,
+RecordCrash(CrashTracker& aTracker,
             const BackendServerId& aServer,
             const CrashSuspects& aSuspects,
             std::uint64_t aRandomId,
             Instant aNow)
 {
-  PromptCrash crash{ .mServer = aServer,
+  ServerCrash crash{ .mServer = aServer,
                      .mIds = { aRandomId },
                      .mAt = aNow,
-                     .mRequests = { { aSuspects.mRequest, PartStanding::kNeverAnswered } } };
+                     .mRequests = { { aSuspects.mRequest, SuspectStanding::kNeverAnswered } } };
   for (const PromptPartKey part : aSuspects.mParts) {
-    crash.mParts.emplace(part, PartStanding::kNeverAnswered);
+    crash.mParts.emplace(part, SuspectStanding::kNeverAnswered);
   }
   const bool isNews = JudgeRequests(aTracker, AddCrash(aTracker, crash, aNow), aNow);
   if (isNews) {
@@ -491,13 +490,11 @@
 }
 
 bool
-RecordPromptAnswer(PromptCrashTracker& aTracker,
-                   const std::vector<PromptPartKey>& aParts,
-                   Instant aNow)
+RecordPromptAnswer(CrashTracker& aTracker, const std::vector<PromptPartKey>& aParts, Instant aNow)
 {
   bool isNews = false;
   for (const PromptPartKey part : aParts) {
-    isNews = Clear(aTracker, part, &PromptCrash::mParts, aNow) > 0 || isNews;
+    isNews = Clear(aTracker, part, &ServerCrash::mParts, aNow) > 0 || isNews;
   }
   if (isNews) {
     // The parts that are left may now be fewer.
@@ -507,16 +504,16 @@
 }
 
 int
-RecordCompletion(PromptCrashTracker& aTracker, SuspectKey aRequest, Instant aNow)
+RecordCompletion(CrashTracker& aTracker, SuspectKey aRequest, Instant aNow)
 {
-  return Clear(aTracker, aRequest, &PromptCrash::mRequests, aNow);
+  return Clear(aTracker, aRequest, &ServerCrash::mRequests, aNow);
 }
 
 bool
-RecordServerAnswer(PromptCrashTracker& aTracker, const BackendServerId& aServer, Instant aNow)
+RecordServerAnswer(CrashTracker& aTracker, const BackendServerId& aServer, Instant aNow)
 {
   bool isNews = false;
-  for (PromptCrash& crash : aTracker.mCrashes) {
+  for (ServerCrash& crash : aTracker.mCrashes) {
     if (crash.mServer != aServer || crash.mDisproved || aNow - crash.mAt <= kMaxAnswerDelay ||
         aNow - crash.mAt >= kMinDowntime) {
       continue;
@@ -534,10 +531,10 @@
   return isNews;
 }
 
-PromptCrashEvidence
-EvidenceToReport(const PromptCrashTracker& aTracker, Instant aNow)
+CrashEvidence
+EvidenceToReport(const CrashTracker& aTracker, Instant aNow)
 {
-  PromptCrashEvidence evidence = EvidenceChangedSince(aTracker, aNow - kReportTime);
+  CrashEvidence evidence = EvidenceChangedSince(aTracker, aNow - kReportTime);
   for (const auto& [part, refusal] : aTracker.mRefusals) {
     if (IsInForce(refusal, aNow)) {
       evidence.mRefusals[part] = refusal;
@@ -546,10 +543,10 @@
   return evidence;
 }
 
-PromptCrashEvidence
-EvidenceChangedSince(const PromptCrashTracker& aTracker, Instant aSince)
+CrashEvidence
+EvidenceChangedSince(const CrashTracker& aTracker, Instant aSince)
 {
-  PromptCrashEvidence evidence;
+  CrashEvidence evidence;
   for (auto crash = aTracker.mCrashes.rbegin();
        crash != aTracker.mCrashes.rend() && evidence.mCrashes.size() < kMaxReportedCrashes;
        ++crash) {
@@ -558,11 +555,11 @@
     }
   }
   const std::set<SuspectKey> requests = RequestsToReport(aTracker, evidence.mCrashes);
-  for (PromptCrash& crash : evidence.mCrashes) {
+  for (ServerCrash& crash : evidence.mCrashes) {
     std::erase_if(crash.mRequests,
                   [&requests](const auto& aItem) { return !requests.contains(aItem.first); });
   }
-  std::erase_if(evidence.mCrashes, [](const PromptCrash& aCrash) {
+  std::erase_if(evidence.mCrashes, [](const ServerCrash& aCrash) {
     return aCrash.mRequests.empty() && aCrash.mParts.empty();
   });
   for (const auto& [part, refusal] : aTracker.mRefusals) {
@@ -574,7 +571,7 @@
 }
 
 bool
-MergeEvidence(PromptCrashTracker& aTracker, const PromptCrashEvidence& aEvidence, Instant aNow)
+MergeEvidence(CrashTracker& aTracker, const CrashEvidence& aEvidence, Instant aNow)
 {
   bool isNews = false;
   std::vector<SuspectKey> refused;
@@ -583,7 +580,7 @@
       refused.push_back(suspect);
     }
   }
-  for (const PromptCrash& crash : aEvidence.mCrashes) {
+  for (const ServerCrash& crash : aEvidence.mCrashes) {
     isNews = JudgeRequests(aTracker, AddCrash(aTracker, crash, aNow), aNow) || isNews;
   }
   for (const SuspectKey suspect : refused) {
@@ -600,9 +597,7 @@
 }
 
 std::optional<Instant>
-RefusedUntil(const PromptCrashTracker& aTracker,
-             const std::vector<SuspectKey>& aSuspects,
-             Instant aNow)
+RefusedUntil(const CrashTracker& aTracker, const std::vector<SuspectKey>& aSuspects, Instant aNow)
 {
   std::optional<Instant> until;
   if (aTracker.mRefusals.empty()) {
@@ -618,7 +613,7 @@
 }
 
 CrashDecision
-CrashDecisionFor(const PromptCrashTracker& aTracker, SuspectKey aRequest, Instant aNow)
+CrashDecisionFor(const CrashTracker& aTracker, SuspectKey aRequest, Instant aNow)
 {
   if (RefusedUntil(aTracker, { aRequest }, aNow).has_value()) {
     return CrashDecision::kRefuse;
@@ -629,9 +624,9 @@
 }
 
 void
-ExpirePromptCrashes(PromptCrashTracker& aTracker, Instant aNow)
+ExpireCrashes(CrashTracker& aTracker, Instant aNow)
 {
-  std::erase_if(aTracker.mCrashes, [aNow](const PromptCrash& aCrash) {
+  std::erase_if(aTracker.mCrashes, [aNow](const ServerCrash& aCrash) {
     return HasPassed(aCrash.mAt + kRetention, aNow);
   });
   for (auto* answers : { &aTracker.mAnsweredAt, &aTracker.mAnsweredEarlier }) {
--- a/trefoil/request/prompt_crash_tracker.h
+++ b/trefoil/request/crash_tracker.h
@@ -2,7 +2,7 @@
 // and parts of prompts that crash the model engines that begin to answer them, whatever else the
 // requests contain.
 //
-//   PromptCrashTracker tracker;
+//   CrashTracker tracker;
 //   RecordCrash(tracker, server, { .mRequest = request, .mParts = parts }, aRandomId, aNow);
 //   RecordPromptAnswer(tracker, parts, aNow);        // an answer has begun
 //   RecordCompletion(tracker, request, aNow);        // the answer is complete
@@ -17,7 +17,7 @@
 // Copies of a request share its key, so sound copies of a popular request are told from one that
 // crashes its servers by their answers: a request that has been answered before is blamed less.
 //
-// Hosts exchange what they know as PromptCrashEvidence. Merging it is idempotent and independent of
+// Hosts exchange what they know as CrashEvidence. Merging it is idempotent and independent of
 // the order, so evidence may be lost, repeated, delayed or forwarded by other hosts. Plain data and
 // pure functions.
 #pragma once
@@ -62,23 +62,23 @@
 inline constexpr int kMinCrashesToRunAlone = 2;
 // A request with at least this number of crashes is refused.
 inline constexpr int kMinCrashesToRefuse = 3;
-// The same for a request that was answered before, for crashes at least kMinPromptCrashDistance
+// The same for a request that was answered before, for crashes at least kMinCrashDistance
 // apart.
 inline constexpr int kMinCrashesToRefuseAnswered = 5;
 
 // A part is refused from this number of crashes on if no other part is blamed for as many.
-inline constexpr int kMinPromptCrashesToRefuse = 3;
+inline constexpr int kMinCrashesToRefusePart = 3;
 // From this number of crashes on, all parts that are blamed for as many are refused.
-inline constexpr int kPromptCrashesToRefuseAll = 5;
+inline constexpr int kCrashesToRefuseAllParts = 5;
 // Crashes of different servers within this time count once, since an outage ends many at once. They
 // count one by one against a request that was never answered: it ran on each of these servers.
-inline constexpr Milliseconds kMinPromptCrashDistance{ 200 };
+inline constexpr Milliseconds kMinCrashDistance{ 200 };
 
 // The longest refusal of a part.
-inline constexpr std::chrono::minutes kMaxPartRefusal{ 10 };
+inline constexpr std::chrono::minutes kMaxRefusal{ 10 };
 
 // What is known about a suspect of a crash. Merging keeps the later one.
-enum class PartStanding : std::uint8_t
+enum class SuspectStanding : std::uint8_t
 {
   kNeverAnswered,
   // It was answered before the crash, which makes it an unlikely cause.
@@ -87,14 +87,14 @@
   kAnsweredAfter,
 };
 
-inline constexpr NameTable<PartStanding, 3> kPartStandingNames{ {
-  { PartStanding::kNeverAnswered, "never_answered" },
-  { PartStanding::kAnsweredBefore, "answered_before" },
-  { PartStanding::kAnsweredAfter, "answered_after" },
+inline constexpr NameTable<SuspectStanding, 3> kSuspectStandingNames{ {
+  { SuspectStanding::kNeverAnswered, "never_answered" },
+  { SuspectStanding::kAnsweredBefore, "answered_before" },
+  { SuspectStanding::kAnsweredAfter, "answered_after" },
 } };
 
 // One crash of a server.
-struct PromptCrash
+struct ServerCrash
 {
   BackendServerId mServer;
   // Identify the crash, one for each host that observed it. A report that arrives late, since its
@@ -103,16 +103,16 @@
   // When a host first observed it.
   Instant mAt;
   // The parts of the requests that were waiting for an answer.
-  std::map<PromptPartKey, PartStanding> mParts;
+  std::map<PromptPartKey, SuspectStanding> mParts;
   // The requests that were running.
-  std::map<SuspectKey, PartStanding> mRequests;
+  std::map<SuspectKey, SuspectStanding> mRequests;
   // Whether the server has answered since on an older connection, so that it did not crash.
   bool mDisproved = false;
   // When this host last learned something new of it.
   Instant mChangedAt;
 };
 
-struct PartRefusal
+struct Refusal
 {
   Instant mUntil;
   // Increases with each refusal of the part. Merging keeps the latest refusal.
@@ -125,23 +125,23 @@
   Instant mChangedAt;
 };
 
-struct PromptCrashTracker
+struct CrashTracker
 {
   // Oldest first.
-  std::vector<PromptCrash> mCrashes;
+  std::vector<ServerCrash> mCrashes;
   // The latest answers on this host: with each part, and of each request. The older half is dropped
   // when the newer one is full.
   std::unordered_map<SuspectKey, Instant> mAnsweredAt;
   std::unordered_map<SuspectKey, Instant> mAnsweredEarlier;
   // Requests and parts that are or were refused.
-  std::map<SuspectKey, PartRefusal> mRefusals;
+  std::map<SuspectKey, Refusal> mRefusals;
 };
 
 // What a host reports to others. mChangedAt is not used.
-struct PromptCrashEvidence
+struct CrashEvidence
 {
-  std::vector<PromptCrash> mCrashes;
-  std::map<SuspectKey, PartRefusal> mRefusals;
+  std::vector<ServerCrash> mCrashes;
+  std::map<SuspectKey, Refusal> mRefusals;
 
   bool Empty() const { return mCrashes.empty() && mRefusals.empty(); }
 };
@@ -163,7 +163,7 @@
 
 // Returns whether the suspect is refused at `aNow`.
 bool
-IsInForce(const PartRefusal& aRefusal, Instant aNow);
+IsInForce(const Refusal& aRefusal, Instant aNow);
 
 SuspectKey
 RequestKeyOf(const RequestIdentity& aIdentity);
@@ -177,7 +177,7 @@
 // Records that a connection to `aServer` broke before the answer to a request was complete.
 // `aRandomId` identifies the crash if this host has not recorded it yet.
 bool
-RecordCrash(PromptCrashTracker& aTracker,
+RecordCrash(CrashTracker& aTracker,
             const BackendServerId& aServer,
             const CrashSuspects& aSuspects,
             std::uint64_t aRandomId,
@@ -185,45 +185,41 @@
 
 // Records that the answer to a request with `aParts` began.
 bool
-RecordPromptAnswer(PromptCrashTracker& aTracker,
-                   const std::vector<PromptPartKey>& aParts,
-                   Instant aNow);
+RecordPromptAnswer(CrashTracker& aTracker, const std::vector<PromptPartKey>& aParts, Instant aNow);
 
 // Records that the answer to a request is complete. Returns the number of crashes that it was
 // blamed for. Other hosts should be told soon from kMinCrashesToRunAlone on.
 int
-RecordCompletion(PromptCrashTracker& aTracker, SuspectKey aRequest, Instant aNow);
+RecordCompletion(CrashTracker& aTracker, SuspectKey aRequest, Instant aNow);
 
 // Records that `aServer` answered. A crash that was recorded shortly before was none, since a
 // server that has crashed takes longer to return.
 bool
-RecordServerAnswer(PromptCrashTracker& aTracker, const BackendServerId& aServer, Instant aNow);
+RecordServerAnswer(CrashTracker& aTracker, const BackendServerId& aServer, Instant aNow);
 
 // Returns the evidence to send to other hosts regularly: what has changed recently, since a
 // datagram can be lost, and the refusals in force, for hosts that start.
-PromptCrashEvidence
-EvidenceToReport(const PromptCrashTracker& aTracker, Instant aNow);
+CrashEvidence
+EvidenceToReport(const CrashTracker& aTracker, Instant aNow);
 
 // Returns the evidence that has changed since `aSince`, to send at once.
-PromptCrashEvidence
-EvidenceChangedSince(const PromptCrashTracker& aTracker, Instant aSince);
+CrashEvidence
+EvidenceChangedSince(const CrashTracker& aTracker, Instant aSince);
 
 // Applies the evidence of another host. Returns whether it contained something new.
 bool
-MergeEvidence(PromptCrashTracker& aTracker, const PromptCrashEvidence& aEvidence, Instant aNow);
+MergeEvidence(CrashTracker& aTracker, const CrashEvidence& aEvidence, Instant aNow);
 
 // Returns until when requests with one of `aSuspects` are refused, or std::nullopt if they may run.
 std::optional<Instant>
-RefusedUntil(const PromptCrashTracker& aTracker,
-             const std::vector<SuspectKey>& aSuspects,
-             Instant aNow);
+RefusedUntil(const CrashTracker& aTracker, const std::vector<SuspectKey>& aSuspects, Instant aNow);
 
 // Returns whether a request may run, may run alone or is refused at `aNow`, whatever its parts.
 CrashDecision
-CrashDecisionFor(const PromptCrashTracker& aTracker, SuspectKey aRequest, Instant aNow);
+CrashDecisionFor(const CrashTracker& aTracker, SuspectKey aRequest, Instant aNow);
 
 // Removes what is too old to matter.
 void
-ExpirePromptCrashes(PromptCrashTracker& aTracker, Instant aNow);
+ExpireCrashes(CrashTracker& aTracker, Instant aNow);
 
 } // namespace trefoil
--- a/trefoil/request/prompt_crash_tracker_test.cc
+++ b/trefoil/request/crash_tracker_test.cc
@@ -1,4 +1,4 @@
-#include "trefoil/request/prompt_crash_tracker.h"
+#include "trefoil/request/crash_tracker.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -30,14 +30,14 @@
 }
 
 bool
-IsRefused(const PromptCrashTracker& aTracker, PromptPartKey aPart, Instant aNow)
+IsRefused(const CrashTracker& aTracker, PromptPartKey aPart, Instant aNow)
 {
   return RefusedUntil(aTracker, { aPart }, aNow).has_value();
 }
 
 // Records a crash under a request that never comes again, with the parts.
 bool
-RecordCrashOfParts(PromptCrashTracker& aTracker,
+RecordCrashOfParts(CrashTracker& aTracker,
                    const BackendServerId& aServer,
                    const std::vector<PromptPartKey>& aParts,
                    std::uint64_t aRandomId,
@@ -49,7 +49,7 @@
 
 // Records one crash a second, each of another server, under a request with the parts.
 void
-CrashServers(PromptCrashTracker& aTracker,
+CrashServers(CrashTracker& aTracker,
              const std::vector<PromptPartKey>& aParts,
              int aFirst,
              int aCount)
@@ -64,7 +64,7 @@
 // share other parts with them (LOST).
 SCENARIO("requests with one part crash the servers that begin to answer them")
 {
-  PromptCrashTracker tracker;
+  CrashTracker tracker;
   GIVEN("a template that other requests share, which are answered")
   {
     RecordPromptAnswer(tracker, { kTemplate }, kStart - kSecond);
@@ -140,7 +140,7 @@
 
 SCENARIO("a refusal ends")
 {
-  PromptCrashTracker tracker;
+  CrashTracker tracker;
   CrashServers(tracker, { kDeadly }, 0, 3);
   const auto until = RefusedUntil(tracker, { kDeadly }, kStart + 3 * kSecond);
   REQUIRE(until.has_value());
@@ -159,7 +159,7 @@
 
 SCENARIO("servers break connections for other reasons than a prompt")
 {
-  PromptCrashTracker tracker;
+  CrashTracker tracker;
   WHEN("many servers are lost at once")
   {
     for (int i = 0; i < 12; ++i) {
@@ -192,9 +192,9 @@
                                   .mMethod = "GET",
                                   .mTarget = "/standings" };
   const SuspectKey request = RequestKeyOf(identity);
-  PromptCrashTracker tracker;
+  CrashTracker tracker;
   // Records a crash of the server under the request.
-  const auto crash = [request](PromptCrashTracker& aTracker, int aServer, Instant aAt) {
+  const auto crash = [request](CrashTracker& aTracker, int aServer, Instant aAt) {
     return RecordCrash(aTracker, Server(aServer), { .mRequest = request }, NewId(), aAt);
   };
   CHECK(CrashDecisionFor(tracker, request, kStart) == CrashDecision::kRun);
@@ -203,7 +203,7 @@
   GIVEN("reports of the same crash by other connections and hosts")
   {
     crash(tracker, 1, kStart + Milliseconds{ 5 });
-    PromptCrashTracker other;
+    CrashTracker other;
     crash(other, 1, kStart);
     MergeEvidence(tracker, EvidenceToReport(other, kStart), kStart);
     THEN("they count once")
@@ -229,8 +229,8 @@
     }
     AND_WHEN("a third one crashes, as another host observes")
     {
-      const PromptCrashEvidence second = EvidenceToReport(tracker, kStart);
-      PromptCrashTracker other;
+      const CrashEvidence second = EvidenceToReport(tracker, kStart);
+      CrashTracker other;
       MergeEvidence(other, second, kStart);
       CHECK(crash(other, 3, kStart));
       MergeEvidence(tracker, EvidenceToReport(other, kStart), kStart);
@@ -252,13 +252,13 @@
       THEN("a host that starts later refuses it too")
       {
         const Instant later = kStart + 20 * kSecond;
-        PromptCrashTracker started;
+        CrashTracker started;
         MergeEvidence(started, EvidenceToReport(other, later), later);
         CHECK(CrashDecisionFor(started, request, later) == CrashDecision::kRefuse);
       }
       THEN("all is forgotten in the end")
       {
-        ExpirePromptCrashes(other, kStart + std::chrono::hours{ 1 });
+        ExpireCrashes(other, kStart + std::chrono::hours{ 1 });
         CHECK(CrashDecisionFor(other, request, kStart + std::chrono::hours{ 1 }) ==
               CrashDecision::kRun);
         CHECK(other.mCrashes.empty());
@@ -293,8 +293,8 @@
 SCENARIO("servers that run copies of a sound request are lost")
 {
   constexpr SuspectKey kPopular = 77;
-  PromptCrashTracker tracker;
-  PromptCrashTracker other;
+  CrashTracker tracker;
+  CrashTracker other;
   const auto loseServers = [&tracker](Instant aAt) {
     for (int i = 0; i < 8; ++i) {
       RecordCrash(
@@ -341,7 +341,7 @@
 // Guards against links that are full of evidence that the receivers already have.
 SCENARIO("a host observes many crashes one after the other")
 {
-  PromptCrashTracker tracker;
+  CrashTracker tracker;
   for (int i = 0; i < 20; ++i) {
     RecordCrashOfParts(
       tracker, Server(i), { kTemplate + i }, NewId(), kStart + i * Milliseconds{ 20 });
@@ -360,7 +360,7 @@
 
 SCENARIO("each host observes other crashes")
 {
-  std::vector<PromptCrashTracker> hosts(4);
+  std::vector<CrashTracker> hosts(4);
   // Sends the evidence of each host to the next one until nothing is new.
   const auto exchange = [&hosts](Instant aNow) {
     bool isNews = true;
@@ -386,7 +386,7 @@
   const Instant now = kStart + 3 * kSecond;
   THEN("all refuse the part, also the one that observed none, and none refuses the other one")
   {
-    for (const PromptCrashTracker& host : hosts) {
+    for (const CrashTracker& host : hosts) {
       CHECK(IsRefused(host, kDeadly, now));
       CHECK_FALSE(IsRefused(host, kTemplate, now));
     }
@@ -394,7 +394,7 @@
   WHEN("a host starts later and hears of one other host only")
   {
     const Instant later = now + 20 * kSecond;
-    PromptCrashTracker started;
+    CrashTracker started;
     MergeEvidence(started, EvidenceToReport(hosts[0], later), later);
     THEN("it refuses the part too")
     {
@@ -403,12 +403,12 @@
   }
   WHEN("a host that was frozen reads all reports of one crash later")
   {
-    PromptCrashTracker observer;
+    CrashTracker observer;
     RecordCrashOfParts(observer, Server(7), { kRare }, NewId(), now);
-    PromptCrashTracker thawed;
+    CrashTracker thawed;
     const Instant readAt = now + 5 * kSecond;
     for (int i = 0; i < 5; ++i) {
-      PromptCrashEvidence report = EvidenceToReport(observer, now);
+      CrashEvidence report = EvidenceToReport(observer, now);
       // Times are sent as ages, which do not include the time that the report waited.
       report.mCrashes.front().mAt = readAt - i * kSecond;
       MergeEvidence(thawed, report, readAt);
@@ -418,7 +418,7 @@
     THEN("it stays one crash, there and where the host sends it")
     {
       CHECK(thawed.mCrashes.size() == 1);
-      CHECK(std::ranges::count(hosts[0].mCrashes, Server(7), &PromptCrash::mServer) == 1);
+      CHECK(std::ranges::count(hosts[0].mCrashes, Server(7), &ServerCrash::mServer) == 1);
       CHECK_FALSE(IsRefused(thawed, kRare, readAt));
     }
   }
@@ -428,7 +428,7 @@
     CHECK(exchange(now));
     THEN("no host refuses it any more")
     {
-      for (const PromptCrashTracker& host : hosts) {
+      for (const CrashTracker& host : hosts) {
         CHECK_FALSE(IsRefused(host, kDeadly, now));
       }
     }
@@ -440,8 +440,8 @@
 {
   const bool holds = rc::check([] {
     constexpr SuspectKey kRequest = 5;
-    std::vector<PromptCrashTracker> trackers(3);
-    std::vector<PromptCrashEvidence> sent;
+    std::vector<CrashTracker> trackers(3);
+    std::vector<CrashEvidence> sent;
     int servers = 0;
     const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
     for (const int step : steps) {
@@ -456,8 +456,8 @@
       }
     }
     RC_ASSERT(servers <= 3 * kMinCrashesToRefuse);
-    for (PromptCrashTracker& tracker : trackers) {
-      for (const PromptCrashEvidence& evidence : sent) {
+    for (CrashTracker& tracker : trackers) {
+      for (const CrashEvidence& evidence : sent) {
         MergeEvidence(tracker, evidence, kStart);
       }
       RC_ASSERT(IsRefused(tracker, kRequest, kStart) == (servers >= kMinCrashesToRefuse));
@@ -469,26 +469,26 @@
 TEST_CASE("Hosts agree on the crashes, whatever the order and number of reports")
 {
   const bool holds = rc::check([] {
-    std::vector<PromptCrashEvidence> reports;
-    PromptCrashTracker all;
+    std::vector<CrashEvidence> reports;
+    CrashTracker all;
     const auto crashes = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 30));
     Instant now = kStart;
     for (const int crash : crashes) {
       now += kSecond;
-      PromptCrashTracker observer;
+      CrashTracker observer;
       RecordCrashOfParts(
         observer, Server(crash % 5), { static_cast<PromptPartKey>(crash) }, NewId(), now);
       reports.push_back(EvidenceToReport(observer, now));
       MergeEvidence(all, reports.back(), now);
     }
-    PromptCrashTracker other;
+    CrashTracker other;
     for (const auto index : *rc::gen::container<std::vector<std::size_t>>(
            rc::gen::inRange<std::size_t>(0, std::max<std::size_t>(1, reports.size())))) {
       if (index < reports.size()) {
         MergeEvidence(other, reports[index], now);
       }
     }
-    for (const PromptCrashEvidence& report : reports) {
+    for (const CrashEvidence& report : reports) {
       MergeEvidence(other, report, now);
       MergeEvidence(other, report, now);
     }
--- a/trefoil/steering/aggregation.cc
+++ b/trefoil/steering/aggregation.cc
@@ -207,10 +207,10 @@
 }
 
 std::set<Endpoint>
-PromptCrashRecipients(const PeerTable& aTable,
-                      const AggregationState& aState,
-                      bool aIsOwn,
-                      Instant aNow)
+EvidenceRecipients(const PeerTable& aTable,
+                   const AggregationState& aState,
+                   bool aIsOwn,
+                   Instant aNow)
 {
   std::set<Endpoint> recipients;
   if (!UsesAggregation(aTable)) {
--- a/trefoil/steering/aggregation.h
+++ b/trefoil/steering/aggregation.h
@@ -111,10 +111,10 @@
 // Returns the endpoints that evidence about prompts that crash servers is sent to. `aIsOwn` is
 // whether it contains observations of this host; otherwise it is only forwarded.
 std::set<Endpoint>
-PromptCrashRecipients(const PeerTable& aTable,
-                      const AggregationState& aState,
-                      bool aIsOwn,
-                      Instant aNow);
+EvidenceRecipients(const PeerTable& aTable,
+                   const AggregationState& aState,
+                   bool aIsOwn,
+                   Instant aNow);
 
 // The endpoints that news is relayed to in a fleet that uses aggregation.
 struct RelayRecipients
--- a/trefoil/steering/aggregation_test.cc
+++ b/trefoil/steering/aggregation_test.cc
@@ -3,7 +3,7 @@
 #include "trefoil/steering/internal/aggregation_helpers.h"
 #include "trefoil/steering/totals_messages.h"
 #include "trefoil/wire/codec.h"
-#include "trefoil/wire/prompt_crash_conversion.h"
+#include "trefoil/wire/crash_evidence_conversion.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -515,17 +515,17 @@
 SCENARIO("the connections of many requests break at once")
 {
   const Instant now{ std::chrono::hours{ 1 } };
-  PromptCrashTracker tracker;
+  CrashTracker tracker;
   const SuspectKey kCrashing = 7;
   RecordCrash(tracker, BackendServerId{ "e1" }, { .mRequest = kCrashing }, 1, now);
   for (SuspectKey i = 0; i < 2'000; ++i) {
     RecordCrash(tracker, kServer, { .mRequest = i }, 2, now);
   }
-  const PromptCrashEvidence evidence = EvidenceToReport(tracker, now);
+  const CrashEvidence evidence = EvidenceToReport(tracker, now);
   THEN("the messages stay small and contain the request with the most crashes")
   {
-    CHECK(Encode(ToPromptCrashMessage(HostId{ "host-000" }, evidence, now)).size() < 10'000);
-    CHECK(std::ranges::count_if(evidence.mCrashes, [kCrashing](const PromptCrash& aCrash) {
+    CHECK(Encode(ToCrashEvidenceMessage(HostId{ "host-000" }, evidence, now)).size() < 10'000);
+    CHECK(std::ranges::count_if(evidence.mCrashes, [kCrashing](const ServerCrash& aCrash) {
             return aCrash.mRequests.contains(kCrashing);
           }) == 2);
   }
@@ -549,7 +549,7 @@
     senders.pop_front();
     const bool isOwn = sender.mName == aObserver.mName;
     for (const Endpoint& to :
-         PromptCrashRecipients(sender.mTable, sender.mState, isOwn, aFleet.Now())) {
+         EvidenceRecipients(sender.mTable, sender.mState, isOwn, aFleet.Now())) {
       ++propagation.mMessages;
       const auto host =
         std::ranges::find(aFleet.Hosts(), to, [](const auto& aItem) { return aItem->mEndpoint; });
--- a/trefoil/steering/control_thread.cc
+++ b/trefoil/steering/control_thread.cc
@@ -166,9 +166,9 @@
         SendDispatches(state, std::move(dispatches));
       });
     });
-    state.mTraffic.SetPromptCrashCallback([&state](PromptCrashEvidence aEvidence, bool aIsOwn) {
+    state.mTraffic.SetCrashEvidenceCallback([&state](CrashEvidence aEvidence, bool aIsOwn) {
       state.mLoop.Post([&state, evidence = std::move(aEvidence), aIsOwn] {
-        SendPromptCrashes(state, evidence, aIsOwn);
+        SendCrashEvidence(state, evidence, aIsOwn);
       });
     });
     state.mTraffic.SetLimitCallback([&state](std::vector<LimitReport> aReports) {
--- a/trefoil/steering/internal/peer_messages.cc
+++ b/trefoil/steering/internal/peer_messages.cc
@@ -7,7 +7,7 @@
 #include "trefoil/steering/internal/store_relay_messages.h"
 #include "trefoil/steering/route_counters.h"
 #include "trefoil/wire/codec.h"
-#include "trefoil/wire/prompt_crash_conversion.h"
+#include "trefoil/wire/crash_evidence_conversion.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -144,8 +144,8 @@
     OnTotalsMessage(aState, *totals);
   } else if (const auto* relayed = std::get_if<RelayedDispatches>(&*message)) {
     OnRelayedDispatches(aState, *relayed);
-  } else if (const auto* crashes = std::get_if<PromptCrashMessage>(&*message)) {
-    aState.mTraffic.ApplyPromptCrashes(ToPromptCrashEvidence(*crashes, SuspendAwareNow()));
+  } else if (const auto* crashes = std::get_if<CrashEvidenceMessage>(&*message)) {
+    aState.mTraffic.ApplyCrashEvidence(ToCrashEvidence(*crashes, SuspendAwareNow()));
   } else if (const auto* limits = std::get_if<ServerLimitMessage>(&*message)) {
     OnServerLimitMessage(aState, *limits);
   } else {
@@ -178,15 +178,14 @@
 } // namespace
 
 void
-SendPromptCrashes(SteeringState& aState, const PromptCrashEvidence& aEvidence, bool aIsOwn)
+SendCrashEvidence(SteeringState& aState, const CrashEvidence& aEvidence, bool aIsOwn)
 {
   if (aEvidence.Empty()) {
     return;
   }
   const Instant now = SuspendAwareNow();
-  const std::string bytes = Encode(ToPromptCrashMessage(aState.mOptions.mHost, aEvidence, now));
-  for (const Endpoint& to :
-       PromptCrashRecipients(aState.mPeers, aState.mAggregation, aIsOwn, now)) {
+  const std::string bytes = Encode(ToCrashEvidenceMessage(aState.mOptions.mHost, aEvidence, now));
+  for (const Endpoint& to : EvidenceRecipients(aState.mPeers, aState.mAggregation, aIsOwn, now)) {
     SendBytes(aState, to, bytes);
   }
 }
@@ -202,7 +201,7 @@
   }
   // After the updates, or the first of the totals: a full link loses what is sent last, and the
   // quotas depend on these.
-  SendPromptCrashes(aState, aState.mReport.mPromptCrashes, true);
+  SendCrashEvidence(aState, aState.mReport.mCrashes, true);
   SendServerLimits(aState, aState.mReport.mLimits);
 }
 
--- a/trefoil/steering/internal/peer_messages.h
+++ b/trefoil/steering/internal/peer_messages.h
@@ -15,7 +15,7 @@
 // Sends evidence about prompts that crash servers to the other entry hosts. `aIsOwn` is whether it
 // contains observations of this host; otherwise it is forwarded if this host is an aggregator.
 void
-SendPromptCrashes(SteeringState& aState, const PromptCrashEvidence& aEvidence, bool aIsOwn);
+SendCrashEvidence(SteeringState& aState, const CrashEvidence& aEvidence, bool aIsOwn);
 
 // Sends the dispatches of requests with long prompts to the other entry hosts immediately. With
 // the next regular update they would arrive too late for the backlog that other hosts assume
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -4,8 +4,8 @@
 #include "trefoil/steering/host_entry.h"
 #include "trefoil/steering/internal/duties.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
-#include "trefoil/steering/prompt_refusal_record.h"
 #include "trefoil/steering/quota_record.h"
+#include "trefoil/steering/refusal_record.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -382,18 +382,18 @@
 }
 
 void
-OnPromptRefusalRecord(SteeringState& aState, const StoreAnswer& aAnswer)
+OnRefusalRecord(SteeringState& aState, const StoreAnswer& aAnswer)
 {
   if (aAnswer.mOutcome != StoreOutcome::kDone || aAnswer.mItems.empty()) {
     return;
   }
-  const auto record = ParsePromptRefusalRecord(aAnswer.mItems.front().mValue, ReadClocks(aState));
+  const auto record = ParseRefusalRecord(aAnswer.mItems.front().mValue, ReadClocks(aState));
   if (!record.ok()) {
     LogRejectedInput(aState, "input=prompt_refusal_record", record.status());
     return;
   }
-  aState.mHasPromptRefusals = !record->empty();
-  aState.mTraffic.ApplyPromptCrashes({ .mRefusals = *record });
+  aState.mHasRefusals = !record->empty();
+  aState.mTraffic.ApplyCrashEvidence({ .mRefusals = *record });
 }
 
 // Adds the levels of the quotas and the demand on them to `aCommit`.
@@ -439,9 +439,8 @@
 {
   const ClockReading clock = ReadClocks(aState);
   const Instant now = clock.mNow;
-  const PromptRefusalRecord refusals =
-    RefusalsInForce(aState.mReport.mPromptCrashes.mRefusals, now);
-  const bool hadRefusals = std::exchange(aState.mHasPromptRefusals, !refusals.empty());
+  const RefusalRecord refusals = RefusalsInForce(aState.mReport.mCrashes.mRefusals, now);
+  const bool hadRefusals = std::exchange(aState.mHasRefusals, !refusals.empty());
   if (!IsSharedRecordWriter(aState.mPeers, aState.mAggregation, now)) {
     return;
   }
@@ -450,7 +449,7 @@
   // Once no part is refused, an empty record replaces the last one.
   if (hadRefusals || !refusals.empty()) {
     commit.mWrites.push_back(
-      { .mKey = kPromptRefusalRecordKey, .mValue = RenderPromptRefusalRecord(refusals, clock) });
+      { .mKey = kRefusalRecordKey, .mValue = RenderRefusalRecord(refusals, clock) });
   }
   if (commit.mWrites.empty()) {
     return;
@@ -494,10 +493,9 @@
                                                     .mBatchDelay = kOperatorBatchDelay,
                                                     .mKeepsChanges = true },
                                 std::move(operators));
-  aState.mStore.Call(
-    ReadKey{ .mKey = kPromptRefusalRecordKey },
-    SuspendAwareNow() + kStoreCallTimeout,
-    [&aState](const StoreAnswer& aAnswer) { OnPromptRefusalRecord(aState, aAnswer); });
+  aState.mStore.Call(ReadKey{ .mKey = kRefusalRecordKey },
+                     SuspendAwareNow() + kStoreCallTimeout,
+                     [&aState](const StoreAnswer& aAnswer) { OnRefusalRecord(aState, aAnswer); });
   aState.mStore.Call(ReadKey{ .mKey = kQuotaRecordKey },
                      SuspendAwareNow() + kStoreCallTimeout,
                      [&aState](const StoreAnswer& aAnswer) { OnQuotaRecord(aState, aAnswer); });
--- a/trefoil/steering/prompt_refusal_record.cc
+++ b/trefoil/steering/refusal_record.cc
@@ -1,4 +1,4 @@
-#include "trefoil/steering/prompt_refusal_record.h"
+#include "trefoil/steering/refusal_record.h"
 
 #include "absl/strings/numbers.h"
 
@@ -11,10 +11,10 @@
 
 namespace trefoil {
 
-PromptRefusalRecord
-RefusalsInForce(const std::map<PromptPartKey, PartRefusal>& aRefusals, Instant aNow)
+RefusalRecord
+RefusalsInForce(const std::map<PromptPartKey, Refusal>& aRefusals, Instant aNow)
 {
-  PromptRefusalRecord record;
+  RefusalRecord record;
   for (const auto& [part, refusal] : aRefusals) {
     if (IsInForce(refusal, aNow)) {
       record[part] = refusal;
@@ -24,7 +24,7 @@
 }
 
 std::string
-RenderPromptRefusalRecord(const PromptRefusalRecord& aRecord, const ClockReading& aClock)
+RenderRefusalRecord(const RefusalRecord& aRecord, const ClockReading& aClock)
 {
   Poco::JSON::Object parts;
   for (const auto& [part, refusal] : aRecord) {
@@ -44,8 +44,8 @@
   return text.str();
 }
 
-absl::StatusOr<PromptRefusalRecord>
-ParsePromptRefusalRecord(const std::string& aText, const ClockReading& aClock)
+absl::StatusOr<RefusalRecord>
+ParseRefusalRecord(const std::string& aText, const ClockReading& aClock)
 {
   try {
     const auto object = Poco::JSON::Parser{}.parse(aText).extract<Poco::JSON::Object::Ptr>();
@@ -53,7 +53,7 @@
     if (parts.isNull()) {
       return absl::DataLossError("a record of refused parts has no parts");
     }
-    PromptRefusalRecord record;
+    RefusalRecord record;
     for (const std::string& name : parts->getNames()) {
       const auto entry = parts->getObject(name);
       PromptPartKey part = 0;
@@ -63,7 +63,7 @@
       const std::int64_t nowMs = UnixMilliseconds(aClock.mWallNow);
       const std::int64_t untilMs =
         std::min(entry->getValue<std::int64_t>("until_ms"),
-                 nowMs + std::chrono::duration_cast<Milliseconds>(kMaxPartRefusal).count());
+                 nowMs + std::chrono::duration_cast<Milliseconds>(kMaxRefusal).count());
       if (untilMs > nowMs) {
         record[part] = { .mUntil = aClock.mNow + Milliseconds{ untilMs - nowMs },
                          .mGeneration = entry->getValue<std::int64_t>("generation"),
--- a/trefoil/steering/prompt_refusal_record.h
+++ b/trefoil/steering/refusal_record.h
@@ -1,13 +1,13 @@
 // The refused parts of prompts as one record in the store. A host reads it when it starts: if all
 // hosts were killed, no other host can tell it.
 //
-//   std::string text = RenderPromptRefusalRecord(refusals, clock);
-//   absl::StatusOr<PromptRefusalRecord> record = ParsePromptRefusalRecord(text, clock);
+//   std::string text = RenderRefusalRecord(refusals, clock);
+//   absl::StatusOr<RefusalRecord> record = ParseRefusalRecord(text, clock);
 #pragma once
 
 #include "absl/status/statusor.h"
 #include "trefoil/base/instant.h"
-#include "trefoil/request/prompt_crash_tracker.h"
+#include "trefoil/request/crash_tracker.h"
 
 #include <map>
 #include <string>
@@ -15,9 +15,9 @@
 namespace trefoil {
 
 // The parts that are refused.
-using PromptRefusalRecord = std::map<PromptPartKey, PartRefusal>;
+using RefusalRecord = std::map<PromptPartKey, Refusal>;
 
-inline constexpr const char* kPromptRefusalRecordKey = "prompt_refusals";
+inline constexpr const char* kRefusalRecordKey = "prompt_refusals";
 
 // The same moment on the monotonic clock of a host and in the time of day, which its record is
 // kept in. The time of day may be wrong.
@@ -28,16 +28,16 @@
 };
 
 // Returns the refusals of `aRefusals` that are in force.
-PromptRefusalRecord
-RefusalsInForce(const std::map<PromptPartKey, PartRefusal>& aRefusals, Instant aNow);
+RefusalRecord
+RefusalsInForce(const std::map<PromptPartKey, Refusal>& aRefusals, Instant aNow);
 
 // Returns a record as JSON.
 std::string
-RenderPromptRefusalRecord(const PromptRefusalRecord& aRecord, const ClockReading& aClock);
+RenderRefusalRecord(const RefusalRecord& aRecord, const ClockReading& aClock);
 
 // Returns DataLoss if `aText` is not a valid record. Refusals that have ended are left out, and
-// none lasts longer than kMaxPartRefusal.
-absl::StatusOr<PromptRefusalRecord>
-ParsePromptRefusalRecord(const std::string& aText, const ClockReading& aClock);
+// none lasts longer than kMaxRefusal.
+absl::StatusOr<RefusalRecord>
+ParseRefusalRecord(const std::string& aText, const ClockReading& aClock);
 
 } // namespace trefoil
--- a/trefoil/steering/prompt_refusal_record_test.cc
+++ b/trefoil/steering/refusal_record_test.cc
@@ -1,4 +1,4 @@
-#include "trefoil/steering/prompt_refusal_record.h"
+#include "trefoil/steering/refusal_record.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,16 +12,16 @@
   const ClockReading before{ .mNow = Instant{ std::chrono::hours{ 1 } },
                              .mWallNow = WallTime{ std::chrono::hours{ 500'000 } } };
   constexpr PromptPartKey kPart = 0xfedcba9876543210;
-  std::map<PromptPartKey, PartRefusal> refusals{
+  std::map<PromptPartKey, Refusal> refusals{
     { kPart, { .mUntil = before.mNow + std::chrono::seconds{ 40 }, .mGeneration = 2, .mLevel = 1 } }
   };
   const auto readAfter = [&](Milliseconds aTime) {
     // Monotonic clocks of different processes are unrelated.
     const ClockReading after{ .mNow = Instant{ std::chrono::hours{ 7 } } + aTime,
                               .mWallNow = before.mWallNow + aTime };
-    PromptCrashTracker tracker;
-    const auto record = ParsePromptRefusalRecord(
-      RenderPromptRefusalRecord(RefusalsInForce(refusals, before.mNow), before), after);
+    CrashTracker tracker;
+    const auto record = ParseRefusalRecord(
+      RenderRefusalRecord(RefusalsInForce(refusals, before.mNow), before), after);
     REQUIRE(record.ok());
     MergeEvidence(tracker, { .mRefusals = *record }, after.mNow);
     return RefusedUntil(tracker, { kPart }, after.mNow);
@@ -46,7 +46,7 @@
     THEN("it refuses the part for the longest time of a refusal at most")
     {
       CHECK(readAfter(std::chrono::hours{ -20 }) ==
-            Instant{ std::chrono::hours{ 7 } } + std::chrono::hours{ -20 } + kMaxPartRefusal);
+            Instant{ std::chrono::hours{ 7 } } + std::chrono::hours{ -20 } + kMaxRefusal);
     }
   }
   GIVEN("a request with the part that was answered before")
@@ -68,7 +68,7 @@
                             R"({"parts":{"x":{}}})",
                             R"({"parts":{"00":1}})",
                             R"({"parts":{"00":{"until_ms":"soon"}}})" }) {
-    CHECK_FALSE(ParsePromptRefusalRecord(text, clock).ok());
+    CHECK_FALSE(ParseRefusalRecord(text, clock).ok());
   }
 }
 
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -76,7 +76,7 @@
   Instant mRecordsWrittenAt;
   // Whether the record of refused parts of prompts, as this host read or would have written it
   // last, has any.
-  bool mHasPromptRefusals = false;
+  bool mHasRefusals = false;
   // The number of live peers that was logged last.
   std::size_t mPeersInTouch = 0;
   TrafficReport mReport;
--- a/trefoil/wire/codec_test.cc
+++ b/trefoil/wire/codec_test.cc
@@ -1,7 +1,7 @@
 #include "trefoil/wire/codec.h"
 
 #include "trefoil/base/digest.h"
-#include "trefoil/wire/prompt_crash_conversion.h"
+#include "trefoil/wire/crash_evidence_conversion.h"
 #include "trefoil/wire/server_limit_conversion.h"
 
 #include <algorithm>
@@ -71,8 +71,8 @@
     case 3:
       return DocumentsReply{ .mDocuments = { { .mRevision = 1, .mText = "text" } } };
     case 4:
-      return PromptCrashMessage{ .mCrashes = { { .mServer = BackendServerId{ "engine-1" },
-                                                 .mParts = { { .mPart = 7 } } } } };
+      return CrashEvidenceMessage{ .mCrashes = { { .mServer = BackendServerId{ "engine-1" },
+                                                   .mParts = { { .mPart = 7 } } } } };
     case 5:
       return ServerLimitMessage{ .mEntries = { { .mServer = BackendServerId{ "engine-1" },
                                                  .mLimited = true,
@@ -127,15 +127,15 @@
 {
   const Instant sentAt{ std::chrono::hours{ 5 } };
   const Instant receivedAt{ std::chrono::hours{ 9 } };
-  const PromptCrashEvidence evidence{
+  const CrashEvidence evidence{
     .mCrashes = { { .mServer = BackendServerId{ "e1" },
                     .mIds = { 5, 6 },
                     .mAt = sentAt - Milliseconds{ 700 },
-                    .mParts = { { 7, PartStanding::kNeverAnswered },
-                                { 8, PartStanding::kAnsweredAfter } },
-                    .mRequests = { { 8, PartStanding::kNeverAnswered },
-                                   { 9, PartStanding::kAnsweredBefore },
-                                   { 10, PartStanding::kAnsweredAfter } },
+                    .mParts = { { 7, SuspectStanding::kNeverAnswered },
+                                { 8, SuspectStanding::kAnsweredAfter } },
+                    .mRequests = { { 8, SuspectStanding::kNeverAnswered },
+                                   { 9, SuspectStanding::kAnsweredBefore },
+                                   { 10, SuspectStanding::kAnsweredAfter } },
                     .mDisproved = true } },
     .mRefusals = { { 7,
                      { .mUntil = sentAt + Milliseconds{ 9'000 },
@@ -143,14 +143,14 @@
                        .mLevel = 2,
                        .mAnswered = true } } }
   };
-  PromptCrashMessage message = ToPromptCrashMessage(HostId{ "h1" }, evidence, sentAt);
+  CrashEvidenceMessage message = ToCrashEvidenceMessage(HostId{ "h1" }, evidence, sentAt);
 
   SECTION("it means the same there, relative to the clock of the receiver")
   {
     const auto decoded = Decode(Encode(message));
     REQUIRE(decoded.ok());
-    const PromptCrashEvidence received =
-      ToPromptCrashEvidence(std::get<PromptCrashMessage>(*decoded), receivedAt);
+    const CrashEvidence received =
+      ToCrashEvidence(std::get<CrashEvidenceMessage>(*decoded), receivedAt);
     REQUIRE(received.mCrashes.size() == 1);
     CHECK(received.mCrashes[0].mServer == evidence.mCrashes[0].mServer);
     CHECK(received.mCrashes[0].mAt == receivedAt - Milliseconds{ 700 });
@@ -158,7 +158,7 @@
     CHECK(received.mCrashes[0].mRequests == evidence.mCrashes[0].mRequests);
     CHECK(received.mCrashes[0].mDisproved);
     CHECK(received.mCrashes[0].mIds == evidence.mCrashes[0].mIds);
-    const PartRefusal& refusal = received.mRefusals.at(7);
+    const Refusal& refusal = received.mRefusals.at(7);
     CHECK(refusal.mUntil == receivedAt + Milliseconds{ 9'000 });
     CHECK(refusal.mGeneration == 3);
     CHECK(refusal.mLevel == 2);
@@ -169,9 +169,9 @@
     message.mCrashes[0].mAgeMilliseconds = std::numeric_limits<std::int64_t>::max();
     message.mCrashes[0].mParts[0].mStanding = 200;
     message.mRefusals[0].mRemainingMilliseconds = std::numeric_limits<std::int64_t>::max();
-    const PromptCrashEvidence received = ToPromptCrashEvidence(message, receivedAt);
+    const CrashEvidence received = ToCrashEvidence(message, receivedAt);
     CHECK(received.mCrashes[0].mAt < receivedAt);
-    CHECK(received.mCrashes[0].mParts.at(7) == PartStanding::kAnsweredAfter);
+    CHECK(received.mCrashes[0].mParts.at(7) == SuspectStanding::kAnsweredAfter);
     CHECK(received.mRefusals.at(7).mUntil > receivedAt);
   }
 }
--- a/trefoil/wire/prompt_crash_conversion.cc
+++ b/trefoil/wire/crash_evidence_conversion.cc
@@ -1,4 +1,4 @@
-#include "trefoil/wire/prompt_crash_conversion.h"
+#include "trefoil/wire/crash_evidence_conversion.h"
 
 #include <algorithm>
 
@@ -22,12 +22,12 @@
 
 } // namespace
 
-PromptCrashMessage
-ToPromptCrashMessage(const HostId& aHost, const PromptCrashEvidence& aEvidence, Instant aNow)
+CrashEvidenceMessage
+ToCrashEvidenceMessage(const HostId& aHost, const CrashEvidence& aEvidence, Instant aNow)
 {
-  PromptCrashMessage message{ .mHost = aHost };
-  for (const PromptCrash& crash : aEvidence.mCrashes) {
-    PromptCrashEntry entry{ .mServer = crash.mServer,
+  CrashEvidenceMessage message{ .mHost = aHost };
+  for (const ServerCrash& crash : aEvidence.mCrashes) {
+    ServerCrashEntry entry{ .mServer = crash.mServer,
                             .mIds = { crash.mIds.begin(), crash.mIds.end() },
                             .mAgeMilliseconds = MillisecondsBetween(crash.mAt, aNow),
                             .mDisproved = crash.mDisproved };
@@ -52,26 +52,26 @@
   return message;
 }
 
-PromptCrashEvidence
-ToPromptCrashEvidence(const PromptCrashMessage& aMessage, Instant aNow)
+CrashEvidence
+ToCrashEvidence(const CrashEvidenceMessage& aMessage, Instant aNow)
 {
-  PromptCrashEvidence evidence;
-  for (const PromptCrashEntry& entry : aMessage.mCrashes) {
-    PromptCrash crash{ .mServer = entry.mServer,
+  CrashEvidence evidence;
+  for (const ServerCrashEntry& entry : aMessage.mCrashes) {
+    ServerCrash crash{ .mServer = entry.mServer,
                        .mIds = { entry.mIds.begin(), entry.mIds.end() },
                        .mAt = aNow - Clamped(entry.mAgeMilliseconds),
                        .mDisproved = entry.mDisproved };
-    for (const PromptPartMessage& suspect : entry.mParts) {
+    for (const SuspectMessage& suspect : entry.mParts) {
       const bool isRequest = suspect.mStanding >= kRequestStandingOffset &&
                              suspect.mStanding < 2 * kRequestStandingOffset;
       const int standing = suspect.mStanding - (isRequest ? kRequestStandingOffset : 0);
       auto& suspects = isRequest ? crash.mRequests : crash.mParts;
       suspects[suspect.mPart] =
-        std::min(static_cast<PartStanding>(standing), PartStanding::kAnsweredAfter);
+        std::min(static_cast<SuspectStanding>(standing), SuspectStanding::kAnsweredAfter);
     }
     evidence.mCrashes.push_back(std::move(crash));
   }
-  for (const PartRefusalEntry& entry : aMessage.mRefusals) {
+  for (const RefusalEntry& entry : aMessage.mRefusals) {
     evidence.mRefusals[entry.mPart] = { .mUntil = aNow + Clamped(entry.mRemainingMilliseconds),
                                         .mGeneration = entry.mGeneration,
                                         .mLevel = entry.mLevel,
--- a/trefoil/wire/prompt_crash_message.h
+++ b/trefoil/wire/crash_evidence_message.h
@@ -1,6 +1,6 @@
 // Messages about requests and parts of prompts that crash servers.
 //
-//   PromptCrashMessage message{ .mHost = self, .mCrashes = crashes };
+//   CrashEvidenceMessage message{ .mHost = self, .mCrashes = crashes };
 //
 // Plain structs; trefoil/wire/codec.h encodes them.
 #pragma once
@@ -17,11 +17,11 @@
 inline constexpr std::uint8_t kRequestStandingOffset = 3;
 
 // A suspect of a crash.
-struct PromptPartMessage
+struct SuspectMessage
 {
   // A digest of the service and the id of the part, or of the request.
   std::uint64_t mPart = 0;
-  // The numeric value of PartStanding, plus kRequestStandingOffset for a request. Receivers take
+  // The numeric value of SuspectStanding, plus kRequestStandingOffset for a request. Receivers take
   // values that they do not know for a part with the highest standing.
   std::uint8_t mStanding = 0;
 
@@ -32,13 +32,13 @@
   }
 };
 
-struct PromptCrashEntry
+struct ServerCrashEntry
 {
   BackendServerId mServer;
   std::vector<std::uint64_t> mIds;
   std::int64_t mAgeMilliseconds = 0;
   bool mDisproved = false;
-  std::vector<PromptPartMessage> mParts;
+  std::vector<SuspectMessage> mParts;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
@@ -47,7 +47,7 @@
   }
 };
 
-struct PartRefusalEntry
+struct RefusalEntry
 {
   std::uint64_t mPart = 0;
   // How much longer the part is refused; negative if the refusal has ended.
@@ -64,11 +64,11 @@
 };
 
 // What the sender knows about crashes and refused parts, from whichever host.
-struct PromptCrashMessage
+struct CrashEvidenceMessage
 {
   HostId mHost;
-  std::vector<PromptCrashEntry> mCrashes;
-  std::vector<PartRefusalEntry> mRefusals;
+  std::vector<ServerCrashEntry> mCrashes;
+  std::vector<RefusalEntry> mRefusals;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -10,12 +10,12 @@
 #include "trefoil/base/endpoint.h"
 #include "trefoil/wire/admission_message.h"
 #include "trefoil/wire/config_message.h"
+#include "trefoil/wire/crash_evidence_message.h"
 #include "trefoil/wire/crash_report.h"
 #include "trefoil/wire/dispatch_message.h"
 #include "trefoil/wire/gossip_message.h"
 #include "trefoil/wire/health_message.h"
 #include "trefoil/wire/move_message.h"
-#include "trefoil/wire/prompt_crash_message.h"
 #include "trefoil/wire/server_limit_message.h"
 #include "trefoil/wire/store_relay_message.h"
 #include "trefoil/wire/stream_messages.h"
@@ -55,7 +55,7 @@
                              HostReport,
                              UsageUpdate,
                              RelayedDispatches,
-                             PromptCrashMessage,
+                             CrashEvidenceMessage,
                              ServerLimitMessage>;
 
 // A message and its destination.
--- a/trefoil/wire/totals_message.h
+++ b/trefoil/wire/totals_message.h
@@ -148,7 +148,7 @@
   std::vector<CounterTotal> mCounters;
   // The newest usage windows. With TotalsScope::kFleet only for the holder of the duties.
   std::vector<WindowCount> mUsage;
-  // Empty, but for hosts of earlier versions. Crashes are told by PromptCrashMessage.
+  // Empty, but for hosts of earlier versions. Crashes are told by CrashEvidenceMessage.
   std::vector<CrashReport> mCrashes;
   std::vector<BrokenServer> mBroken;
 
--- a/trefoil/wire/traffic_message.h
+++ b/trefoil/wire/traffic_message.h
@@ -91,7 +91,7 @@
   bool mLeaving = false;
   std::vector<AccountTotal> mQuotas;
   std::vector<WindowCount> mUsage;
-  // Empty, but for hosts of earlier versions. Crashes are told by PromptCrashMessage.
+  // Empty, but for hosts of earlier versions. Crashes are told by CrashEvidenceMessage.
   std::vector<CrashReport> mCrashes;
   // Servers that closed a connection during a request, were unreachable or sent no reply in time,
   // and have not answered since.
