--- a/trefoil/request/crash_tracker.cc
+++ b/trefoil/request/crash_tracker.cc
@@ -101,7 +101,7 @@
   }
 }
 
-// What a request is blamed for. A host counts as few crashes as the standing permits.
+// What a request is blamed for. If it was answered before, only distant crashes count.
 struct RequestBlame
 {
   // All crashes, and those that are kMinCrashDistance apart.
@@ -196,7 +196,7 @@
 }
 
 // Refuses the request if it is blamed for enough crashes and was not refused before. Returns
-// whether it is more than one of the many that an outage breaks.
+// whether it is blamed for more than one crash, so that other hosts should be told soon.
 bool
 JudgeRequest(CrashTracker& aTracker, SuspectKey aRequest, Instant aNow)
 {
--- a/trefoil/request/crash_tracker.h
+++ b/trefoil/request/crash_tracker.h
@@ -70,11 +70,11 @@
 inline constexpr int kMinCrashesToRefusePart = 3;
 // From this number of crashes on, all parts that are blamed for as many are refused.
 inline constexpr int kCrashesToRefuseAllParts = 5;
-// Crashes of different servers within this time count once, since an outage ends many at once. They
-// count one by one against a request that was never answered: it ran on each of these servers.
+// Crashes of different servers within this time count once, since an outage ends many at once.
+// Against a request that was never answered they count one by one: it ran on each of these servers.
 inline constexpr Milliseconds kMinCrashDistance{ 200 };
 
-// The longest refusal of a part.
+// The longest refusal of a suspect.
 inline constexpr std::chrono::minutes kMaxRefusal{ 10 };
 
 // What is known about a suspect of a crash. Merging keeps the later one.
@@ -115,11 +115,12 @@
 struct Refusal
 {
   Instant mUntil;
-  // Increases with each refusal of the part. Merging keeps the latest refusal.
+  // Increases with each refusal of the suspect. Merging keeps the latest refusal.
   std::int64_t mGeneration = 0;
   // The number of refusals without an answer in between. Each lasts longer than the one before.
   std::int64_t mLevel = 0;
-  // Whether the suspect has been answered since, which ends the refusal.
+  // Whether the suspect has been answered since, or the crashes behind the refusal turned out to be
+  // too few. Either ends the refusal.
   bool mAnswered = false;
   // When it last changed on this host.
   Instant mChangedAt;
