--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -4,7 +4,7 @@
 #
 #   tests/soak/soak.sh [SEED] [SECONDS] [SITE]    # prints the faults and a summary; fails if a guarantee is violated
 #
-# Runs on 127.0.SITE.*, so that several runs can be concurrent. Connections of hosts to servers and to the platform go through
+# Runs on 127.0.SITE.*, so that several runs can be concurrent; 5, 7 and 11 to 13 are used by tests. Connections of hosts to servers and to the platform go through
 # a proxy that can delay, reset, cut one direction of, or silence them. Faults overlap. GATEWAY selects another program in place
 # of build/cmd/trefoil-gateway, such as one without one of its safeguards.
 #
--- a/trefoil/http/client.cc
+++ b/trefoil/http/client.cc
@@ -144,7 +144,7 @@
 absl::Status
 HttpStream::Receive(Connection& aConnection, Instant aDeadline)
 {
-  if (const absl::Status readable = WaitUntilReadable(aConnection, aDeadline); !readable.ok()) {
+  if (absl::Status readable = WaitUntilReadable(aConnection, aDeadline); !readable.ok()) {
     return readable;
   }
   std::array<char, kReadBufferBytes> buffer{};
