--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -10,7 +10,6 @@
 
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
-#include <algorithm>
 #include <spdlog/spdlog.h>
 
 namespace trefoil {
@@ -169,7 +168,8 @@
 EntryHost::BroadcastMessage(const Message& aMessage)
 {
   const std::string bytes = Encode(aMessage);
-  for (const auto& [host, member] : mSnapshots.Read()->mMembers.mByHost) {
+  const auto snapshot = mSnapshots.Read();
+  for (const auto& [host, member] : snapshot->mMembers.mByHost) {
     mSocket.Send(member.mHeartbeat.mPeerEndpoint, bytes).IgnoreError();
   }
 }
@@ -310,14 +310,25 @@
   }
 }
 
+void
+EntryHost::RepeatEvidence()
+{
+  const auto snapshot = mSnapshots.Read();
+  const auto& members = snapshot->mMembers.mByHost;
+  const bool isFirst = members.empty() || mSettings.mHost <= members.begin()->first;
+  mRequestState->mCrashes.RepeatEvidence(isFirst);
+}
+
 void
 EntryHost::RunPeerReceiver()
 {
+  Instant repeatAt;
   while (!mStopping.load()) {
     const auto bytes = mSocket.Receive(Now() + kReceiveTimeout);
-    const auto& members = mSnapshots.Read()->mMembers.mByHost;
-    mRequestState->mCrashes.RepeatEvidence(std::ranges::all_of(
-      members, [this](const auto& aItem) { return mSettings.mHost <= aItem.first; }));
+    if (HasPassed(repeatAt, Now())) {
+      repeatAt = Now() + kReceiveTimeout;
+      RepeatEvidence();
+    }
     if (!bytes.ok()) {
       continue;
     }
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -53,6 +53,7 @@
   EntryHost(const HostSettings& aSettings, UdpSocket aSocket);
   void RunControl();
   void RunStoreWatcher();
+  void RepeatEvidence();
   void RunPeerReceiver();
   void BroadcastMessage(const Message& aMessage);
   void RunAdmissionTimer(NodeControlState& aState);
--- a/trefoil/node/internal/stream_source.cc
+++ b/trefoil/node/internal/stream_source.cc
@@ -92,7 +92,8 @@
 {
   std::vector<HostId> likely{ aSource.mContext.mHost };
   std::vector<HostId> others;
-  for (const auto& [host, member] : aSource.mContext.mSnapshots->Read()->mMembers.mByHost) {
+  const auto snapshot = aSource.mContext.mSnapshots->Read();
+  for (const auto& [host, member] : snapshot->mMembers.mByHost) {
     if (IsIssuedBy(aSource.mRequest, host)) {
       likely.push_back(host);
     } else {
@@ -109,7 +110,8 @@
 RelayHosts(const StreamSource& aSource)
 {
   std::map<AvailabilityZoneId, HostId> byZone;
-  for (const auto& [host, member] : aSource.mContext.mSnapshots->Read()->mMembers.mByHost) {
+  const auto snapshot = aSource.mContext.mSnapshots->Read();
+  for (const auto& [host, member] : snapshot->mMembers.mByHost) {
     if (IsAlive(member) && member.mHeartbeat.mZone != aSource.mContext.mZone) {
       byZone.emplace(member.mHeartbeat.mZone, host);
     }
