--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -169,10 +169,7 @@
     return;
   }
   if (mAttempt.has_value()) {
-    ++mPossibleRuns;
-    if (mRoute->mKind != RouteKind::kStream) {
-      CountUsage();
-    }
+    CountPossibleRun();
     FinishAttempt(DispatchOutcome::kFailed, false);
   }
   RecordAnswerTime(mState.mAnswerTimes, mRoute->mName, mArrivedAt, SuspendAwareNow());
@@ -186,10 +183,7 @@
     return;
   }
   if (mAttempt.has_value()) {
-    ++mPossibleRuns;
-    if (mRoute->mKind != RouteKind::kStream) {
-      CountUsage();
-    }
+    CountPossibleRun();
     // The outcome is not recorded, since it is not caused by the server.
     const Attempt attempt = ReleaseAttempt();
     attempt.mConnection->mStream->Close();
@@ -197,6 +191,17 @@
   EndUnanswered(RefusalReason::kHostStops);
 }
 
+// Counts an attempt that ends here while its server may be running the request. A stream has run
+// only if its answer has begun, which is counted then.
+void
+Exchange::CountPossibleRun()
+{
+  ++mPossibleRuns;
+  if (mRoute->mKind != RouteKind::kStream) {
+    CountUsage();
+  }
+}
+
 // Ends a request whose attempts have ended.
 void
 Exchange::EndUnanswered(RefusalReason aReason)
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -192,6 +192,7 @@
   std::string SharedPartsText() const;
 
   void OnDeadline();
+  void CountPossibleRun();
   void EndUnanswered(RefusalReason aReason);
   bool CanEndBeforeStop();
   void Refuse(int aStatus, RefusalReason aReason, std::optional<Milliseconds> aRetryAfter);
--- a/trefoil/node/internal/crash_registry.cc
+++ b/trefoil/node/internal/crash_registry.cc
@@ -52,8 +52,7 @@
     const Instant now = Now();
     ExpireCrashes(mTracker, now);
     RecordCrash(mTracker, aServer, { .mRequest = aRequest }, mRandom(), now);
-    mRepeatUntil = now + kRepeatTime;
-    evidence = EvidenceToReport(mTracker, now);
+    evidence = ReportOwnNews(now);
   }
   BroadcastEvidence(evidence);
 }
@@ -68,12 +67,18 @@
     if (RecordCompletion(mTracker, aRequest, now) == 0) {
       return;
     }
-    mRepeatUntil = now + kRepeatTime;
-    evidence = EvidenceToReport(mTracker, now);
+    evidence = ReportOwnNews(now);
   }
   BroadcastEvidence(evidence);
 }
 
+CrashEvidence
+CrashRegistry::ReportOwnNews(Instant aNow)
+{
+  mRepeatUntil = aNow + kRepeatTime;
+  return EvidenceToReport(mTracker, aNow);
+}
+
 void
 CrashRegistry::RepeatEvidence(bool aTellsRefusals)
 {
--- a/trefoil/node/internal/crash_registry.h
+++ b/trefoil/node/internal/crash_registry.h
@@ -89,6 +89,8 @@
   };
 
   void EndReservation(const BackendServerId& aServer) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
+  // Returns the evidence to broadcast after this host has observed something, and has it repeated.
+  CrashEvidence ReportOwnNews(Instant aNow) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
   void BroadcastEvidence(const CrashEvidence& aEvidence) const;
 
   const HostId mHost;
--- a/trefoil/node/internal/generation.cc
+++ b/trefoil/node/internal/generation.cc
@@ -294,16 +294,14 @@
 std::optional<BackendServerSpec>
 ServerForNextAttempt(const Generation& aGeneration, CrashDecision aDecision)
 {
+  std::set<BackendServerId> excluded = CrashRegistryOf(aGeneration).AvoidedServers();
+  excluded.insert(aGeneration.mFailedServers.begin(), aGeneration.mFailedServers.end());
   if (aDecision == CrashDecision::kRunAlone) {
-    std::set<BackendServerId> excluded = CrashRegistryOf(aGeneration).AvoidedServers();
-    excluded.insert(aGeneration.mFailedServers.begin(), aGeneration.mFailedServers.end());
     if (auto server =
           PickServerForSuspect(*aGeneration.mDocument, excluded, aGeneration.mRequestKey)) {
       return server;
     }
   }
-  std::set<BackendServerId> excluded = CrashRegistryOf(aGeneration).AvoidedServers();
-  excluded.insert(aGeneration.mFailedServers.begin(), aGeneration.mFailedServers.end());
   const StreamIdentity& identity = aGeneration.mRecord.Identity();
   return PickServer(aGeneration.mContext,
                     *aGeneration.mDocument,
--- a/trefoil/request/crash_tracker.cc
+++ b/trefoil/request/crash_tracker.cc
@@ -20,7 +20,7 @@
 constexpr Milliseconds kMinDowntime{ 1'000 };
 // Answers that a server sent before it crashed arrive within this time.
 constexpr Milliseconds kMaxAnswerDelay{ 50 };
-// The first refusal of a part. Each is kRefusalFactor times as long as the one before, up to
+// The first refusal of a suspect. Each is kRefusalFactor times as long as the one before, up to
 // kMaxRefusal.
 constexpr std::chrono::seconds kFirstRefusal{ 60 };
 constexpr int kRefusalFactor = 4;
@@ -195,6 +195,17 @@
   refusal->second.mChangedAt = aNow;
 }
 
+// Records that the server did not crash, which ends the refusals that rested on it.
+void
+Disprove(CrashTracker& aTracker, ServerCrash& aCrash, Instant aNow)
+{
+  aCrash.mDisproved = true;
+  aCrash.mChangedAt = aNow;
+  for (const auto& [request, standing] : aCrash.mRequests) {
+    Exonerate(aTracker, request, aNow);
+  }
+}
+
 // Refuses the request if it is blamed for enough crashes and was not refused before. Returns
 // whether it is blamed for more than one crash, so that other hosts should be told soon.
 bool
@@ -329,11 +340,8 @@
       MergeSuspects(aTracker, crash->mRequests, aAdded.mRequests, kMaxRequestsOfCrash, crash->mAt)
   };
   const bool disproved = aAdded.mDisproved && !crash->mDisproved;
-  crash->mDisproved = crash->mDisproved || aAdded.mDisproved;
-  for (const auto& [request, standing] : crash->mRequests) {
-    if (disproved) {
-      Exonerate(aTracker, request, aNow);
-    }
+  if (disproved) {
+    Disprove(aTracker, *crash, aNow);
   }
   changes.mParts = partsChanged || disproved;
   if (isNew || changes.mParts || !changes.mRequests.empty()) {
@@ -522,11 +530,7 @@
              std::ranges::any_of(crash.mRequests, [&aTracker](const auto& aItem) {
                return BlameOfRequest(aTracker, aItem.first).mCrashes >= kMinCrashesToRunAlone;
              });
-    crash.mDisproved = true;
-    crash.mChangedAt = aNow;
-    for (const auto& [request, standing] : crash.mRequests) {
-      Exonerate(aTracker, request, aNow);
-    }
+    Disprove(aTracker, crash, aNow);
   }
   return isNews;
 }
--- a/trefoil/steering/refusal_record.cc
+++ b/trefoil/steering/refusal_record.cc
@@ -12,7 +12,7 @@
 namespace trefoil {
 
 RefusalRecord
-RefusalsInForce(const std::map<PromptPartKey, Refusal>& aRefusals, Instant aNow)
+RefusalsInForce(const std::map<SuspectKey, Refusal>& aRefusals, Instant aNow)
 {
   RefusalRecord record;
   for (const auto& [part, refusal] : aRefusals) {
--- a/trefoil/steering/refusal_record.h
+++ b/trefoil/steering/refusal_record.h
@@ -1,5 +1,5 @@
-// The refused parts of prompts as one record in the store. A host reads it when it starts: if all
-// hosts were killed, no other host can tell it.
+// The refused requests and parts of prompts as one record in the store. A host reads it when it
+// starts: if all hosts were killed, no other host can tell it.
 //
 //   std::string text = RenderRefusalRecord(refusals, clock);
 //   absl::StatusOr<RefusalRecord> record = ParseRefusalRecord(text, clock);
@@ -14,8 +14,8 @@
 
 namespace trefoil {
 
-// The parts that are refused.
-using RefusalRecord = std::map<PromptPartKey, Refusal>;
+// The requests and parts that are refused.
+using RefusalRecord = std::map<SuspectKey, Refusal>;
 
 inline constexpr const char* kRefusalRecordKey = "prompt_refusals";
 
@@ -29,7 +29,7 @@
 
 // Returns the refusals of `aRefusals` that are in force.
 RefusalRecord
-RefusalsInForce(const std::map<PromptPartKey, Refusal>& aRefusals, Instant aNow);
+RefusalsInForce(const std::map<SuspectKey, Refusal>& aRefusals, Instant aNow);
 
 // Returns a record as JSON.
 std::string
