Add review case 4: gateways forget at a restart that a move has completed

The state of a version move is kept in memory only, and only by the holder of the duty. After a kill of all gateways 5 % of the requests are served until the move is decided anew.

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,6 @@
 mkdir -p out
 flags=(-std=c++20 -O2 -Wall -Wextra -Wno-missing-field-initializers -pthread)
 "${CXX:-c++}" "${flags[@]}" -c standin/site.cpp -o out/site.o
-for case in smuggle endless descriptors; do
+for case in smuggle endless descriptors rollout; do
   "${CXX:-c++}" "${flags[@]}" "standin/$case.cpp" out/site.o -o "out/$case"
 done
