--- a/review/standin/rollout.cpp
+++ b/review/standin/rollout.cpp
@@ -273,8 +273,9 @@
       }
       const bool served = answer.mComplete && answer.mStatus == 200;
       if (!served) {
-        mRecord.Line("not served id=" + id + " gateway=" + aGateway.Name() +
-                     " status=" + std::to_string(answer.mStatus) + " " + answer.mBody.substr(0, 20));
+        mRecord.Line("not served id=" + id + " gateway=" + aGateway.Name() + " status=" +
+                     std::to_string(answer.mStatus) + " " +
+                     answer.mBody.substr(0, answer.mBody.find('\n')));
       }
       const std::lock_guard lock{ mCounts.mMutex };
       mCounts.mBySecond[second].second += served ? 1 : 0;
