--- a/review/standin/descriptors.cpp
+++ b/review/standin/descriptors.cpp
@@ -1,5 +1,5 @@
 // A gateway that has used up its descriptors must go on serving the requests that it has read.
-#include "site.h"
+#include "site.hpp"
 
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -20,6 +20,7 @@
 // Streams that run at the same time; the servers have slots for all of them.
 constexpr int kStreams = 240;
 constexpr int kServers = 4;
+constexpr int kOpeners = 8;
 constexpr int kEvents = 30;
 constexpr Ms kEventInterval{ 100 };
 constexpr int kMostCutOff = 3;
@@ -40,7 +41,8 @@
 Ask(Connection& aClient, const std::string& aTarget, const std::string& aId)
 {
   const Time deadline = Clock::now() + Ms{ 11'000 };
-  aClient.Send(RequestHead("POST", aTarget, aId, 10'000, "") + "Content-Length: 0\r\n\r\n", deadline);
+  aClient.Send(RequestHead("POST", aTarget, aId, 10'000, "") + "Content-Length: 0\r\n\r\n",
+               deadline);
   return aClient.ReadAnswer(deadline);
 }
 
@@ -83,17 +85,25 @@
   gateway.WaitUntilReady();
   Sleep(Ms{ 3'500 });
 
-  std::vector<std::unique_ptr<Connection>> channels;
   const int kept = HasTrouble() ? kKeptChannels : kKeptChannelsInCalm;
-  for (int i = 0; i < kept; ++i) {
-    auto channel = Connect(gateway.Address(), gateway.Port(), Clock::now() + Ms{ 1'000 });
-    if (!channel || !Ask(*channel, "/review/short", "first-" + std::to_string(i)).mComplete) {
-      GiveUp("channel " + std::to_string(i) + " was not served");
-    }
-    channels.push_back(std::move(channel));
+  std::vector<std::unique_ptr<Connection>> channels(static_cast<std::size_t>(kept));
+  std::vector<std::thread> openers;
+  for (int opener = 0; opener < kOpeners; ++opener) {
+    openers.emplace_back([&, opener] {
+      for (int i = opener; i < kept; i += kOpeners) {
+        auto channel = Connect(gateway.Address(), gateway.Port(), Clock::now() + Ms{ 1'000 });
+        if (!channel || !Ask(*channel, "/review/short", "first-" + std::to_string(i)).mComplete) {
+          GiveUp("channel " + std::to_string(i) + " was not served");
+        }
+        channels[static_cast<std::size_t>(i)] = std::move(channel);
+      }
+    });
   }
-  record.Line("kept channels: " + std::to_string(kept) + ", descriptors of the gateway: " +
-              std::to_string(gateway.Descriptors()));
+  for (std::thread& opener : openers) {
+    opener.join();
+  }
+  record.Line("kept channels: " + std::to_string(kept) +
+              ", descriptors of the gateway: " + std::to_string(gateway.Descriptors()));
 
   std::atomic<int> served = 0;
   std::atomic<int> refused = 0;
--- a/review/standin/endless.cpp
+++ b/review/standin/endless.cpp
@@ -1,6 +1,6 @@
 // A server whose answer never ends must not use up the memory of the gateway, whose end would cut
 // off the requests of all other clients.
-#include "site.h"
+#include "site.hpp"
 
 #include <csignal>
 
@@ -92,19 +92,17 @@
   std::atomic<bool> ended = false;
   std::atomic<int> answered = 0;
   std::atomic<int> cutOff = 0;
-  const auto ask = [&](Connection& aClient,
-                       const std::string& aTarget,
-                       const std::string& aId,
-                       int aDeadlineMs) {
-    const Time deadline = Clock::now() + Ms{ aDeadlineMs + 1'000 };
-    record.Line("sent id=" + aId + " " + aTarget);
-    aClient.Send(RequestHead("POST", aTarget, aId, aDeadlineMs, "") + "Content-Length: 0\r\n\r\n",
-                 deadline);
-    const Message answer = aClient.ReadAnswer(deadline);
-    record.Line("answered id=" + aId + " status=" + std::to_string(answer.mStatus) +
-                " complete=" + std::to_string(answer.mComplete));
-    return answer.mComplete;
-  };
+  const auto ask =
+    [&](Connection& aClient, const std::string& aTarget, const std::string& aId, int aDeadlineMs) {
+      const Time deadline = Clock::now() + Ms{ aDeadlineMs + 1'000 };
+      record.Line("sent id=" + aId + " " + aTarget);
+      aClient.Send(RequestHead("POST", aTarget, aId, aDeadlineMs, "") + "Content-Length: 0\r\n\r\n",
+                   deadline);
+      const Message answer = aClient.ReadAnswer(deadline);
+      record.Line("answered id=" + aId + " status=" + std::to_string(answer.mStatus) +
+                  " complete=" + std::to_string(answer.mComplete));
+      return answer.mComplete;
+    };
   std::vector<std::thread> clients;
   for (int i = 0; i < kClients; ++i) {
     clients.emplace_back([&, i] {
@@ -123,12 +121,14 @@
     });
   }
   Sleep(Ms{ 2'000 });
-  std::thread{ [&] {
-    auto client = Connect(gateway.Address(), gateway.Port(), Clock::now() + Ms{ 1000 });
-    if (client) {
-      ask(*client, "/review/1", "to-faulty", 10'000);
+  std::thread{
+    [&] {
+      auto client = Connect(gateway.Address(), gateway.Port(), Clock::now() + Ms{ 1000 });
+      if (client) {
+        ask(*client, "/review/1", "to-faulty", 10'000);
+      }
     }
-  } }.detach();
+  }.detach();
 
   double highest = 0;
   bool exceeded = false;
--- a/review/standin/rollout.cpp
+++ b/review/standin/rollout.cpp
@@ -1,8 +1,8 @@
 // Orders a move of a service to another version, and checks what the versions get.
 //
 //   rollout RECORD restart    all gateways are killed after a move to a good version
-//   rollout RECORD holder     a write of the duty's holder is executed late; then a bad version comes
-#include "site.h"
+//   rollout RECORD holder     a claim on the duty is written late; then a bad version comes
+#include "site.hpp"
 
 #include <csignal>
 #include <cstring>
@@ -16,6 +16,7 @@
 constexpr int kClientsPerGateway = 12;
 constexpr Ms kClientInterval{ 80 };
 constexpr Ms kWork{ 20 };
+// DurationS of the orders.
 constexpr int kMoveS = 30;
 constexpr int kShortMoveS = 12;
 constexpr int kServersPerVersion = 4;
@@ -48,11 +49,12 @@
   const int attempts[] = { 1, 2, 1 };
   for (int i = 0; i < 3; ++i) {
     const std::string name = names[i];
-    routes += (i == 0 ? "" : ",") + std::string{ R"({"Name":"r-)" } + name +
-              R"(","Host":"club.example","PathPrefix":"/)" + name +
-              R"(/","Kind":"idempotent","TimeoutMs":5000,"GoalMs":600,"Priority":1,"Service":"model",)" +
-              R"("Attempts":)" + std::to_string(attempts[i]) +
-              R"(,"AllowAnonymous":true,"SessionAffinity":false,"ResumeStreams":false})";
+    routes +=
+      (i == 0 ? "" : ",") + std::string{ R"({"Name":"r-)" } + name +
+      R"(","Host":"club.example","PathPrefix":"/)" + name +
+      R"(/","Kind":"idempotent","TimeoutMs":5000,"GoalMs":600,"Priority":1,"Service":"model",)" +
+      R"("Attempts":)" + std::to_string(attempts[i]) +
+      R"(,"AllowAnonymous":true,"SessionAffinity":false,"ResumeStreams":false})";
   }
   return R"({"Version":7,"Routes":[)" + routes +
          R"(],"Services":[{"Name":"model","HealthCheckPath":"/health","ConnectionLimit":370}],)"
@@ -126,12 +128,14 @@
     for (const auto& server : mServers[aVersion]) {
       server->Kill();
     }
-    std::thread{ [this, aVersion] {
-      Sleep(kEntryLapse);
-      for (const auto& server : mServers[aVersion]) {
-        mPlatform.Remove("servers/" + server->Details().mId);
+    std::thread{
+      [this, aVersion] {
+        Sleep(kEntryLapse);
+        for (const auto& server : mServers[aVersion]) {
+          mPlatform.Remove("servers/" + server->Details().mId);
+        }
       }
-    } }.detach();
+    }.detach();
   }
 
   void DrainServers(const std::string& aVersion)
@@ -144,27 +148,30 @@
   // Follows the status of the move as the platform does.
   void FollowStatus()
   {
-    std::thread{ [this] {
-      for (;;) {
-        const std::string status = mPlatform.Get(kStatusKey);
-        if (status.find("completed") != std::string::npos) {
-          StopServers("v1");
-          return;
-        }
-        if (status.find("rolled_back") != std::string::npos) {
-          Sleep(kDrainDelay);
-          DrainServers("v2");
-          return;
+    std::thread{
+      [this] {
+        for (;;) {
+          const std::string status = mPlatform.Get(kStatusKey);
+          if (status.find("completed") != std::string::npos) {
+            StopServers("v1");
+            return;
+          }
+          if (status.find("rolled_back") != std::string::npos) {
+            Sleep(kDrainDelay);
+            DrainServers("v2");
+            return;
+          }
+          Sleep(Ms{ 20 });
         }
-        Sleep(Ms{ 20 });
       }
-    } }.detach();
+    }.detach();
   }
 
   void Order(int aSeconds)
   {
     mPlatform.Put("op/rollout/model",
-                  R"({"Service":"model","Target":"v2","DurationS":)" + std::to_string(aSeconds) + "}");
+                  R"({"Service":"model","Target":"v2","DurationS":)" + std::to_string(aSeconds) +
+                    "}");
     FollowStatus();
   }
 
@@ -217,8 +224,9 @@
     for (const double sent : mCounts.mSentToNew) {
       late += sent > bound ? 1 : 0;
     }
-    mRecord.Line("the 50th bad answer came at " + std::to_string(bound - kRollbackMs) +
-                 ", requests that were sent over 5 s later and reached v2: " + std::to_string(late));
+    mRecord.Line(
+      "the 50th bad answer came at " + std::to_string(bound - kRollbackMs) +
+      ", requests that were sent over 5 s later and reached v2: " + std::to_string(late));
     return late;
   }
 
@@ -273,8 +281,8 @@
       }
       const bool served = answer.mComplete && answer.mStatus == 200;
       if (!served) {
-        mRecord.Line("not served id=" + id + " gateway=" + aGateway.Name() + " status=" +
-                     std::to_string(answer.mStatus) + " " +
+        mRecord.Line("not served id=" + id + " gateway=" + aGateway.Name() +
+                     " status=" + std::to_string(answer.mStatus) + " " +
                      answer.mBody.substr(0, answer.mBody.find('\n')));
       }
       const std::lock_guard lock{ mCounts.mMutex };
@@ -299,10 +307,12 @@
   };
   aSite.mPlatform.mOnRead = [&](const std::string& aKey) {
     if (late && aKey == "duties/fleet" && !executed.exchange(true)) {
-      std::thread{ [&] {
-        Sleep(Ms{ 10 });
-        aSite.mPlatform.LateTxns();
-      } }.detach();
+      std::thread{
+        [&] {
+          Sleep(Ms{ 10 });
+          aSite.mPlatform.LateTxns();
+        }
+      }.detach();
     }
   };
   aSite.AddServers("v1", 0);
--- a/review/standin/site.cpp
+++ b/review/standin/site.cpp
@@ -1,4 +1,4 @@
-#include "site.h"
+#include "site.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -70,7 +70,8 @@
   for (std::size_t i = 0; i < aBytes.size(); i += 3) {
     unsigned group = 0;
     for (std::size_t j = 0; j < 3; ++j) {
-      group = group << 8U | (i + j < aBytes.size() ? static_cast<unsigned char>(aBytes[i + j]) : 0U);
+      group =
+        group << 8U | (i + j < aBytes.size() ? static_cast<unsigned char>(aBytes[i + j]) : 0U);
     }
     for (std::size_t j = 0; j < 4; ++j) {
       text += i + j > aBytes.size() ? '=' : kBase64[group >> (18 - 6 * j) & 63U];
@@ -523,25 +524,29 @@
     GiveUp("cannot listen on " + mAddress);
   }
   mPort = ntohs(address.sin_port);
-  std::thread{ [state = mState, handler = std::move(aHandler)] {
-    while (!state->mKilled) {
-      const int accepted = accept4(state->mSocket, nullptr, nullptr, SOCK_CLOEXEC);
-      if (accepted < 0) {
-        return;
-      }
-      std::thread{ [state, handler, accepted] {
-        {
-          const std::lock_guard lock{ state->mMutex };
-          state->mOpen.insert(accepted);
+  std::thread{
+    [state = mState, handler = std::move(aHandler)] {
+      while (!state->mKilled) {
+        const int accepted = accept4(state->mSocket, nullptr, nullptr, SOCK_CLOEXEC);
+        if (accepted < 0) {
+          return;
         }
-        Connection connection{ accepted };
-        handler(connection);
-        const std::lock_guard lock{ state->mMutex };
-        state->mOpen.erase(accepted);
-        connection.Close();
-      } }.detach();
+        std::thread{
+          [state, handler, accepted] {
+            {
+              const std::lock_guard lock{ state->mMutex };
+              state->mOpen.insert(accepted);
+            }
+            Connection connection{ accepted };
+            handler(connection);
+            const std::lock_guard lock{ state->mMutex };
+            state->mOpen.erase(accepted);
+            connection.Close();
+          }
+        }.detach();
+      }
     }
-  } }.detach();
+  }.detach();
 }
 
 void
@@ -690,15 +695,13 @@
         continue;
       }
       events += events.empty() ? "" : ",";
-      events += change.mRemoved
-                  ? "{\"Key\":" + Quote(change.mKey) +
-                      ",\"Revision\":" + std::to_string(change.mItem.mRevision) +
-                      ",\"WasRemoved\":true}"
-                  : ItemJson(change.mKey, change.mItem);
+      events += change.mRemoved ? "{\"Key\":" + Quote(change.mKey) +
+                                    ",\"Revision\":" + std::to_string(change.mItem.mRevision) +
+                                    ",\"WasRemoved\":true}"
+                                : ItemJson(change.mKey, change.mItem);
     }
     if (!events.empty() || Clock::now() >= until) {
-      return { .mBody =
-                 "{\"events\":[" + events + "],\"At\":" + std::to_string(mRevision) + "}" };
+      return { .mBody = "{\"events\":[" + events + "],\"At\":" + std::to_string(mRevision) + "}" };
     }
     mChanged.wait_until(lock, std::min(until, Clock::now() + Ms{ 100 }));
   }
@@ -813,7 +816,8 @@
 Platform::RemoveLocked(const std::string& aKey)
 {
   if (mItems.erase(aKey) > 0) {
-    mChanges.push_back({ .mKey = aKey, .mItem = { .mValue = "", .mRevision = ++mRevision }, .mRemoved = true });
+    mChanges.push_back(
+      { .mKey = aKey, .mItem = { .mValue = "", .mRevision = ++mRevision }, .mRemoved = true });
     mChanged.notify_all();
   }
 }
@@ -848,8 +852,8 @@
                              Handler aHandler)
   : mOptions(std::move(aOptions))
   , mPlatform(aPlatform)
-  , mBorn(std::chrono::duration_cast<Ms>(std::chrono::system_clock::now().time_since_epoch())
-            .count())
+  , mBorn(
+      std::chrono::duration_cast<Ms>(std::chrono::system_clock::now().time_since_epoch()).count())
 {
   mListener = std::make_unique<Listener>(
     mOptions.mAddress,
@@ -874,29 +878,29 @@
 void
 BackendServer::Register(const std::string& aState)
 {
-  mPlatform.Put("servers/" + mOptions.mId,
-                "{\"Service\":" + Quote(mOptions.mService) +
-                  ",\"Address\":" + Quote(mListener->Endpoint()) +
-                  ",\"Zone\":" + Quote(mOptions.mZone) +
-                  ",\"Version\":" + Quote(mOptions.mVersion) +
-                  ",\"Slots\":64,\"State\":" + Quote(aState) +
-                  ",\"ColdRemainingMs\":0,\"Seq\":1,\"born\":" + std::to_string(mBorn) + "}");
+  mPlatform.Put(
+    "servers/" + mOptions.mId,
+    "{\"Service\":" + Quote(mOptions.mService) + ",\"Address\":" + Quote(mListener->Endpoint()) +
+      ",\"Zone\":" + Quote(mOptions.mZone) + ",\"Version\":" + Quote(mOptions.mVersion) +
+      ",\"Slots\":64,\"State\":" + Quote(aState) +
+      ",\"ColdRemainingMs\":0,\"Seq\":1,\"born\":" + std::to_string(mBorn) + "}");
 }
 
 std::string
 SealedAnswer(int aStatus, const std::string& aRequestId, const std::string& aBody)
 {
   return "HTTP/1.1 " + std::to_string(aStatus) + " X\r\nRequest-Id: " + aRequestId +
-         "\r\nResponse-Seal: seal-" + aRequestId + "\r\nKeep-Alive: timeout=60\r\nContent-Length: " +
-         std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+         "\r\nResponse-Seal: seal-" + aRequestId +
+         "\r\nKeep-Alive: timeout=60\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
 }
 
 void
 SendStream(Connection& aConnection, const std::string& aRequestId, int aEvents, Ms aInterval)
 {
-  if (!aConnection.Send("HTTP/1.1 200 OK\r\nRequest-Id: " + aRequestId + "\r\nResponse-Seal: seal-" +
-                        aRequestId +
-                        "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+  if (!aConnection.Send(
+        "HTTP/1.1 200 OK\r\nRequest-Id: " + aRequestId + "\r\nResponse-Seal: seal-" + aRequestId +
+        "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")) {
     return;
   }
   for (int event = 1; event <= aEvents; ++event) {
@@ -929,9 +933,9 @@
   std::ostringstream text;
   text << "host = " << Quote(mOptions.mName) << "\navailability_zone = " << Quote(mOptions.mZone)
        << "\navailability_zones = [\"zone-a\",\"zone-b\",\"zone-c\"]\nlisten = " << endpoint(mPort)
-       << "\nreadiness_listen = " << endpoint(mReadyPort) << "\npeer_listen = "
-       << endpoint(FreePort(mOptions.mAddress, SOCK_DGRAM)) << "\nmetrics_listen = "
-       << endpoint(FreePort(mOptions.mAddress, SOCK_STREAM))
+       << "\nreadiness_listen = " << endpoint(mReadyPort)
+       << "\npeer_listen = " << endpoint(FreePort(mOptions.mAddress, SOCK_DGRAM))
+       << "\nmetrics_listen = " << endpoint(FreePort(mOptions.mAddress, SOCK_STREAM))
        << "\nstore = " << Quote(aPlatform.Endpoint()) << "\ncloud = " << Quote(aPlatform.Endpoint())
        << "\nreport_usage = true\norder_servers = true\nmost_connections = 4100\n"
           "stop_notice_s = 8\nrevoke_within_ms = 5000\ndrain_within_ms = 2000\n"
@@ -1025,7 +1029,8 @@
   const Time deadline = Clock::now() + Ms{ 500 };
   auto connection = Connect(mOptions.mAddress, mReadyPort, deadline);
   return connection &&
-         connection->Send("GET /trefoillb/readiness HTTP/1.1\r\nHost: platform\r\n\r\n", deadline) &&
+         connection->Send("GET /trefoillb/readiness HTTP/1.1\r\nHost: platform\r\n\r\n",
+                          deadline) &&
          connection->ReadAnswer(deadline).mStatus == 200;
 }
 
--- a/review/standin/site.h
+++ b/review/standin/site.hpp
@@ -1,5 +1,5 @@
-// Stand-ins for the review's scripts: the platform's store and API, backend servers and clients, and
-// a wrapper that starts and stops gateways.
+// Stand-ins for the review's scripts: the platform's store and API, backend servers and clients,
+// and a wrapper that starts and stops gateways.
 //
 // One program per case uses them. Everything listens on loopback addresses and on free ports.
 // Connections are served by one thread each. Errors of the set-up end the program with status 2.
--- a/review/standin/smuggle.cpp
+++ b/review/standin/smuggle.cpp
@@ -1,5 +1,5 @@
 // A request that is hidden in the body of another one must not reach a server as a request.
-#include "site.h"
+#include "site.hpp"
 
 using namespace review;
 
@@ -33,25 +33,24 @@
   std::mutex mutex;
   std::multiset<std::string> ran;
   std::vector<std::string> foreign;
-  BackendServer server{
-    { .mId = "i-ledger-1", .mAddress = kAddress, .mService = "ledger" },
-    platform,
-    record,
-    [&](Connection& aConnection, const Message& aRequest) {
-      const std::string id = aRequest.Value("Request-Id");
-      const std::string tenant = aRequest.Value("Tenant");
-      record.Line("ran id=" + id + " tenant=" + tenant + " target=" + aRequest.mTarget +
-                  " body_bytes=" + std::to_string(aRequest.mBody.size()));
-      {
-        const std::lock_guard lock{ mutex };
-        ran.insert(id);
-        if (tenant != "club-a") {
-          foreign.push_back(id);
-        }
-      }
-      aConnection.Send(SealedAnswer(200, id, "recorded"));
-    }
-  };
+  BackendServer server{ { .mId = "i-ledger-1", .mAddress = kAddress, .mService = "ledger" },
+                        platform,
+                        record,
+                        [&](Connection& aConnection, const Message& aRequest) {
+                          const std::string id = aRequest.Value("Request-Id");
+                          const std::string tenant = aRequest.Value("Tenant");
+                          record.Line("ran id=" + id + " tenant=" + tenant +
+                                      " target=" + aRequest.mTarget +
+                                      " body_bytes=" + std::to_string(aRequest.mBody.size()));
+                          {
+                            const std::lock_guard lock{ mutex };
+                            ran.insert(id);
+                            if (tenant != "club-a") {
+                              foreign.push_back(id);
+                            }
+                          }
+                          aConnection.Send(SealedAnswer(200, id, "recorded"));
+                        } };
   server.Register();
 
   Gateway gateway{ { .mName = "front-a-1", .mAddress = kAddress }, platform };
@@ -62,9 +61,9 @@
   std::set<std::string> sent;
   for (int i = 0; i < kRequests; ++i) {
     const std::string id = "sent-" + std::to_string(i);
-    const std::string hidden = "POST /record/2 HTTP/1.1\r\nHost: club.example\r\nRequest-Id: hidden-" +
-                               std::to_string(i) +
-                               "\r\nDeadline-Milliseconds: 2000\r\nTenant: club-b\r\n\r\n";
+    const std::string hidden =
+      "POST /record/2 HTTP/1.1\r\nHost: club.example\r\nRequest-Id: hidden-" + std::to_string(i) +
+      "\r\nDeadline-Milliseconds: 2000\r\nTenant: club-b\r\n\r\n";
     // An empty element of a list means nothing (RFC 9110, section 5.6.1), so the body is chunked
     // with and without the first line.
     const std::string framing =
