Bound what is kept of a message that does not end

Cause: the parser keeps nothing itself. A line that has not ended stays in the caller's buffer, and only heads and bodies had a limit there; what is skipped, an answer to another request or an informational response, had none either. The class is every line of the framing, for every caller of the message reader. Related paths: a connection that is closed after its last bytes were sent went on storing what arrives; a line of a streamed answer, and the chunk sizes that trefoild's HTTP library reads from clients, had no limit.

Ruled out: the body limit, which counted decoded bytes only, and the head limit, which ends with the head.

Change: MessageReader ends a message whose unparsed rest is longer than a head (framing_too_large), or that has more than 16 informational responses; the gateway ends an attempt after 8 stray answers or 8 MB of them, counts the server as faulty and logs the state of the reader with the failed attempt. trefoild reads chunked bodies itself, line by line with limits, and refuses one that is cut short. Answers of the store and to control calls are limited to 16 MB.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -4,6 +4,7 @@
 #include "trefoil/forward/traffic_thread.h"
 #include "trefoil/http/message_reader.h"
 
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <array>
 #include <atomic>
@@ -1423,6 +1424,106 @@
   }
 }
 
+// Guards against a host that keeps the framing of a body without a limit, so that one faulty server
+// ends it and the requests of all its clients (LOST).
+SCENARIO("a server sends the framing of a body without end")
+{
+  struct Framing
+  {
+    const char* mName;
+    std::string mBytes;
+    // Whether the answer belongs to another request.
+    bool mIsStray = false;
+  };
+  const std::string endless(std::size_t{ 12 } * 1024 * 1024, '0');
+  const auto repeatUntilEndless = [&endless](const std::string& aText) {
+    std::string bytes;
+    while (bytes.size() < endless.size()) {
+      bytes += aText;
+    }
+    return bytes;
+  };
+  const std::string start = "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n";
+  const std::string lastChunk = "1\r\nx\r\n0\r\n";
+  const std::vector<Framing> framings{
+    { "the size of a chunk", endless },
+    { "the extension of a chunk", "1;x=" + endless },
+    { "one trailer", lastChunk + "X: " + endless },
+    { "the trailers", lastChunk + repeatUntilEndless("X: " + std::string(1'000, 'x') + "\r\n") },
+    { "the size of a chunk in an answer to another request", endless, true },
+    { "the body of an answer to another request",
+      fmt::format("{:x}\r\n{}", endless.size() + 1, endless),
+      true },
+    { "the number of answers to another request",
+      kLastChunk + repeatUntilEndless("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+                                      "Content-Length: 0\r\n\r\n"),
+      true },
+  };
+  for (const Framing& framing : framings) {
+    DYNAMIC_SECTION("when " << framing.mName << " does not end")
+    {
+      const ScriptedServer server{ [&](const ReceivedRequest& aRequest) {
+        const std::string_view id = HeaderValue(aRequest.mRequest.mHeaders, "Request-Id");
+        return Reply{ .mBytes = fmt::format("{}Request-Id: {}{}\r\n\r\n{}",
+                                            start,
+                                            id,
+                                            framing.mIsStray ? "-other" : "",
+                                            framing.mBytes),
+                      .mHang = true };
+      } };
+      Gateway gateway;
+      gateway.AddServer("e1", server);
+      gateway.Publish();
+      // The host closes the connection long before the deadline.
+      CHECK(gateway.Ask("write", "id-1").mStatus == 502);
+    }
+  }
+  SECTION("when the number of informational responses does not end")
+  {
+    const ScriptedServer server{ [&](const ReceivedRequest& /*aRequest*/) {
+      return Reply{ .mBytes = repeatUntilEndless("HTTP/1.1 103 Early Hints\r\n\r\n"),
+                    .mHang = true };
+    } };
+    Gateway gateway;
+    gateway.AddServer("e1", server);
+    gateway.Publish();
+    CHECK(gateway.Ask("write", "id-1").mStatus == 502);
+  }
+}
+
+SCENARIO("a client sends the framing of a body without end")
+{
+  const std::string endless(std::size_t{ 1 } * 1024 * 1024, '0');
+  const ScriptedServer server{ AnswerSuccess };
+  Gateway gateway;
+  gateway.AddServer("e1", server);
+  gateway.Publish();
+  const std::string head =
+    "POST /read/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\nAuthorization: Token "
+    "k\r\nDeadline-Milliseconds: 8000\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<const char*, std::string>> framings{
+    { "the size of a chunk", endless },
+    { "the extension of a chunk", "1;x=" + endless },
+    { "a trailer", "0\r\nX: " + endless },
+  };
+  for (const auto& [name, framing] : framings) {
+    DYNAMIC_SECTION("when " << name << " does not end")
+    {
+      Client client = gateway.Connect();
+      // The refusal is lost if the host closes the connection before it has read all bytes.
+      int status = 400;
+      try {
+        client.Send(head + framing);
+        status = client.Read().mStatus;
+      } catch (const Poco::Net::ConnectionResetException&) {
+        CHECK(server.ReceivedRequests().empty());
+      }
+      CHECK(status == 400);
+      CHECK(server.ReceivedRequests().empty());
+    }
+  }
+}
+
 // Guards against a request that a client hides in the body of another one, so that a server runs it
 // past keys, quotas and routes (UNASKED): the body was written behind a head without a length.
 SCENARIO("the framing of a request is spread over several header lines")
--- a/trefoil/forward/client_session.cc
+++ b/trefoil/forward/client_session.cc
@@ -107,6 +107,8 @@
       RejectMalformed(kBodyTooLarge, "the request's body is too long");
     } else if (state == MessageReadState::kMalformed) {
       RejectMalformed(kBadRequest, "the request is malformed");
+    } else if (state == MessageReadState::kFramingTooLarge) {
+      RejectMalformed(kBadRequest, "the framing of the request's body is too long");
     } else if (mReader->IsHeadComplete()) {
       const auto refusal = CheckRequestHead(mReader->Request());
       if (refusal.has_value()) {
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -140,8 +140,10 @@
     bool mHeadChecked = false;
     // The answer that is being received belongs to another request and is discarded.
     bool mSkippingAnswer = false;
-    // An answer to another request was received, so the connection must not be reused.
-    bool mHasStrayAnswer = false;
+    // Number of answers to other requests that were received, and the bytes of their bodies. After
+    // one the connection must not be reused.
+    int mStrayAnswers = 0;
+    std::size_t mStrayBytes = 0;
     bool mAnswerBegun = false;
     // Whether a complete event, or the complete answer, was received.
     bool mIsSound = false;
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -13,6 +13,8 @@
 // when it is complete, and an event. A server that exceeds them is faulty.
 constexpr std::size_t kMaxPlainAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
 constexpr std::size_t kMaxEventBytes = std::size_t{ 1 } * 1024 * 1024;
+// Answers to other requests that may precede the expected one on its connection.
+constexpr int kMaxStrayAnswers = 8;
 // The time to the first event of a shorter prompt shows the delay of the network and of the
 // server's scheduling rather than its prefill rate.
 constexpr double kMinPrefillTokens = 4'000;
@@ -50,7 +52,11 @@
       continue;
     }
     if (mAttempt->mSkippingAnswer) {
-      mAttempt->mReader->Body().clear();
+      mAttempt->mStrayBytes += std::exchange(mAttempt->mReader->Body(), {}).size();
+      if (mAttempt->mStrayBytes > kMaxPlainAnswerBytes) {
+        OnAttemptFailed(AttemptFailure::kBroken);
+        return;
+      }
     }
     if (mAttempt->mHeadChecked && !mAttempt->mSkippingAnswer) {
       RecordAnswerBegun();
@@ -76,10 +82,15 @@
   attempt.mAnswerMetadata = mState.mOptions.mCodec.mReadAnswer(head);
   const bool matches = attempt.mAnswerMetadata.mRequestId == mMetadata.mRequestId;
   const bool withoutId = attempt.mAnswerMetadata.mRequestId.empty();
-  if (!matches && !withoutId) {
+  const bool isStray = !matches && !withoutId;
+  if (attempt.mAnswerMetadata.mIsAmbiguous ||
+      (isStray && ++attempt.mStrayAnswers > kMaxStrayAnswers)) {
+    OnAttemptFailed(AttemptFailure::kBroken);
+    return false;
+  }
+  if (isStray) {
     // An answer to an earlier request on the connection. The expected answer may still follow.
     attempt.mSkippingAnswer = true;
-    attempt.mHasStrayAnswer = true;
     return true;
   }
   // On a kept connection, an answer without an id can be a late copy of an earlier one.
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -404,7 +404,7 @@
     ++outcomes.mFailed;
   }
   ByteStream& stream = *attempt.mConnection->mStream;
-  if (aKeepConnection && !attempt.mHasStrayAnswer &&
+  if (aKeepConnection && attempt.mStrayAnswers == 0 &&
       attempt.mReader->State() == MessageReadState::kComplete && attempt.mReader->KeepsAlive() &&
       stream.Received().empty() && stream.Unsent() == 0) {
     mState.mConnectionPool.Release(attempt.mConnection, attempt.mAnswerMetadata.mKeepAliveTimeout);
@@ -450,18 +450,20 @@
   const bool mayHaveRun = aFailure == AttemptFailure::kBroken ||
                           aFailure == AttemptFailure::kSilent ||
                           aFailure == AttemptFailure::kServerError;
-  mState.mLog.Write(LogSeverity::kNotable,
-                    LogEvent::kAttemptFailed,
-                    "id={} route={} {} end={} begun={} reused={} ms={} last_event={} parts={}",
-                    mMetadata.mRequestId,
-                    mRoute->mName,
-                    BasisText(),
-                    NameOf(kAttemptFailureNames, aFailure),
-                    mAttempt->mAnswerBegun,
-                    mAttempt->mConnection->mReused,
-                    (SuspendAwareNow() - mAttempt->mSentAt) / Milliseconds{ 1 },
-                    mEvents.mLastId,
-                    SharedPartsText());
+  mState.mLog.Write(
+    LogSeverity::kNotable,
+    LogEvent::kAttemptFailed,
+    "id={} route={} {} end={} answer={} begun={} reused={} ms={} last_event={} parts={}",
+    mMetadata.mRequestId,
+    mRoute->mName,
+    BasisText(),
+    NameOf(kAttemptFailureNames, aFailure),
+    NameOf(kMessageReadStateNames, mAttempt->mReader->State()),
+    mAttempt->mAnswerBegun,
+    mAttempt->mConnection->mReused,
+    (SuspendAwareNow() - mAttempt->mSentAt) / Milliseconds{ 1 },
+    mEvents.mLastId,
+    SharedPartsText());
   DispatchOutcome outcome = DispatchOutcome::kBroken;
   if (aFailure == AttemptFailure::kTurnedAway) {
     outcome = DispatchOutcome::kTurnedAway;
--- a/trefoil/http/client.cc
+++ b/trefoil/http/client.cc
@@ -33,6 +33,7 @@
 // How often a call checks whether an earlier deadline has been set.
 constexpr Milliseconds kDeadlineCheckInterval{ 100 };
 constexpr std::size_t kReadBufferBytes = std::size_t{ 16 } * 1024;
+constexpr std::size_t kMaxLineBytes = std::size_t{ 1 } * 1024 * 1024;
 
 Poco::Timespan
 TimeoutUntil(Instant aDeadline)
@@ -102,6 +103,8 @@
       return absl::ResourceExhaustedError("the answer's headers are too long");
     case MessageReadState::kBodyTooLarge:
       return absl::ResourceExhaustedError("the answer's body is too long");
+    case MessageReadState::kFramingTooLarge:
+      return absl::ResourceExhaustedError("the framing of the answer's body is too long");
   }
   return absl::InternalError("unknown state of a message");
 }
@@ -238,6 +241,9 @@
       return received;
     }
     end = reader.Body().find('\n', searched);
+    if (end == std::string::npos && reader.Body().size() > kMaxLineBytes) {
+      return absl::ResourceExhaustedError("a line of the answer is too long");
+    }
   }
   if (end == std::string::npos) {
     const bool isCutOff = mConnection->mEndedWithConnection && !reader.Body().empty();
--- a/trefoil/http/client.h
+++ b/trefoil/http/client.h
@@ -65,8 +65,8 @@
 
   // Returns the next line without its line terminator. Returns DeadlineExceeded if no line was
   // received before `aDeadline`, OutOfRange at the end of the body, Unavailable if the
-  // connection broke, or ended within a line of a body whose end it is, and DataLoss if the
-  // response is malformed.
+  // connection broke, or ended within a line of a body whose end it is, DataLoss if the
+  // response is malformed, and ResourceExhausted if a part of it or the line is too long.
   absl::StatusOr<std::string> ReadLine(Instant aDeadline);
 
   // Reads the rest of the body and returns the whole response. `aCall` must be the call that the
--- a/trefoil/http/http_channel.cc
+++ b/trefoil/http/http_channel.cc
@@ -3,11 +3,14 @@
 #include "trefoil/http/framing.h"
 
 #include <algorithm>
-#include <fmt/format.h>
-#include <iterator>
 #include <utility>
 
 namespace trefoil {
+namespace {
+
+constexpr std::size_t kMaxAnswerBytes = std::size_t{ 16 } * 1024 * 1024;
+
+} // namespace
 
 std::string
 RenderRequest(const HttpRequest& aRequest, const Endpoint& aServer)
@@ -68,7 +71,7 @@
       { .mOnBytes = [this] { OnBytes(); }, .mOnEnd = [this](StreamEnd aEnd) { OnEnd(aEnd); } },
       mOptions);
   }
-  mReader = MessageReader::ForResponse({});
+  mReader = MessageReader::ForResponse({ .mMaxBodyBytes = kMaxAnswerBytes });
   mAwaitingResponse = true;
   mStream->Send(mPending.front().mBytes);
 }
--- a/trefoil/http/malformed_test.cc
+++ b/trefoil/http/malformed_test.cc
@@ -7,6 +7,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <array>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 #include <string>
 #include <vector>
@@ -111,6 +112,20 @@
     { "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" +
         Repeat("x", 2000) + "\r\n0\r\n\r\n",
       "413" },
+    { "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n" + Repeat("0", 40'000),
+      "400" },
+    { "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n1;x=" + Repeat("0", 40'000),
+      "400" },
+    { "POST / HTTP/1.1\r\n" + host +
+        "Transfer-Encoding: chunked\r\n\r\n0\r\nX: " + Repeat("0", 40'000),
+      "400" },
+    { "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n5\r\ncut", "400" },
+    { "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n2\r\nlong\r\n0\r\n\r\n",
+      "400" },
+    { "POST / HTTP/1.1\r\n" + host +
+        "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "400" },
+    { "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n", "400" },
   };
   for (const auto& [bytes, status] : cases) {
     INFO(bytes.substr(0, 100));
@@ -129,6 +144,19 @@
     REQUIRE(std::holds_alternative<HttpResponse>(result));
     CHECK(std::get<HttpResponse>(result).mBody == "hello");
   }
+  SECTION("and a request in chunks is one request, whatever its body holds")
+  {
+    const std::string hidden = "GET /hidden HTTP/1.1\r\n\r\n";
+    const std::string response = ExchangeBytes(
+      server.Port(),
+      "POST / HTTP/1.1\r\nTransfer-Encoding:\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        fmt::format("{:x};x=1\r\n{}\r\n0\r\nTrailer: t\r\n\r\n", hidden.size(), hidden) +
+        "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CHECK(response.find(hidden) != std::string::npos);
+    const std::size_t second = response.find("HTTP/1.1 200", 10);
+    REQUIRE(second != std::string::npos);
+    CHECK(response.find("HTTP/1.1", second + 1) == std::string::npos);
+  }
   SECTION("and two pipelined requests both receive a response")
   {
     const std::string response = ExchangeBytes(
--- a/trefoil/http/message_reader.cc
+++ b/trefoil/http/message_reader.cc
@@ -1,5 +1,7 @@
 #include "trefoil/http/message_reader.h"
 
+#include "trefoil/http/framing.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <string_view>
@@ -124,11 +126,31 @@
   return aParser.is_header_done() ? MessageReadState::kBody : MessageReadState::kHead;
 }
 
+// Returns whether more bytes are awaited.
+bool
+IsUnfinished(MessageReadState aState)
+{
+  return aState == MessageReadState::kHead || aState == MessageReadState::kBody;
+}
+
+const HttpHeaders&
+HeadersOf(const Parser<true>& aParser)
+{
+  return aParser.mRequest.mHeaders;
+}
+
+const HttpHeaders&
+HeadersOf(const Parser<false>& aParser)
+{
+  return aParser.mResponse.mHeaders;
+}
+
 // Parses `aBytes` up to the end of the message or an error, and removes the parsed bytes.
 template<bool IsRequest>
 MessageReadState
-FeedParser(Parser<IsRequest>& aParser, std::string& aBytes)
+FeedParser(Parser<IsRequest>& aParser, const HttpMessageLimits& aLimits, std::string& aBytes)
 {
+  const bool hadHead = aParser.is_header_done();
   std::size_t consumed = 0;
   beast::error_code error;
   while (consumed < aBytes.size() && !aParser.is_done()) {
@@ -140,7 +162,18 @@
     }
   }
   aBytes.erase(0, consumed);
-  return StateAfterParsing(aParser, error);
+  const MessageReadState state = StateAfterParsing(aParser, error);
+  // The parser takes the lines of a list header one by one, so that it does not see the codings
+  // that another line names.
+  if (!hadHead && aParser.is_header_done() && !FramingError(HeadersOf(aParser)).empty()) {
+    return MessageReadState::kMalformed;
+  }
+  // The parser keeps nothing itself: a line that has not ended stays in the buffer.
+  if (IsUnfinished(state) && aBytes.size() > aLimits.mMaxHeadBytes) {
+    return state == MessageReadState::kHead ? MessageReadState::kHeadTooLarge
+                                            : MessageReadState::kFramingTooLarge;
+  }
+  return state;
 }
 
 } // namespace
@@ -152,6 +185,7 @@
   std::unique_ptr<Parser<true>> mRequest;
   std::unique_ptr<Parser<false>> mResponse;
   MessageReadState mState = MessageReadState::kHead;
+  int mInformationalResponses = 0;
 
   void StartResponse()
   {
@@ -195,7 +229,7 @@
 MessageReader::Consume(std::string& aBytes)
 {
   Impl& impl = *mImpl;
-  if (impl.mState != MessageReadState::kHead && impl.mState != MessageReadState::kBody) {
+  if (!IsUnfinished(impl.mState)) {
     return impl.mState;
   }
   if (impl.mState == MessageReadState::kHead && HasFoldedHeader(aBytes)) {
@@ -203,17 +237,22 @@
     return impl.mState;
   }
   if (impl.mRequest) {
-    impl.mState = FeedParser(*impl.mRequest, aBytes);
+    impl.mState = FeedParser(*impl.mRequest, impl.mLimits, aBytes);
     return impl.mState;
   }
-  impl.mState = FeedParser(*impl.mResponse, aBytes);
-  while (IsHeadComplete() && impl.mResponse->mResponse.mStatus < kMinFinalStatus) {
+  impl.mState = FeedParser(*impl.mResponse, impl.mLimits, aBytes);
+  while (IsHeadComplete() && impl.mState != MessageReadState::kMalformed &&
+         impl.mResponse->mResponse.mStatus < kMinFinalStatus) {
+    if (++impl.mInformationalResponses > kMaxInformationalResponses) {
+      impl.mState = MessageReadState::kFramingTooLarge;
+      break;
+    }
     impl.StartResponse();
     if (HasFoldedHeader(aBytes)) {
       impl.mState = MessageReadState::kMalformed;
       break;
     }
-    impl.mState = FeedParser(*impl.mResponse, aBytes);
+    impl.mState = FeedParser(*impl.mResponse, impl.mLimits, aBytes);
   }
   return impl.mState;
 }
--- a/trefoil/http/message_reader.h
+++ b/trefoil/http/message_reader.h
@@ -5,8 +5,10 @@
 //     case MessageReadState::kComplete:
 //       Use(reader.Response(), reader.Body());
 //
-// Boost.Beast decodes the framing. Folded headers, bare line feeds as line terminators and requests
-// without an unambiguous end of the body are reported as malformed. Not thread-safe.
+// Boost.Beast decodes the framing. Folded headers, bare line feeds as line terminators and messages
+// without an unambiguous end of the body (framing.h) are reported as malformed. What the reader
+// leaves in the caller's buffer until more bytes arrive is at most as long as a head. Not
+// thread-safe.
 #pragma once
 
 #include "trefoil/base/name_table.h"
@@ -26,20 +28,28 @@
   kMalformed,
   kHeadTooLarge,
   kBodyTooLarge,
+  // The size line of a chunk, with its extensions, or the trailers exceed the limit of the head, or
+  // too many informational responses precede the final one.
+  kFramingTooLarge,
 };
 
-inline constexpr NameTable<MessageReadState, 6> kMessageReadStateNames{ {
+inline constexpr NameTable<MessageReadState, 7> kMessageReadStateNames{ {
   { MessageReadState::kHead, "head" },
   { MessageReadState::kBody, "body" },
   { MessageReadState::kComplete, "complete" },
   { MessageReadState::kMalformed, "malformed" },
   { MessageReadState::kHeadTooLarge, "head_too_large" },
   { MessageReadState::kBodyTooLarge, "body_too_large" },
+  { MessageReadState::kFramingTooLarge, "framing_too_large" },
 } };
 
+// Informational responses (1xx) that may precede a response. A server sends one of each kind.
+inline constexpr int kMaxInformationalResponses = 16;
+
 struct HttpMessageLimits
 {
-  // The head is the start line and the headers.
+  // The head is the start line and the headers. Also limits the size line of a chunk and the
+  // trailers.
   std::size_t mMaxHeadBytes = std::size_t{ 32 } * 1024;
   std::size_t mMaxBodyBytes = std::size_t{ 64 } * 1024 * 1024;
 };
--- a/trefoil/http/message_reader_test.cc
+++ b/trefoil/http/message_reader_test.cc
@@ -1,6 +1,8 @@
 #include "trefoil/http/message_reader.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 #include <string>
 
@@ -56,6 +58,66 @@
   }
 }
 
+SCENARIO("the transfer codings of a message are spread over several lines")
+{
+  const std::string start = "POST / HTTP/1.1\r\nHost: x\r\n";
+  const std::string body = "\r\n4\r\nwhat\r\n0\r\n\r\n";
+  THEN("empty elements mean nothing")
+  {
+    CHECK(ReadRequest(start + "Transfer-Encoding:\r\nTransfer-Encoding: chunked\r\n" + body) ==
+          MessageReadState::kComplete);
+    CHECK(ReadRequest(start + "Transfer-Encoding: , chunked ,\r\n" + body) !=
+          MessageReadState::kHead);
+  }
+  THEN("any coding but one chunked is malformed")
+  {
+    for (const char* codings : { "gzip", "identity", "chunked" }) {
+      const std::string lines =
+        fmt::format("Transfer-Encoding: {}\r\nTransfer-Encoding: chunked\r\n", codings);
+      CHECK(ReadRequest(start + lines + body) == MessageReadState::kMalformed);
+      MessageReader response = MessageReader::ForResponse({});
+      std::string bytes = "HTTP/1.1 200 OK\r\n" + lines + body;
+      CHECK(response.Consume(bytes) == MessageReadState::kMalformed);
+    }
+  }
+}
+
+// Guards against the memory that a peer uses up by a line of the framing without end (LOST).
+SCENARIO("the framing of a body does not end")
+{
+  const HttpMessageLimits limits{ .mMaxHeadBytes = 1'000 };
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string prefix = GENERATE(as<std::string>{}, "", "1;x=", "1\r\na\r\n0\r\nX: ");
+  const std::string repeated = GENERATE(as<std::string>{}, "0", "0\r\nX: 0\r\nX:");
+  MessageReader reader = MessageReader::ForResponse(limits);
+  std::string bytes = head + prefix;
+  std::size_t mostBytes = 0;
+  for (int i = 0; i < 5'000; ++i) {
+    bytes += repeated;
+    reader.Consume(bytes);
+    mostBytes = std::max(mostBytes, bytes.size());
+    if (reader.State() != MessageReadState::kBody) {
+      break;
+    }
+  }
+  THEN("the message ends in an error before the buffer is longer than a head")
+  {
+    CHECK(reader.State() != MessageReadState::kBody);
+    CHECK(mostBytes <= limits.mMaxHeadBytes + repeated.size());
+  }
+}
+
+SCENARIO("informational responses do not end")
+{
+  MessageReader reader = MessageReader::ForResponse({});
+  MessageReadState state = MessageReadState::kHead;
+  for (int i = 0; i <= kMaxInformationalResponses; ++i) {
+    std::string bytes = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    state = reader.Consume(bytes);
+  }
+  CHECK(state == MessageReadState::kFramingTooLarge);
+}
+
 SCENARIO("a request exceeds a limit")
 {
   const HttpMessageLimits limits{ .mMaxHeadBytes = 100, .mMaxBodyBytes = 10 };
--- a/trefoil/http/server.cc
+++ b/trefoil/http/server.cc
@@ -1,6 +1,8 @@
 #include "trefoil/http/server.h"
 
 #include "trefoil/http/check_request_head.h"
+#include "trefoil/http/framing.h"
+#include "trefoil/http/internal/chunked_body.h"
 #include "trefoil/http/status_code.h"
 #include "trefoil/net/listener.h"
 
@@ -35,31 +37,6 @@
 // How long the rest of a refused request is read and discarded.
 constexpr Milliseconds kLingerTimeout{ 500 };
 
-// Reads the body of a request. Returns std::nullopt if it is longer than `aMaxBytes`.
-std::optional<std::string>
-ReadBody(HTTPServerRequest& aRequest, std::size_t aMaxBytes)
-{
-  if (aRequest.hasContentLength() &&
-      static_cast<std::size_t>(aRequest.getContentLength64()) > aMaxBytes) {
-    return std::nullopt;
-  }
-  std::string body;
-  if (!aRequest.hasContentLength() && !aRequest.getChunkedTransferEncoding()) {
-    // A request with neither header has no body (RFC 9112, section 6.3).
-    return body;
-  }
-  std::array<char, kReadBufferBytes> buffer{};
-  std::istream& stream = aRequest.stream();
-  while (stream.good()) {
-    stream.read(buffer.data(), buffer.size());
-    body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
-    if (body.size() > aMaxBytes) {
-      return std::nullopt;
-    }
-  }
-  return body;
-}
-
 HttpRequest
 RequestHead(const HTTPServerRequest& aRequest)
 {
@@ -128,8 +105,47 @@
 public:
   using HTTPServerSession::buffered;
   using HTTPServerSession::HTTPServerSession;
+
+  ByteSource Source()
+  {
+    return { .mNextByte = [this] { return get(); },
+             .mRead = [this](char* aBytes, int aCount) { return read(aBytes, aCount); } };
+  }
 };
 
+// Reads the body of a request with a Content-Length.
+ChunkedBodyResult
+ReadSizedBody(HTTPServerRequest& aRequest, std::size_t aMaxBytes, std::string& aBody)
+{
+  const auto length = static_cast<std::size_t>(aRequest.getContentLength64());
+  if (length > aMaxBytes) {
+    return ChunkedBodyResult::kTooLarge;
+  }
+  std::array<char, kReadBufferBytes> buffer{};
+  std::istream& stream = aRequest.stream();
+  while (stream.good()) {
+    stream.read(buffer.data(), buffer.size());
+    aBody.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
+  }
+  return aBody.size() == length ? ChunkedBodyResult::kComplete : ChunkedBodyResult::kCutShort;
+}
+
+// Returns the response to a request whose body was not read completely.
+HttpResponse
+BodyRefusal(ChunkedBodyResult aResult)
+{
+  switch (aResult) {
+    case ChunkedBodyResult::kTooLarge:
+      return { .mStatus = kPayloadTooLarge, .mBody = "the request's body is too long\n" };
+    case ChunkedBodyResult::kCutShort:
+      return { .mStatus = kBadRequest, .mBody = "the request's body is cut short\n" };
+    case ChunkedBodyResult::kMalformed:
+    case ChunkedBodyResult::kComplete:
+      break;
+  }
+  return { .mStatus = kBadRequest, .mBody = "the chunks of the request's body are malformed\n" };
+}
+
 // Serves the requests of one connection sequentially.
 class ConnectionHandler
 {
@@ -210,21 +226,19 @@
     if (aRequest.getExpectContinue()) {
       aLibraryResponse.sendContinue();
     }
-    std::optional<std::string> body = ReadBody(aRequest, mOptions.mMaxBodyBytes);
-    if (!body.has_value()) {
-      Reject(mSession,
-             aLibraryResponse,
-             { .mStatus = kPayloadTooLarge, .mBody = "the request's body is too long\n" });
-      return false;
+    // The head is checked, so it states at most one of length and chunks. Without either the
+    // request has no body (RFC 9112, section 6.3).
+    ChunkedBodyResult body = ChunkedBodyResult::kComplete;
+    if (IsChunked(parsed.mHeaders)) {
+      body = ReadChunkedBody(
+        mSession.Source(), { .mMaxBodyBytes = mOptions.mMaxBodyBytes }, parsed.mBody);
+    } else if (aRequest.hasContentLength()) {
+      body = ReadSizedBody(aRequest, mOptions.mMaxBodyBytes, parsed.mBody);
     }
-    if (aRequest.hasContentLength() &&
-        body->size() != static_cast<std::size_t>(aRequest.getContentLength64())) {
-      Reject(mSession,
-             aLibraryResponse,
-             { .mStatus = kBadRequest, .mBody = "the request's body is cut short\n" });
+    if (body != ChunkedBodyResult::kComplete) {
+      Reject(mSession, aLibraryResponse, BodyRefusal(body));
       return false;
     }
-    parsed.mBody = std::move(*body);
     HttpExchange exchange{ std::move(parsed), connection };
     mOptions.mHandler(exchange);
     return aLibraryResponse.getKeepAlive() && !mConnection.IsDraining();
--- a/trefoil/reactor/byte_stream.cc
+++ b/trefoil/reactor/byte_stream.cc
@@ -146,6 +146,7 @@
 ByteStream::CloseAfterSending()
 {
   mCloseWhenSent = true;
+  mReceived.clear();
   if (mUnsent.empty()) {
     Close();
   }
@@ -194,6 +195,9 @@
     CloseAndNotify(StreamEnd::kClosedByPeer);
     return false;
   }
+  if (mCloseWhenSent) {
+    return true;
+  }
   mReceived.append(buffer.data(), static_cast<std::size_t>(count));
   if (mCallbacks.mOnBytes) {
     const auto callback = mCallbacks.mOnBytes;
--- a/trefoil/reactor/byte_stream.h
+++ b/trefoil/reactor/byte_stream.h
@@ -80,7 +80,8 @@
   void Close();
   // Resets the connection, so that bytes that the peer has not received yet do not arrive later.
   void Abort();
-  // Closes the connection after all buffered bytes have been sent.
+  // Closes the connection after all buffered bytes have been sent. Bytes that are received until
+  // then are discarded.
   void CloseAfterSending();
 
   // The received bytes that the caller has not removed from this string.
