Tell all hosts what was decided of a version move, and record it

Cause: the state of a move lived in the memory of each host, and only the holder of the duties ever changed its own. The platform stops the other version's servers at completion, and the hosts that had not decided went on drawing them. A restart began each move anew. The status was written without a condition, so that a "running" executed late stayed.

Ruled out: a fallback to the target whenever the other version has no free server.

Change: a move has stages that only rise: trial, switching, rolled back, completed. The holder decides, tells all hosts by a message of its own (through the aggregators in large fleets), and records the stage by compare-and-swap; a completion counts only once it is recorded, so two holders cannot decide differently. A host that learns of an order reads the record first and sends the new version nothing until then; one that hears nothing by the end of the order's time reads it again. The status for operators is written under a condition too. Between 0.8 and 0.9 of the order's time all requests go to the new version and the move can still be rolled back, so that a fault under the whole load is seen, and requests at the other servers end before these are stopped. A service whose other versions have had no registered server for 5 s uses the target unless it was rolled back; a host that is cut off from the store does after a failed connection. An order of servers for which a zone had no room, as at the end of a move, is repeated when others have left.

The tests of the move's end expect what they did, at the new times: all requests at 0.8 of the time, the decision at 0.9.

--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -158,6 +158,8 @@
   void RecordPromptDemand();
   void TryNextServer();
   std::optional<RegisteredServer> SelectServer();
+  std::vector<ServerCandidate> CandidatesOf(const std::vector<const RegisteredServer*>& aServers,
+                                            Instant aNow);
   bool UseLimits(std::vector<ServerCandidate>& aCandidates);
   double MoreUrgentShare() const;
   int Priority() const;
@@ -235,6 +237,8 @@
   EventLoop::TimerId mSilenceTimer = 0;
   std::optional<Attempt> mAttempt;
   std::set<BackendServerId> mTriedServers;
+  // Whether a server could not be connected to.
+  bool mFoundUnreachable = false;
   // Number of ended attempts in which the server may have run the request, and of all dispatches.
   int mPossibleRuns = 0;
   int mDispatches = 0;
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -36,6 +36,9 @@
 // Retry-After value if this host may use none of the service's servers because of their limits, as
 // other hosts may.
 constexpr Milliseconds kRetryAfterNoPermit{ 500 };
+// The servers are confirmed to be the registered ones at least this often by a host that is in
+// touch with the store or with another host that is.
+constexpr Milliseconds kMaxRegistryAge{ 8'000 };
 // A stream is considered silent after this multiple of the event gap goal.
 constexpr int kSilenceGapFactor = 4;
 
@@ -47,6 +50,54 @@
   return mState.mServerStatuses[aServer];
 }
 
+// Returns those of the servers that accept requests and were not tried yet, of the versions that
+// this request may use.
+std::vector<ServerCandidate>
+Exchange::CandidatesOf(const std::vector<const RegisteredServer*>& aServers, Instant aNow)
+{
+  const PrefillTimes* prefillTimes = FindCacheHints(mState.mCacheHints, mCacheKey);
+  const auto candidatesIf = [&](const auto& aHasVersion) {
+    std::vector<ServerCandidate> candidates;
+    for (const RegisteredServer* server : aServers) {
+      if (!AcceptsRequests(*server, StatusOfServer(server->mId)) ||
+          mTriedServers.contains(server->mId) || !aHasVersion(*server)) {
+        continue;
+      }
+      candidates.push_back(
+        { .mServer = server,
+          .mServerStatus = &StatusOfServer(server->mId),
+          .mHoldsCache = IsLikelyCached(prefillTimes, server->mId, aNow),
+          .mAvoided = server->mRemovalUnconfirmed ||
+                      !HasPassed(mState.mZones[server->mZone].mAvoidUntil, aNow) });
+    }
+    return candidates;
+  };
+  const auto steering = mState.mView->mSteering.find(mService);
+  if (steering == mState.mView->mSteering.end()) {
+    return candidatesIf([](const RegisteredServer& /*aServer*/) { return true; });
+  }
+  const auto isTarget = [&steering](const RegisteredServer& aServer) {
+    return aServer.mVersion == steering->second.mTarget;
+  };
+  const double share = steering->second.mTargetShare;
+  // A host that cannot follow the registered servers is not told either that the other versions
+  // were stopped.
+  const bool isCutOff = aNow - mState.mView->mServersConfirmedAt > kMaxRegistryAge;
+  const bool usesTarget = std::generate_canonical<double, 32>(mState.mRandom) < share ||
+                          (share > 0 && mFoundUnreachable && isCutOff);
+  std::vector<ServerCandidate> candidates =
+    candidatesIf([&](const RegisteredServer& aServer) { return isTarget(aServer) == usesTarget; });
+  if (!candidates.empty()) {
+    return candidates;
+  }
+  const bool hasTarget =
+    std::ranges::any_of(aServers, [&](const auto* aServer) { return isTarget(*aServer); });
+  if (usesTarget && (share < 1 || !hasTarget)) {
+    return candidatesIf([&](const RegisteredServer& aServer) { return !isTarget(aServer); });
+  }
+  return candidates;
+}
+
 std::optional<RegisteredServer>
 Exchange::SelectServer()
 {
@@ -55,24 +106,7 @@
     return std::nullopt;
   }
   const Instant now = SuspendAwareNow();
-  const auto steering = mState.mView->mSteering.find(mService);
-  const bool hasSteering = steering != mState.mView->mSteering.end();
-  const bool useTarget = hasSteering && std::generate_canonical<double, 32>(mState.mRandom) <
-                                          steering->second.mTargetShare;
-  const PrefillTimes* prefillTimes = FindCacheHints(mState.mCacheHints, mCacheKey);
-  std::vector<ServerCandidate> candidates;
-  for (const RegisteredServer* server : found->second) {
-    const bool isTarget = hasSteering && server->mVersion == steering->second.mTarget;
-    if (!AcceptsRequests(*server, StatusOfServer(server->mId)) ||
-        mTriedServers.contains(server->mId) || isTarget != useTarget) {
-      continue;
-    }
-    candidates.push_back({ .mServer = server,
-                           .mServerStatus = &StatusOfServer(server->mId),
-                           .mHoldsCache = IsLikelyCached(prefillTimes, server->mId, now),
-                           .mAvoided = server->mRemovalUnconfirmed ||
-                                       !HasPassed(mState.mZones[server->mZone].mAvoidUntil, now) });
-  }
+  std::vector<ServerCandidate> candidates = CandidatesOf(found->second, now);
   if (!UseLimits(candidates)) {
     return std::nullopt;
   }
@@ -444,6 +478,7 @@
 void
 Exchange::OnAttemptFailed(AttemptFailure aFailure)
 {
+  mFoundUnreachable = mFoundUnreachable || aFailure == AttemptFailure::kConnectFailed;
   mState.mMetrics.Add(Counter::kAttemptsFailed, 1);
   mState.mMetrics.IncrementLabelled(LabelledCounter::kAttemptEnds,
                                     NameOf(kAttemptFailureNames, aFailure));
--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -2,8 +2,8 @@
 
 #include "trefoil/base/digest.h"
 #include "trefoil/duty/holder_record.h"
+#include "trefoil/steering/internal/move_calls.h"
 #include "trefoil/steering/internal/store_updates.h"
-#include "trefoil/steering/route_counters.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -424,74 +424,8 @@
   }
 }
 
-void
-RunVersionMoves(SteeringState& aState)
-{
-  const Instant now = SuspendAwareNow();
-  for (auto& [service, move] : aState.mMoves.mMoves) {
-    if (EvaluateMove(move, SumOutcomes(aState, service), now)) {
-      aState.mLog.Write(LogSeverity::kNotable,
-                        LogEvent::kVersionMove,
-                        "service={} target={} state={}",
-                        service.Value(),
-                        move.mOrder.mTarget.Value(),
-                        NameOf(kVersionMoveStateNames, move.mState));
-    }
-    if (move.mWrittenState == move.mState || !HasPassed(move.mNextWriteAt, now)) {
-      continue;
-    }
-    move.mNextWriteAt = now + kStoreCallTimeout;
-    aState.mStore.Call(Commit{ .mWrites = { aState.mOptions.mCodec.mEncodeVersionStatus(
-                                 move.mOrder, move.mState) } },
-                       now + kStoreCallTimeout,
-                       [&aState, name = service, state = move.mState](const StoreAnswer& aAnswer) {
-                         if (aAnswer.mOutcome == StoreOutcome::kDone) {
-                           aState.mMoves.mMoves[name].mWrittenState = state;
-                         }
-                       });
-  }
-}
-
 } // namespace
 
-std::map<VersionId, VersionOutcomes>
-SumOutcomes(const SteeringState& aState, const ServiceId& aService)
-{
-  std::map<VersionId, VersionOutcomes> sums;
-  const auto own = aState.mReport.mOutcomes.find(aService);
-  if (own != aState.mReport.mOutcomes.end()) {
-    sums = own->second;
-  }
-  for (const auto& [key, total] : CountersOfOthers(aState.mPeers, aState.mAggregation)) {
-    AddRouteTotal(sums, aService, key, total);
-    if (key.mVersion.empty() || key.mSubject != aService.Value()) {
-      continue;
-    }
-    VersionOutcomes& sum = sums[VersionId{ key.mVersion }];
-    switch (key.mKind) {
-      case CounterKind::kServed:
-        sum.mServed += static_cast<std::int64_t>(total);
-        break;
-      case CounterKind::kFailed:
-        sum.mFailed += static_cast<std::int64_t>(total);
-        break;
-      case CounterKind::kLatencyMs:
-        sum.mLatencyMs += static_cast<double>(total);
-        break;
-      case CounterKind::kQuotaUsed:
-      case CounterKind::kQuotaAsked:
-      case CounterKind::kPromptTokens:
-      case CounterKind::kPrefillTokens:
-      case CounterKind::kPrefillMs:
-      case CounterKind::kBusyMs:
-      case CounterKind::kRouteServed:
-      case CounterKind::kRouteSpentMs:
-        break;
-    }
-  }
-  return sums;
-}
-
 void
 CampaignForDuties(SteeringState& aState)
 {
@@ -534,10 +468,10 @@
 {
   UpdateHoldsDuties(aState);
   RewriteLostUsage(aState);
-  if (!aState.mCloud.has_value() || aState.mLeaving) {
-    return;
-  }
-  if (!MayAct(aState.mDuties, kFleetDuty, SuspendAwareNow(), kDutyCallTimeout)) {
+  const bool mayAct = aState.mCloud.has_value() && !aState.mLeaving &&
+                      MayAct(aState.mDuties, kFleetDuty, SuspendAwareNow(), kDutyCallTimeout);
+  RunVersionMoves(aState, mayAct);
+  if (!mayAct) {
     return;
   }
   if (aState.mOptions.mReportsUsage) {
@@ -546,7 +480,6 @@
   if (aState.mOptions.mOrdersServers) {
     RunScaling(aState);
   }
-  RunVersionMoves(aState);
 }
 
 } // namespace trefoil
--- a/trefoil/steering/internal/duties.h
+++ b/trefoil/steering/internal/duties.h
@@ -22,10 +22,6 @@
 void
 OnHolderSeen(SteeringState& aState);
 
-// Returns the outcomes of each version of a service, summed over all hosts.
-std::map<VersionId, VersionOutcomes>
-SumOutcomes(const SteeringState& aState, const ServiceId& aService);
-
 // Performs what is due if this host holds the duties; otherwise only updates that status.
 // Called after each traffic report and after some answers of the store.
 void
--- /dev/null
+++ b/trefoil/steering/internal/move_messages.cc
@@ -0,0 +1,137 @@
+#include "trefoil/steering/internal/move_messages.h"
+
+#include "trefoil/steering/internal/datagrams.h"
+#include "trefoil/steering/internal/store_updates.h"
+#include "trefoil/wire/codec.h"
+
+#include <set>
+
+namespace trefoil {
+namespace {
+
+// How long a decision is told with each update, and how often afterwards.
+constexpr Milliseconds kNewsTime{ 10'000 };
+constexpr Milliseconds kReminderInterval{ 5'000 };
+
+ToldMoveStage
+ToldStageOf(MoveStage aStage)
+{
+  switch (aStage) {
+    case MoveStage::kTrial:
+      break;
+    case MoveStage::kSwitching:
+      return ToldMoveStage::kSwitching;
+    case MoveStage::kRolledBack:
+      return ToldMoveStage::kRolledBack;
+    case MoveStage::kCompleted:
+      return ToldMoveStage::kCompleted;
+  }
+  return ToldMoveStage::kTrial;
+}
+
+MoveStage
+StageOf(ToldMoveStage aStage)
+{
+  switch (aStage) {
+    case ToldMoveStage::kTrial:
+      break;
+    case ToldMoveStage::kSwitching:
+      return MoveStage::kSwitching;
+    case ToldMoveStage::kRolledBack:
+      return MoveStage::kRolledBack;
+    case ToldMoveStage::kCompleted:
+      return MoveStage::kCompleted;
+  }
+  return MoveStage::kTrial;
+}
+
+// Returns the hosts to which decisions are told: all others or, in a fleet with aggregators, those
+// next on the way from the aggregators of this zone to those of the others and to their hosts.
+std::set<Endpoint>
+Recipients(const SteeringState& aState, Instant aNow)
+{
+  std::set<Endpoint> endpoints;
+  if (!UsesAggregation(aState.mPeers)) {
+    for (const auto& [endpoint, recipient] : TrafficUpdateRecipients(aState.mPeers, aNow)) {
+      endpoints.insert(endpoint);
+    }
+    return endpoints;
+  }
+  RelayRecipients recipients = RelayRecipientsOf(aState.mPeers, aState.mAggregation, aNow);
+  if (!recipients.mIsAggregator) {
+    return recipients.mAggregators;
+  }
+  endpoints = std::move(recipients.mMembers);
+  endpoints.merge(recipients.mOtherZones);
+  endpoints.merge(recipients.mAggregators);
+  return endpoints;
+}
+
+void
+TellMoveDecisions(SteeringState& aState, Instant aNow)
+{
+  aState.mDecisionsToldAt = aNow;
+  MoveDecisionMessage message{ .mHost = aState.mOptions.mHost };
+  for (const MoveDecision& decision : DecisionsToTell(aState.mMoves)) {
+    message.mEntries.push_back({ .mService = decision.mOrder.mService,
+                                 .mTarget = decision.mOrder.mTarget,
+                                 .mTimeLimitMilliseconds = decision.mOrder.mTimeLimit.count(),
+                                 .mOrderRevision = decision.mRevision,
+                                 .mStage = ToldStageOf(decision.mStage) });
+  }
+  if (message.mEntries.empty()) {
+    return;
+  }
+  const std::string bytes = Encode(message);
+  for (const Endpoint& to : Recipients(aState, aNow)) {
+    SendBytes(aState, to, bytes);
+  }
+}
+
+} // namespace
+
+void
+SendMoveDecisions(SteeringState& aState)
+{
+  const Instant now = SuspendAwareNow();
+  const bool isNews = !HasPassed(aState.mDecisionsChangedAt + kNewsTime, now);
+  if (isNews || HasPassed(aState.mDecisionsToldAt + kReminderInterval, now)) {
+    TellMoveDecisions(aState, now);
+  }
+}
+
+void
+OnMoveStageChanged(SteeringState& aState, const ServiceId& aService, std::string_view aSource)
+{
+  const VersionMove& move = aState.mMoves.mMoves.at(aService);
+  const Instant now = SuspendAwareNow();
+  aState.mLog.Write(LogSeverity::kNotable,
+                    LogEvent::kVersionMove,
+                    "service={} target={} state={} source={} ms={}",
+                    aService.Value(),
+                    move.mOrder.mTarget.Value(),
+                    NameOf(kMoveStageNames, move.mStage),
+                    aSource,
+                    (now - move.mSeenAt) / Milliseconds{ 1 });
+  aState.mDecisionsChangedAt = now;
+  PublishView(aState);
+  TellMoveDecisions(aState, now);
+}
+
+void
+OnMoveDecisionMessage(SteeringState& aState, const MoveDecisionMessage& aMessage)
+{
+  for (const MoveDecisionEntry& entry : aMessage.mEntries) {
+    const MoveDecision decision{ .mOrder = { .mService = entry.mService,
+                                             .mTarget = entry.mTarget,
+                                             .mTimeLimit =
+                                               Milliseconds{ entry.mTimeLimitMilliseconds } },
+                                 .mRevision = entry.mOrderRevision,
+                                 .mStage = StageOf(entry.mStage) };
+    if (ApplyDecision(aState.mMoves, decision, SuspendAwareNow())) {
+      OnMoveStageChanged(aState, entry.mService, "told");
+    }
+  }
+}
+
+} // namespace trefoil
--- a/trefoil/steering/internal/peer_messages.cc
+++ b/trefoil/steering/internal/peer_messages.cc
@@ -3,6 +3,7 @@
 #include "trefoil/steering/internal/aggregation_messages.h"
 #include "trefoil/steering/internal/datagrams.h"
 #include "trefoil/steering/internal/duties.h"
+#include "trefoil/steering/internal/move_messages.h"
 #include "trefoil/steering/internal/server_limit_messages.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
 #include "trefoil/steering/route_counters.h"
@@ -148,6 +149,8 @@
     aState.mTraffic.ApplyCrashEvidence(ToCrashEvidence(*crashes, SuspendAwareNow()));
   } else if (const auto* limits = std::get_if<ServerLimitMessage>(&*message)) {
     OnServerLimitMessage(aState, *limits);
+  } else if (const auto* decisions = std::get_if<MoveDecisionMessage>(&*message)) {
+    OnMoveDecisionMessage(aState, *decisions);
   } else {
     aState.mLog.Write(LogSeverity::kNotable,
                       LogEvent::kInputRejected,
@@ -203,6 +206,7 @@
   // quotas depend on these.
   SendCrashEvidence(aState, aState.mReport.mCrashes, true);
   SendServerLimits(aState, aState.mReport.mLimits);
+  SendMoveDecisions(aState);
 }
 
 void
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -3,6 +3,7 @@
 #include "trefoil/base/store_revision.h"
 #include "trefoil/steering/host_entry.h"
 #include "trefoil/steering/internal/duties.h"
+#include "trefoil/steering/internal/move_calls.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
 #include "trefoil/steering/quota_record.h"
 #include "trefoil/steering/refusal_record.h"
@@ -577,7 +578,8 @@
   aState.mView.mClockCorrection = status.mClockCorrection;
   aState.mView.mQuotaShare =
     std::min(1.0, static_cast<double>(status.mReachableHosts) / status.mHosts);
-  aState.mView.mSteering = SteeringOf(aState.mMoves);
+  ObserveVersions(aState.mMoves, aState.mServers, now);
+  aState.mView.mSteering = SteeringOf(aState.mMoves, now);
   aState.mTraffic.Publish(std::make_shared<const TrafficView>(aState.mView));
 }
 
--- a/trefoil/steering/scaling.cc
+++ b/trefoil/steering/scaling.cc
@@ -98,6 +98,17 @@
   return std::max(1.0, servers == 0 ? 0.0 : slots / servers);
 }
 
+// Returns the servers of the service that occupy room in the zone, draining ones included.
+int
+CountServersInZone(const ServerRegistry& aServers,
+                   const ServiceId& aService,
+                   const AvailabilityZoneId& aZone)
+{
+  return static_cast<int>(std::ranges::count_if(aServers.mServers, [&](const auto& aItem) {
+    return aItem.second.mService == aService && aItem.second.mZone == aZone;
+  }));
+}
+
 int
 MinOnDemand(const ScalingBounds& aBounds)
 {
@@ -260,10 +271,11 @@
           // The running servers were ordered by an earlier holder or by the platform itself.
           state.mAcceptedCount = CountReadyServers(*aInputs.mServers, name, &zone, reclaimable);
         }
+        const int ready = CountReadyServers(*aInputs.mServers, name, &zone, reclaimable);
+        const Milliseconds patience =
+          state.mLacksRoom ? kOrderRetryDelay : service.mScaling->mBootTime + kBootMargin;
         const bool serversMissing =
-          state.mAcceptedCount == desired &&
-          aNow - state.mAcceptedAt > service.mScaling->mBootTime + kBootMargin &&
-          CountReadyServers(*aInputs.mServers, name, &zone, reclaimable) < desired;
+          state.mAcceptedCount == desired && aNow - state.mAcceptedAt > patience && ready < desired;
         if (desired >= state.mAcceptedCount) {
           state.mSurplusSince = aNow;
         }
@@ -279,6 +291,8 @@
           continue;
         }
         state.mNextOrderAt = aNow + kOrderRetryDelay;
+        state.mLacksRoom = CountServersInZone(*aInputs.mServers, name, zone) + desired - ready >
+                           service.mScaling->mMax;
         orders.push_back(
           { .mService = name, .mZone = zone, .mCount = desired, .mReclaimable = reclaimable });
       }
--- a/trefoil/steering/scaling.h
+++ b/trefoil/steering/scaling.h
@@ -71,6 +71,9 @@
   // The count of the last order that the platform accepted; -1 before the first one.
   int mAcceptedCount = -1;
   Instant mAcceptedAt;
+  // Whether the zone had no room for all the servers of the last order, since others were still
+  // running there. It is repeated until they have left.
+  bool mLacksRoom = false;
   // The earliest time of the next order.
   Instant mNextOrderAt;
   // Since when fewer servers have been needed than mAcceptedCount.
--- a/trefoil/steering/scaling_test.cc
+++ b/trefoil/steering/scaling_test.cc
@@ -124,6 +124,34 @@
   }
 }
 
+SCENARIO("a zone has no room for all the servers of an order")
+{
+  const Catalogue catalogue = MakeCatalogue();
+  ServerRegistry servers;
+  const ScalingInputs inputs{ &catalogue, &servers, { kZoneA, kZoneB } };
+  ScalingState scaling;
+  ResetScaling(scaling, kStart);
+  AddServers(servers, kZoneA, false, 7);
+  AddServers(servers, kZoneB, false, 1);
+  const auto at = [](int aSeconds) { return kStart + std::chrono::seconds{ aSeconds }; };
+  DueOrders(scaling, inputs, at(3));
+  for (const ServerOrder& order : DueOrders(scaling, inputs, at(4))) {
+    OnOrderAnswered(scaling, order, true, at(4));
+  }
+  WHEN("the other servers have left it")
+  {
+    for (int i = 4; i < 7; ++i) {
+      DeregisterServer(servers, BackendServerId{ fmt::format("a-false-{}", i) }, 2);
+    }
+    const auto orders = DueOrders(scaling, inputs, at(7));
+    THEN("the order is repeated at once, and that of a zone with room after its boot time")
+    {
+      CHECK(OrderedCount(orders, kZoneA, true) > 0);
+      CHECK(OrderedCount(orders, kZoneB, true) == -1);
+    }
+  }
+}
+
 SCENARIO("many servers take long to register")
 {
   const Catalogue catalogue = MakeCatalogue();
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -95,5 +95,8 @@
   VersionMoves mMoves;
   std::mt19937_64 mRandom;
 };
+  // When the stage of a move last changed, and when the stages were last told to the other hosts.
+  Instant mDecisionsChangedAt;
+  Instant mDecisionsToldAt;
 
 } // namespace trefoil
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -15,6 +15,7 @@
 #include "trefoil/wire/dispatch_message.h"
 #include "trefoil/wire/gossip_message.h"
 #include "trefoil/wire/health_message.h"
+#include "trefoil/wire/move_decision_message.h"
 #include "trefoil/wire/move_message.h"
 #include "trefoil/wire/server_limit_message.h"
 #include "trefoil/wire/store_relay_message.h"
@@ -56,7 +57,8 @@
                              UsageUpdate,
                              RelayedDispatches,
                              CrashEvidenceMessage,
-                             ServerLimitMessage>;
+                             ServerLimitMessage,
+                             MoveDecisionMessage>;
 
 // A message and its destination.
 struct Datagram
