Know each own claim on a duty again, however late it is written

Cause: each write of a claim had a nonce of its own. The first write got no answer and was executed 1.5 s later; by then the host had drawn another nonce, took its own claim for another host's, waited for that holder and renewed the lease on which the claim hangs. The class: a write without an answer that is judged later by what the key holds.

Evidence: the scenario "a claim that got no answer is written late" has the sequence step by step. The simulation of three hosts writes claims up to 6 s late.

Ruled out: one nonce for the process. It would not tell a claim under an ended lease, whose key goes with that lease, from one under the present lease.

Change: the nonce belongs to the lease. A claim that may still be written when a host stops to campaign, as in trefoild, is kept and read until it cannot be, and held if it appears: no key hangs on a lease that is renewed for nobody. Other writes of the class: the records of quotas and refusals had no condition, so that one written late could replace a later one; they have the revision that their writer saw last.

--- a/trefoil/duty/duty.cc
+++ b/trefoil/duty/duty.cc
@@ -11,6 +11,8 @@
 constexpr Milliseconds kCallTimeout{ 1'500 };
 // The additional delay of each rank, so that candidates write their claims one after the other.
 constexpr Milliseconds kRankDelay{ 500 };
+// The store executes a write that got no answer within seconds or not at all.
+constexpr Milliseconds kMaxWriteDelay{ 30'000 };
 // The upper bound of the random delay that is added to each attempt.
 constexpr std::uint64_t kMaxJitterMilliseconds = 250;
 
@@ -99,7 +101,7 @@
     return;
   }
   aClaim.mPhase = DutyClaimPhase::kWriting;
-  aClaim.mNonce = NextRandom(aState.mRandomState);
+  aClaim.mNonce = aState.mLease.mNonce;
   aClaim.mLease = aState.mLease.mLease;
   aEffects.emplace_back(
     WriteDutyClaim{ .mService = aService,
@@ -108,6 +110,14 @@
                     .mLease = aClaim.mLease });
 }
 
+// Returns whether a write of the claim may take effect later, so that its key hangs on this host's
+// lease.
+bool
+MayBeWrittenLate(const DutyClaim& aClaim, Instant aNow)
+{
+  return aClaim.mPhase == DutyClaimPhase::kWriting || !HasPassed(aClaim.mLateWritesEndAt, aNow);
+}
+
 // Handles the timer of one claim.
 void
 OnClaimTimer(DutyState& aState,
@@ -122,8 +132,12 @@
   if (aClaim.mPhase == DutyClaimPhase::kWriting) {
     // The write has timed out and may have taken effect, so the key is read.
     aClaim.mPhase = DutyClaimPhase::kReading;
+    aClaim.mLateWritesEndAt = aNow + kMaxWriteDelay;
     ++aClaim.mFailures;
   }
+  if (aClaim.mIsStopped && aClaim.mPhase == DutyClaimPhase::kWaiting) {
+    aClaim.mPhase = DutyClaimPhase::kReading;
+  }
   if (IsLeaseValid(aState.mLease, aNow)) {
     StartClaimCall(aState, aService, aClaim, aEffects, aNow);
   } else {
@@ -139,6 +153,8 @@
   aState.mLease.mPendingCall = LeaseCall::kNone;
   aState.mLease.mLeaseTimerAt = aNow;
   for (auto& [service, claim] : aState.mClaims) {
+    // The store refuses writes under a lease that has ended.
+    claim.mLateWritesEndAt = {};
     if (claim.mPhase == DutyClaimPhase::kHeld) {
       claim.mPhase = DutyClaimPhase::kWaiting;
       claim.mFencing = 0;
@@ -159,6 +175,11 @@
       StartLeaseCall(aState, effects, aNow);
     }
   }
+  std::erase_if(aState.mClaims, [aNow](const auto& aItem) {
+    const DutyClaim& claim = aItem.second;
+    return claim.mIsStopped && claim.mPhase != DutyClaimPhase::kHeld &&
+           !MayBeWrittenLate(claim, aNow);
+  });
   for (auto& [service, claim] : aState.mClaims) {
     OnClaimTimer(aState, service, claim, effects, aNow);
   }
@@ -176,6 +197,7 @@
 {
   const auto [entry, added] = aState.mClaims.try_emplace(aEvent.mService);
   entry->second.mRank = aEvent.mRank;
+  entry->second.mIsStopped = false;
   if (added) {
     entry->second.mClaimTimerAt = aNow + kRankDelay * aEvent.mRank + ClaimJitter(aState);
   }
@@ -183,12 +205,17 @@
 }
 
 DutyEffects
-On(DutyState& aState, const DutyCampaignStopped& aEvent, Instant)
+On(DutyState& aState, const DutyCampaignStopped& aEvent, Instant aNow)
 {
   // A held duty remains held until the lease ends, because its key is deleted only with the
   // lease.
   const auto found = aState.mClaims.find(aEvent.mService);
-  if (found != aState.mClaims.end() && found->second.mPhase != DutyClaimPhase::kHeld) {
+  if (found == aState.mClaims.end() || found->second.mPhase == DutyClaimPhase::kHeld) {
+    return {};
+  }
+  if (MayBeWrittenLate(found->second, aNow)) {
+    found->second.mIsStopped = true;
+  } else {
     aState.mClaims.erase(found);
   }
   return {};
@@ -224,7 +251,10 @@
     return {};
   }
   lease.mPendingCall = LeaseCall::kNone;
-  lease.mLease = aEvent.mLease;
+  if (lease.mLease != aEvent.mLease) {
+    lease.mLease = aEvent.mLease;
+    lease.mNonce = NextRandom(aState.mRandomState);
+  }
   lease.mFailures = 0;
   lease.mValidUntil = lease.mCallSentAt + kHostLeaseDuration - kLeaseSafetyMargin;
   lease.mLeaseTimerAt = lease.mCallSentAt + kRenewInterval;
@@ -277,6 +307,7 @@
 AcquireDuty(const DutyState& aState, DutyClaim& aClaim, std::uint64_t aRevision, Instant aNow)
 {
   aClaim.mFailures = 0;
+  aClaim.mIsStopped = false;
   if (aClaim.mLease != aState.mLease.mLease) {
     // The claim was written under a lease that has ended, and its key was deleted with that
     // lease.
@@ -299,6 +330,9 @@
     return {};
   }
   DutyClaim& claim = found->second;
+  if (claim.mPhase == DutyClaimPhase::kWriting && aEvent.mResult == DutyClaimResult::kUnknown) {
+    claim.mLateWritesEndAt = aNow + kMaxWriteDelay;
+  }
   const bool own = aEvent.mRecord.mHost == aState.mOptions.mHost &&
                    aEvent.mRecord.mNonce == claim.mNonce && aEvent.mRevision != 0;
   if (own && aEvent.mResult != DutyClaimResult::kUnknown &&
--- a/trefoil/duty/duty.h
+++ b/trefoil/duty/duty.h
@@ -8,7 +8,9 @@
 //   }
 //
 // A host has one lease in the store for all its duties. It holds a duty by a key that is
-// attached to the lease and is deleted with it; the revision of the key is the fencing number.
+// attached to the lease and is deleted with it; the revision of the key is the fencing number. A
+// claim that gets no answer can be written seconds later. The host knows it by its nonce, and
+// holds the duty then.
 // The lease's validity is counted from before the call that granted or renewed it was sent, so
 // that it ends here before it ends in the store. Plain data and pure functions: the caller
 // executes the effects, and calls MayAct with the current time just before each action.
@@ -45,7 +47,8 @@
 struct HolderRecord
 {
   HostId mHost;
-  // Distinguishes the claims that one host has written at different times.
+  // Distinguishes the leases under which one host has written claims. All writes under one lease
+  // have the same nonce, so that the host knows each of them again, however late it is executed.
   std::uint64_t mNonce = 0;
 };
 
@@ -61,6 +64,8 @@
 {
   // ID of the lease; 0 if there is none.
   std::uint64_t mLease = 0;
+  // Of the claims that are written under the lease.
+  std::uint64_t mNonce = 0;
   // The host does not act under the lease from this time on.
   Instant mValidUntil;
   // When the pending call times out or, if there is none, when the next call starts.
@@ -77,8 +82,7 @@
   // Another host holds the duty, or this host writes its claim at mClaimTimerAt.
   kWaiting,
   kWriting,
-  // The result of the write is unknown: the key is read to check whether it has this claim's
-  // nonce.
+  // The result of a write is unknown: the key is read to check whether it has this claim's nonce.
   kReading,
   kHeld,
 };
@@ -108,6 +112,10 @@
   Instant mMayActFrom;
   // Consecutive failed writes and reads.
   int mFailures = 0;
+  // Until when a write that got no answer may still be executed.
+  Instant mLateWritesEndAt;
+  // Whether the host has stopped to campaign, and only reads whether a late write was executed.
+  bool mIsStopped = false;
 };
 
 struct DutyState
@@ -129,7 +137,9 @@
   int mRank = 0;
 };
 
-// The host no longer campaigns for the duty. A duty that it holds remains held.
+// The host no longer campaigns for the duty. A duty that it holds remains held, and one that it
+// comes to hold by a late write is held: its key is renewed with the host's lease, so that nobody
+// else can hold it.
 struct DutyCampaignStopped
 {
   ServiceId mService;
--- a/trefoil/duty/duty_test.cc
+++ b/trefoil/duty/duty_test.cc
@@ -100,6 +100,123 @@
   }
 }
 
+// Guards against a claim that is written late and taken for another host's by its own host, which
+// renews its lease for ever (EXPOSURE).
+SCENARIO("a claim that got no answer is written late")
+{
+  DutyState duties = MakeDutyState({ .mHost = HostId{ "h1" }, .mRandomSeed = 1 }, kStart);
+  const WriteDutyClaim first = StartClaimWrite(duties);
+  Instant now = kStart + Milliseconds{ 300 };
+  const auto complete = [&duties, &now](std::uint64_t aCallNumber,
+                                        DutyClaimResult aResult,
+                                        const HolderRecord& aRecord = {}) {
+    Step(duties,
+         DutyClaimCompleted{ .mService = kService,
+                             .mCallNumber = aCallNumber,
+                             .mResult = aResult,
+                             .mRecord = aRecord,
+                             .mRevision = aResult == DutyClaimResult::kTaken ? 41U : 0U },
+         now);
+  };
+  // Lets the time pass until the host makes another call for its claim, and returns that call.
+  const auto nextClaimCall = [&duties, &now]() -> DutyEffect {
+    for (int step = 0; step < 4'000; ++step) {
+      now += Milliseconds{ 10 };
+      for (const DutyEffect& effect : Step(duties, DutyTimerFired{}, now)) {
+        if (const auto* renewal = std::get_if<RenewLease>(&effect)) {
+          Step(duties,
+               LeaseCallSucceeded{ .mCallNumber = renewal->mCallNumber, .mLease = renewal->mLease },
+               now);
+        } else if (!std::holds_alternative<GrantLease>(effect)) {
+          return effect;
+        }
+      }
+    }
+    FAIL("the host makes no further call for its claim");
+    return ReadDutyClaim{};
+  };
+  complete(first.mCallNumber, DutyClaimResult::kUnknown);
+  const auto read = std::get<ReadDutyClaim>(nextClaimCall());
+  complete(read.mCallNumber, DutyClaimResult::kFree);
+  WHEN("it is written between the read and the next attempt")
+  {
+    const auto second = std::get<WriteDutyClaim>(nextClaimCall());
+    complete(second.mCallNumber, DutyClaimResult::kTaken, first.mRecord);
+    THEN("the host knows it for its own, and holds the duty")
+    {
+      CHECK(HoldsDuty(duties, kService, now));
+      CHECK(FencingNumber(duties, kService) == 41);
+    }
+  }
+  WHEN("the next attempt gets no answer either, and the first is written after that")
+  {
+    const auto second = std::get<WriteDutyClaim>(nextClaimCall());
+    complete(second.mCallNumber, DutyClaimResult::kUnknown);
+    const auto secondRead = std::get<ReadDutyClaim>(nextClaimCall());
+    complete(secondRead.mCallNumber, DutyClaimResult::kFree);
+    const auto third = std::get<WriteDutyClaim>(nextClaimCall());
+    complete(third.mCallNumber, DutyClaimResult::kTaken, first.mRecord);
+    THEN("the host knows it for its own, and holds the duty")
+    {
+      CHECK(HoldsDuty(duties, kService, now));
+    }
+  }
+  WHEN("the host has been started anew under its name")
+  {
+    DutyState restarted = MakeDutyState({ .mHost = HostId{ "h1" }, .mRandomSeed = 9 }, kStart);
+    const auto campaign = Step(restarted, DutyCampaignStarted{ .mService = kService }, kStart);
+    const auto grant = std::get<GrantLease>(campaign.at(0));
+    Step(restarted, LeaseCallSucceeded{ .mCallNumber = grant.mCallNumber, .mLease = 6 }, kStart);
+    const auto claim = std::get<WriteDutyClaim>(
+      Step(restarted, DutyTimerFired{}, kStart + Milliseconds{ 300 }).at(0));
+    Step(restarted,
+         DutyClaimCompleted{ .mService = kService,
+                             .mCallNumber = claim.mCallNumber,
+                             .mResult = DutyClaimResult::kTaken,
+                             .mRecord = first.mRecord,
+                             .mRevision = 41 },
+         kStart + Milliseconds{ 400 });
+    THEN("it does not hold the duty by a claim whose lease it does not renew")
+    {
+      CHECK_FALSE(HoldsDuty(restarted, kService, kStart + Milliseconds{ 400 }));
+      CHECK(restarted.mClaims.at(kService).mClaimTimerAt >=
+            kStart + Milliseconds{ 400 } + kHostLeaseDuration);
+    }
+  }
+  WHEN("the lease was replaced meanwhile")
+  {
+    Step(duties, LeaseLost{ .mLease = 5 }, now);
+    const Instant lost = now;
+    const auto grants = Step(duties, DutyTimerFired{}, now + Milliseconds{ 1 });
+    const std::uint64_t grant = duties.mLease.mCallNumber;
+    Step(duties, LeaseCallSucceeded{ .mCallNumber = grant, .mLease = 6 }, now);
+    const auto second = std::get<WriteDutyClaim>(nextClaimCall());
+    THEN("the claims under the two leases are different ones")
+    {
+      CHECK(grants.empty());
+      CHECK(now >= lost);
+      CHECK(second.mRecord.mNonce != first.mRecord.mNonce);
+    }
+  }
+  WHEN("the host stops to campaign before that")
+  {
+    Step(duties, DutyCampaignStopped{ .mService = kService }, now);
+    const auto secondRead = std::get<ReadDutyClaim>(nextClaimCall());
+    THEN("it holds the duty if the claim appears, instead of renewing it for nobody")
+    {
+      complete(secondRead.mCallNumber, DutyClaimResult::kTaken, first.mRecord);
+      CHECK(HoldsDuty(duties, kService, now));
+    }
+    THEN("it gives the claim up once it cannot appear any more")
+    {
+      complete(secondRead.mCallNumber, DutyClaimResult::kFree);
+      now += std::chrono::seconds{ 60 };
+      Step(duties, DutyTimerFired{}, now);
+      CHECK(duties.mClaims.empty());
+    }
+  }
+}
+
 TEST_CASE("A holder record survives a round trip through its stored form")
 {
   const HolderRecord record{ .mHost = HostId{ "h\"1" }, .mNonce = ~std::uint64_t{ 0 } };
--- a/trefoil/duty/one_holder_test.cc
+++ b/trefoil/duty/one_holder_test.cc
@@ -23,6 +23,8 @@
   kStoreOutage,
   // Calls take effect, but their replies are lost.
   kRepliesLost,
+  // Claims take effect seconds later, and their replies are lost.
+  kClaimsLate,
 };
 
 struct InjectedFault
@@ -58,6 +60,12 @@
   DutyEvent mEvent;
 };
 
+struct LateClaim
+{
+  std::int64_t mWriteAt = 0;
+  WriteDutyClaim mClaim;
+};
+
 struct DutySimulation
 {
   std::vector<InjectedFault> mFaults;
@@ -65,6 +73,7 @@
   ModelStore mStore;
   std::vector<DutyState> mHosts;
   std::vector<StoreReply> mReplies;
+  std::vector<LateClaim> mLateClaims;
   std::vector<Action> mActions;
   std::uint64_t mRandomState = 1;
   std::int64_t mTime = 0;
@@ -182,7 +191,14 @@
   for (const DutyEffect& call : aEffects) {
     const auto delay = static_cast<std::int64_t>(NextRandom(aSimulation.mRandomState) % kMaxDelay);
     DutyEvent reply = FailureOf(call);
-    if (!IsFaultActive(aSimulation, FaultKind::kStoreOutage, aHost)) {
+    const auto* claim = std::get_if<WriteDutyClaim>(&call);
+    if (claim != nullptr && IsFaultActive(aSimulation, FaultKind::kClaimsLate, aHost)) {
+      constexpr std::uint64_t kMaxLateness = 6'000;
+      const auto lateness =
+        static_cast<std::int64_t>(NextRandom(aSimulation.mRandomState) % kMaxLateness);
+      aSimulation.mLateClaims.push_back(
+        { .mWriteAt = aSimulation.mTime + lateness, .mClaim = *claim });
+    } else if (!IsFaultActive(aSimulation, FaultKind::kStoreOutage, aHost)) {
       DutyEvent handled = std::visit(
         [&aSimulation](const auto& aKind) { return HandleCall(aSimulation, aKind); }, call);
       if (!IsFaultActive(aSimulation, FaultKind::kRepliesLost, aHost)) {
@@ -249,6 +265,13 @@
   }
   for (; aSimulation.mTime < kRunMilliseconds; aSimulation.mTime += kTickMilliseconds) {
     ExpireLeases(aSimulation);
+    std::erase_if(aSimulation.mLateClaims, [&aSimulation](const LateClaim& aClaim) {
+      const bool isDue = aSimulation.mTime >= aClaim.mWriteAt;
+      if (isDue) {
+        HandleCall(aSimulation, aClaim.mClaim);
+      }
+      return isDue;
+    });
     for (int host = 0; host < kHosts; ++host) {
       RunHost(aSimulation, host);
     }
@@ -278,11 +301,13 @@
 ArbitraryFault()
 {
   return rc::gen::map(
-    rc::gen::tuple(
-      rc::gen::element(FaultKind::kFreeze, FaultKind::kStoreOutage, FaultKind::kRepliesLost),
-      rc::gen::inRange(0, kHosts),
-      rc::gen::inRange<std::int64_t>(0, kRunMilliseconds),
-      rc::gen::inRange<std::int64_t>(100, 15'000)),
+    rc::gen::tuple(rc::gen::element(FaultKind::kFreeze,
+                                    FaultKind::kStoreOutage,
+                                    FaultKind::kRepliesLost,
+                                    FaultKind::kClaimsLate),
+                   rc::gen::inRange(0, kHosts),
+                   rc::gen::inRange<std::int64_t>(0, kRunMilliseconds),
+                   rc::gen::inRange<std::int64_t>(100, 15'000)),
     [](const auto& aParts) {
       const auto& [kind, host, from, length] = aParts;
       return InjectedFault{ .mKind = kind, .mHost = host, .mFrom = from, .mUntil = from + length };
@@ -314,6 +339,27 @@
     CHECK(actions > 1000);
     CHECK(holderChanges > 10);
   }
+  // Guards against a claim that its own host takes for another's and renews for ever, so that
+  // nobody holds the duty (EXPOSURE).
+  SECTION("and one acts again some time after claims were written late")
+  {
+    const bool holds = rc::check([] {
+      constexpr std::int64_t kFaultsEndAt = 15'000;
+      DutySimulation start;
+      start.mRandomState = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+      start.mDriftPermille = { 0, 0, 0 };
+      for (int host = 0; host < kHosts; ++host) {
+        start.mFaults.push_back({ .mKind = FaultKind::kClaimsLate,
+                                  .mHost = host,
+                                  .mFrom = 0,
+                                  .mUntil = *rc::gen::inRange<std::int64_t>(0, kFaultsEndAt) });
+      }
+      const DutySimulation end = Run(start);
+      RC_ASSERT(!end.mActions.empty());
+      RC_ASSERT(end.mActions.back().mUntil >= kRunMilliseconds);
+    });
+    CHECK(holds);
+  }
   SECTION("and another host takes over the duty when its holder freezes permanently")
   {
     DutySimulation start;
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -365,6 +365,7 @@
 OnQuotaRecord(SteeringState& aState, const StoreAnswer& aAnswer)
 {
   if (aAnswer.mOutcome == StoreOutcome::kDone && !aAnswer.mItems.empty()) {
+    aState.mSharedRecordRevisions[kQuotaRecordKey] = aAnswer.mItems.front().mRevision;
     const auto record = ParseQuotaRecord(aAnswer.mItems.front().mValue);
     if (record.ok()) {
       PeerUpdate update{ .mQuotaSnapshots = *record };
@@ -388,6 +389,7 @@
   if (aAnswer.mOutcome != StoreOutcome::kDone || aAnswer.mItems.empty()) {
     return;
   }
+  aState.mSharedRecordRevisions[kRefusalRecordKey] = aAnswer.mItems.front().mRevision;
   const auto record = ParseRefusalRecord(aAnswer.mItems.front().mValue, ReadClocks(aState));
   if (!record.ok()) {
     LogRejectedInput(aState, "input=prompt_refusal_record", record.status());
@@ -410,6 +412,25 @@
   }
 }
 
+// Keeps the revisions of the shared records for the next write. A failed write needs no retry: the
+// next record follows.
+void
+OnSharedRecordsWritten(SteeringState& aState,
+                       const std::vector<std::string>& aKeys,
+                       const StoreAnswer& aAnswer)
+{
+  if (aAnswer.mOutcome != StoreOutcome::kDone && aAnswer.mOutcome != StoreOutcome::kConflict) {
+    return;
+  }
+  const bool isWritten = aAnswer.mOutcome == StoreOutcome::kDone;
+  for (const std::string& key : aKeys) {
+    aState.mSharedRecordRevisions[key] = isWritten ? aAnswer.mRevision : 0;
+  }
+  for (const StoreItem& item : aAnswer.mItems) {
+    aState.mSharedRecordRevisions[item.mKey] = item.mRevision;
+  }
+}
+
 } // namespace
 
 void
@@ -455,10 +476,17 @@
   if (commit.mWrites.empty()) {
     return;
   }
-  aState.mStore.Call(std::move(commit),
-                     now + kStoreCallTimeout,
-                     // A failed write needs no retry: the next record follows.
-                     [](const StoreAnswer& /*aAnswer*/) {});
+  // A write that is executed late must not replace a later record.
+  std::vector<std::string> keys;
+  for (const KeyWrite& write : commit.mWrites) {
+    commit.mExpected.push_back(
+      { .mKey = write.mKey, .mRevision = aState.mSharedRecordRevisions[write.mKey] });
+    keys.push_back(write.mKey);
+  }
+  aState.mStore.Call(
+    std::move(commit), now + kStoreCallTimeout, [&aState, keys](const StoreAnswer& aAnswer) {
+      OnSharedRecordsWritten(aState, keys, aAnswer);
+    });
 }
 
 void
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -74,6 +74,8 @@
   // Whether the next slice of totals is scheduled.
   bool mSendsTotals = false;
   Instant mRecordsWrittenAt;
+  // The revisions of the shared records' keys, 0 for keys that do not exist as far as is known.
+  std::map<std::string, std::int64_t> mSharedRecordRevisions;
   // Whether the record of refused parts of prompts, as this host read or would have written it
   // last, has any.
   bool mHasRefusals = false;
@@ -93,10 +95,10 @@
   UsageDuty mUsage;
   ScalingState mScaling;
   VersionMoves mMoves;
-  std::mt19937_64 mRandom;
-};
   // When the stage of a move last changed, and when the stages were last told to the other hosts.
   Instant mDecisionsChangedAt;
   Instant mDecisionsToldAt;
+  std::mt19937_64 mRandom;
+};
 
 } // namespace trefoil
