Go on serving when no descriptor is left

Cause: the library's poll opens an epoll descriptor for each call and throws when none is left; in Accept it stood outside the try block. Besides, connections to servers in use did not count toward the limit of connections, so that new clients were accepted beyond it.

Evidence: a test takes away the descriptors while a client connects.

Change: IsReadable asks the kernel without a descriptor; it is used wherever the gateway's threads asked the library, in Accept, for idle connections and for messages of peers. trefoild's listener catches the exception already. The limit of connections counts those to servers in use, and clients whose last answer is still being sent.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -12,7 +12,9 @@
 #include <fmt/format.h>
 #include <future>
 #include <memory>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 namespace trefoil {
@@ -39,6 +41,17 @@
   {
   }
 
+  explicit Client(const Poco::Net::StreamSocket& aSocket)
+    : mSocket(aSocket)
+  {
+  }
+
+  bool HasAnswerWithin(Milliseconds aTime)
+  {
+    return mSocket.poll(Poco::Timespan{ std::chrono::microseconds{ aTime }.count() },
+                        Poco::Net::Socket::SELECT_READ);
+  }
+
   void Send(const std::string& aBytes)
   {
     mSocket.sendBytes(aBytes.data(), static_cast<int>(aBytes.size()));
@@ -166,6 +179,10 @@
   }
 
   Client Connect() const { return Client{ mOptions.mListen }; }
+  Poco::Net::SocketAddress ListenAddress() const
+  {
+    return { mOptions.mListen.mAddress, mOptions.mListen.mPort };
+  }
   // Sends a request on a new connection and returns its answer.
   ReceivedAnswer Ask(const std::string& aRoute, const std::string& aId) const;
   Client ConnectToReadiness() const { return Client{ mOptions.mReadiness }; }
@@ -1106,6 +1123,78 @@
   }
 }
 
+// Sets the limit on descriptors such that none is left, and restores it at the end.
+class NoDescriptorsLeft
+{
+public:
+  NoDescriptorsLeft()
+  {
+    getrlimit(RLIMIT_NOFILE, &mBefore);
+    // The lowest descriptor that is free.
+    const int lowest = ::dup(0);
+    ::close(lowest);
+    rlimit limit = mBefore;
+    limit.rlim_cur = static_cast<rlim_t>(lowest);
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+  ~NoDescriptorsLeft() { setrlimit(RLIMIT_NOFILE, &mBefore); }
+  NoDescriptorsLeft(const NoDescriptorsLeft&) = delete;
+  NoDescriptorsLeft& operator=(const NoDescriptorsLeft&) = delete;
+
+private:
+  rlimit mBefore{};
+};
+
+// Guards against a process that ends with all its requests when it cannot accept one more (LOST).
+SCENARIO("a client connects when no descriptor is left")
+{
+  const ScriptedServer server{ AnswerSuccess };
+  Gateway gateway;
+  gateway.AddServer("e1", server);
+  gateway.Publish();
+  Client waiting = gateway.Connect();
+  Poco::Net::StreamSocket late{ Poco::Net::SocketAddress::IPv4 };
+  {
+    const NoDescriptorsLeft exhausted;
+    late.connect(gateway.ListenAddress());
+    THEN("it waits, and the requests of the others are answered")
+    {
+      waiting.Send(MakeRequest("read", "id-1"));
+      CHECK(waiting.Read().mStatus == 503);
+    }
+  }
+  THEN("it is served once there are descriptors again")
+  {
+    Client client{ late };
+    client.Send(MakeRequest("read", "id-2"));
+    CHECK(client.Read().mStatus == 200);
+  }
+}
+
+SCENARIO("connections to servers use up the connections of a host")
+{
+  const ScriptedServer server{ [](const ReceivedRequest& /*aRequest*/) {
+    return Reply{ .mHang = true };
+  } };
+  Gateway gateway{ 3 };
+  gateway.AddServer("e1", server);
+  gateway.Publish();
+  Client first = gateway.Connect();
+  Client second = gateway.Connect();
+  first.Send(MakeRequest("write", "id-1"));
+  while (server.ReceivedRequests().empty()) {
+    std::this_thread::sleep_for(Milliseconds{ 5 });
+  }
+  THEN("a further client waits until one of them has ended")
+  {
+    Client third = gateway.Connect();
+    third.Send("malformed\r\n\r\n");
+    CHECK_FALSE(third.HasAnswerWithin(Milliseconds{ 300 }));
+    CHECK(first.Read().mStatus == 504);
+    CHECK(third.Read().mStatus == 400);
+  }
+}
+
 SCENARIO("a server does not answer a non-idempotent request")
 {
   ScriptedServer silent{ [](const ReceivedRequest&) { return Reply{ .mHang = true }; } };
--- a/trefoil/forward/server_connection_pool.cc
+++ b/trefoil/forward/server_connection_pool.cc
@@ -63,6 +63,7 @@
   auto connection = std::make_shared<ServerConnection>();
   connection->mServer = aServer.mId;
   connection->mIncarnation = aServer.mIncarnation;
+  connection->mCountToken = mCountToken;
   connection->mStream =
     ByteStream::Connect(mLoop,
                         aServer.mEndpoint,
--- a/trefoil/forward/server_connection_pool.h
+++ b/trefoil/forward/server_connection_pool.h
@@ -45,6 +45,8 @@
   Instant mIdleSince;
   // No new request is sent on the connection after this time.
   Instant mReuseDeadline;
+  // Shared with the pool, which counts its connections by it.
+  std::shared_ptr<const bool> mCountToken;
 };
 
 class ServerConnectionPool
@@ -66,6 +68,8 @@
   void Sweep(const ServerRegistry& aServers, Instant aNow);
   // Returns the number of idle connections.
   std::size_t IdleCount() const { return mIdleCount; }
+  // Returns the number of connections, idle or in use.
+  std::size_t OpenCount() const { return static_cast<std::size_t>(mCountToken.use_count() - 1); }
 
 private:
   using Connections = std::vector<std::shared_ptr<ServerConnection>>;
@@ -75,6 +79,7 @@
   EventLoop& mLoop;
   std::map<BackendServerId, Connections> mIdleConnections;
   std::size_t mIdleCount = 0;
+  std::shared_ptr<const bool> mCountToken = std::make_shared<const bool>(true);
 };
 
 } // namespace trefoil
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -277,7 +277,8 @@
 bool
 TrafficThread::Impl::HasConnectionsLeft() const
 {
-  return mSessions.size() + mState.mConnectionPool.IdleCount() < mState.mOptions.mMaxConnections;
+  return mSessions.size() + mSendingSessions.size() + mState.mConnectionPool.OpenCount() <
+         mState.mOptions.mMaxConnections;
 }
 
 bool
@@ -286,8 +287,7 @@
 {
   // At the connection limit, new connections wait in the listener's queue. A host that stops takes
   // them all, since closing the listener would reset them.
-  while ((HasConnectionsLeft() || mState.mStopping) &&
-         aListener.poll(Poco::Timespan{ 0 }, Poco::Net::Socket::SELECT_READ)) {
+  while ((HasConnectionsLeft() || mState.mStopping) && IsReadable(aListener)) {
     try {
       const Poco::Net::StreamSocket socket = aListener.acceptConnection();
       mSessions.insert(ClientSession::Start(mState.mLoop, socket, aCallbacks));
--- a/trefoil/reactor/byte_stream.cc
+++ b/trefoil/reactor/byte_stream.cc
@@ -103,12 +103,7 @@
 bool
 ByteStream::HasUnreadBytes()
 {
-  try {
-    return mOpen && mSocket.poll(Poco::Timespan{ 0 }, Poco::Net::Socket::SELECT_READ);
-  } catch (const Poco::Exception&) {
-    // The event loop reports the failure of the socket.
-    return false;
-  }
+  return mOpen && IsReadable(mSocket);
 }
 
 void
--- a/trefoil/reactor/event_loop.cc
+++ b/trefoil/reactor/event_loop.cc
@@ -3,6 +3,7 @@
 #include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/Timespan.h>
 #include <algorithm>
+#include <poll.h>
 #include <sys/eventfd.h>
 #include <utility>
 
@@ -180,4 +181,11 @@
   }
 }
 
+bool
+IsReadable(const Poco::Net::Socket& aSocket)
+{
+  pollfd entry{ .fd = aSocket.impl()->sockfd(), .events = POLLIN };
+  return ::poll(&entry, 1, 0) > 0;
+}
+
 } // namespace trefoil
--- a/trefoil/reactor/event_loop.h
+++ b/trefoil/reactor/event_loop.h
@@ -77,4 +77,9 @@
   std::vector<Task> mTasks ABSL_GUARDED_BY(mMutex);
 };
 
+// Returns whether bytes, a connection or an end can be read from the socket now. Opens no
+// descriptor, unlike the poll function of the library, so it works when none is left.
+bool
+IsReadable(const Poco::Net::Socket& aSocket);
+
 } // namespace trefoil
--- a/trefoil/steering/internal/peer_messages.cc
+++ b/trefoil/steering/internal/peer_messages.cc
@@ -228,7 +228,7 @@
 {
   std::array<char, kMaxDatagramBytes> buffer{};
   try {
-    while (aState.mPeerSocket.poll(Poco::Timespan{ 0 }, Poco::Net::Socket::SELECT_READ)) {
+    while (IsReadable(aState.mPeerSocket)) {
       Poco::Net::SocketAddress sender;
       const int count =
         aState.mPeerSocket.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), sender);
