Judge a late stream by all streams that a stopping host has seen

Cause: whether it can end in time was judged by the slowest answer of its own route, and the streams of that route had been short. How long a stream takes follows from the request more than from the route.

Change: streams share one history. A stream that may be as long as the longest seen is refused as not run, with Retry-After 0, and its client goes to another host at once.

--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -169,7 +169,7 @@
     CountPossibleRun();
     FinishAttempt(DispatchOutcome::kFailed, false);
   }
-  RecordAnswerTime(mState.mAnswerTimes, mRoute->mName, mArrivedAt, SuspendAwareNow());
+  RecordAnswerTime(mState.mAnswerTimes, AnswerTimesName(), mArrivedAt, SuspendAwareNow());
   EndUnanswered(RefusalReason::kDeadlineExceeded);
 }
 
@@ -210,13 +210,24 @@
   Refuse(mPossibleRuns > 0 ? kGatewayTimeout : kServiceUnavailable, aReason, std::nullopt);
 }
 
+// Returns the name under which the times of answers are kept. Streams share one: how long a stream
+// takes follows from its request more than from its route, so that the streams of a route that were
+// seen lately can all have been short.
+std::string
+Exchange::AnswerTimesName() const
+{
+  return mRoute->mKind == RouteKind::kStream
+           ? std::string{ NameOf(kRouteKindNames, RouteKind::kStream) }
+           : mRoute->mName;
+}
+
 // Returns false if the host stops too soon to finish the request, which was refused then. Its
 // client can go to another host at once.
 bool
 Exchange::CanEndBeforeStop()
 {
   if (!mState.mStopping || CanEndBefore(mState.mAnswerTimes,
-                                        { .mRoute = mRoute->mName, .mDeadline = mDeadline },
+                                        { .mRoute = AnswerTimesName(), .mDeadline = mDeadline },
                                         mState.mStopsAt,
                                         mArrivedAt)) {
     return true;
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -198,6 +198,7 @@
   void OnDeadline();
   void CountPossibleRun();
   void EndUnanswered(RefusalReason aReason);
+  std::string AnswerTimesName() const;
   bool CanEndBeforeStop();
   void Refuse(int aStatus, RefusalReason aReason, std::optional<Milliseconds> aRetryAfter);
   void AbortAnswer(RefusalReason aReason);
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -343,7 +343,7 @@
 Exchange::LogCompletion(int aStatus)
 {
   const Instant now = SuspendAwareNow();
-  RecordAnswerTime(mState.mAnswerTimes, mRoute->mName, mArrivedAt, now);
+  RecordAnswerTime(mState.mAnswerTimes, AnswerTimesName(), mArrivedAt, now);
   mState.mLog.Write(LogSeverity::kRoutine,
                     LogEvent::kRequestDone,
                     "id={} route={} account={} service={} status={} dispatches={} {} prompt={} "
