--- a/trefoil/steering/aggregation.cc
+++ b/trefoil/steering/aggregation.cc
@@ -207,10 +207,7 @@
 }
 
 std::set<Endpoint>
-EvidenceRecipients(const PeerTable& aTable,
-                   const AggregationState& aState,
-                   bool aIsOwn,
-                   Instant aNow)
+NewsRecipients(const PeerTable& aTable, const AggregationState& aState, bool aIsOwn, Instant aNow)
 {
   std::set<Endpoint> recipients;
   if (!UsesAggregation(aTable)) {
--- a/trefoil/steering/aggregation.h
+++ b/trefoil/steering/aggregation.h
@@ -108,13 +108,10 @@
 std::vector<std::pair<HostId, ListedHost>>
 AggregatedUpdateRecipients(const PeerTable& aTable, const AggregationState& aState, Instant aNow);
 
-// Returns the endpoints that evidence about prompts that crash servers is sent to. `aIsOwn` is
-// whether it contains observations of this host; otherwise it is only forwarded.
+// Returns the endpoints that news is sent to, such as evidence of crashes and decisions on version
+// moves. `aIsOwn` is whether it comes from this host; otherwise it is only forwarded.
 std::set<Endpoint>
-EvidenceRecipients(const PeerTable& aTable,
-                   const AggregationState& aState,
-                   bool aIsOwn,
-                   Instant aNow);
+NewsRecipients(const PeerTable& aTable, const AggregationState& aState, bool aIsOwn, Instant aNow);
 
 // The endpoints that news is relayed to in a fleet that uses aggregation.
 struct RelayRecipients
--- a/trefoil/steering/internal/move_calls.cc
+++ b/trefoil/steering/internal/move_calls.cc
@@ -35,10 +35,10 @@
 // called if the order was replaced meanwhile.
 template<typename OnAnswer>
 void
-Call(SteeringState& aState, const VersionMove& aMove, StoreCall aCall, OnAnswer aOnAnswer)
+Call(SteeringState& aState, const VersionMove& aMove, const StoreCall& aCall, OnAnswer aOnAnswer)
 {
   aState.mStore.Call(
-    std::move(aCall),
+    aCall,
     SuspendAwareNow() + kCallTimeout,
     [&aState, order = aMove.mOrder, onAnswer = std::move(aOnAnswer)](const StoreAnswer& aAnswer) {
       const auto found = aState.mMoves.mMoves.find(order.mService);
@@ -155,7 +155,9 @@
 void
 RunVersionMoves(SteeringState& aState, bool aMayAct)
 {
-  for (auto& [service, move] : aState.mMoves.mMoves) {
+  for (auto& entry : aState.mMoves.mMoves) {
+    const ServiceId& service = entry.first;
+    VersionMove& move = entry.second;
     if (aMayAct && move.mRecordKnown &&
         EvaluateMove(move, SumOutcomes(aState, service), SuspendAwareNow())) {
       OnMoveStageChanged(aState, service, "decided");
--- a/trefoil/steering/internal/move_messages.cc
+++ b/trefoil/steering/internal/move_messages.cc
@@ -4,8 +4,6 @@
 #include "trefoil/steering/internal/store_updates.h"
 #include "trefoil/wire/codec.h"
 
-#include <set>
-
 namespace trefoil {
 namespace {
 
@@ -45,28 +43,6 @@
   return MoveStage::kTrial;
 }
 
-// Returns the hosts to which decisions are told: all others or, in a fleet with aggregators, those
-// next on the way from the aggregators of this zone to those of the others and to their hosts.
-std::set<Endpoint>
-Recipients(const SteeringState& aState, Instant aNow)
-{
-  std::set<Endpoint> endpoints;
-  if (!UsesAggregation(aState.mPeers)) {
-    for (const auto& [endpoint, recipient] : TrafficUpdateRecipients(aState.mPeers, aNow)) {
-      endpoints.insert(endpoint);
-    }
-    return endpoints;
-  }
-  RelayRecipients recipients = RelayRecipientsOf(aState.mPeers, aState.mAggregation, aNow);
-  if (!recipients.mIsAggregator) {
-    return recipients.mAggregators;
-  }
-  endpoints = std::move(recipients.mMembers);
-  endpoints.merge(recipients.mOtherZones);
-  endpoints.merge(recipients.mAggregators);
-  return endpoints;
-}
-
 void
 TellMoveDecisions(SteeringState& aState, Instant aNow)
 {
@@ -83,7 +59,10 @@
     return;
   }
   const std::string bytes = Encode(message);
-  for (const Endpoint& to : Recipients(aState, aNow)) {
+  // In a fleet with aggregators only these and the host that decides tell it. In a small one all
+  // do, so that it spreads if that host is lost.
+  const bool isOwn = aState.mHoldsDuties || !UsesAggregation(aState.mPeers);
+  for (const Endpoint& to : NewsRecipients(aState.mPeers, aState.mAggregation, isOwn, aNow)) {
     SendBytes(aState, to, bytes);
   }
 }
--- a/trefoil/steering/internal/peer_messages.cc
+++ b/trefoil/steering/internal/peer_messages.cc
@@ -188,7 +188,7 @@
   }
   const Instant now = SuspendAwareNow();
   const std::string bytes = Encode(ToCrashEvidenceMessage(aState.mOptions.mHost, aEvidence, now));
-  for (const Endpoint& to : EvidenceRecipients(aState.mPeers, aState.mAggregation, aIsOwn, now)) {
+  for (const Endpoint& to : NewsRecipients(aState.mPeers, aState.mAggregation, aIsOwn, now)) {
     SendBytes(aState, to, bytes);
   }
 }
