--- a/trefoil/steering/internal/move_messages.cc
+++ b/trefoil/steering/internal/move_messages.cc
@@ -11,36 +11,19 @@
 constexpr Milliseconds kNewsTime{ 10'000 };
 constexpr Milliseconds kReminderInterval{ 5'000 };
 
+// The stages of messages and those of moves have the same names.
 ToldMoveStage
 ToldStageOf(MoveStage aStage)
 {
-  switch (aStage) {
-    case MoveStage::kTrial:
-      break;
-    case MoveStage::kSwitching:
-      return ToldMoveStage::kSwitching;
-    case MoveStage::kRolledBack:
-      return ToldMoveStage::kRolledBack;
-    case MoveStage::kCompleted:
-      return ToldMoveStage::kCompleted;
-  }
-  return ToldMoveStage::kTrial;
+  return ValueOf(kToldMoveStageNames, NameOf(kMoveStageNames, aStage))
+    .value_or(ToldMoveStage::kTrial);
 }
 
+// Returns kTrial, which changes nothing, for a stage that this version does not know.
 MoveStage
 StageOf(ToldMoveStage aStage)
 {
-  switch (aStage) {
-    case ToldMoveStage::kTrial:
-      break;
-    case ToldMoveStage::kSwitching:
-      return MoveStage::kSwitching;
-    case ToldMoveStage::kRolledBack:
-      return MoveStage::kRolledBack;
-    case ToldMoveStage::kCompleted:
-      return MoveStage::kCompleted;
-  }
-  return MoveStage::kTrial;
+  return ValueOf(kMoveStageNames, NameOf(kToldMoveStageNames, aStage)).value_or(MoveStage::kTrial);
 }
 
 void
