--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -1154,6 +1154,9 @@
   const std::string unknownRoute =
     "GET /none/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: x\r\n\r\n";
   Client waiting = gateway.Connect();
+  // After an answer the host has accepted the connection.
+  waiting.Send(unknownRoute);
+  CHECK(waiting.Read().mStatus == 404);
   Poco::Net::StreamSocket late{ Poco::Net::SocketAddress::IPv4 };
   {
     const NoDescriptorsLeft exhausted;
