Keep the servers of both versions while a service moves

The host that took over the duties counted the servers of both versions, needed fewer, and ordered so 1 s before the switch; an order does not name a version, and the platform let all 24 servers of the new one leave. Then the hosts sent it all requests and refused them, though servers of the other version were ready.

Change: no fewer servers of a service are ordered until its move is decided and the platform knows it. A request whose target version has no server that accepts it goes to the other versions; the reverse is still not done.

--- a/tests/forward_path/forward_path_test.cc
+++ b/tests/forward_path/forward_path_test.cc
@@ -370,6 +370,40 @@
   }
 }
 
+// Guards against requests that are refused although servers of another version are ready.
+SCENARIO("a service moves to a version whose servers all leave")
+{
+  ScriptedServer sound{ AnswerSuccess };
+  ScriptedServer leaving{ AnswerSuccess };
+  Gateway gateway;
+  gateway.AddServer("e1", sound);
+  gateway.AddServer("e2", leaving);
+  gateway.mServers.mServers.at(BackendServerId{ "e2" }).mVersion = VersionId{ "v2" };
+  gateway.mServers.mServers.at(BackendServerId{ "e2" }).mPhase = ServerPhase::kDraining;
+  WHEN("the requests go to the new version")
+  {
+    gateway.mSteering[ServiceId{ "s" }] = { .mTarget = VersionId{ "v2" }, .mTargetShare = 1 };
+    gateway.Publish();
+    THEN("the other version serves them")
+    {
+      CHECK(gateway.Ask("read", "id-1").mStatus == 200);
+      CHECK(sound.ReceivedRequests().size() == 1);
+    }
+  }
+  WHEN("the other version has no server that accepts requests, and the new one is on trial")
+  {
+    gateway.mServers.mServers.at(BackendServerId{ "e1" }).mPhase = ServerPhase::kDraining;
+    gateway.mServers.mServers.at(BackendServerId{ "e2" }).mPhase = ServerPhase::kReady;
+    gateway.mSteering[ServiceId{ "s" }] = { .mTarget = VersionId{ "v2" }, .mTargetShare = 0 };
+    gateway.Publish();
+    THEN("the new version does not stand in for it")
+    {
+      CHECK(gateway.Ask("read", "id-1").mStatus == 503);
+      CHECK(leaving.ReceivedRequests().empty());
+    }
+  }
+}
+
 SCENARIO("a backend server closes the connection without an answer")
 {
   ScriptedServer broken{ [](const ReceivedRequest&) { return Reply{ .mClose = true }; } };
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -90,9 +90,9 @@
   if (!candidates.empty()) {
     return candidates;
   }
-  const bool hasTarget =
-    std::ranges::any_of(aServers, [&](const auto* aServer) { return isTarget(*aServer); });
-  if (usesTarget && (share < 1 || !hasTarget)) {
+  // The other versions are known to be sound. The target may not be, so it never stands in for
+  // them.
+  if (usesTarget) {
     return candidatesIf([&](const RegisteredServer& aServer) { return !isTarget(aServer); });
   }
   return candidates;
--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
 #include <utility>
 
 namespace trefoil {
@@ -385,9 +386,16 @@
     return;
   }
   const Instant now = SuspendAwareNow();
+  std::set<ServiceId> moving;
+  for (const auto& [service, move] : aState.mMoves.mMoves) {
+    if (NeedsAllVersions(move)) {
+      moving.insert(service);
+    }
+  }
   const ScalingInputs inputs{ .mCatalogue = &aState.mView.mCatalogue->mCatalogue,
                               .mServers = &aState.mServers,
-                              .mZones = aState.mOptions.mZones };
+                              .mZones = aState.mOptions.mZones,
+                              .mMoving = std::move(moving) };
   for (const auto& [service, load] : aState.mReport.mLoads) {
     RecordDemand(aState.mScaling, aState.mOptions.mHost, service, load, now);
   }
--- a/trefoil/steering/scaling.cc
+++ b/trefoil/steering/scaling.cc
@@ -284,7 +284,7 @@
         // shortly after each other.
         const bool releaseImmediately = !reclaimable && idle;
         const bool scaleDown =
-          desired < state.mAcceptedCount &&
+          desired < state.mAcceptedCount && !aInputs.mMoving.contains(name) &&
           (releaseImmediately || aNow - state.mSurplusSince >= kScaleDownDelay);
         if (!(desired > state.mAcceptedCount || scaleDown || serversMissing) ||
             !HasPassed(state.mNextOrderAt, aNow)) {
--- a/trefoil/steering/scaling.h
+++ b/trefoil/steering/scaling.h
@@ -20,6 +20,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace trefoil {
@@ -30,6 +31,9 @@
   const ServerRegistry* mServers = nullptr;
   // The zones in which servers may be ordered.
   std::vector<AvailabilityZoneId> mZones;
+  // The services that need the servers of several versions. An order does not say which version it
+  // is about, so fewer servers could be none of the version that is moved to.
+  std::set<ServiceId> mMoving;
 };
 
 // What the requests to a service needed in one period.
--- a/trefoil/steering/scaling_test.cc
+++ b/trefoil/steering/scaling_test.cc
@@ -152,6 +152,38 @@
   }
 }
 
+// Guards against orders that end the servers of the version that a service is moved to: a host that
+// takes over the duty counts the servers of both versions, and needs fewer.
+SCENARIO("a host takes over the duty while a service moves to another version")
+{
+  const Catalogue catalogue = MakeCatalogue();
+  ServerRegistry servers;
+  ScalingInputs inputs{ &catalogue, &servers, { kZoneA, kZoneB } };
+  inputs.mMoving = { kService };
+  ScalingState scaling;
+  ResetScaling(scaling, kStart);
+  AddServers(servers, kZoneA, false, 9);
+  AddServers(servers, kZoneB, false, 9);
+  const auto at = [](int aSeconds) { return kStart + std::chrono::seconds{ aSeconds }; };
+  const auto ordersFewer = [&](int aSeconds) {
+    return std::ranges::any_of(DueOrders(scaling, inputs, at(aSeconds)),
+                               [](const ServerOrder& aOrder) { return !aOrder.mReclaimable; });
+  };
+  for (int second = 0; second < 30; ++second) {
+    CHECK_FALSE(ordersFewer(second));
+  }
+  WHEN("the move has ended")
+  {
+    inputs.mMoving.clear();
+    AddServers(servers, kZoneA, true, 6);
+    AddServers(servers, kZoneB, true, 6);
+    THEN("fewer servers are ordered")
+    {
+      CHECK(ordersFewer(40));
+    }
+  }
+}
+
 SCENARIO("many servers take long to register")
 {
   const Catalogue catalogue = MakeCatalogue();
--- a/trefoil/steering/version_moves.cc
+++ b/trefoil/steering/version_moves.cc
@@ -221,6 +221,12 @@
   return aStage == MoveStage::kRolledBack || aStage == MoveStage::kCompleted;
 }
 
+bool
+NeedsAllVersions(const VersionMove& aMove)
+{
+  return !IsDecided(aMove.mStage) || aMove.mWrittenState != StateOf(aMove.mStage);
+}
+
 VersionMoveState
 StateOf(MoveStage aStage)
 {
--- a/trefoil/steering/version_moves.h
+++ b/trefoil/steering/version_moves.h
@@ -100,6 +100,11 @@
   Instant mNextCallAt;
 };
 
+// Returns whether the servers of several versions are still needed: the move is undecided, or the
+// platform does not know the decision yet. Only the holder of the duties knows the latter.
+bool
+NeedsAllVersions(const VersionMove& aMove);
+
 struct VersionMoves
 {
   std::map<ServiceId, VersionMove> mMoves;
