Order no servers that would end those of a version move

Cause: an order states one number for all versions. An order for two servers a zone, 0.4 s after that of the move, made the platform end 24 of the 28 servers of the new version, so that four took the whole load later. Another one, in the second in which the platform was told of the completion, kept the servers that the platform was stopping and ended all others.

Change: while the servers of several versions are needed, which now lasts until the replaced ones have left, only orders for more than run are sent, and none before the new version's servers have had their boot time.

--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <set>
+#include <map>
 #include <utility>
 
 namespace trefoil {
@@ -386,10 +386,10 @@
     return;
   }
   const Instant now = SuspendAwareNow();
-  std::set<ServiceId> moving;
+  std::map<ServiceId, Instant> moving;
   for (const auto& [service, move] : aState.mMoves.mMoves) {
     if (NeedsAllVersions(move)) {
-      moving.insert(service);
+      moving[service] = move.mSeenAt;
     }
   }
   const ScalingInputs inputs{ .mCatalogue = &aState.mView.mCatalogue->mCatalogue,
--- a/trefoil/steering/scaling.cc
+++ b/trefoil/steering/scaling.cc
@@ -262,6 +262,11 @@
       continue;
     }
     const int needed = ServersNeeded(aState, aInputs, name, aNow);
+    const auto moving = aInputs.mMoving.find(name);
+    const bool isMoving = moving != aInputs.mMoving.end();
+    // The platform starts the servers of the new version at the order of a move.
+    const bool hasNewVersion =
+      isMoving && aNow - moving->second > service.mScaling->mBootTime + kBootMargin;
     const bool idle = PeakDemand(aState, name).mConcurrentRequests <= 0;
     for (const auto& [zone, plan] : PlanServers(aInputs, service, needed)) {
       for (const bool reclaimable : { true, false }) {
@@ -284,10 +289,11 @@
         // shortly after each other.
         const bool releaseImmediately = !reclaimable && idle;
         const bool scaleDown =
-          desired < state.mAcceptedCount && !aInputs.mMoving.contains(name) &&
+          desired < state.mAcceptedCount &&
           (releaseImmediately || aNow - state.mSurplusSince >= kScaleDownDelay);
         if (!(desired > state.mAcceptedCount || scaleDown || serversMissing) ||
-            !HasPassed(state.mNextOrderAt, aNow)) {
+            !HasPassed(state.mNextOrderAt, aNow) ||
+            (isMoving && (!hasNewVersion || desired <= ready))) {
           continue;
         }
         state.mNextOrderAt = aNow + kOrderRetryDelay;
--- a/trefoil/steering/scaling.h
+++ b/trefoil/steering/scaling.h
@@ -20,7 +20,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace trefoil {
@@ -31,9 +30,10 @@
   const ServerRegistry* mServers = nullptr;
   // The zones in which servers may be ordered.
   std::vector<AvailabilityZoneId> mZones;
-  // The services that need the servers of several versions. An order does not say which version it
-  // is about, so fewer servers could be none of the version that is moved to.
-  std::set<ServiceId> mMoving;
+  // The services that need the servers of several versions, and since when. An order states the
+  // number of servers of all versions together, so that one for fewer than there are could end all
+  // those of the version that is moved to.
+  std::map<ServiceId, Instant> mMoving;
 };
 
 // What the requests to a service needed in one period.
--- a/trefoil/steering/scaling_test.cc
+++ b/trefoil/steering/scaling_test.cc
@@ -159,18 +159,33 @@
   const Catalogue catalogue = MakeCatalogue();
   ServerRegistry servers;
   ScalingInputs inputs{ &catalogue, &servers, { kZoneA, kZoneB } };
-  inputs.mMoving = { kService };
+  inputs.mMoving = { { kService, kStart } };
   ScalingState scaling;
   ResetScaling(scaling, kStart);
   AddServers(servers, kZoneA, false, 9);
   AddServers(servers, kZoneB, false, 9);
   const auto at = [](int aSeconds) { return kStart + std::chrono::seconds{ aSeconds }; };
-  const auto ordersFewer = [&](int aSeconds) {
+  const auto ordersOnDemand = [&](int aSeconds) {
     return std::ranges::any_of(DueOrders(scaling, inputs, at(aSeconds)),
                                [](const ServerOrder& aOrder) { return !aOrder.mReclaimable; });
   };
   for (int second = 0; second < 30; ++second) {
-    CHECK_FALSE(ordersFewer(second));
+    CHECK_FALSE(ordersOnDemand(second));
+  }
+  WHEN("more servers are needed than run, all versions together")
+  {
+    for (const AvailabilityZoneId& zone : { kZoneA, kZoneB }) {
+      for (int i = 1; i < 9; ++i) {
+        DeregisterServer(
+          servers, BackendServerId{ fmt::format("{}-false-{}", zone.Value(), i) }, 2);
+      }
+    }
+    THEN("more are ordered, once those of the new version have had time to start")
+    {
+      CHECK(ordersOnDemand(40));
+      inputs.mMoving.at(kService) = at(45);
+      CHECK_FALSE(ordersOnDemand(46));
+    }
   }
   WHEN("the move has ended")
   {
@@ -179,7 +194,7 @@
     AddServers(servers, kZoneB, true, 6);
     THEN("fewer servers are ordered")
     {
-      CHECK(ordersFewer(40));
+      CHECK(ordersOnDemand(40));
     }
   }
 }
--- a/trefoil/steering/version_moves.cc
+++ b/trefoil/steering/version_moves.cc
@@ -224,7 +224,9 @@
 bool
 NeedsAllVersions(const VersionMove& aMove)
 {
-  return !IsDecided(aMove.mStage) || aMove.mWrittenState != StateOf(aMove.mStage);
+  const bool othersLeave =
+    aMove.mStage == MoveStage::kCompleted && !aMove.mOthersAbsentSince.has_value();
+  return !IsDecided(aMove.mStage) || aMove.mWrittenState != StateOf(aMove.mStage) || othersLeave;
 }
 
 VersionMoveState
--- a/trefoil/steering/version_moves.h
+++ b/trefoil/steering/version_moves.h
@@ -100,8 +100,9 @@
   Instant mNextCallAt;
 };
 
-// Returns whether the servers of several versions are still needed: the move is undecided, or the
-// platform does not know the decision yet. Only the holder of the duties knows the latter.
+// Returns whether the servers of several versions are still needed: the move is undecided, the
+// platform does not know the decision yet, which only the holder of the duties knows, or it has not
+// stopped the servers that a completed move replaces.
 bool
 NeedsAllVersions(const VersionMove& aMove);
 
--- a/trefoil/steering/version_moves_test.cc
+++ b/trefoil/steering/version_moves_test.cc
@@ -347,6 +347,31 @@
   }
 }
 
+// Guards against orders that keep the servers which the platform is about to stop, and end the
+// others.
+SCENARIO("a move has completed")
+{
+  VersionMoves moves;
+  REQUIRE(OnVersionOrder(
+    moves, { .mService = kService, .mTarget = kNew }, 40, OrderSource::kList, {}, kNow));
+  VersionMove& move = moves.mMoves.at(kService);
+  ServerRegistry servers;
+  RegisterServer(servers,
+                 { .mId = BackendServerId{ "e1" }, .mService = kService, .mVersion = kOld });
+  ObserveVersions(moves, servers, kNow);
+  CHECK(NeedsAllVersions(move));
+  move.mStage = MoveStage::kCompleted;
+  THEN("all servers are needed until the platform knows it and has stopped the replaced ones")
+  {
+    CHECK(NeedsAllVersions(move));
+    OnMoveStatusWritten(move, VersionMoveState::kCompleted, 70);
+    CHECK(NeedsAllVersions(move));
+    DeregisterServer(servers, BackendServerId{ "e1" }, 71);
+    ObserveVersions(moves, servers, kNow);
+    CHECK_FALSE(NeedsAllVersions(move));
+  }
+}
+
 // A key of a store that executes writes only at the revision that they expect.
 struct TestKey
 {
