Read the clocks for version moves as for other records

The moves had a struct of two clocks and a function that reads them, word for word those of the record of refusals. Both now use ClockReading, in a header of its own, and ReadClocks. Besides, the outcomes of all hosts are no longer summed on each update for a move that is decided, and the ready servers of a zone are counted once in DueOrders.

No behaviour changes.

--- a/trefoil/steering/internal/move_calls.cc
+++ b/trefoil/steering/internal/move_calls.cc
@@ -3,6 +3,7 @@
 #include "trefoil/base/store_revision.h"
 #include "trefoil/steering/internal/duties.h"
 #include "trefoil/steering/internal/move_messages.h"
+#include "trefoil/steering/internal/store_updates.h"
 #include "trefoil/steering/route_counters.h"
 
 #include <utility>
@@ -14,12 +15,6 @@
 // revision by then.
 constexpr Milliseconds kCallTimeout{ 1'000 };
 
-MoveClock
-ReadMoveClock(const SteeringState& aState)
-{
-  return { .mNow = SuspendAwareNow(), .mWallNow = WallNow() + aState.mView.mClockCorrection };
-}
-
 // Returns the item of an answer, or that of a key that does not exist.
 StoredText
 StoredTextOf(const StoreAnswer& aAnswer)
@@ -68,7 +63,7 @@
        [&aState](VersionMove& aCurrent, const StoreAnswer& aAnswer) {
          const bool isAnswered =
            aAnswer.mOutcome == StoreOutcome::kDone || aAnswer.mOutcome == StoreOutcome::kNotFound;
-         return isAnswered ? OnMoveStageRead(aCurrent, StoredTextOf(aAnswer), ReadMoveClock(aState))
+         return isAnswered ? OnMoveStageRead(aCurrent, StoredTextOf(aAnswer), ReadClocks(aState))
                            : OnFailed(aCurrent, aAnswer);
        });
 }
@@ -86,7 +81,7 @@
            return OnMoveStageWritten(aCurrent, record, aAnswer.mRevision, SuspendAwareNow());
          }
          return aAnswer.mOutcome == StoreOutcome::kConflict
-                  ? OnMoveStageRead(aCurrent, StoredTextOf(aAnswer), ReadMoveClock(aState))
+                  ? OnMoveStageRead(aCurrent, StoredTextOf(aAnswer), ReadClocks(aState))
                   : OnFailed(aCurrent, aAnswer);
        });
 }
@@ -158,11 +153,11 @@
   for (auto& entry : aState.mMoves.mMoves) {
     const ServiceId& service = entry.first;
     VersionMove& move = entry.second;
-    if (aMayAct && move.mRecordKnown &&
+    if (aMayAct && move.mRecordKnown && !IsDecided(move.mStage) &&
         EvaluateMove(move, SumOutcomes(aState, service), SuspendAwareNow())) {
       OnMoveStageChanged(aState, service, "decided");
     }
-    if (const auto call = NextMoveCall(move, aMayAct, ReadMoveClock(aState))) {
+    if (const auto call = NextMoveCall(move, aMayAct, ReadClocks(aState))) {
       std::visit([&aState, &move](const auto& aKind) { Perform(aState, move, aKind); }, *call);
     }
   }
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -377,12 +377,6 @@
   aState.mOperatorWatch->Start();
 }
 
-ClockReading
-ReadClocks(const SteeringState& aState)
-{
-  return { .mNow = SuspendAwareNow(), .mWallNow = WallNow() + aState.mView.mClockCorrection };
-}
-
 void
 OnRefusalRecord(SteeringState& aState, const StoreAnswer& aAnswer)
 {
@@ -433,6 +427,12 @@
 
 } // namespace
 
+ClockReading
+ReadClocks(const SteeringState& aState)
+{
+  return { .mNow = SuspendAwareNow(), .mWallNow = WallNow() + aState.mView.mClockCorrection };
+}
+
 void
 LogRejectedInput(SteeringState& aState, std::string_view aInput, const absl::Status& aReason)
 {
--- a/trefoil/steering/internal/store_updates.h
+++ b/trefoil/steering/internal/store_updates.h
@@ -2,10 +2,15 @@
 // records.
 #pragma once
 
+#include "trefoil/steering/clock_reading.h"
 #include "trefoil/steering/steering_state.h"
 
 namespace trefoil {
 
+// Reads the clocks, the time of day with the correction that the hosts in touch agree on.
+ClockReading
+ReadClocks(const SteeringState& aState);
+
 // Logs that an input was rejected. `aInput` is a list of log fields.
 void
 LogRejectedInput(SteeringState& aState, std::string_view aInput, const absl::Status& aReason);
--- a/trefoil/steering/refusal_record.h
+++ b/trefoil/steering/refusal_record.h
@@ -6,8 +6,8 @@
 #pragma once
 
 #include "absl/status/statusor.h"
-#include "trefoil/base/instant.h"
 #include "trefoil/request/crash_tracker.h"
+#include "trefoil/steering/clock_reading.h"
 
 #include <map>
 #include <string>
@@ -19,14 +19,6 @@
 
 inline constexpr const char* kRefusalRecordKey = "prompt_refusals";
 
-// The same moment on the monotonic clock of a host and in the time of day, which its record is
-// kept in. The time of day may be wrong.
-struct ClockReading
-{
-  Instant mNow;
-  WallTime mWallNow;
-};
-
 // Returns the refusals of `aRefusals` that are in force.
 RefusalRecord
 RefusalsInForce(const std::map<SuspectKey, Refusal>& aRefusals, Instant aNow);
--- a/trefoil/steering/scaling.cc
+++ b/trefoil/steering/scaling.cc
@@ -272,11 +272,11 @@
       for (const bool reclaimable : { true, false }) {
         const int desired = reclaimable ? plan.mReclaimable : plan.mOnDemand;
         OrderState& state = aState.mOrders[{ name, zone, reclaimable }];
+        const int ready = CountReadyServers(*aInputs.mServers, name, &zone, reclaimable);
         if (state.mAcceptedCount < 0) {
           // The running servers were ordered by an earlier holder or by the platform itself.
-          state.mAcceptedCount = CountReadyServers(*aInputs.mServers, name, &zone, reclaimable);
+          state.mAcceptedCount = ready;
         }
-        const int ready = CountReadyServers(*aInputs.mServers, name, &zone, reclaimable);
         const Milliseconds patience =
           state.mLacksRoom ? kOrderRetryDelay : service.mScaling->mBootTime + kBootMargin;
         const bool serversMissing =
--- a/trefoil/steering/version_moves.cc
+++ b/trefoil/steering/version_moves.cc
@@ -415,7 +415,7 @@
 }
 
 std::optional<MoveCall>
-NextMoveCall(VersionMove& aMove, bool aHoldsDuty, const MoveClock& aClock)
+NextMoveCall(VersionMove& aMove, bool aHoldsDuty, const ClockReading& aClock)
 {
   if (!HasPassed(aMove.mNextCallAt, aClock.mNow)) {
     return std::nullopt;
@@ -449,7 +449,7 @@
 }
 
 bool
-OnMoveStageRead(VersionMove& aMove, const StoredText& aStored, const MoveClock& aClock)
+OnMoveStageRead(VersionMove& aMove, const StoredText& aStored, const ClockReading& aClock)
 {
   if (!std::exchange(aMove.mRecordKnown, true)) {
     aMove.mNextCallAt = {};
--- a/trefoil/steering/version_moves.h
+++ b/trefoil/steering/version_moves.h
@@ -19,6 +19,7 @@
 #include "absl/status/statusor.h"
 #include "trefoil/base/name_table.h"
 #include "trefoil/forward/traffic_view.h"
+#include "trefoil/steering/clock_reading.h"
 #include "trefoil/steering/control_codec.h"
 
 #include <map>
@@ -198,16 +199,9 @@
 
 using MoveCall = std::variant<ReadMoveStage, WriteMoveStage, WriteMoveStatus>;
 
-// The same moment on this host's clock and in the time of day.
-struct MoveClock
-{
-  Instant mNow;
-  WallTime mWallNow;
-};
-
 // Returns the call to the store that is due, if any. Only the holder of the duties writes.
 std::optional<MoveCall>
-NextMoveCall(VersionMove& aMove, bool aHoldsDuty, const MoveClock& aClock);
+NextMoveCall(VersionMove& aMove, bool aHoldsDuty, const ClockReading& aClock);
 
 // What the store has under a key; the revision is 0 if the key does not exist.
 struct StoredText
@@ -219,7 +213,7 @@
 // Handles the record that the store has, as the answer to a read or to a write that conflicts with
 // it. Returns whether the stage of the move changed. A text that is no record is replaced.
 bool
-OnMoveStageRead(VersionMove& aMove, const StoredText& aStored, const MoveClock& aClock);
+OnMoveStageRead(VersionMove& aMove, const StoredText& aStored, const ClockReading& aClock);
 
 // Handles a record that was written at `aRevision`. Returns whether the stage of the move changed.
 bool
--- a/trefoil/steering/version_moves_test.cc
+++ b/trefoil/steering/version_moves_test.cc
@@ -16,7 +16,7 @@
 const Instant kNow{ std::chrono::hours{ 1 } };
 const WallTime kWall{ std::chrono::hours{ 480'000 } };
 
-MoveClock
+ClockReading
 ClockAt(Instant aNow)
 {
   return { .mNow = aNow,
