Split the traffic thread into state, updates and reports

What the control thread publishes is applied in traffic_updates, the regular report is made in traffic_report, and the functions that traffic_state.h declares are defined in traffic_state.cc. The functions take the state instead of being members.

--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -2,6 +2,8 @@
 
 #include "trefoil/forward/exchange.h"
 #include "trefoil/forward/server_connector.h"
+#include "trefoil/forward/traffic_report.h"
+#include "trefoil/forward/traffic_updates.h"
 #include "trefoil/http/status_code.h"
 #include "trefoil/net/bind_error.h"
 #include "trefoil/net/exclusive_bind.h"
@@ -30,14 +32,6 @@
 constexpr Milliseconds kStopCheckInterval{ 50 };
 // How long before its end a host ends the requests that are left, so that their answers are sent.
 constexpr Milliseconds kFinalAnswerTime{ 300 };
-// Evidence of a crash that is recorded within this time is reported together, since many requests
-// break at once.
-constexpr Milliseconds kCrashReportDelay{ 10 };
-// Changes of limits within this time are reported in one message.
-constexpr Milliseconds kLimitReportDelay{ 50 };
-// Usage windows that are retained. They cover more than the time within which usage must be
-// reported.
-constexpr std::size_t kMaxUsageWindows = 8;
 
 Poco::Net::ServerSocket
 BindListener(const Endpoint& aEndpoint)
@@ -60,107 +54,6 @@
 
 } // namespace
 
-TrafficState::TrafficState(TrafficOptions aOptions, EventLog& aLog, Metrics& aMetrics)
-  : mOptions(std::move(aOptions))
-  , mLog(aLog)
-  , mMetrics(aMetrics)
-  , mConnectionPool(mLoop)
-  , mRetries(MakeServiceRetryBudget(mOptions.mRetries))
-  , mRandom(std::random_device{}())
-{
-  mLoop.SetFailureHandler([this](std::string_view aReason) {
-    mLog.Write(
-      LogSeverity::kNotable, LogEvent::kInternalError, "thread=traffic reason=\"{}\"", aReason);
-  });
-}
-
-void
-ReportCrashEvidence(TrafficState& aState, bool aIsOwn)
-{
-  aState.mHasOwnEvidence = aState.mHasOwnEvidence || aIsOwn;
-  if (!aState.mOnCrashEvidence || std::exchange(aState.mEvidenceDue, true)) {
-    return;
-  }
-  aState.mLoop.CallAt(SuspendAwareNow() + kCrashReportDelay, [&aState] {
-    aState.mEvidenceDue = false;
-    const Instant since = std::exchange(aState.mEvidenceSentAt, SuspendAwareNow());
-    aState.mOnCrashEvidence(EvidenceChangedSince(aState.mCrashes, since),
-                            std::exchange(aState.mHasOwnEvidence, false));
-  });
-}
-
-namespace {
-
-// Returns the position of this host in the order by which what the server permits is divided. The
-// list of hosts must be known.
-std::size_t
-RankForServer(const TrafficState& aState, const BackendServerId& aServer, ServerLimit& aLimit)
-{
-  if (!aLimit.mRank.has_value()) {
-    aLimit.mRank = RankOfHost(*aState.mView->mHostList, aState.mOptions.mHost, aServer);
-  }
-  return *aLimit.mRank;
-}
-
-} // namespace
-
-RefillRate
-OwnPartOfLimit(const TrafficState& aState, const BackendServerId& aServer, ServerLimit& aLimit)
-{
-  if (!aState.mView || !aState.mView->mHostList) {
-    return {};
-  }
-  return PartOfLimit(aLimit.mStated.mPerSecond,
-                     RankForServer(aState, aServer, aLimit),
-                     aState.mView->mHostList->size());
-}
-
-ServerUse
-UseOfServer(const TrafficState& aState, const RegisteredServer& aServer, ServerStatus& aStatus)
-{
-  if (!aState.mView || !aState.mView->mHostList) {
-    return { .mInFlight = aStatus.mInFlight };
-  }
-  return { .mInFlight = aStatus.mInFlight,
-           .mSlots = aServer.mSlots,
-           .mRank = RankForServer(aState, aServer.mId, aStatus.mLimit),
-           .mHosts = aState.mView->mHostList->size() };
-}
-
-void
-ReportLimit(TrafficState& aState, const BackendServerId& aServer)
-{
-  if (aState.mChangedLimits.empty()) {
-    aState.mLoop.CallAt(SuspendAwareNow() + kLimitReportDelay, [&aState] {
-      std::vector<LimitReport> reports;
-      for (const BackendServerId& server : std::exchange(aState.mChangedLimits, {})) {
-        const auto status = aState.mServerStatuses.find(server);
-        if (status != aState.mServerStatuses.end()) {
-          reports.push_back(LimitReportOf(server, status->second.mLimit));
-        }
-      }
-      if (aState.mOnLimitReports) {
-        aState.mOnLimitReports(std::move(reports));
-      }
-    });
-  }
-  aState.mChangedLimits.insert(aServer);
-}
-
-QuotaParameters
-QuotaParametersNow(TrafficState& aState)
-{
-  QuotaParameters parameters{ .mOverage = aState.mOptions.mQuotaOverage,
-                              .mSlack = aState.mOptions.mQuotaSlack,
-                              .mRandomValue = std::generate_canonical<double, 32>(aState.mRandom) };
-  if (aState.mView) {
-    parameters.mShare = aState.mView->mQuotaShare;
-    parameters.mHosts = aState.mView->mHosts;
-    parameters.mPropagationTime = aState.mView->mPropagationTime;
-  }
-  return parameters;
-}
-
 struct TrafficThread::Impl
 {
   using RequestHandler = std::function<HttpResponse(const HttpRequest&)>;
@@ -194,16 +87,6 @@
   std::shared_ptr<const SessionCallbacks> ClientCallbacks();
   // Callbacks for sessions whose requests are answered directly by `aHandler`.
   std::shared_ptr<const SessionCallbacks> ImmediateCallbacks(RequestHandler aHandler);
-  void ApplyView(std::shared_ptr<const TrafficView> aView);
-  // Publishes the contents of the current view as metrics.
-  void UpdateGauges(Instant aNow) const;
-  void ApplyPeerUpdate(const PeerUpdate& aUpdate);
-  void AddPeerQuotaUse(const PeerUpdate& aUpdate, Instant aNow);
-  void ApplyDispatches(const std::vector<DispatchReport>& aDispatches);
-  void ApplyLimits(const std::vector<LimitReport>& aLimits);
-  void ApplyRejections(const std::vector<RejectionReport>& aReports);
-  void CountBusyTime(Instant aNow);
-  TrafficReport MakeReport();
   void Sweep();
   void StopListening();
   void EndUnfinishedRequests();
@@ -403,212 +286,6 @@
   return HasConnectionsLeft();
 }
 
-void
-TrafficThread::Impl::ApplyView(std::shared_ptr<const TrafficView> aView)
-{
-  const bool sameServers = mState.mView && mState.mView->mServers == aView->mServers;
-  const bool sameHosts = mState.mView && mState.mView->mHostList == aView->mHostList;
-  std::map<ServiceId, std::vector<const RegisteredServer*>> servers;
-  if (!sameServers && aView->mServers) {
-    for (const auto& [id, server] : aView->mServers->mServers) {
-      servers[server.mService].push_back(&server);
-    }
-  }
-  // Nothing below throws, so that a view is in use as a whole or not at all: a later one with the
-  // same servers does not bring them back.
-  mState.mView = std::move(aView);
-  if (!sameHosts) {
-    for (auto& [server, status] : mState.mServerStatuses) {
-      status.mLimit.mRank.reset();
-    }
-  }
-  if (sameServers) {
-    return;
-  }
-  mState.mServers.swap(servers);
-  if (!mState.mView->mServers) {
-    return;
-  }
-  for (const auto& [id, server] : mState.mView->mServers->mServers) {
-    const auto status = mState.mServerStatuses.find(id);
-    if (status != mState.mServerStatuses.end()) {
-      StartLimitIncarnation(status->second.mLimit, server.mIncarnation);
-    }
-  }
-  std::erase_if(mState.mServerStatuses, [this](const auto& aItem) {
-    return aItem.second.mInFlight == 0 && !mState.mView->mServers->mServers.contains(aItem.first);
-  });
-}
-
-void
-TrafficThread::Impl::AddPeerQuotaUse(const PeerUpdate& aUpdate, Instant aNow)
-{
-  if (!mState.mView || !mState.mView->mCatalogue) {
-    return;
-  }
-  const auto costOf = [](const std::map<ClientAccountId, double>& aCosts,
-                         const ClientAccountId& aAccount) {
-    const auto cost = aCosts.find(aAccount);
-    return cost == aCosts.end() ? 0.0 : cost->second;
-  };
-  const QuotaParameters parameters = QuotaParametersNow(mState);
-  for (const ClientAccount& account : mState.mView->mCatalogue->mCatalogue.mAccounts) {
-    const QuotaCosts costs{ .mUsed = costOf(aUpdate.mQuotaUsed, account.mName),
-                            .mAsked = costOf(aUpdate.mQuotaAsked, account.mName) };
-    if (costs.mUsed > 0 || costs.mAsked > 0) {
-      AddPeerUsage(mState.mQuotas, account, costs, parameters, aNow);
-    }
-  }
-}
-
-void
-TrafficThread::Impl::ApplyPeerUpdate(const PeerUpdate& aUpdate)
-{
-  const Instant now = SuspendAwareNow();
-  for (const auto& [account, snapshot] : aUpdate.mQuotaSnapshots) {
-    RestoreQuota(mState.mQuotas, account, snapshot, now);
-  }
-  AddPeerQuotaUse(aUpdate, now);
-  for (const BackendServerId& server : aUpdate.mBroken) {
-    mState.mServerStatuses.try_emplace(server);
-  }
-  for (auto& [server, status] : mState.mServerStatuses) {
-    status.mReportedBroken = aUpdate.mBroken.contains(server);
-  }
-}
-
-void
-TrafficThread::Impl::ApplyDispatches(const std::vector<DispatchReport>& aDispatches)
-{
-  const Instant now = SuspendAwareNow();
-  if (!mState.mView || !mState.mView->mServers) {
-    return;
-  }
-  for (const DispatchReport& dispatch : aDispatches) {
-    const auto server = mState.mView->mServers->mServers.find(dispatch.mServer);
-    if (server == mState.mView->mServers->mServers.end()) {
-      // The server is not in the registry (yet); the report is ignored.
-      continue;
-    }
-    const double rate = TokensPerSecond(mState.mPrefillRates[server->second.mService]);
-    AddToBacklog(mState.mServerStatuses[dispatch.mServer].mBacklog, dispatch.mTokens, rate, now);
-    if (!dispatch.mCacheKey.empty()) {
-      RecordCacheHint(mState.mCacheHints, dispatch.mCacheKey, dispatch.mServer, now);
-    }
-  }
-}
-
-void
-TrafficThread::Impl::ApplyLimits(const std::vector<LimitReport>& aLimits)
-{
-  if (!mState.mView || !mState.mView->mServers) {
-    return;
-  }
-  const Instant now = SuspendAwareNow();
-  for (const LimitReport& report : aLimits) {
-    const auto server = mState.mView->mServers->mServers.find(report.mServer);
-    if (server != mState.mView->mServers->mServers.end() &&
-        server->second.mIncarnation == report.mIncarnation) {
-      MergeLimit(mState.mServerStatuses[report.mServer].mLimit,
-                 report,
-                 std::generate_canonical<double, 32>(mState.mRandom),
-                 now);
-    }
-  }
-}
-
-void
-TrafficThread::Impl::ApplyRejections(const std::vector<RejectionReport>& aReports)
-{
-  if (!mState.mView || !mState.mView->mServers) {
-    return;
-  }
-  const Instant now = SuspendAwareNow();
-  for (const RejectionReport& report : aReports) {
-    const auto server = mState.mView->mServers->mServers.find(report.mServer);
-    if (server != mState.mView->mServers->mServers.end() &&
-        server->second.mIncarnation == report.mIncarnation) {
-      ServerStatus& status = mState.mServerStatuses[report.mServer];
-      RecordRejection(status.mBrittle, report, server->second.mSlots, now);
-    }
-  }
-}
-
-void
-TrafficThread::Impl::UpdateGauges(Instant aNow) const
-{
-  if (!mState.mView) {
-    return;
-  }
-  const TrafficView& view = *mState.mView;
-  Metrics& metrics = mState.mMetrics;
-  metrics.Set(Gauge::kConfigurationAge,
-              std::chrono::duration<double>(aNow - view.mConfirmedCurrentAt).count());
-  metrics.Set(Gauge::kConfigurationVersion,
-              view.mCatalogue ? static_cast<double>(view.mCatalogue->mCatalogue.mVersion) : 0);
-  metrics.Set(Gauge::kServersAge,
-              std::chrono::duration<double>(aNow - view.mServersConfirmedAt).count());
-  metrics.Set(Gauge::kHosts, view.mHosts);
-  metrics.Set(Gauge::kHostsReachable, view.mReachableHosts);
-  if (view.mServers) {
-    metrics.Set(
-      Gauge::kServersReady,
-      static_cast<double>(std::ranges::count_if(view.mServers->mServers, [](const auto& aServer) {
-        return aServer.second.mPhase == ServerPhase::kReady;
-      })));
-  }
-}
-
-// Counts the requests in flight as if their number had not changed since the last report. The error
-// averages out, since reports are much more frequent than requests are long.
-void
-TrafficThread::Impl::CountBusyTime(Instant aNow)
-{
-  const Instant since = std::exchange(mState.mBusyCountedUntil, aNow);
-  // Requests on links that are lost wait, but not at servers.
-  if (since == Instant{} || !MayBlameServers(mState.mLinks, aNow)) {
-    return;
-  }
-  const double elapsedMs = std::chrono::duration<double, std::milli>(aNow - since).count();
-  for (const auto& [service, servers] : mState.mServers) {
-    for (const RegisteredServer* server : servers) {
-      const auto status = mState.mServerStatuses.find(server->mId);
-      if (status != mState.mServerStatuses.end() && status->second.mInFlight > 0) {
-        mState.mLoads[service].mBusyMs += status->second.mInFlight * elapsedMs;
-      }
-    }
-  }
-}
-
-TrafficReport
-TrafficThread::Impl::MakeReport()
-{
-  const Instant now = SuspendAwareNow();
-  UpdateGauges(now);
-  EndQuotaRound(mState.mQuotas, QuotaParametersNow(mState), now);
-  CountBusyTime(now);
-  SettleBlame(mState);
-  TrafficReport report{ .mUsage = mState.mUsage,
-                        .mCrashes = EvidenceToReport(mState.mCrashes, now),
-                        .mLoads = mState.mLoads,
-                        .mOutcomes = mState.mOutcomes };
-  for (const auto& [account, use] : mState.mQuotas.mAccounts) {
-    report.mQuotaUsed[account] = { .mTotal = use.mOwnTotal, .mSnapshot = SnapshotOf(use) };
-  }
-  for (auto& [server, status] : mState.mServerStatuses) {
-    if (IsBroken(status, now) && MayBlameServers(mState.mLinks, now)) {
-      report.mBroken.push_back(server);
-    }
-    if (TakeReportDue(status.mLimit, now)) {
-      report.mLimits.push_back(LimitReportOf(server, status.mLimit));
-    }
-  }
-  while (mState.mUsage.size() > kMaxUsageWindows) {
-    mState.mUsage.erase(mState.mUsage.begin());
-  }
-  return report;
-}
-
 void
 TrafficThread::Impl::Sweep()
 {
@@ -722,15 +399,16 @@
 TrafficThread::Publish(std::shared_ptr<const TrafficView> aView)
 {
   mImpl->mState.mLoop.Post([state = mImpl.get(), view = std::move(aView)]() mutable {
-    state->ApplyView(std::move(view));
+    ApplyView(state->mState, std::move(view));
   });
 }
 
 void
 TrafficThread::PublishPeerUpdate(PeerUpdate aUpdate)
 {
-  mImpl->mState.mLoop.Post(
-    [state = mImpl.get(), update = std::move(aUpdate)] { state->ApplyPeerUpdate(update); });
+  mImpl->mState.mLoop.Post([state = mImpl.get(), update = std::move(aUpdate)] {
+    trefoil::ApplyPeerUpdate(state->mState, update);
+  });
 }
 
 void
@@ -745,7 +423,7 @@
 TrafficThread::ApplyDispatches(std::vector<DispatchReport> aDispatches)
 {
   mImpl->mState.mLoop.Post([state = mImpl.get(), dispatches = std::move(aDispatches)] {
-    state->ApplyDispatches(dispatches);
+    trefoil::ApplyDispatches(state->mState, dispatches);
   });
 }
 
@@ -779,8 +457,9 @@
 void
 TrafficThread::ApplyLimits(std::vector<LimitReport> aLimits)
 {
-  mImpl->mState.mLoop.Post(
-    [state = mImpl.get(), limits = std::move(aLimits)] { state->ApplyLimits(limits); });
+  mImpl->mState.mLoop.Post([state = mImpl.get(), limits = std::move(aLimits)] {
+    trefoil::ApplyLimits(state->mState, limits);
+  });
 }
 
 void
@@ -794,15 +473,17 @@
 void
 TrafficThread::ApplyRejections(std::vector<RejectionReport> aReports)
 {
-  mImpl->mState.mLoop.Post(
-    [state = mImpl.get(), reports = std::move(aReports)] { state->ApplyRejections(reports); });
+  mImpl->mState.mLoop.Post([state = mImpl.get(), reports = std::move(aReports)] {
+    trefoil::ApplyRejections(state->mState, reports);
+  });
 }
 
 void
 TrafficThread::Report(std::function<void(TrafficReport)> aCallback)
 {
-  mImpl->mState.mLoop.Post(
-    [state = mImpl.get(), callback = std::move(aCallback)] { callback(state->MakeReport()); });
+  mImpl->mState.mLoop.Post([state = mImpl.get(), callback = std::move(aCallback)] {
+    callback(MakeReport(state->mState));
+  });
 }
 
 int
@@ -820,7 +501,7 @@
 TrafficReport
 TrafficThread::FinalReport()
 {
-  return mImpl->MakeReport();
+  return MakeReport(mImpl->mState);
 }
 
 } // namespace trefoil
--- /dev/null
+++ b/trefoil/forward/traffic_updates.h
@@ -0,0 +1,34 @@
+// Applies what the control thread publishes to the state of a traffic thread.
+//
+//   ApplyView(state, std::move(view));
+//   ApplyPeerUpdate(state, update);
+//
+// All functions must be called on the traffic thread.
+#pragma once
+
+#include "trefoil/forward/traffic_state.h"
+
+#include <memory>
+#include <vector>
+
+namespace trefoil {
+
+// Replaces the view and the servers that it lists.
+void
+ApplyView(TrafficState& aState, std::shared_ptr<const TrafficView> aView);
+
+void
+ApplyPeerUpdate(TrafficState& aState, const PeerUpdate& aUpdate);
+
+// Adds the dispatches of other hosts to the backlogs of servers. Those to unknown servers are
+// ignored.
+void
+ApplyDispatches(TrafficState& aState, const std::vector<DispatchReport>& aDispatches);
+
+void
+ApplyLimits(TrafficState& aState, const std::vector<LimitReport>& aLimits);
+
+void
+ApplyRejections(TrafficState& aState, const std::vector<RejectionReport>& aReports);
+
+} // namespace trefoil
