--- a/trefoil/steering/internal/store_relay_messages.cc
+++ b/trefoil/steering/internal/store_relay_messages.cc
@@ -1,6 +1,7 @@
 #include "trefoil/steering/internal/store_relay_messages.h"
 
 #include "trefoil/steering/internal/datagrams.h"
+#include "trefoil/steering/internal/server_updates.h"
 #include "trefoil/steering/internal/store_updates.h"
 #include "trefoil/wire/age.h"
 
--- a/trefoil/steering/internal/store_updates.h
+++ b/trefoil/steering/internal/store_updates.h
@@ -20,11 +20,6 @@
 void
 WatchStore(SteeringState& aState);
 
-// Records that the store came back after an outage at `aWhen`. Does nothing if that return is
-// already recorded or too long ago to matter.
-void
-RecordStoreRegained(SteeringState& aState, Instant aWhen);
-
 // Sets whether other hosts relay the store to this one (`aIsSubscriber`), and whether this host
 // watches it for others (`aIsWatcher`).
 void
