--- a/trefoil/catalogue/catalogue.h
+++ b/trefoil/catalogue/catalogue.h
@@ -107,6 +107,11 @@
   int mMaxConnections = 0;
   // The target of requests for the health of a server; empty if there is none.
   std::string mHealthPath;
+  // How long a server warms up after a restart.
+  Milliseconds mWarmUpTime{ 0 };
+  // The requests per second of all hosts together that a server bears while it warms up; 0 if there
+  // is no limit.
+  double mWarmUpPerSecond = 0;
   // std::nullopt for an application that is not a model engine.
   std::optional<EngineTraits> mEngine;
   // std::nullopt if no servers are ordered for the service.
--- a/trefoil/catalogue/catalogue_test.cc
+++ b/trefoil/catalogue/catalogue_test.cc
@@ -61,6 +61,18 @@
       CHECK_FALSE(RegisterServer(registry, server));
     }
   }
+  WHEN("the server states once more that it warms up for as long")
+  {
+    server.mRevision = 6;
+    server.mRemainingWarmUp = Milliseconds{ 3'000 };
+    REQUIRE(RegisterServer(registry, server));
+    server.mRevision = 7;
+    THEN("that is a change, since it counts from the arrival")
+    {
+      CHECK(RegisterServer(registry, server));
+      CHECK_FALSE(RegisterServer(registry, server));
+    }
+  }
   WHEN("the server starts to drain")
   {
     server.mRevision = 7;
--- a/trefoil/catalogue/server_registry.cc
+++ b/trefoil/catalogue/server_registry.cc
@@ -57,7 +57,7 @@
   RegisteredServer before = entry->second;
   entry->second = aServer;
   before.mRevision = aServer.mRevision;
-  return before != aServer;
+  return before != aServer || aServer.mRemainingWarmUp > Milliseconds{ 0 };
 }
 
 bool
--- a/trefoil/catalogue/server_registry.h
+++ b/trefoil/catalogue/server_registry.h
@@ -56,8 +56,9 @@
   bool mRemovalUnconfirmed = false;
   // How long the server continues to run after its notice, if the server reported that.
   std::optional<Milliseconds> mRemainingLifetime;
-  // How much longer the server is slow because of its recent start.
-  Milliseconds mRemainingWarmUp{ 0 };
+  // How much longer the server warms up, counted from the arrival of the entry; empty if the entry
+  // does not state it.
+  std::optional<Milliseconds> mRemainingWarmUp;
   // The store revision of this entry.
   std::int64_t mRevision = 0;
 
@@ -82,7 +83,8 @@
 };
 
 // Inserts or updates an entry unless the registry has a newer revision of it or of its removal.
-// Returns whether the registry changed in more than the revision.
+// Returns whether the registry changed in more than the revision. A newer statement that the server
+// warms up is a change even if it is the same, since it counts from its arrival.
 bool
 RegisterServer(ServerRegistry& aRegistry, const RegisteredServer& aServer);
 
