--- a/trefoil/dispatch/server_limit.cc
+++ b/trefoil/dispatch/server_limit.cc
@@ -148,11 +148,17 @@
   return true;
 }
 
+bool
+HasPermit(TokenBucket& aPermits, const RefillRate& aPart, Instant aNow)
+{
+  Refill(aPermits, aPart, aNow);
+  return aPermits.mTokens >= 1 - kRoundingError;
+}
+
 bool
 HasPermit(ServerLimit& aLimit, const RefillRate& aPart, Instant aNow)
 {
-  Refill(aLimit.mBucket, aPart, aNow);
-  return aLimit.mBucket.mTokens >= 1 - kRoundingError;
+  return HasPermit(aLimit.mBucket, aPart, aNow);
 }
 
 void
--- a/trefoil/dispatch/server_limit.h
+++ b/trefoil/dispatch/server_limit.h
@@ -128,6 +128,10 @@
 bool
 TakeReportDue(ServerLimit& aLimit, Instant aNow);
 
+// Refills permits and returns whether one is left.
+bool
+HasPermit(TokenBucket& aPermits, const RefillRate& aPart, Instant aNow);
+
 // Refills the permits of a limited server and returns whether this host may send it a request.
 bool
 HasPermit(ServerLimit& aLimit, const RefillRate& aPart, Instant aNow);
