Prefer warm servers to cold ones with a similar load

A server that warms up is slower than its load suggests. It now costs one request in flight more, as a server of another zone does, or 2,000 tokens for requests with shared parts, as leaving the first server in rank does.

server_choice_test shows both, and that a cold server is used when the warm one has much more to do.

--- a/trefoil/dispatch/server_choice.cc
+++ b/trefoil/dispatch/server_choice.cc
@@ -46,6 +46,10 @@
 constexpr double kOtherZoneCost = 1.0;
 // Cost of a server all of whose requests fail, in requests in flight.
 constexpr double kFailureCost = 4.0;
+// Cost of a server that warms up, in requests in flight and in tokens: it is slower, so that a
+// request goes to a warm server with a similar wait.
+constexpr double kWarmUpCost = 1.0;
+constexpr double kWarmUpCostTokens = 2'000;
 // Cost of a server that is not the first in rank for a key, in tokens: a request leaves the
 // first server only if that saves more.
 constexpr double kMoveCostTokens = 2'000;
@@ -65,11 +69,13 @@
 {
   const double zoneCost = aCandidate.mServer->mZone == aParameters.mZone ? 0 : kOtherZoneCost;
   return aCandidate.mServerStatus->mInFlight + zoneCost +
+         (aCandidate.mIsWarmingUp ? kWarmUpCost : 0) +
          kFailureCost * aCandidate.mServerStatus->mFailureShare;
 }
 
 // Returns the cost of choosing the candidate: the tokens that it would have to prefill before the
-// request's unshared part, plus kMoveCostTokens if it is not the first in rank.
+// request's unshared part, plus kMoveCostTokens if it is not the first in rank and
+// kWarmUpCostTokens if it warms up.
 double
 CacheCost(const ServerCandidate& aCandidate,
           const ChoiceParameters& aParameters,
@@ -78,7 +84,8 @@
 {
   const double shared = static_cast<double>(aParameters.mSharedTokens);
   return WaitingTokens(*aCandidate.mServerStatus, aParameters.mPrefillRate, aNow) +
-         (aIsTopRanked ? 0 : kMoveCostTokens) + (aCandidate.mHoldsCache ? 0 : shared);
+         (aIsTopRanked ? 0 : kMoveCostTokens) + (aCandidate.mHoldsCache ? 0 : shared) +
+         (aCandidate.mIsWarmingUp ? kWarmUpCostTokens : 0);
 }
 
 // Returns the indexes of the kServersPerKey highest-ranked candidates for the key, in order of
--- a/trefoil/dispatch/server_choice.h
+++ b/trefoil/dispatch/server_choice.h
@@ -15,6 +15,7 @@
 #include "trefoil/dispatch/backlog.h"
 #include "trefoil/dispatch/brittle_server.h"
 #include "trefoil/dispatch/server_limit.h"
+#include "trefoil/dispatch/warm_up.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -47,6 +48,7 @@
   // Whether several other hosts report the server as broken.
   bool mReportedBroken = false;
   ServerLimit mLimit;
+  WarmUp mWarmUp;
   BrittleServer mBrittle;
   // The incarnation that has stated in an answer that it leaves; empty if none has.
   std::optional<std::int64_t> mLeavingIncarnation;
@@ -75,6 +77,8 @@
   // Whether the server is used only if all other candidates are avoided too, because its zone
   // is avoided or because it may be gone.
   bool mAvoided = false;
+  // Whether the server is limited because it warms up. It is slower than others meanwhile.
+  bool mIsWarmingUp = false;
 };
 
 // Returns whether a server may get requests: not while its entry or one of its answers says that it
--- a/trefoil/dispatch/server_choice_test.cc
+++ b/trefoil/dispatch/server_choice_test.cc
@@ -43,6 +43,39 @@
   std::set<std::size_t> mCacheHolders;
 };
 
+// Guards against requests that wait for a slow cold server while a warm one is as free.
+SCENARIO("a server warms up")
+{
+  Servers servers{ 2 };
+  servers.mServers[1].mZone = kZoneA;
+  ChoiceParameters parameters{ .mZone = kZoneA, .mSharedTokens = 1'000 };
+  const auto choose = [&](std::size_t aCold) {
+    std::vector<ServerCandidate> candidates = servers.Candidates();
+    candidates[aCold].mIsWarmingUp = true;
+    return ChooseServer(candidates, parameters, kNow);
+  };
+  WHEN("a warm server is as free")
+  {
+    THEN("requests with and without shared parts go to the warm one")
+    {
+      CHECK(choose(0) == 1);
+      CHECK(choose(1) == 0);
+      parameters.mCacheKey = "session";
+      const std::size_t preferred = *ChooseServer(servers.Candidates(), parameters, kNow);
+      servers.mStatuses[preferred].mPendingTokens = 1;
+      CHECK(choose(preferred) == 1 - preferred);
+    }
+  }
+  WHEN("the warm one has much more to do")
+  {
+    servers.mStatuses[1].mInFlight = 3;
+    THEN("the cold one is used")
+    {
+      CHECK(choose(0) == 0);
+    }
+  }
+}
+
 SCENARIO("requests of one session arrive at several hosts")
 {
   Servers servers{ 18 };
