Keep requests to servers that warm up within their rate

Hosts sent cold servers as many requests as others, so that these could crash again.

A cold server without a permit of this host is no candidate, for repeats as for first attempts. A stated limit and that of the warm-up both hold, each with its own bucket: answers that state no limit reset the bucket of the stated one. If all servers are limited, the request is refused as for stated limits, with the time to the next permit or to the end of the warm-up. If the server becomes cold while its connection is opened, the request needs a permit then or is held back: nothing was sent, and the server is not blamed.

New: log event server_warm_up (cold, warm), attempt end held_back, counter trefoil_warm_up_permits_refused_total.

No test makes a server cold while a connection is opened.

--- a/trefoil/dispatch/server_limit.cc
+++ b/trefoil/dispatch/server_limit.cc
@@ -167,15 +167,34 @@
   aLimit.mBucket.mTokens -= 1;
 }
 
-void
-AddPermits(PermitSum& aSum, const ServerLimit& aLimit, const RefillRate& aPart)
+PermitSum
+PermitsOf(const TokenBucket& aPermits, const RefillRate& aPart)
 {
-  aSum.mAvailable += std::max(0.0, aLimit.mBucket.mTokens);
-  aSum.mMax += aPart.mMax;
+  PermitSum sum{ .mAvailable = std::max(0.0, aPermits.mTokens), .mMax = aPart.mMax };
   if (aPart.mPerSecond > 0) {
-    const Milliseconds next =
-      TimeUntilRefilled(aLimit.mBucket, 1, aPart.mPerSecond, kMaxPermitWait);
-    aSum.mNextIn = std::min(aSum.mNextIn.value_or(next), next);
+    sum.mNextIn = TimeUntilRefilled(aPermits, 1, aPart.mPerSecond, kMaxPermitWait);
+  }
+  return sum;
+}
+
+PermitSum
+LowerOf(const PermitSum& aFirst, const PermitSum& aSecond)
+{
+  PermitSum lower{ .mAvailable = std::min(aFirst.mAvailable, aSecond.mAvailable),
+                   .mMax = std::min(aFirst.mMax, aSecond.mMax) };
+  if (aFirst.mNextIn.has_value() && aSecond.mNextIn.has_value()) {
+    lower.mNextIn = std::max(*aFirst.mNextIn, *aSecond.mNextIn);
+  }
+  return lower;
+}
+
+void
+AddPermits(PermitSum& aSum, const PermitSum& aServer)
+{
+  aSum.mAvailable += aServer.mAvailable;
+  aSum.mMax += aServer.mMax;
+  if (aServer.mNextIn.has_value()) {
+    aSum.mNextIn = std::min(aSum.mNextIn.value_or(*aServer.mNextIn), *aServer.mNextIn);
   }
 }
 
--- a/trefoil/dispatch/server_limit.h
+++ b/trefoil/dispatch/server_limit.h
@@ -149,9 +149,17 @@
   std::optional<Milliseconds> mNextIn;
 };
 
-// Adds the permits of a limited server after HasPermit() has refilled them.
+// Returns the permits for one server after HasPermit() has refilled them.
+PermitSum
+PermitsOf(const TokenBucket& aPermits, const RefillRate& aPart);
+
+// Returns the permits for a server if two limits of it hold.
+PermitSum
+LowerOf(const PermitSum& aFirst, const PermitSum& aSecond);
+
+// Adds the permits for a server.
 void
-AddPermits(PermitSum& aSum, const ServerLimit& aLimit, const RefillRate& aPart);
+AddPermits(PermitSum& aSum, const PermitSum& aServer);
 
 // Returns whether permits are left for a request when all of its servers are limited. The last ones
 // are kept for more urgent requests. `aMoreUrgentShare` is the share of the service's priorities
--- a/trefoil/eventlog/event_log.h
+++ b/trefoil/eventlog/event_log.h
@@ -49,6 +49,7 @@
   kAttemptFailed,
   kServerAvoided,
   kServerLimited,
+  kServerWarmUp,
   kCutOff,
   kCutOffEnded,
   kRelayFailed,
@@ -69,7 +70,7 @@
   kLinesDropped,
 };
 
-inline constexpr NameTable<LogEvent, 32> kLogEventNames{ {
+inline constexpr NameTable<LogEvent, 33> kLogEventNames{ {
   { LogEvent::kStart, "start" },
   { LogEvent::kStartDelayed, "start_delayed" },
   { LogEvent::kStop, "stop" },
@@ -84,6 +85,7 @@
   { LogEvent::kAttemptFailed, "attempt_failed" },
   { LogEvent::kServerAvoided, "server_avoided" },
   { LogEvent::kServerLimited, "server_limited" },
+  { LogEvent::kServerWarmUp, "server_warm_up" },
   { LogEvent::kCutOff, "cut_off" },
   { LogEvent::kCutOffEnded, "cut_off_ended" },
   { LogEvent::kRelayFailed, "relay_failed" },
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -69,15 +69,18 @@
   kBroken,
   kSilent,
   kServerError,
+  // The request was not sent, since the server must get no more requests of this host now.
+  kHeldBack,
 };
 
-inline constexpr NameTable<AttemptFailure, 6> kAttemptFailureNames{ {
+inline constexpr NameTable<AttemptFailure, 7> kAttemptFailureNames{ {
   { AttemptFailure::kConnectFailed, "connect_failed" },
   { AttemptFailure::kTurnedAway, "turned_away" },
   { AttemptFailure::kWrongServer, "other_server" },
   { AttemptFailure::kBroken, "broken" },
   { AttemptFailure::kSilent, "silent" },
   { AttemptFailure::kServerError, "server_error" },
+  { AttemptFailure::kHeldBack, "held_back" },
 } };
 
 // Retry-After value if the request cannot be served now: the time in which a server at its limit
@@ -142,6 +145,8 @@
     Instant mSentAt;
     // Whether bytes of the request were sent. The server cannot have run it before.
     bool mSent = false;
+    // Whether the attempt has used a permit for a server that warms up.
+    bool mHasWarmUpPermit = false;
     // Whether a failure is the server's, as far as this host knows.
     bool mIsServerBlamed = true;
     double mPendingTokens = 0;
@@ -172,6 +177,8 @@
   std::vector<ServerCandidate> CandidatesOf(const std::vector<const RegisteredServer*>& aServers,
                                             Instant aNow);
   bool UseLimits(std::vector<ServerCandidate>& aCandidates);
+  std::optional<PermitSum> PermitsFor(const ServerCandidate& aCandidate, Instant aNow);
+  bool KeepsWarmUpLimit();
   double MoreUrgentShare() const;
   int Priority() const;
   void SendTo(const RegisteredServer& aServer);
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -1,5 +1,6 @@
 #include "trefoil/forward/exchange.h"
 #include "trefoil/forward/server_connector.h"
+#include "trefoil/forward/warm_up_limits.h"
 #include "trefoil/http/framing.h"
 #include "trefoil/http/status_code.h"
 
@@ -83,6 +84,8 @@
   mTriedServers.insert(aServer.mId);
   ServerStatus& status = StatusOfServer(aServer.mId);
   UsePermit(status.mLimit);
+  mAttempt->mHasWarmUpPermit =
+    IsLimitedByWarmUp(mState, aServer, now) && TakeWarmUpPermit(mState, aServer, now);
   ++status.mInFlight;
   status.mPendingTokens += mAttempt->mPendingTokens;
   mState.mMetrics.Add(Counter::kAttempts, 1);
@@ -318,17 +321,18 @@
       mDispatches - mFailedConnects >= mRoute->mAttempts + kMaxExtraDispatches) {
     return false;
   }
-  const bool notRun = aFailure == AttemptFailure::kConnectFailed ||
-                      aFailure == AttemptFailure::kTurnedAway ||
-                      aFailure == AttemptFailure::kWrongServer;
+  const bool notRun =
+    aFailure == AttemptFailure::kConnectFailed || aFailure == AttemptFailure::kTurnedAway ||
+    aFailure == AttemptFailure::kWrongServer || aFailure == AttemptFailure::kHeldBack;
   if (IsRefused(now)) {
     return false;
   }
   if (!notRun && (!MayRepeat() || CountedRuns() >= mRoute->mAttempts)) {
     return false;
   }
-  // An attempt that failed to connect put no load on a server, so its retry consumes no budget.
-  return aFailure == AttemptFailure::kConnectFailed || std::exchange(mHasPaidForRetry, false) ||
+  // An attempt that sent nothing put no load on a server, so its retry consumes no budget.
+  return aFailure == AttemptFailure::kConnectFailed || aFailure == AttemptFailure::kHeldBack ||
+         std::exchange(mHasPaidForRetry, false) ||
          ConsumeServiceRetry(mState.mRetries, mService, mState.mView->mHosts, now);
 }
 
@@ -393,6 +397,10 @@
     TryNextServer();
     return;
   }
+  if (aFailure == AttemptFailure::kHeldBack) {
+    FailRequest(RefusalReason::kServersLimited);
+    return;
+  }
   FailRequest(aFailure == AttemptFailure::kConnectFailed ? RefusalReason::kServerUnreachable
                                                          : RefusalReason::kServersFull);
 }
--- a/trefoil/forward/exchange_path.cc
+++ b/trefoil/forward/exchange_path.cc
@@ -1,6 +1,7 @@
 // The paths of a request's attempts: what it means for the request if one of them has failed.
 #include "trefoil/forward/exchange.h"
 #include "trefoil/forward/server_connector.h"
+#include "trefoil/forward/warm_up_limits.h"
 
 #include <algorithm>
 
@@ -36,12 +37,35 @@
   return false;
 }
 
+// Returns whether the request may be sent on a connection that has just been opened: the server can
+// have become cold meanwhile, so that the attempt needs a permit now.
+bool
+Exchange::KeepsWarmUpLimit()
+{
+  const Instant now = SuspendAwareNow();
+  const RegisteredServer& server = mAttempt->mServer;
+  if (!IsLimitedByWarmUp(mState, server, now)) {
+    return true;
+  }
+  if (mAttempt->mHasWarmUpPermit) {
+    DelayNextPermit(StatusOfServer(server.mId).mWarmUp, now - mAttempt->mSentAt);
+    return true;
+  }
+  mAttempt->mHasWarmUpPermit = TakeWarmUpPermit(mState, server, now);
+  return mAttempt->mHasWarmUpPermit;
+}
+
 void
 Exchange::OnConnectionOpened(bool aIsOpen)
 {
   if (!mAttempt.has_value()) {
     return;
   }
+  if (aIsOpen && !KeepsWarmUpLimit()) {
+    mAttempt->mIsServerBlamed = false;
+    OnAttemptFailed(AttemptFailure::kHeldBack);
+    return;
+  }
   if (aIsOpen) {
     SendRequest();
     return;
--- a/trefoil/forward/exchange_selection.cc
+++ b/trefoil/forward/exchange_selection.cc
@@ -1,6 +1,7 @@
 // Selects the server of an attempt from the servers of the request's service.
 #include "trefoil/forward/exchange.h"
 #include "trefoil/forward/server_connector.h"
+#include "trefoil/forward/warm_up_limits.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -45,13 +46,16 @@
         mLeftOutUnreachable = true;
         continue;
       }
+      const bool isWarmingUp = IsLimitedByWarmUp(mState, *server, aNow);
       candidates.push_back(
         { .mServer = server,
           .mServerStatus = &StatusOfServer(server->mId),
-          .mHoldsCache = IsLikelyCached(prefillTimes, server->mId, aNow),
+          // A server that warms up has lost its cache.
+          .mHoldsCache = !isWarmingUp && IsLikelyCached(prefillTimes, server->mId, aNow),
           .mAvoided = server->mRemovalUnconfirmed || reach == ServerReach::kUnproven ||
                       (reach == ServerReach::kDirect &&
-                       !HasPassed(mState.mZones[server->mZone].mAvoidUntil, aNow)) });
+                       !HasPassed(mState.mZones[server->mZone].mAvoidUntil, aNow)),
+          .mIsWarmingUp = isWarmingUp });
     }
     return candidates;
   };
@@ -132,14 +136,17 @@
       acceptsAt = std::min(acceptsAt.value_or(roomAt), roomAt);
       return true;
     }
-    if (!IsLimited(status.mLimit, now)) {
+    const std::optional<PermitSum> own = PermitsFor(aItem, now);
+    if (!own.has_value()) {
       hasUnlimited = true;
       return false;
     }
     hasLimited = true;
-    const RefillRate part = OwnPartOfLimit(mState, aItem.mServer->mId, status.mLimit);
-    const bool hasPermit = HasPermit(status.mLimit, part, now);
-    AddPermits(permits, status.mLimit, part);
+    AddPermits(permits, *own);
+    const bool hasPermit = CoversUrgency(*own, 0);
+    if (aItem.mIsWarmingUp && !hasPermit) {
+      mState.mMetrics.Add(Counter::kWarmUpPermitsRefused, 1);
+    }
     return !hasPermit;
   });
   if (hasLimited) {
@@ -154,6 +161,25 @@
   return !isRejected;
 }
 
+// Returns this host's permits for a server that is limited by its own statement, because it warms
+// up or by both; std::nullopt if it is not.
+std::optional<PermitSum>
+Exchange::PermitsFor(const ServerCandidate& aCandidate, Instant aNow)
+{
+  ServerStatus& status = StatusOfServer(aCandidate.mServer->mId);
+  std::optional<PermitSum> permits;
+  if (IsLimited(status.mLimit, aNow)) {
+    const RefillRate part = OwnPartOfLimit(mState, aCandidate.mServer->mId, status.mLimit);
+    HasPermit(status.mLimit, part, aNow);
+    permits = PermitsOf(status.mLimit.mBucket, part);
+  }
+  if (aCandidate.mIsWarmingUp) {
+    const PermitSum warmUp = WarmUpPermits(mState, *aCandidate.mServer, aNow);
+    permits = permits.has_value() ? LowerOf(*permits, warmUp) : warmUp;
+  }
+  return permits;
+}
+
 // Returns the share of the priorities of the service's routes that are more urgent than that of
 // this request.
 double
--- a/trefoil/forward/traffic_state.cc
+++ b/trefoil/forward/traffic_state.cc
@@ -42,10 +42,6 @@
   });
 }
 
-namespace {
-
-// Returns the position of this host in the order by which what the server permits is divided. The
-// list of hosts must be known.
 std::size_t
 RankForServer(const TrafficState& aState, const BackendServerId& aServer, ServerLimit& aLimit)
 {
@@ -55,8 +51,6 @@
   return *aLimit.mRank;
 }
 
-} // namespace
-
 RefillRate
 OwnPartOfLimit(const TrafficState& aState, const BackendServerId& aServer, ServerLimit& aLimit)
 {
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -43,6 +43,8 @@
   bool mProbesScheduled = false;
   // The servers that other hosts are asked for since a connection of this one has ended.
   std::set<BackendServerId> mCheckedLinks;
+  // When this host first knew the list of hosts.
+  std::optional<Instant> mHostsListedSince;
   // Carriers that are being asked while none is known to carry.
   int mCarrierSearches = 0;
   QuotaState mQuotas;
@@ -86,6 +88,11 @@
 void
 ReportCrashEvidence(TrafficState& aState, bool aIsOwn);
 
+// Returns the position of this host in the order by which what the server permits is divided. The
+// list of hosts must be known.
+std::size_t
+RankForServer(const TrafficState& aState, const BackendServerId& aServer, ServerLimit& aLimit);
+
 // Returns the part of the server's limit that this host may use.
 RefillRate
 OwnPartOfLimit(const TrafficState& aState, const BackendServerId& aServer, ServerLimit& aLimit);
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -4,6 +4,7 @@
 #include "trefoil/forward/server_connector.h"
 #include "trefoil/forward/traffic_report.h"
 #include "trefoil/forward/traffic_updates.h"
+#include "trefoil/forward/warm_up_limits.h"
 #include "trefoil/http/status_code.h"
 #include "trefoil/net/bind_error.h"
 #include "trefoil/net/exclusive_bind.h"
@@ -295,6 +296,7 @@
     mState.mConnectionPool.Sweep(*mState.mView->mServers, now);
   }
   SweepPaths(mState, now);
+  LogEndedWarmUps(mState, now);
   ExpireCrashes(mState.mCrashes, now);
   DropClosedSessions();
 }
--- a/trefoil/forward/traffic_updates.cc
+++ b/trefoil/forward/traffic_updates.cc
@@ -1,5 +1,7 @@
 #include "trefoil/forward/traffic_updates.h"
 
+#include "trefoil/forward/warm_up_limits.h"
+
 #include <utility>
 
 namespace trefoil {
@@ -26,6 +28,24 @@
   }
 }
 
+// Forgets what the servers of a new view have outdated.
+void
+UpdateServerStatuses(TrafficState& aState)
+{
+  if (!aState.mView->mServers) {
+    return;
+  }
+  for (const auto& [id, server] : aState.mView->mServers->mServers) {
+    const auto status = aState.mServerStatuses.find(id);
+    if (status != aState.mServerStatuses.end()) {
+      StartLimitIncarnation(status->second.mLimit, server.mIncarnation);
+    }
+  }
+  std::erase_if(aState.mServerStatuses, [&aState](const auto& aItem) {
+    return aItem.second.mInFlight == 0 && !aState.mView->mServers->mServers.contains(aItem.first);
+  });
+}
+
 } // namespace
 
 void
@@ -39,30 +59,19 @@
       servers[server.mService].push_back(&server);
     }
   }
-  // Nothing below throws, so that a view is in use as a whole or not at all: a later one with the
-  // same servers does not bring them back.
+  // Nothing below throws before the servers are replaced, so that a view is in use as a whole or
+  // not at all: a later one with the same servers does not bring them back.
   aState.mView = std::move(aView);
   if (!sameHosts) {
     for (auto& [server, status] : aState.mServerStatuses) {
       status.mLimit.mRank.reset();
     }
   }
-  if (sameServers) {
-    return;
-  }
-  aState.mServers.swap(servers);
-  if (!aState.mView->mServers) {
-    return;
+  if (!sameServers) {
+    aState.mServers.swap(servers);
+    UpdateServerStatuses(aState);
   }
-  for (const auto& [id, server] : aState.mView->mServers->mServers) {
-    const auto status = aState.mServerStatuses.find(id);
-    if (status != aState.mServerStatuses.end()) {
-      StartLimitIncarnation(status->second.mLimit, server.mIncarnation);
-    }
-  }
-  std::erase_if(aState.mServerStatuses, [&aState](const auto& aItem) {
-    return aItem.second.mInFlight == 0 && !aState.mView->mServers->mServers.contains(aItem.first);
-  });
+  ApplyRegisteredWarmUps(aState);
 }
 
 void
--- a/trefoil/metrics/metrics.h
+++ b/trefoil/metrics/metrics.h
@@ -38,9 +38,11 @@
   kStreamsResumed,
   kTokens,
   kStoreFailures,
+  // Selections that left out a server that warms up, since this host had no permit for it.
+  kWarmUpPermitsRefused,
 };
 
-inline constexpr NameTable<Counter, 8> kCounterNames{ {
+inline constexpr NameTable<Counter, 9> kCounterNames{ {
   { Counter::kRequests, "trefoil_requests_total" },
   { Counter::kRequestsNotRun, "trefoil_requests_not_run_total" },
   { Counter::kRequestsMayHaveRun, "trefoil_requests_may_have_run_total" },
@@ -49,6 +51,7 @@
   { Counter::kStreamsResumed, "trefoil_streams_resumed_total" },
   { Counter::kTokens, "trefoil_tokens_total" },
   { Counter::kStoreFailures, "trefoil_store_failures_total" },
+  { Counter::kWarmUpPermitsRefused, "trefoil_warm_up_permits_refused_total" },
 } };
 
 enum class LabelledCounter
