Read from health answers that a server warms up

A host that asks a server for its health did not read Cold-Milliseconds, so that it sent a restarted server requests without a limit until the server's entry arrived.

The answer can prolong a warm-up only: it does not tell whether an entry that arrives later was written before it. No health request is added, and a cold server is asked only with a permit, since the question is a request, too; without one the check of the link ends without a finding.

--- a/trefoil/forward/forward_codec.h
+++ b/trefoil/forward/forward_codec.h
@@ -79,6 +79,9 @@
   bool mLeaving = false;
   // How long the server wants no further request of this host; empty if it does not state it.
   std::optional<Milliseconds> mPause;
+  // How much longer the server warms up, if the answer is about its health; empty if it does not
+  // state it.
+  std::optional<Milliseconds> mRemainingWarmUp;
 };
 
 struct ForwardCodec
--- a/trefoil/forward/lost_link.cc
+++ b/trefoil/forward/lost_link.cc
@@ -2,6 +2,7 @@
 
 #include "trefoil/dispatch/link_check.h"
 #include "trefoil/forward/server_connector.h"
+#include "trefoil/forward/warm_up_limits.h"
 #include "trefoil/http/framing.h"
 #include "trefoil/http/message_reader.h"
 
@@ -31,6 +32,7 @@
 struct HealthQuestion
 {
   TrafficState& mState;
+  RegisteredServer mServer;
   std::shared_ptr<ServerConnection> mConnection;
   std::function<void(bool)> mOnEnd;
   MessageReader mReader = MessageReader::ForResponse({});
@@ -65,6 +67,9 @@
     // Whatever the server says of its health, it is alive, unless another one has its address.
     const AnswerMetadata metadata =
       aQuestion->mState.mOptions.mCodec.mReadAnswer(aQuestion->mReader.Response());
+    if (!metadata.mWrongServer && metadata.mRemainingWarmUp.has_value()) {
+      ApplyWarmUpOfHealth(aQuestion->mState, aQuestion->mServer, *metadata.mRemainingWarmUp);
+    }
     EndQuestion(aQuestion, !metadata.mWrongServer);
   } else if (state != MessageReadState::kHead) {
     EndQuestion(aQuestion, false);
@@ -80,8 +85,8 @@
 {
   TrafficState& state = aLink->mState;
   const RegisteredServer& server = aLink->mServer;
-  const auto question = std::make_shared<HealthQuestion>(
-    HealthQuestion{ .mState = state, .mConnection = aConnection, .mOnEnd = std::move(aOnEnd) });
+  const auto question = std::make_shared<HealthQuestion>(HealthQuestion{
+    .mState = state, .mServer = server, .mConnection = aConnection, .mOnEnd = std::move(aOnEnd) });
   if (!aConnection->mStream->IsOpen()) {
     EndQuestion(question, false);
     return;
@@ -144,9 +149,24 @@
   });
 }
 
+// Returns whether the server may be asked for its health: while it warms up, only with a permit,
+// since the question is a request, too.
+bool
+MayAskHealth(const CheckedLink& aLink)
+{
+  const Instant now = SuspendAwareNow();
+  return !IsLimitedByWarmUp(aLink.mState, aLink.mServer, now) ||
+         TakeWarmUpPermit(aLink.mState, aLink.mServer, now);
+}
+
 void
 Proceed(const CheckedLinkPointer& aLink, LinkCheckStep aStep)
 {
+  const bool asksHealth = aStep == LinkCheckStep::kAskHealth || aStep == LinkCheckStep::kTryHealth;
+  if (asksHealth && !MayAskHealth(*aLink)) {
+    EndCheck(aLink, false);
+    return;
+  }
   switch (aStep) {
     case LinkCheckStep::kAsk:
       AskCarrier(aLink);
