--- a/trefoil/dispatch/server_limit.h
+++ b/trefoil/dispatch/server_limit.h
@@ -128,6 +128,10 @@
 bool
 TakeReportDue(ServerLimit& aLimit, Instant aNow);
 
+// Refills permits and returns whether one is left.
+bool
+HasPermit(TokenBucket& aPermits, const RefillRate& aPart, Instant aNow);
+
 // Refills the permits of a limited server and returns whether this host may send it a request.
 bool
 HasPermit(ServerLimit& aLimit, const RefillRate& aPart, Instant aNow);
@@ -145,9 +149,17 @@
   std::optional<Milliseconds> mNextIn;
 };
 
-// Adds the permits of a limited server after HasPermit() has refilled them.
+// Returns the permits for one server after HasPermit() has refilled them.
+PermitSum
+PermitsOf(const TokenBucket& aPermits, const RefillRate& aPart);
+
+// Returns the permits for a server if two limits of it hold.
+PermitSum
+LowerOf(const PermitSum& aFirst, const PermitSum& aSecond);
+
+// Adds the permits for a server.
 void
-AddPermits(PermitSum& aSum, const ServerLimit& aLimit, const RefillRate& aPart);
+AddPermits(PermitSum& aSum, const PermitSum& aServer);
 
 // Returns whether permits are left for a request when all of its servers are limited. The last ones
 // are kept for more urgent requests. `aMoreUrgentShare` is the share of the service's priorities
