Estimate how slow a server is, and count it when a server is chosen

Change: the time between the events of all streams gives each server's slowness against the mean of its service. The cost of a server is the time until it begins to answer: what waits there, what it would prefill and the request's own tokens, times the slowness. So long prompts leave slow servers, and short ones stay where their shared parts are cached.

--- a/trefoil/dispatch/server_choice.cc
+++ b/trefoil/dispatch/server_choice.cc
@@ -68,8 +68,9 @@
          kFailureCost * aCandidate.mServerStatus->mFailureShare;
 }
 
-// Returns the cost of choosing the candidate: the tokens that it would have to prefill before the
-// request's unshared part, plus kMoveCostTokens if it is not the first in rank.
+// Returns the cost of choosing the candidate: the tokens that a server of mean speed would prefill
+// until this one begins to answer, plus kMoveCostTokens if it is not the first in rank. The
+// request's own tokens make a difference between servers of different speed only.
 double
 CacheCost(const ServerCandidate& aCandidate,
           const ChoiceParameters& aParameters,
@@ -77,8 +78,10 @@
           Instant aNow)
 {
   const double shared = static_cast<double>(aParameters.mSharedTokens);
-  return WaitingTokens(*aCandidate.mServerStatus, aParameters.mPrefillRate, aNow) +
-         (aIsTopRanked ? 0 : kMoveCostTokens) + (aCandidate.mHoldsCache ? 0 : shared);
+  const double prefilled =
+    WaitingTokens(*aCandidate.mServerStatus, aParameters.mPrefillRate, aNow) +
+    static_cast<double>(aParameters.mOwnTokens) + (aCandidate.mHoldsCache ? 0 : shared);
+  return aCandidate.mSlowness * prefilled + (aIsTopRanked ? 0 : kMoveCostTokens);
 }
 
 // Returns the indexes of the kServersPerKey highest-ranked candidates for the key, in order of
--- a/trefoil/dispatch/server_choice.h
+++ b/trefoil/dispatch/server_choice.h
@@ -6,7 +6,8 @@
 // A request with a cache key goes to a server that probably holds the shared parts of its
 // prompt in its cache. All hosts rank the servers of a key by the same rendezvous hash, so that
 // they agree without messages. A lower-ranked server is chosen only if the work that waits at
-// the first one costs more than prefilling the shared parts again. Other requests go to the
+// the first one costs more than prefilling the shared parts again, or if it is so slow that the
+// request's own tokens take much longer there. Other requests go to the
 // least loaded server, with a preference for this host's availability zone. Servers that failed
 // recently are avoided while other servers are available. Pure functions.
 #pragma once
@@ -15,6 +16,7 @@
 #include "trefoil/dispatch/backlog.h"
 #include "trefoil/dispatch/brittle_server.h"
 #include "trefoil/dispatch/server_limit.h"
+#include "trefoil/dispatch/server_speed.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -46,6 +48,9 @@
   Instant mLastServedAt;
   // Whether several other hosts report the server as broken.
   bool mReportedBroken = false;
+  ServerSpeed mSpeed;
+  // What this host has observed since its start, for the other hosts.
+  EventTotals mOwnEvents;
   ServerLimit mLimit;
   BrittleServer mBrittle;
   // The incarnation that has stated in an answer that it leaves; empty if none has.
@@ -75,6 +80,8 @@
   // Whether the server is used only if all other candidates are avoided too, because its zone
   // is avoided or because it may be gone.
   bool mAvoided = false;
+  // How many times as long as the mean of its service the server takes (server_speed.h).
+  double mSlowness = 1;
 };
 
 // Returns whether a server may get requests: not while its entry or one of its answers says that it
@@ -103,6 +110,8 @@
   // Identifies the shared parts of the prompt; empty for requests without shared parts.
   std::string mCacheKey;
   std::int64_t mSharedTokens = 0;
+  // The prompt tokens after the shared parts.
+  std::int64_t mOwnTokens = 0;
   // Prefill rate of a server in tokens per second.
   double mPrefillRate = 0;
   // A random number that breaks ties.
