Choose servers by their speed and by zone

Requests that any server serves alike stay in the zone while that does not take longer than the setting zone_crossing_cost_ms; without the setting zones are chosen as before. A counter shows dispatches by zone.

--- a/cmd/trefoil_gateway.cc
+++ b/cmd/trefoil_gateway.cc
@@ -66,6 +66,7 @@
            .mRetries = { .mRatio = aSettings.mRetryRatio,
                          .mSlack = aSettings.mRetrySlack,
                          .mWindow = aSettings.mRetryWindow },
+           .mZoneCrossingCost = aSettings.mZoneCrossingCost,
            .mQuotaOverage = kQuotaOverageFraction * aSettings.mQuotaOverage,
            .mQuotaSlack = kQuotaSlackFraction * aSettings.mQuotaSlack,
            .mUsageWindow = aSettings.mUsageWindow,
--- a/trefoil/forward/event_splitter.cc
+++ b/trefoil/forward/event_splitter.cc
@@ -91,6 +91,7 @@
       aSplitter.mLastId = *id;
     }
     complete.append(event);
+    ++aSplitter.mEvents;
   }
   aSplitter.mPartialEvent.erase(0, aSplitter.mPartialEvent.size() - rest.size());
   return complete;
--- a/trefoil/forward/event_splitter.h
+++ b/trefoil/forward/event_splitter.h
@@ -7,6 +7,7 @@
 // Plain data and pure functions.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,8 @@
   std::string mPartialEvent;
   // Empty until an event with an id is received.
   std::string mLastId;
+  // The number of complete events that were returned.
+  std::int64_t mEvents = 0;
 };
 
 // Appends `aBytes` to the buffered bytes, and removes and returns the complete events. An event
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -155,6 +155,8 @@
     bool mAnswerBegun = false;
     // Whether the server was silent for so long that other requests avoid it.
     bool mFoundSilent = false;
+    // When the last complete events were received; the epoch before the first ones.
+    Instant mLastEventsAt;
     // Whether a complete event, or the complete answer, was received.
     bool mIsSound = false;
     // The received bytes that are counted in TrafficState::mBufferedBytes.
@@ -171,8 +173,11 @@
   std::optional<RegisteredServer> SelectFirstOrNextServer();
   std::vector<ServerCandidate> CandidatesOf(const std::vector<const RegisteredServer*>& aServers,
                                             Instant aNow);
+  void KeepToZone(std::vector<ServerCandidate>& aCandidates, Instant aNow);
+  bool IsServedAlikeEverywhere();
   bool UseLimits(std::vector<ServerCandidate>& aCandidates);
   double MoreUrgentShare() const;
+  EventTotals ServiceEvents(const std::vector<const RegisteredServer*>& aServers, Instant aNow);
   int Priority() const;
   void SendTo(const RegisteredServer& aServer);
   bool AcquireConnection(const RegisteredServer& aServer);
@@ -189,6 +194,7 @@
   void RecordLeaving();
   bool CheckBufferedBytes();
   void RelayEvents();
+  void RecordEventTime(std::int64_t aEvents);
   void RecordAnswerBegun();
   void RecordUndisturbedPrefill(Instant::duration aTime);
   void CountUsage();
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -253,6 +253,12 @@
       mState.mPrefillRates[mService], mBasis.mWaitingTokens + mBasis.mUncachedTokens, prefillTime);
     RecordUndisturbedPrefill(prefillTime);
   }
+  if (IsServedAlikeEverywhere() && mAttempt->mConnection->mVia.Empty()) {
+    RecordZoneTime(mState.mZoneChoices[mService],
+                   { .mIsOwnZone = mAttempt->mServer.mZone == mState.mOptions.mZone,
+                     .mTime = std::chrono::duration_cast<Milliseconds>(now - mAttempt->mSentAt) },
+                   now);
+  }
   mAnswerBegunAt = mAnswerBegunAt.value_or(now);
   mState.mMetrics.Observe(stream ? Latency::kFirstToken : Latency::kPlainResponse,
                           now - mArrivedAt);
@@ -302,11 +308,13 @@
   if (body.empty()) {
     return;
   }
+  const std::int64_t eventsBefore = mEvents.mEvents;
   const std::string events = ExtractCompleteEvents(mEvents, body);
   body.clear();
   if (events.empty()) {
     return;
   }
+  RecordEventTime(mEvents.mEvents - eventsBefore);
   ReportPromptAnswer();
   if (!mStreaming) {
     mStreaming = true;
@@ -322,6 +330,24 @@
   ArmSilenceTimer();
 }
 
+// Counts the time since the last events toward the speed of the server. By way of another host it
+// would be that of the carrier, too.
+void
+Exchange::RecordEventTime(std::int64_t aEvents)
+{
+  const Instant now = SuspendAwareNow();
+  const Instant before = std::exchange(mAttempt->mLastEventsAt, now);
+  if (before == Instant{} || !mAttempt->mConnection->mVia.Empty()) {
+    return;
+  }
+  const EventTotals added{ .mEvents = static_cast<double>(aEvents),
+                           .mSeconds = std::chrono::duration<double>(now - before).count() };
+  ServerStatus& status = StatusOfServer(mAttempt->mServer.mId);
+  RecordEvents(status.mSpeed, added, now);
+  status.mOwnEvents.mEvents += added.mEvents;
+  status.mOwnEvents.mSeconds += added.mSeconds;
+}
+
 // Returns whether an answer that ends with its connection is a stream that was cut off: within an
 // event, or before the first one of this attempt, where its end cannot be told from a crash. A
 // stream with a length or chunks can end without an event, if it was resumed after the last one.
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -86,6 +86,10 @@
   ++status.mInFlight;
   status.mPendingTokens += mAttempt->mPendingTokens;
   mState.mMetrics.Add(Counter::kAttempts, 1);
+  mState.mMetrics.IncrementLabelled(
+    LabelledCounter::kDispatchesByZone,
+    NameOf(kZoneSideNames,
+           aServer.mZone == mState.mOptions.mZone ? ZoneSide::kOwn : ZoneSide::kOther));
   if (mStreaming) {
     mState.mMetrics.Add(Counter::kStreamsResumed, 1);
   }
--- a/trefoil/forward/exchange_selection.cc
+++ b/trefoil/forward/exchange_selection.cc
@@ -33,6 +33,7 @@
 {
   const PrefillTimes* prefillTimes = FindCacheHints(mState.mCacheHints, mCacheKey);
   mLeftOutUnreachable = false;
+  const EventTotals serviceEvents = ServiceEvents(aServers, aNow);
   const auto candidatesIf = [&](const auto& aHasVersion) {
     std::vector<ServerCandidate> candidates;
     for (const RegisteredServer* server : aServers) {
@@ -51,7 +52,8 @@
           .mHoldsCache = IsLikelyCached(prefillTimes, server->mId, aNow),
           .mAvoided = server->mRemovalUnconfirmed || reach == ServerReach::kUnproven ||
                       (reach == ServerReach::kDirect &&
-                       !HasPassed(mState.mZones[server->mZone].mAvoidUntil, aNow)) });
+                       !HasPassed(mState.mZones[server->mZone].mAvoidUntil, aNow)),
+          .mSlowness = Slowness(StatusOfServer(server->mId).mSpeed, serviceEvents, aNow) });
     }
     return candidates;
   };
@@ -81,6 +83,23 @@
   return candidates;
 }
 
+// Returns the events that the service's servers have delivered lately; none for a request without a
+// prompt, whose server is not chosen by speed.
+EventTotals
+Exchange::ServiceEvents(const std::vector<const RegisteredServer*>& aServers, Instant aNow)
+{
+  EventTotals sum;
+  if (mCacheKey.empty()) {
+    return sum;
+  }
+  for (const RegisteredServer* server : aServers) {
+    const EventTotals events = Decayed(StatusOfServer(server->mId).mSpeed, aNow);
+    sum.mEvents += events.mEvents;
+    sum.mSeconds += events.mSeconds;
+  }
+  return sum;
+}
+
 std::optional<RegisteredServer>
 Exchange::SelectServer()
 {
@@ -94,11 +113,13 @@
     return std::nullopt;
   }
   AvoidReportedBroken(candidates, now);
+  KeepToZone(candidates, now);
   const auto chosen =
     ChooseServer(candidates,
                  { .mZone = mState.mOptions.mZone,
                    .mCacheKey = mCacheKey,
                    .mSharedTokens = mSharedTokens,
+                   .mOwnTokens = std::max<std::int64_t>(0, mMetadata.mPromptTokens - mSharedTokens),
                    .mPrefillRate = TokensPerSecond(mState.mPrefillRates[mService]),
                    .mRandomValue = mState.mRandom() },
                  now);
@@ -108,6 +129,41 @@
   return *candidates[*chosen].mServer;
 }
 
+// Returns whether the service's servers are alike for this request (zone_choice.h). False if they
+// are chosen without regard to zones.
+bool
+Exchange::IsServedAlikeEverywhere()
+{
+  return mState.mOptions.mZoneCrossingCost.has_value() &&
+         (mCacheKey.empty() ||
+          IsServedAlike(mSharedTokens,
+                        TokensPerSecond(mState.mPrefillRates[mService]),
+                        { .mCrossingCost = *mState.mOptions.mZoneCrossingCost }));
+}
+
+// Removes the candidates of other zones, or those of the own zone for the share of the requests
+// that leaves it. Has no effect if none would be left that is not avoided.
+void
+Exchange::KeepToZone(std::vector<ServerCandidate>& aCandidates, Instant aNow)
+{
+  if (!IsServedAlikeEverywhere()) {
+    return;
+  }
+  const double share = LeavingShare(
+    mState.mZoneChoices[mService], { .mCrossingCost = *mState.mOptions.mZoneCrossingCost }, aNow);
+  const bool leaves = std::generate_canonical<double, 32>(mState.mRandom) < share;
+  const auto isLeftOut = [&](const ServerCandidate& aItem) {
+    return (aItem.mServer->mZone == mState.mOptions.mZone) == leaves;
+  };
+  const bool hasOther = std::ranges::any_of(aCandidates, [&](const ServerCandidate& aItem) {
+    return !isLeftOut(aItem) && !aItem.mAvoided &&
+           HasPassed(aItem.mServerStatus->mAvoidUntil, aNow);
+  });
+  if (hasOther) {
+    std::erase_if(aCandidates, isLeftOut);
+  }
+}
+
 // Removes the candidates that may get no request of this host now, because of their limits, because
 // they have asked for a pause or because they are brittle and this host's part of them is in use.
 // Returns false if none is left because of that, or if all are limited and what they still accept
--- a/trefoil/forward/traffic_report.cc
+++ b/trefoil/forward/traffic_report.cc
@@ -79,6 +79,9 @@
     if (IsBroken(status, now) && MayBlameServers(aState.mLinks, now)) {
       report.mBroken.push_back(server);
     }
+    if (status.mOwnEvents.mEvents > 0) {
+      report.mServerEvents[server] = status.mOwnEvents;
+    }
     if (TakeReportDue(status.mLimit, now)) {
       report.mLimits.push_back(LimitReportOf(server, status.mLimit));
     }
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -3,6 +3,7 @@
 
 #include "trefoil/dispatch/answer_times.h"
 #include "trefoil/dispatch/server_path.h"
+#include "trefoil/dispatch/zone_choice.h"
 #include "trefoil/forward/cache_hints.h"
 #include "trefoil/forward/failure_blame.h"
 #include "trefoil/forward/server_connection_pool.h"
@@ -57,6 +58,7 @@
   bool mHasOwnEvidence = false;
   CacheHints mCacheHints;
   std::map<ServiceId, PrefillRate> mPrefillRates;
+  std::map<ServiceId, ZoneChoice> mZoneChoices;
   // Dispatches that have not been reported to the other hosts yet, and the callback that reports
   // them.
   std::vector<DispatchReport> mUnsentReports;
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -478,6 +478,14 @@
   });
 }
 
+void
+TrafficThread::ApplyServerEvents(std::map<BackendServerId, EventTotals> aEvents)
+{
+  mImpl->mState.mLoop.Post([state = mImpl.get(), events = std::move(aEvents)] {
+    trefoil::ApplyServerEvents(state->mState, events);
+  });
+}
+
 void
 TrafficThread::Report(std::function<void(TrafficReport)> aCallback)
 {
--- a/trefoil/forward/traffic_thread.h
+++ b/trefoil/forward/traffic_thread.h
@@ -36,6 +36,9 @@
   std::optional<Endpoint> mRelay;
   ForwardCodec mCodec;
   ServiceRetryOptions mRetries;
+  // By how much sooner an answer from another zone must begin to be worth its price; std::nullopt
+  // if servers are chosen without regard to that.
+  std::optional<Milliseconds> mZoneCrossingCost;
   // What the platform permits beyond a quota: mQuotaOverage is a fraction of the rate, mQuotaSlack
   // is added to the burst, in tokens or requests.
   double mQuotaOverage = 0;
@@ -85,6 +88,8 @@
   void SetRejectionCallback(std::function<void(const RejectionReport&)> aCallback);
   // Applies rejections that other hosts have received.
   void ApplyRejections(std::vector<RejectionReport> aReports);
+  // Applies the events that other hosts have received from servers.
+  void ApplyServerEvents(std::map<BackendServerId, EventTotals> aEvents);
   // Creates a report on the traffic thread and passes it to `aCallback` there.
   void Report(std::function<void(TrafficReport)> aCallback);
 
--- a/trefoil/forward/traffic_updates.cc
+++ b/trefoil/forward/traffic_updates.cc
@@ -138,4 +138,18 @@
   }
 }
 
+void
+ApplyServerEvents(TrafficState& aState, const std::map<BackendServerId, EventTotals>& aEvents)
+{
+  if (!aState.mView || !aState.mView->mServers) {
+    return;
+  }
+  const Instant now = SuspendAwareNow();
+  for (const auto& [server, events] : aEvents) {
+    if (aState.mView->mServers->mServers.contains(server)) {
+      RecordEvents(aState.mServerStatuses[server].mSpeed, events, now);
+    }
+  }
+}
+
 } // namespace trefoil
--- a/trefoil/forward/traffic_updates.h
+++ b/trefoil/forward/traffic_updates.h
@@ -8,6 +8,7 @@
 
 #include "trefoil/forward/traffic_state.h"
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -31,4 +32,8 @@
 void
 ApplyRejections(TrafficState& aState, const std::vector<RejectionReport>& aReports);
 
+// Adds the events that other hosts have received. Those of unknown servers are ignored.
+void
+ApplyServerEvents(TrafficState& aState, const std::map<BackendServerId, EventTotals>& aEvents);
+
 } // namespace trefoil
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -137,6 +137,8 @@
   // since.
   std::vector<BackendServerId> mBroken;
   std::map<ServiceId, ServiceLoad> mLoads;
+  // Events that this host has received from servers since its start.
+  std::map<BackendServerId, EventTotals> mServerEvents;
   std::map<ServiceId, std::map<VersionId, VersionOutcomes>> mOutcomes;
   // Limits of servers to repeat to the other hosts.
   std::vector<LimitReport> mLimits;
--- a/trefoil/settings/gateway_settings.cc
+++ b/trefoil/settings/gateway_settings.cc
@@ -16,6 +16,7 @@
 constexpr double kDefaultRevokeMs = 5'000;
 constexpr double kDefaultDrainMs = 2'000;
 constexpr double kDefaultSettleMs = 3'000;
+constexpr double kMaxCrossingCostMs = 10'000;
 constexpr double kDefaultRetryRatio = 0.2;
 constexpr double kDefaultRetrySlack = 50;
 constexpr double kMaxRetrySlack = 1e6;
@@ -79,6 +80,10 @@
   settings.mRevokeWithin = ReadDuration(reader, "revoke_within_ms", kDefaultRevokeMs, 1);
   settings.mDrainWithin = ReadDuration(reader, "drain_within_ms", kDefaultDrainMs, 1);
   settings.mSettleWithin = ReadDuration(reader, "settle_within_ms", kDefaultSettleMs, 1);
+  const double crossingMs = ReadNumber(reader, "zone_crossing_cost_ms", 0, 0, kMaxCrossingCostMs);
+  if (crossingMs > 0) {
+    settings.mZoneCrossingCost = Milliseconds{ static_cast<std::int64_t>(crossingMs) };
+  }
   settings.mRetryRatio = ReadNumber(reader, "retry_ratio", kDefaultRetryRatio, 0, 1);
   settings.mRetrySlack = ReadNumber(reader, "retry_slack", kDefaultRetrySlack, 0, kMaxRetrySlack);
   settings.mRetryWindow =
--- a/trefoil/settings/gateway_settings.h
+++ b/trefoil/settings/gateway_settings.h
@@ -55,6 +55,9 @@
   double mRetryRatio = 0;
   double mRetrySlack = 0;
   Milliseconds mRetryWindow{ 0 };
+  // By how much sooner an answer from another availability zone must begin to be worth the price of
+  // the traffic between zones; std::nullopt if servers are chosen without regard to that.
+  std::optional<Milliseconds> mZoneCrossingCost;
   // The permitted excess over a quota: a fraction of its rate, and a number of tokens (or
   // requests) in a window.
   double mQuotaOverage = 0;
--- a/trefoil/steering/internal/peer_messages.cc
+++ b/trefoil/steering/internal/peer_messages.cc
@@ -4,6 +4,7 @@
 #include "trefoil/steering/internal/datagrams.h"
 #include "trefoil/steering/internal/duties.h"
 #include "trefoil/steering/internal/move_messages.h"
+#include "trefoil/steering/internal/server_event_messages.h"
 #include "trefoil/steering/internal/server_limit_messages.h"
 #include "trefoil/steering/internal/server_rejection_messages.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
@@ -154,6 +155,8 @@
     OnMoveDecisionMessage(aState, *decisions);
   } else if (const auto* rejections = std::get_if<ServerRejectionMessage>(&*message)) {
     OnServerRejectionMessage(aState, *rejections);
+  } else if (const auto* events = std::get_if<ServerEventsMessage>(&*message)) {
+    OnServerEventsMessage(aState, *events);
   } else {
     aState.mLog.Write(LogSeverity::kNotable,
                       LogEvent::kInputRejected,
@@ -210,6 +213,7 @@
   SendCrashEvidence(aState, aState.mReport.mCrashes, true);
   SendServerLimits(aState, aState.mReport.mLimits);
   SendMoveDecisions(aState);
+  SendServerEvents(aState);
 }
 
 void
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -8,6 +8,7 @@
 #include "trefoil/steering/peer_table.h"
 #include "trefoil/steering/prefix_watch.h"
 #include "trefoil/steering/scaling.h"
+#include "trefoil/steering/server_events.h"
 #include "trefoil/steering/store_relay.h"
 #include "trefoil/steering/totals_messages.h"
 #include "trefoil/steering/usage_duty.h"
@@ -70,6 +71,12 @@
   std::vector<LimitReport> mLimitsForZones;
   std::vector<LimitReport> mLimitsForMembers;
   std::map<BackendServerId, LimitReport> mForwardedLimits;
+  // What this host has told of the events of servers, when it tells more, and what it forwards as
+  // an aggregator.
+  ServerEvents mSentServerEvents;
+  Instant mNextServerEventsAt;
+  ServerEvents mEventsForZones;
+  ServerEvents mEventsForMembers;
   // Totals to send, and when they were made.
   std::deque<std::pair<Instant, Datagram>> mWaitingTotals;
   std::size_t mTotalsPerSlice = 0;
--- a/trefoil/wire/message.h
+++ b/trefoil/wire/message.h
@@ -18,6 +18,7 @@
 #include "trefoil/wire/move_decision_message.h"
 #include "trefoil/wire/move_message.h"
 #include "trefoil/wire/relay_message.h"
+#include "trefoil/wire/server_events_message.h"
 #include "trefoil/wire/server_limit_message.h"
 #include "trefoil/wire/server_rejection_message.h"
 #include "trefoil/wire/store_relay_message.h"
@@ -63,7 +64,8 @@
                              MoveDecisionMessage,
                              RelayOpen,
                              RelayOpened,
-                             ServerRejectionMessage>;
+                             ServerRejectionMessage,
+                             ServerEventsMessage>;
 
 // A message and its destination.
 struct Datagram
