--- a/trefoil/dispatch/server_choice.cc
+++ b/trefoil/dispatch/server_choice.cc
@@ -73,9 +73,10 @@
          kFailureCost * aCandidate.mServerStatus->mFailureShare;
 }
 
-// Returns the cost of choosing the candidate: the tokens that it would have to prefill before the
-// request's unshared part, plus kMoveCostTokens if it is not the first in rank and
-// kWarmUpCostTokens if it warms up.
+// Returns the cost of choosing the candidate: the tokens that a server of mean speed would prefill
+// until this one begins to answer, plus kMoveCostTokens if it is not the first in rank and
+// kWarmUpCostTokens if it warms up. The request's own tokens make a difference between servers of
+// different speed only.
 double
 CacheCost(const ServerCandidate& aCandidate,
           const ChoiceParameters& aParameters,
@@ -83,8 +84,10 @@
           Instant aNow)
 {
   const double shared = static_cast<double>(aParameters.mSharedTokens);
-  return WaitingTokens(*aCandidate.mServerStatus, aParameters.mPrefillRate, aNow) +
-         (aIsTopRanked ? 0 : kMoveCostTokens) + (aCandidate.mHoldsCache ? 0 : shared) +
+  const double prefilled =
+    WaitingTokens(*aCandidate.mServerStatus, aParameters.mPrefillRate, aNow) +
+    static_cast<double>(aParameters.mOwnTokens) + (aCandidate.mHoldsCache ? 0 : shared);
+  return aCandidate.mSlowness * prefilled + (aIsTopRanked ? 0 : kMoveCostTokens) +
          (aCandidate.mIsWarmingUp ? kWarmUpCostTokens : 0);
 }
 
