Send nothing to the servers of evacuated zones

The control thread applies op/evacuate/ZONE, before the configuration of the same list, logs zone_evacuated and publishes the closed zones at once. The traffic thread leaves their servers out of each selection, before any rule that keeps most servers in use, and asks again just before a request is written: a connection may have been opened meanwhile. Such an attempt ends as zone_evacuated, blames no server and goes on elsewhere. With no server left, requests are refused with 503 zones_evacuated. Requests that run go on.

A check of a lost link sends no health request there any more. A host that carries connections for others declines the servers of closed zones, and ends a connection at the first bytes of a further request.

--- a/tests/forward_path/test_gateway.h
+++ b/tests/forward_path/test_gateway.h
@@ -20,6 +20,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -157,6 +158,17 @@
                      .mRevision = 1 });
   }
 
+  // Adds a server in a zone.
+  void AddServerIn(const char* aZone, const char* aName, const ScriptedServer& aServer)
+  {
+    RegisterServer(mServers,
+                   { .mId = BackendServerId{ aName },
+                     .mService = ServiceId{ "s" },
+                     .mEndpoint = aServer.ListenEndpoint(),
+                     .mZone = AvailabilityZoneId{ aZone },
+                     .mRevision = 1 });
+  }
+
   // Lets the other host carry connections for this one.
   void AddCarrier(const Gateway& aOther)
   {
@@ -191,6 +203,7 @@
                    .mConfirmedCurrentAt = aConfirmedAt,
                    .mHostList = std::make_shared<std::vector<HostId>>(mHostList),
                    .mSteering = mSteering,
+                   .mEvacuatedZones = mEvacuatedZones,
                    .mCarriers = std::make_shared<Carriers>(mCarriers) }));
     // Reports are made after the tasks that were posted before.
     Report();
@@ -230,6 +243,7 @@
   Catalogue mCatalogue;
   ServerRegistry mServers;
   std::map<ServiceId, VersionSteering> mSteering;
+  std::set<AvailabilityZoneId> mEvacuatedZones;
   std::vector<HostId> mHostList{ HostId{ "host-1" } };
   Carriers mCarriers;
 
--- a/trefoil/eventlog/event_log.h
+++ b/trefoil/eventlog/event_log.h
@@ -63,13 +63,14 @@
   kUsageReported,
   kScalingRequested,
   kVersionMove,
+  kZoneEvacuated,
   kRequestMalformed,
   kInputRejected,
   kInternalError,
   kLinesDropped,
 };
 
-inline constexpr NameTable<LogEvent, 32> kLogEventNames{ {
+inline constexpr NameTable<LogEvent, 33> kLogEventNames{ {
   { LogEvent::kStart, "start" },
   { LogEvent::kStartDelayed, "start_delayed" },
   { LogEvent::kStop, "stop" },
@@ -98,6 +99,7 @@
   { LogEvent::kUsageReported, "usage_reported" },
   { LogEvent::kScalingRequested, "servers_ordered" },
   { LogEvent::kVersionMove, "version_move" },
+  { LogEvent::kZoneEvacuated, "zone_evacuated" },
   { LogEvent::kRequestMalformed, "request_malformed" },
   { LogEvent::kInputRejected, "input_rejected" },
   { LogEvent::kInternalError, "internal_error" },
--- a/trefoil/eventlog/request_timeline.cc
+++ b/trefoil/eventlog/request_timeline.cc
@@ -58,6 +58,7 @@
 {
   const auto revision = aLine.mFields.find("revision");
   const bool loggedByAll = aLine.mEvent == NameOf(kLogEventNames, LogEvent::kServersChanged) ||
+                           aLine.mEvent == NameOf(kLogEventNames, LogEvent::kZoneEvacuated) ||
                            aLine.mEvent == NameOf(kLogEventNames, LogEvent::kConfigurationApplied);
   return loggedByAll && revision != aLine.mFields.end() ? aLine.mEvent + revision->second
                                                         : std::string{};
@@ -71,6 +72,7 @@
     NameOf(kLogEventNames, LogEvent::kServersChanged),
     NameOf(kLogEventNames, LogEvent::kServerAvoided),
     NameOf(kLogEventNames, LogEvent::kConfigurationApplied),
+    NameOf(kLogEventNames, LogEvent::kZoneEvacuated),
     NameOf(kLogEventNames, LogEvent::kDependencyLost),
     NameOf(kLogEventNames, LogEvent::kDependencyRegained),
     NameOf(kLogEventNames, LogEvent::kPeersChanged),
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -37,12 +37,14 @@
   kServersFull,
   kServersLimited,
   kServerUnreachable,
+  // All servers that are left are in evacuated zones.
+  kZonesEvacuated,
   kBrokenAnswer,
   kDeadlineExceeded,
   kHostStops,
 };
 
-inline constexpr NameTable<RefusalReason, 15> kRefusalReasonNames{ {
+inline constexpr NameTable<RefusalReason, 16> kRefusalReasonNames{ {
   { RefusalReason::kNoConfiguration, "no_configuration" },
   { RefusalReason::kStaleConfiguration, "old_configuration" },
   { RefusalReason::kNoRoute, "no_route" },
@@ -55,6 +57,7 @@
   { RefusalReason::kServersFull, "servers_full" },
   { RefusalReason::kServersLimited, "servers_limited" },
   { RefusalReason::kServerUnreachable, "server_unreachable" },
+  { RefusalReason::kZonesEvacuated, "zones_evacuated" },
   { RefusalReason::kBrokenAnswer, "broken_answer" },
   { RefusalReason::kDeadlineExceeded, "out_of_time" },
   { RefusalReason::kHostStops, "host_stops" },
@@ -69,15 +72,18 @@
   kBroken,
   kSilent,
   kServerError,
+  // The zone of the server was closed before the request was sent.
+  kZoneEvacuated,
 };
 
-inline constexpr NameTable<AttemptFailure, 6> kAttemptFailureNames{ {
+inline constexpr NameTable<AttemptFailure, 7> kAttemptFailureNames{ {
   { AttemptFailure::kConnectFailed, "connect_failed" },
   { AttemptFailure::kTurnedAway, "turned_away" },
   { AttemptFailure::kWrongServer, "other_server" },
   { AttemptFailure::kBroken, "broken" },
   { AttemptFailure::kSilent, "silent" },
   { AttemptFailure::kServerError, "server_error" },
+  { AttemptFailure::kZoneEvacuated, "zone_evacuated" },
 } };
 
 // Retry-After value if the request cannot be served now: the time in which a server at its limit
@@ -269,6 +275,8 @@
   bool mHasPaidForRetry = false;
   // Whether the last selection left out servers that are reached in no way.
   bool mLeftOutUnreachable = false;
+  // Whether the last selection left out servers in evacuated zones.
+  bool mLeftOutEvacuated = false;
   // Number of ended attempts in which the server may have run the request, and of all dispatches.
   int mPossibleRuns = 0;
   int mDispatches = 0;
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -38,6 +38,28 @@
 constexpr std::size_t kMaxLoggedParts = 8;
 // A stream is considered silent after this multiple of the event gap goal.
 constexpr int kSilenceGapFactor = 4;
+// Retry-After value if only servers in evacuated zones are left. An evacuation lasts for seconds at
+// least, unless servers register in another zone.
+constexpr Milliseconds kRetryAfterEvacuated{ 1'000 };
+
+// Returns why a request is refused after a failure of its last attempt, if it has not run.
+RefusalReason
+ReasonAfter(AttemptFailure aFailure)
+{
+  switch (aFailure) {
+    case AttemptFailure::kConnectFailed:
+      return RefusalReason::kServerUnreachable;
+    case AttemptFailure::kZoneEvacuated:
+      return RefusalReason::kZonesEvacuated;
+    case AttemptFailure::kTurnedAway:
+    case AttemptFailure::kWrongServer:
+    case AttemptFailure::kBroken:
+    case AttemptFailure::kSilent:
+    case AttemptFailure::kServerError:
+      break;
+  }
+  return RefusalReason::kServersFull;
+}
 
 } // namespace
 
@@ -101,6 +123,14 @@
 void
 Exchange::SendRequest()
 {
+  // The zone may have been closed while the connection was being opened.
+  if (IsEvacuated(mState, mAttempt->mServer)) {
+    ++mFailedConnects;
+    mTriedServers.erase(mAttempt->mServer.mId);
+    mAttempt->mIsServerBlamed = false;
+    OnAttemptFailed(AttemptFailure::kZoneEvacuated);
+    return;
+  }
   mAttempt->mSent = true;
   mAttempt->mSentAt = SuspendAwareNow();
   mAttempt->mConnection->mStream->SetCallbacks(
@@ -318,17 +348,18 @@
       mDispatches - mFailedConnects >= mRoute->mAttempts + kMaxExtraDispatches) {
     return false;
   }
-  const bool notRun = aFailure == AttemptFailure::kConnectFailed ||
-                      aFailure == AttemptFailure::kTurnedAway ||
-                      aFailure == AttemptFailure::kWrongServer;
+  const bool notRun =
+    aFailure == AttemptFailure::kConnectFailed || aFailure == AttemptFailure::kTurnedAway ||
+    aFailure == AttemptFailure::kWrongServer || aFailure == AttemptFailure::kZoneEvacuated;
   if (IsRefused(now)) {
     return false;
   }
   if (!notRun && (!MayRepeat() || CountedRuns() >= mRoute->mAttempts)) {
     return false;
   }
-  // An attempt that failed to connect put no load on a server, so its retry consumes no budget.
-  return aFailure == AttemptFailure::kConnectFailed || std::exchange(mHasPaidForRetry, false) ||
+  // An attempt that sent nothing put no load on a server, so its retry consumes no budget.
+  return aFailure == AttemptFailure::kConnectFailed || aFailure == AttemptFailure::kZoneEvacuated ||
+         std::exchange(mHasPaidForRetry, false) ||
          ConsumeServiceRetry(mState.mRetries, mService, mState.mView->mHosts, now);
 }
 
@@ -393,8 +424,7 @@
     TryNextServer();
     return;
   }
-  FailRequest(aFailure == AttemptFailure::kConnectFailed ? RefusalReason::kServerUnreachable
-                                                         : RefusalReason::kServersFull);
+  FailRequest(ReasonAfter(aFailure));
 }
 
 // Ends the request without a further attempt. Aborts a stream that has begun; otherwise relays an
@@ -417,7 +447,10 @@
     Refuse(kBadGateway, RefusalReason::kBrokenAnswer, std::nullopt);
     return;
   }
-  Refuse(kServiceUnavailable, aReasonIfNotRun, RetryAfter(DelayOfRetry()));
+  Refuse(kServiceUnavailable,
+         aReasonIfNotRun,
+         RetryAfter(aReasonIfNotRun == RefusalReason::kZonesEvacuated ? kRetryAfterEvacuated
+                                                                      : DelayOfRetry()));
 }
 
 // Returns after which time the client may send the request again. Clients that are refused because
--- a/trefoil/forward/exchange_selection.cc
+++ b/trefoil/forward/exchange_selection.cc
@@ -33,6 +33,7 @@
 {
   const PrefillTimes* prefillTimes = FindCacheHints(mState.mCacheHints, mCacheKey);
   mLeftOutUnreachable = false;
+  mLeftOutEvacuated = false;
   const auto candidatesIf = [&](const auto& aHasVersion) {
     std::vector<ServerCandidate> candidates;
     for (const RegisteredServer* server : aServers) {
@@ -40,6 +41,11 @@
           mTriedServers.contains(server->mId) || !aHasVersion(*server)) {
         continue;
       }
+      // Whatever part of the servers that is: an evacuation is an order, not a suspicion.
+      if (IsEvacuated(mState, *server)) {
+        mLeftOutEvacuated = true;
+        continue;
+      }
       const ServerReach reach = ReachOfServer(mState, *server, aNow);
       if (reach == ServerReach::kUnreachable && !mIsDirectTrial) {
         mLeftOutUnreachable = true;
@@ -215,6 +221,10 @@
     FailRequest(RefusalReason::kServerUnreachable);
     return;
   }
+  if (!server.has_value() && mLeftOutEvacuated) {
+    FailRequest(RefusalReason::kZonesEvacuated);
+    return;
+  }
   if (!server.has_value()) {
     FailRequest(mTriedServers.empty() ? RefusalReason::kNoServer : RefusalReason::kServersFull);
     return;
--- a/trefoil/forward/lost_link.cc
+++ b/trefoil/forward/lost_link.cc
@@ -161,11 +161,19 @@
       });
       return;
     case LinkCheckStep::kAskHealth:
+      if (IsEvacuated(aLink->mState, aLink->mServer)) {
+        EndCheck(aLink, false);
+        return;
+      }
       AskHealth(aLink, std::exchange(aLink->mRelayed, nullptr), [aLink](bool aIsAnswered) {
         Proceed(aLink, RecordCarrierAnswer(aLink->mCheck, aIsAnswered, SuspendAwareNow()));
       });
       return;
     case LinkCheckStep::kTryHealth:
+      if (IsEvacuated(aLink->mState, aLink->mServer)) {
+        EndCheck(aLink, false);
+        return;
+      }
       AskHealth(aLink, std::exchange(aLink->mDirect, nullptr), [aLink](bool aIsAnswered) {
         Proceed(aLink, aIsAnswered ? LinkCheckStep::kGiveUp : LinkCheckStep::kLost);
       });
--- a/trefoil/forward/server_connector.cc
+++ b/trefoil/forward/server_connector.cc
@@ -547,12 +547,26 @@
                        status == aState.mServerStatuses.end() ? ServerStatus{} : status->second)) {
     return { .mStatus = RelayStatus::kUnknownServer };
   }
+  if (IsEvacuated(aState, server->second)) {
+    return { .mStatus = RelayStatus::kUnknownServer };
+  }
   if (!HasDirectPath(aState.mPaths, server->second)) {
     return { .mStatus = RelayStatus::kUnreachable };
   }
   return { .mStatus = RelayStatus::kConnected, .mServer = server->second.mEndpoint };
 }
 
+bool
+MayCarryRequest(const TrafficState& aState, const RelayOpen& aOpen)
+{
+  if (!aState.mView || !aState.mView->mServers) {
+    return true;
+  }
+  const auto& servers = aState.mView->mServers->mServers;
+  const auto server = servers.find(aOpen.mServer);
+  return server == servers.end() || !IsEvacuated(aState, server->second);
+}
+
 void
 RecordRelayAnswer(TrafficState& aState, const RelayOpen& aOpen, RelayStatus aStatus)
 {
--- a/trefoil/forward/server_connector.h
+++ b/trefoil/forward/server_connector.h
@@ -79,6 +79,11 @@
 RelayDecision
 DecideRelay(const TrafficState& aState, const RelayOpen& aOpen, const RelayLoad& aLoad);
 
+// Returns whether another request may pass on a connection that this host carries: not if the zone
+// of its server is evacuated.
+bool
+MayCarryRequest(const TrafficState& aState, const RelayOpen& aOpen);
+
 // Records the answer that another host was given.
 void
 RecordRelayAnswer(TrafficState& aState, const RelayOpen& aOpen, RelayStatus aStatus);
--- a/trefoil/forward/traffic_report.cc
+++ b/trefoil/forward/traffic_report.cc
@@ -28,6 +28,7 @@
               std::chrono::duration<double>(aNow - view.mServersConfirmedAt).count());
   metrics.Set(Gauge::kHosts, view.mHosts);
   metrics.Set(Gauge::kHostsReachable, view.mReachableHosts);
+  metrics.Set(Gauge::kZonesEvacuated, static_cast<double>(view.mEvacuatedZones.size()));
   if (view.mServers) {
     metrics.Set(
       Gauge::kServersReady,
--- a/trefoil/forward/traffic_state.cc
+++ b/trefoil/forward/traffic_state.cc
@@ -57,6 +57,12 @@
 
 } // namespace
 
+bool
+IsEvacuated(const TrafficState& aState, const RegisteredServer& aServer)
+{
+  return aState.mView && aState.mView->mEvacuatedZones.contains(aServer.mZone);
+}
+
 RefillRate
 OwnPartOfLimit(const TrafficState& aState, const BackendServerId& aServer, ServerLimit& aLimit)
 {
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -86,6 +86,10 @@
 void
 ReportCrashEvidence(TrafficState& aState, bool aIsOwn);
 
+// Returns whether operators have closed the server's zone, so that no request may be sent to it.
+bool
+IsEvacuated(const TrafficState& aState, const RegisteredServer& aServer);
+
 // Returns the part of the server's limit that this host may use.
 RefillRate
 OwnPartOfLimit(const TrafficState& aState, const BackendServerId& aServer, ServerLimit& aLimit);
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -64,6 +64,7 @@
     , mCarrier(
         mState.mLoop,
         { .mDecide = [this](const RelayOpen& aOpen) { return Decide(aOpen); },
+          .mMayBegin = [this](const RelayOpen& aOpen) { return MayCarryRequest(mState, aOpen); },
           .mOnAnswered = [this](const RelayOpen& aOpen,
                                 RelayStatus aStatus) { RecordRelayAnswer(mState, aOpen, aStatus); },
           .mServerOptions = ServerStreamOptions() })
--- a/trefoil/forward/traffic_view.h
+++ b/trefoil/forward/traffic_view.h
@@ -58,6 +58,8 @@
   // Correction to add to this host's wall clock.
   Milliseconds mClockCorrection{ 0 };
   std::map<ServiceId, VersionSteering> mSteering;
+  // Zones whose servers get no requests, health requests included.
+  std::set<AvailabilityZoneId> mEvacuatedZones;
   // The other entry hosts that may carry connections to servers for this one. Null if there are
   // none.
   std::shared_ptr<const Carriers> mCarriers;
--- a/trefoil/metrics/metrics.h
+++ b/trefoil/metrics/metrics.h
@@ -88,15 +88,18 @@
   kHostsReachable,
   // Backend servers of all services that accept requests.
   kServersReady,
+  // Availability zones that operators have ordered to be evacuated.
+  kZonesEvacuated,
 };
 
-inline constexpr NameTable<Gauge, 6> kGaugeNames{ {
+inline constexpr NameTable<Gauge, 7> kGaugeNames{ {
   { Gauge::kConfigurationAge, "trefoil_configuration_age_seconds" },
   { Gauge::kConfigurationVersion, "trefoil_configuration_version" },
   { Gauge::kServersAge, "trefoil_servers_age_seconds" },
   { Gauge::kHosts, "trefoil_hosts" },
   { Gauge::kHostsReachable, "trefoil_hosts_in_touch" },
   { Gauge::kServersReady, "trefoil_servers_ready" },
+  { Gauge::kZonesEvacuated, "trefoil_zones_evacuated" },
 } };
 
 enum class Latency
--- a/trefoil/relay/relay_carrier.cc
+++ b/trefoil/relay/relay_carrier.cc
@@ -38,6 +38,8 @@
   // Null until the other host has named a server that is accepted.
   std::shared_ptr<ByteStream> mServer;
   EventLoop::TimerId mTimer = 0;
+  // Whether the last bytes, if any, came from the server.
+  bool mIsServerLast = true;
 };
 
 RelayCarrier::RelayCarrier(EventLoop& aLoop, RelayCarrierOptions aOptions)
@@ -149,15 +151,30 @@
   Answer(aConnection, RelayStatus::kConnected);
   // Each callback keeps only the other stream alive, beside the connection, until one side ends.
   aConnection->mHost->SetCallbacks(
-    { .mOnBytes = [aConnection] { PassOn(*aConnection->mHost, *aConnection->mServer); },
+    { .mOnBytes = [this, aConnection] { OnHostBytes(aConnection); },
       .mOnSent = [aConnection] { aConnection->mServer->SetReading(true); },
       .mOnEnd = [this, aConnection](StreamEnd /*aEnd*/) { End(aConnection); } });
   aConnection->mServer->SetCallbacks(
-    { .mOnBytes = [aConnection] { PassOn(*aConnection->mServer, *aConnection->mHost); },
+    { .mOnBytes =
+        [aConnection] {
+          aConnection->mIsServerLast = true;
+          PassOn(*aConnection->mServer, *aConnection->mHost);
+        },
       .mOnSent = [aConnection] { aConnection->mHost->SetReading(true); },
       .mOnEnd = [this, aConnection](StreamEnd aEnd) { OnServerEnd(aConnection, aEnd); } });
 }
 
+void
+RelayCarrier::OnHostBytes(const ConnectionPointer& aConnection)
+{
+  if (std::exchange(aConnection->mIsServerLast, false) && mOptions.mMayBegin &&
+      !mOptions.mMayBegin(aConnection->mOpen)) {
+    End(aConnection);
+    return;
+  }
+  PassOn(*aConnection->mHost, *aConnection->mServer);
+}
+
 void
 RelayCarrier::OnServerEnd(const ConnectionPointer& aConnection, StreamEnd aEnd)
 {
--- a/trefoil/relay/relay_carrier.h
+++ b/trefoil/relay/relay_carrier.h
@@ -35,6 +35,10 @@
 struct RelayCarrierOptions
 {
   std::function<RelayDecision(const RelayOpen&)> mDecide;
+  // Returns whether another request may be sent on the connection. Called when the other host sends
+  // bytes first, or after the server has sent some; the connection is ended if not. Requests on a
+  // connection follow each other, so that such bytes begin one.
+  std::function<bool(const RelayOpen&)> mMayBegin;
   // Called once for each RelayOpen when its answer is known.
   std::function<void(const RelayOpen&, RelayStatus)> mOnAnswered;
   StreamOptions mServerOptions;
@@ -70,6 +74,7 @@
   void OnOpen(const ConnectionPointer& aConnection, const RelayOpen& aOpen);
   void ConnectToServer(const ConnectionPointer& aConnection, const Endpoint& aServer);
   void OnServerConnected(const ConnectionPointer& aConnection);
+  void OnHostBytes(const ConnectionPointer& aConnection);
   void OnServerEnd(const ConnectionPointer& aConnection, StreamEnd aEnd);
   void Answer(const ConnectionPointer& aConnection, RelayStatus aStatus);
   // Ends both sides at once.
--- a/trefoil/relay/relay_carrier_test.cc
+++ b/trefoil/relay/relay_carrier_test.cc
@@ -7,6 +7,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <array>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
 #include <optional>
@@ -96,6 +97,7 @@
     : mListener(SocketAddress{ "127.0.0.1", 0 })
     , mCarrier(mLoop,
                { .mDecide = [aDecision](const RelayOpen& /*aOpen*/) { return aDecision; },
+                 .mMayBegin = [this](const RelayOpen& /*aOpen*/) { return mMayBegin.load(); },
                  .mServerOptions = { .mConnectTimeout = Milliseconds{ 250 } } })
   {
     mLoop.Watch(mListener, kReadable, [this](unsigned /*aReady*/) {
@@ -111,6 +113,7 @@
   CarrierThread(const CarrierThread&) = delete;
   CarrierThread& operator=(const CarrierThread&) = delete;
 
+  void LetNoRequestBegin() { mMayBegin = false; }
   StreamSocket Connect() { return StreamSocket{ mListener.address() }; }
   template<typename Result>
   Result OnLoop(std::function<Result(RelayCarrier&)> aTask)
@@ -138,6 +141,7 @@
   }
 
 private:
+  std::atomic<bool> mMayBegin{ true };
   ServerSocket mListener;
   EventLoop mLoop;
   RelayCarrier mCarrier;
@@ -181,6 +185,25 @@
       CHECK(ReadBytes(host, answer.size()) == answer);
       sender.join();
     }
+    // Guards against requests that reach a server of an evacuated zone on a connection that was
+    // opened before (EVACUATE).
+    WHEN("no further request may be sent to the server")
+    {
+      SendAll(host, "request");
+      CHECK(ReadBytes(server, 7) == "request");
+      carrier.LetNoRequestBegin();
+      THEN("the request that runs gets the rest of its body and its answer, the next one is ended")
+      {
+        SendAll(host, "body");
+        CHECK(ReadBytes(server, 4) == "body");
+        SendAll(server, "answer");
+        CHECK(ReadBytes(host, 6) == "answer");
+        SendAll(host, "next");
+        CHECK(ReadAll(host).first.empty());
+        CHECK(ReadAll(server).first.empty());
+        CHECK(carrier.BecomesEmpty());
+      }
+    }
     WHEN("the server closes its connection after an answer")
     {
       SendAll(server, "answer");
--- a/trefoil/steering/control_codec.h
+++ b/trefoil/steering/control_codec.h
@@ -67,10 +67,11 @@
 {
   StoreCodec mStore;
   // The prefix of the keys that operators write, and among these the key of the configuration
-  // and the prefix of the version orders.
+  // and the prefixes of the version orders and of the evacuated zones.
   std::string mOperatorPrefix;
   std::string mConfigurationKey;
   std::string mVersionOrderPrefix;
+  std::string mEvacuationPrefix;
   // The prefix of the keys that backend servers write.
   std::string mServerPrefix;
   absl::StatusOr<Catalogue> (*mDecodeCatalogue)(const std::string& aValue) = nullptr;
--- a/trefoil/steering/control_thread.cc
+++ b/trefoil/steering/control_thread.cc
@@ -132,6 +132,8 @@
     mLog.Write(
       LogSeverity::kNotable, LogEvent::kInternalError, "thread=control reason=\"{}\"", aReason);
   });
+  mEvacuation.mPrefix = mOptions.mCodec.mEvacuationPrefix;
+  mEvacuation.mZones = mOptions.mZones;
   mPeers.mSelf = mOptions.mHost;
   mPeers.mZone = mOptions.mZone;
   mAggregation.mEpoch = mIncarnation;
--- a/trefoil/steering/control_thread.h
+++ b/trefoil/steering/control_thread.h
@@ -27,7 +27,7 @@
   AvailabilityZoneId mZone;
   // Where this host receives the messages of other entry hosts, over UDP; see BindPeerSocket.
   Endpoint mPeerEndpoint;
-  // The zones in which servers may be ordered.
+  // The zones of the deployment. Servers may be ordered in them, and they may be evacuated.
   std::vector<AvailabilityZoneId> mZones;
   Endpoint mStore;
   // The cloud API that duties call; `std::nullopt` if this host calls none.
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -3,6 +3,7 @@
 #include "trefoil/base/store_revision.h"
 #include "trefoil/steering/host_entry.h"
 #include "trefoil/steering/internal/duties.h"
+#include "trefoil/steering/internal/evacuation_updates.h"
 #include "trefoil/steering/internal/move_calls.h"
 #include "trefoil/steering/internal/server_updates.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
@@ -361,11 +362,14 @@
   const ControlCodec& codec = aState.mOptions.mCodec;
   aState.mStore.SetEraCallback([&aState](std::int64_t aEra) { return OnStoreEra(aState, aEra); });
   PrefixWatchCallbacks operators = LoggingCallbacks(aState, "operators");
-  operators.mOnList = [&aState](const std::vector<StoreItem>& aItems, std::int64_t /*aRevision*/) {
+  operators.mOnList = [&aState](const std::vector<StoreItem>& aItems, std::int64_t aRevision) {
+    // First, so that no view has the configuration without the closed zones.
+    OnEvacuationList(aState, aItems, aRevision);
     OnOperatorItems(aState, aItems, OrderSource::kList);
     PushStoreChanges(aState);
   };
   operators.mOnChanges = [&aState](const std::vector<StoreItem>& aItems) {
+    OnEvacuationItems(aState, aItems);
     OnOperatorItems(aState, aItems, OrderSource::kChange);
     PushStoreChanges(aState);
   };
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -5,6 +5,7 @@
 #include "trefoil/http/http_channel.h"
 #include "trefoil/steering/aggregation.h"
 #include "trefoil/steering/control_thread.h"
+#include "trefoil/steering/evacuation.h"
 #include "trefoil/steering/peer_table.h"
 #include "trefoil/steering/prefix_watch.h"
 #include "trefoil/steering/scaling.h"
@@ -44,6 +45,7 @@
   std::int64_t mStoreEra = 0;
   TrafficView mView;
   std::int64_t mCatalogueRevision = 0;
+  EvacuationState mEvacuation;
   ServerRegistry mServers;
   // Whether mView may lack changes of mServers, since an exception ended their handling.
   bool mServersUnpublished = false;
--- a/trefoil/wire/relay_message.h
+++ b/trefoil/wire/relay_message.h
@@ -22,7 +22,8 @@
   kConnected,
   // The host could not connect to the server.
   kUnreachable,
-  // The host does not know this incarnation of the server, or knows that the server leaves.
+  // The host does not know this incarnation of the server, or knows that the server leaves or that
+  // its zone is evacuated.
   kUnknownServer,
   // The host has lost its own paths to servers.
   kCutOff,
