Let a host that the store rejects ask other hosts

A host whose own calls fail, and that has no watchers in its zone, learned of no evacuation until the store took its calls again. It now queries the hosts that it hears from, another one each time, since some may be rejected too, with the messages that there are. Ruled out: to treat such a host as relayed to altogether, as it would then stop to find out whether the store is back.

--- a/trefoil/steering/internal/store_relay_messages.cc
+++ b/trefoil/steering/internal/store_relay_messages.cc
@@ -66,7 +66,11 @@
     relay.mWatcherIndex = aState.mRandom() % 2;
   }
   SetWatchMode(aState, !relay.mWatchers.empty(), isWatcher);
-  const auto target = NextQueryTarget(relay, now);
+  // The store may reject this host alone: what others know of it is confirmed all the same.
+  const bool asksStandIn =
+    relay.mWatchers.empty() && !aState.mLeaving && aState.mOperatorWatch->IsStoreLost();
+  const auto target = asksStandIn ? NextStandIn(relay, LivePeers(aState.mPeers, now), now)
+                                  : NextQueryTarget(relay, now);
   if (!target.has_value()) {
     return;
   }
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -86,6 +86,8 @@
   // Applies the record that another host has relayed.
   void ApplyUpdate(const PrefixUpdate& aUpdate);
   const PrefixRecord& Record() const { return mRecord; }
+  // Returns whether the latest calls have failed.
+  bool IsStoreLost() const { return mStoreLost; }
 
 private:
   enum class CallKind
--- a/trefoil/steering/store_relay.cc
+++ b/trefoil/steering/store_relay.cc
@@ -71,6 +71,17 @@
   return aRelay.mWatchers[aRelay.mWatcherIndex % aRelay.mWatchers.size()];
 }
 
+std::optional<HostId>
+NextStandIn(StoreRelay& aRelay, const std::vector<HostId>& aPeers, Instant aNow)
+{
+  if (aPeers.empty()) {
+    return std::nullopt;
+  }
+  ++aRelay.mQueryNumber;
+  aRelay.mQuerySentAt = aNow;
+  return aPeers[aRelay.mQueryNumber % aPeers.size()];
+}
+
 std::optional<Instant>
 OnRelayReply(StoreRelay& aRelay, std::uint64_t aQueryNumber)
 {
--- a/trefoil/steering/store_relay.h
+++ b/trefoil/steering/store_relay.h
@@ -6,7 +6,7 @@
 //
 // Calls to the store are limited and priced over all hosts together. In a zone of several hosts
 // two watch the store and the others query these two. A host that receives no replies calls the
-// store itself. Plain data and pure functions.
+// store itself; one whose own calls fail queries any other host. Plain data and pure functions.
 #pragma once
 
 #include "trefoil/steering/aggregation.h"
@@ -57,6 +57,12 @@
 std::optional<HostId>
 NextQueryTarget(StoreRelay& aRelay, Instant aNow);
 
+// Records that a query is sent at `aNow` while the store does not answer this host, which watches
+// it itself. Returns the host to send it to, or `std::nullopt` if `aPeers` is empty. Another one is
+// asked each time, since the store may reject some of them too.
+std::optional<HostId>
+NextStandIn(StoreRelay& aRelay, const std::vector<HostId>& aPeers, Instant aNow);
+
 // Records a reply. Returns when its query was sent, or `std::nullopt` if the reply is not for
 // the latest query.
 std::optional<Instant>
--- a/trefoil/steering/store_relay_test.cc
+++ b/trefoil/steering/store_relay_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <limits>
+#include <set>
 
 namespace trefoil {
 namespace {
@@ -97,6 +98,27 @@
   }
 }
 
+// Guards against a host that the store rejects and that asks only hosts that are rejected too
+// (EVACUATE).
+SCENARIO("the store does not answer a host that watches it")
+{
+  StoreRelay relay;
+  THEN("it asks nobody while it knows no other host")
+  {
+    CHECK_FALSE(NextStandIn(relay, {}, kNow).has_value());
+  }
+  THEN("it asks the other hosts in turn, and their replies confirm the time of the query")
+  {
+    const std::vector<HostId> peers{ HostId{ "h1" }, HostId{ "h2" }, HostId{ "h3" } };
+    std::set<HostId> asked;
+    for (int i = 0; i < 3; ++i) {
+      asked.insert(*NextStandIn(relay, peers, kNow + Milliseconds{ i }));
+    }
+    CHECK(asked.size() == 3);
+    CHECK(OnRelayReply(relay, relay.mQueryNumber) == kNow + Milliseconds{ 2 });
+  }
+}
+
 SCENARIO("a host relays its record of a prefix to another host")
 {
   PrefixRecord record;
