Order no servers for evacuated zones

The holder of the duty would have gone on to order servers where no request may be sent. Closed zones are left out of the plan, and what is needed is spread over the open ones from the next run on. No order is sent for a closed zone, not one for fewer servers either: it could end running requests, and the evacuation may be taken back within seconds. When the zone opens its servers stay for the usual delay of a release.

--- a/trefoil/steering/internal/duties.cc
+++ b/trefoil/steering/internal/duties.cc
@@ -395,7 +395,8 @@
   const ScalingInputs inputs{ .mCatalogue = &aState.mView.mCatalogue->mCatalogue,
                               .mServers = &aState.mServers,
                               .mZones = aState.mOptions.mZones,
-                              .mMoving = std::move(moving) };
+                              .mMoving = std::move(moving),
+                              .mEvacuatedZones = aState.mView.mEvacuatedZones };
   for (const auto& [service, load] : aState.mReport.mLoads) {
     RecordDemand(aState.mScaling, aState.mOptions.mHost, service, load, now);
   }
--- a/trefoil/steering/scaling.cc
+++ b/trefoil/steering/scaling.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace trefoil {
 namespace {
@@ -109,6 +110,29 @@
   }));
 }
 
+std::vector<AvailabilityZoneId>
+OpenZones(const ScalingInputs& aInputs)
+{
+  std::vector<AvailabilityZoneId> zones;
+  std::ranges::copy_if(
+    aInputs.mZones, std::back_inserter(zones), [&aInputs](const AvailabilityZoneId& aZone) {
+      return !aInputs.mEvacuatedZones.contains(aZone);
+    });
+  return zones;
+}
+
+// Restarts the time since when fewer servers have been needed in evacuated zones, so that none is
+// released as soon as a zone is in use again.
+void
+KeepServersOfEvacuatedZones(ScalingState& aState, const ScalingInputs& aInputs, Instant aNow)
+{
+  for (auto& [key, order] : aState.mOrders) {
+    if (aInputs.mEvacuatedZones.contains(key.mZone)) {
+      order.mSurplusSince = aNow;
+    }
+  }
+}
+
 int
 MinOnDemand(const ScalingBounds& aBounds)
 {
@@ -226,7 +250,11 @@
 PlanServers(const ScalingInputs& aInputs, const CatalogueService& aService, int aServersNeeded)
 {
   const ScalingBounds& bounds = *aService.mScaling;
-  const auto zones = static_cast<double>(aInputs.mZones.size());
+  const std::vector<AvailabilityZoneId> openZones = OpenZones(aInputs);
+  if (openZones.empty()) {
+    return {};
+  }
+  const auto zones = static_cast<double>(openZones.size());
   int reclaimable = 0;
   if (bounds.mReclaimablePriceRatio > 0) {
     reclaimable = std::min(CeilToInt(aServersNeeded * kReclaimablePerNeededServer / zones),
@@ -234,7 +262,7 @@
   }
   int running = 0;
   int mostInZone = 0;
-  for (const AvailabilityZoneId& zone : aInputs.mZones) {
+  for (const AvailabilityZoneId& zone : openZones) {
     const int inZone = CountReadyServers(*aInputs.mServers, aService.mName, &zone, true);
     running += inZone;
     mostInZone = std::max(mostInZone, inZone);
@@ -244,7 +272,7 @@
   const int onDemand = std::clamp(
     CeilToInt(missing / zones), minOnDemand, std::max(minOnDemand, bounds.mMax - reclaimable));
   std::map<AvailabilityZoneId, ZonePlan> plan;
-  for (const AvailabilityZoneId& zone : aInputs.mZones) {
+  for (const AvailabilityZoneId& zone : openZones) {
     plan[zone] = { .mReclaimable = reclaimable, .mOnDemand = onDemand };
   }
   return plan;
@@ -254,6 +282,7 @@
 DueOrders(ScalingState& aState, const ScalingInputs& aInputs, Instant aNow)
 {
   std::vector<ServerOrder> orders;
+  KeepServersOfEvacuatedZones(aState, aInputs, aNow);
   for (const auto& [name, service] : aInputs.mCatalogue->mServices) {
     if (!service.mScaling.has_value()) {
       continue;
--- a/trefoil/steering/scaling.h
+++ b/trefoil/steering/scaling.h
@@ -20,6 +20,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace trefoil {
@@ -34,6 +35,9 @@
   // number of servers of all versions together, so that one for fewer than there are could end all
   // those of the version that is moved to.
   std::map<ServiceId, Instant> mMoving;
+  // Zones that get no requests. Their servers count for nothing and no order is sent for them, not
+  // one for fewer either: it could end running requests, and the evacuation may end soon.
+  std::set<AvailabilityZoneId> mEvacuatedZones;
 };
 
 // What the requests to a service needed in one period.
@@ -129,7 +133,8 @@
 double
 PrefillTokensPerServer(const ScalingState& aState, const ServiceId& aService);
 
-// Returns how many servers should run in each zone if `aServersNeeded` are needed in total.
+// Returns how many servers should run in each zone that is not evacuated if `aServersNeeded` are
+// needed in total.
 std::map<AvailabilityZoneId, ZonePlan>
 PlanServers(const ScalingInputs& aInputs, const CatalogueService& aService, int aServersNeeded);
 
--- a/trefoil/steering/scaling_test.cc
+++ b/trefoil/steering/scaling_test.cc
@@ -152,6 +152,79 @@
   }
 }
 
+// Guards against servers that are ordered where they get no requests, against a zone whose load
+// finds too few servers elsewhere, and against requests that an order for fewer servers ends.
+SCENARIO("a zone is evacuated")
+{
+  const AvailabilityZoneId zoneC{ "c" };
+  const Catalogue catalogue = MakeCatalogue();
+  ServerRegistry servers;
+  ScalingInputs inputs{ &catalogue, &servers, { kZoneA, kZoneB, zoneC } };
+  ScalingState scaling;
+  ResetScaling(scaling, kStart);
+  const auto at = [](int aSeconds) { return kStart + std::chrono::seconds{ aSeconds }; };
+  for (const AvailabilityZoneId& zone : inputs.mZones) {
+    AddServers(servers, zone, true, 3);
+    AddServers(servers, zone, false, 1);
+  }
+  DueOrders(scaling, inputs, at(3));
+  for (const ServerOrder& order : DueOrders(scaling, inputs, at(4))) {
+    OnOrderAnswered(scaling, order, true, at(4));
+  }
+  AddServers(servers, kZoneA, true, 6);
+  AddServers(servers, kZoneB, true, 6);
+  AddServers(servers, zoneC, true, 6);
+  const auto planned = [&] {
+    int count = 0;
+    for (const auto& [zone, plan] : PlanServers(inputs, catalogue.mServices.at(kService), 8)) {
+      count += plan.mReclaimable;
+    }
+    return count;
+  };
+  const int before = planned();
+  inputs.mEvacuatedZones = { kZoneA };
+  THEN("what is needed is planned in the others")
+  {
+    const auto plan = PlanServers(inputs, catalogue.mServices.at(kService), 8);
+    CHECK_FALSE(plan.contains(kZoneA));
+    CHECK(plan.size() == 2);
+    CHECK(planned() >= before - 3);
+  }
+  THEN("what is missing is ordered in the others at once, and nothing in the zone, more or fewer")
+  {
+    for (int i = 0; i < 9; ++i) {
+      DeregisterServer(servers, BackendServerId{ fmt::format("b-true-{}", i) }, 2);
+    }
+    // The last orders of the zone were sent 2 s before.
+    const auto orders = DueOrders(scaling, inputs, at(6));
+    CHECK(OrderedCount(orders, zoneC, false) == 4);
+    for (int second = 7; second < 60; ++second) {
+      const auto later = DueOrders(scaling, inputs, at(second));
+      CHECK(OrderedCount(later, kZoneA, true) == -1);
+      CHECK(OrderedCount(later, kZoneA, false) == -1);
+    }
+  }
+  THEN("its servers stay for the delay of a release after the evacuation was taken back")
+  {
+    AddServers(servers, kZoneA, false, 6);
+    scaling.mOrders[{ kService, kZoneA, true }].mAcceptedCount = 9;
+    for (int second = 5; second < 40; ++second) {
+      DueOrders(scaling, inputs, at(second));
+    }
+    inputs.mEvacuatedZones.clear();
+    CHECK(OrderedCount(DueOrders(scaling, inputs, at(40)), kZoneA, true) == -1);
+    CHECK(OrderedCount(DueOrders(scaling, inputs, at(42)), kZoneA, true) == -1);
+  }
+  WHEN("all zones are evacuated")
+  {
+    inputs.mEvacuatedZones = { kZoneA, kZoneB, zoneC };
+    THEN("no order is sent")
+    {
+      CHECK(DueOrders(scaling, inputs, at(50)).empty());
+    }
+  }
+}
+
 // Guards against orders that end the servers of the version that a service is moved to: a host that
 // takes over the duty counts the servers of both versions, and needs fewer.
 SCENARIO("a host takes over the duty while a service moves to another version")
