Read the list of hosts again soon after a failure

A host that could not read the list of hosts waited for the next regular read, 5 s or 20 s later. Until then it knew no other host, so that nobody carried its connections. A failed read is now repeated after 0.2 s, doubled up to 1 s, plus as much again at random. A read that is made meanwhile replaces the repeat.

--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -220,8 +220,16 @@
 OnHostList(SteeringState& aState, const StoreAnswer& aAnswer)
 {
   if (aAnswer.mOutcome != StoreOutcome::kDone) {
+    // Without the list a host has no carriers, and nobody to ask for what the store does not tell.
+    aState.mLoop.Cancel(std::exchange(aState.mHostsRetryTimer, 0));
+    const Milliseconds delay = HostListRetryDelay(++aState.mHostsReadFailures, aState.mRandom());
+    aState.mHostsRetryTimer = aState.mLoop.CallAt(SuspendAwareNow() + delay, [&aState] {
+      aState.mHostsRetryTimer = 0;
+      RefreshHosts(aState);
+    });
     return;
   }
+  aState.mHostsReadFailures = 0;
   std::map<HostId, ListedHost> listed;
   for (const StoreItem& item : aAnswer.mItems) {
     const auto endpoint = ParseEndpoint(item.mValue);
@@ -465,6 +473,7 @@
 void
 RefreshHosts(SteeringState& aState)
 {
+  aState.mLoop.Cancel(std::exchange(aState.mHostsRetryTimer, 0));
   aState.mStore.Call(ListKeys{ .mPrefix = std::string{ kHostPrefix }, .mMayBeStale = true },
                      SuspendAwareNow() + kStoreCallTimeout,
                      [&aState](const StoreAnswer& aAnswer) { OnHostList(aState, aAnswer); });
--- a/trefoil/steering/internal/store_updates.h
+++ b/trefoil/steering/internal/store_updates.h
@@ -30,7 +30,7 @@
 void
 RegisterHost(SteeringState& aState);
 
-// Reads the list of entry hosts from the store.
+// Reads the list of entry hosts from the store, again and again until it is read.
 void
 RefreshHosts(SteeringState& aState);
 
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -57,6 +57,10 @@
 
   // Whether the list of hosts has been read once.
   bool mHostsRefreshed = false;
+  // The failed reads of the list since the last one that succeeded, and the timer of the next one;
+  // 0 if none is scheduled beside the regular reads.
+  int mHostsReadFailures = 0;
+  EventLoop::TimerId mHostsRetryTimer = 0;
   PeerTable mPeers;
   AggregationState mAggregation;
   StoreRelay mRelay;
