Keep requests in the regions that their route and account allow

A route and an account of the configuration may list AllowedRegions. Their requests reach only servers in regions that both allow, and pass only hosts there or in the region of the host that the client has connected to, over new connections and kept ones. trefoil/dispatch/allowed_regions decides from the configuration and the settings region and zone_regions. A zone without a known region counts as not allowed: a restriction that is not kept would not be noticed. Without a list nothing changes.

--- a/cmd/trefoil_gateway.cc
+++ b/cmd/trefoil_gateway.cc
@@ -58,6 +58,7 @@
 {
   return { .mHost = aSettings.mHost,
            .mZone = aSettings.mZone,
+           .mRegions = { .mOwn = aSettings.mRegion, .mZones = aSettings.mZoneRegions },
            .mListen = aSettings.mListen,
            .mReadiness = aSettings.mReadiness,
            .mMetrics = aSettings.mMetrics,
--- a/tests/forward_path/test_gateway.h
+++ b/tests/forward_path/test_gateway.h
@@ -102,6 +102,7 @@
   std::size_t mMaxBufferedBytes = std::size_t{ 32 } * 1024 * 1024;
   double mRetrySlack = 50;
   ForwardCodec mCodec = platform::MakeForwardCodec();
+  RegionMap mRegions;
 };
 
 // A traffic thread with one route of each kind, which forwards to the backend servers of a test.
@@ -113,6 +114,7 @@
   {
     mOptions = { .mHost = HostId{ aOptions.mHost },
                  .mZone = AvailabilityZoneId{ "a" },
+                 .mRegions = aOptions.mRegions,
                  .mListen = FreeEndpoint(),
                  .mReadiness = FreeEndpoint(),
                  .mRelay = FreeEndpoint(),
--- a/trefoil/base/ids.h
+++ b/trefoil/base/ids.h
@@ -49,6 +49,8 @@
 // An entry host of the system.
 using HostId = Id<struct HostTag>;
 using AvailabilityZoneId = Id<struct AvailabilityZoneTag>;
+// A region contains availability zones.
+using RegionId = Id<struct RegionTag>;
 using BackendServerId = Id<struct BackendServerTag>;
 using ClientAccountId = Id<struct ClientAccountTag>;
 using ServiceId = Id<struct ServiceTag>;
--- a/trefoil/catalogue/catalogue.h
+++ b/trefoil/catalogue/catalogue.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -73,6 +74,8 @@
   bool mResumable = false;
   // The maximum time between two events of an answer that is on time; 0 if the route has no goal.
   Milliseconds mEventGapGoal{ 0 };
+  // The regions that requests may be sent to; empty if all are allowed.
+  std::set<RegionId> mAllowedRegions;
 };
 
 // Properties of the model engines of a service.
@@ -128,6 +131,8 @@
   double mRatePerSecond = 0;
   // The capacity of the quota's token bucket, in the same unit.
   double mBurst = 0;
+  // The regions that requests may be sent to; empty if all are allowed.
+  std::set<RegionId> mAllowedRegions;
 };
 
 // Limits on the connections and requests of clients.
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -127,6 +127,7 @@
       return false;
     }
   }
+  mAllowedRegions = RegionsAllowedFor(*mRoute, mAccount);
   mRequestKey =
     RequestKeyOf({ .mAccount = mAccount == nullptr ? ClientAccountId{} : mAccount->mName,
                    .mService = mService,
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -251,6 +251,7 @@
   const Route* mRoute = nullptr;
   const ClientAccount* mAccount = nullptr;
   ServiceId mService;
+  AllowedRegions mAllowedRegions;
   double mQuotaCost = 0;
   bool mQuotaConsumed = false;
   QuotaDecision mQuotaDecision;
--- a/trefoil/forward/exchange_path.cc
+++ b/trefoil/forward/exchange_path.cc
@@ -27,12 +27,12 @@
   // After one silent server the next one gets a new connection, which shows that its path works.
   if (mSilentServers.empty() || !HasDirectPath(mState.mPaths, aServer)) {
     const ReusePolicy policy = MayRepeat() ? ReusePolicy::kAny : ReusePolicy::kRecentlyUsed;
-    mAttempt->mConnection = AcquireIdleConnection(mState, aServer, policy);
+    mAttempt->mConnection = AcquireIdleConnection(mState, aServer, policy, mAllowedRegions);
   }
   if (mAttempt->mConnection) {
     return true;
   }
-  mAttempt->mConnection = OpenConnection(mState, aServer, onOpened);
+  mAttempt->mConnection = OpenConnection(mState, aServer, mAllowedRegions, onOpened);
   return false;
 }
 
--- a/trefoil/forward/exchange_selection.cc
+++ b/trefoil/forward/exchange_selection.cc
@@ -38,7 +38,8 @@
     std::vector<ServerCandidate> candidates;
     for (const RegisteredServer* server : aServers) {
       if (!AcceptsRequests(*server, StatusOfServer(server->mId)) ||
-          mTriedServers.contains(server->mId) || !aHasVersion(*server)) {
+          mTriedServers.contains(server->mId) || !aHasVersion(*server) ||
+          !MayUseServersIn(mAllowedRegions, mState.mOptions.mRegions, server->mZone)) {
         continue;
       }
       // Whatever part of the servers that is: an evacuation is an order, not a suspicion.
--- a/trefoil/forward/server_connector.cc
+++ b/trefoil/forward/server_connector.cc
@@ -42,15 +42,38 @@
                              [&aHost](const Carrier& aItem) { return aItem.mHost == aHost; });
 }
 
+// Returns the carriers to which a request that is restricted to regions may be sent.
+Carriers
+AllowedCarriers(const TrafficState& aState, const AllowedRegions& aRegions)
+{
+  Carriers carriers = CarriersOf(aState);
+  std::erase_if(carriers, [&](const Carrier& aItem) {
+    return !MayPassHostsIn(aRegions, aState.mOptions.mRegions, aItem.mZone);
+  });
+  return carriers;
+}
+
+bool
+IsAllowedCarrier(const TrafficState& aState, const HostId& aHost, const AllowedRegions& aRegions)
+{
+  return std::ranges::any_of(CarriersOf(aState), [&](const Carrier& aItem) {
+    return aItem.mHost == aHost && MayPassHostsIn(aRegions, aState.mOptions.mRegions, aItem.mZone);
+  });
+}
+
 ServerConnectionPool::Filter
-UsableConnections(const TrafficState& aState, const RegisteredServer& aServer, Instant aNow)
+UsableConnections(const TrafficState& aState,
+                  const RegisteredServer& aServer,
+                  const AllowedRegions& aRegions,
+                  Instant aNow)
 {
   const bool isDirect = !HasCarriers(aState) || HasDirectPath(aState.mPaths, aServer);
   const bool mayUseOpen = isDirect || MayUseOpenConnections(aState.mPaths, aServer);
-  return [&aState, isDirect, mayUseOpen, aNow](const ServerConnection& aConnection) {
-    return aConnection.mVia.Empty() ? mayUseOpen
-                                    : !isDirect && IsListedCarrier(aState, aConnection.mVia) &&
-                                        IsUsable(aState.mPaths, aConnection.mVia, aNow);
+  return [&aState, &aRegions, isDirect, mayUseOpen, aNow](const ServerConnection& aConnection) {
+    return aConnection.mVia.Empty()
+             ? mayUseOpen
+             : !isDirect && IsAllowedCarrier(aState, aConnection.mVia, aRegions) &&
+                 IsUsable(aState.mPaths, aConnection.mVia, aNow);
   };
 }
 
@@ -271,11 +294,11 @@
 }
 
 std::optional<std::size_t>
-ChooseCarrierNow(TrafficState& aState, const RegisteredServer& aServer)
+ChooseCarrierNow(TrafficState& aState, const RegisteredServer& aServer, const Carriers& aCarriers)
 {
   return ChooseCarrier(aState.mPaths,
                        aServer,
-                       CarriersOf(aState),
+                       aCarriers,
                        { .mZone = aState.mOptions.mZone, .mRandomValue = aState.mRandom() },
                        SuspendAwareNow());
 }
@@ -299,7 +322,8 @@
   const bool isUnproven = ReachOfServer(aState, aServer, now) == ServerReach::kUnproven;
   const bool searches = !isUnproven && aState.mCarrierSearches < kMaxCarrierSearches &&
                         NeedsCarrier(aState.mPaths, CarriersOf(aState), now);
-  const auto carrier = isUnproven || searches ? ChooseCarrierNow(aState, aServer) : std::nullopt;
+  const auto carrier =
+    isUnproven || searches ? ChooseCarrierNow(aState, aServer, CarriersOf(aState)) : std::nullopt;
   if (!carrier.has_value()) {
     return;
   }
@@ -426,22 +450,28 @@
 }
 
 std::shared_ptr<ServerConnection>
-AcquireIdleConnection(TrafficState& aState, const RegisteredServer& aServer, ReusePolicy aPolicy)
+AcquireIdleConnection(TrafficState& aState,
+                      const RegisteredServer& aServer,
+                      ReusePolicy aPolicy,
+                      const AllowedRegions& aRegions)
 {
   return aState.mConnectionPool.AcquireIdle(
-    aServer, aPolicy, UsableConnections(aState, aServer, SuspendAwareNow()));
+    aServer, aPolicy, UsableConnections(aState, aServer, aRegions, SuspendAwareNow()));
 }
 
 std::shared_ptr<ServerConnection>
 OpenConnection(TrafficState& aState,
                const RegisteredServer& aServer,
+               const AllowedRegions& aRegions,
                std::function<void(bool aIsOpen)> aOnEnd)
 {
   const OpeningPointer opening = MakeRequestOpening(aState, aServer, std::move(aOnEnd));
   const bool isDirect = !HasCarriers(aState) || HasDirectPath(aState.mPaths, aServer);
-  const auto carrier = isDirect ? std::nullopt : ChooseCarrierNow(aState, aServer);
+  const Carriers carriers = isDirect ? Carriers{} : AllowedCarriers(aState, aRegions);
+  const auto carrier =
+    carriers.empty() ? std::nullopt : ChooseCarrierNow(aState, aServer, carriers);
   if (carrier.has_value()) {
-    OpenVia(opening, CarriersOf(aState)[*carrier]);
+    OpenVia(opening, carriers[*carrier]);
   } else {
     OpenDirectly(opening);
   }
@@ -463,7 +493,7 @@
                       const RegisteredServer& aServer,
                       std::function<void(bool aIsOpen)> aOnEnd)
 {
-  const auto carrier = ChooseCarrierNow(aState, aServer);
+  const auto carrier = ChooseCarrierNow(aState, aServer, CarriersOf(aState));
   if (!carrier.has_value()) {
     return nullptr;
   }
--- a/trefoil/forward/server_connector.h
+++ b/trefoil/forward/server_connector.h
@@ -1,8 +1,8 @@
 // Opens connections to backend servers on the paths that work, and finds out which these are.
 //
-//   std::shared_ptr<ServerConnection> connection = AcquireIdleConnection(state, server, policy);
+//   auto connection = AcquireIdleConnection(state, server, policy, regions);
 //   if (!connection) {
-//     connection = OpenConnection(state, server, [](bool aIsOpen) { ... });
+//     connection = OpenConnection(state, server, regions, [](bool aIsOpen) { ... });
 //   }
 //
 // A server that this host cannot connect to is asked for by way of another host
@@ -27,16 +27,22 @@
 ServerReach
 ReachOfServer(const TrafficState& aState, const RegisteredServer& aServer, Instant aNow);
 
-// Returns an idle connection on a path that works, or null.
+// Returns an idle connection on a path that works, or null. `aRegions` restricts the hosts that
+// carry it.
 std::shared_ptr<ServerConnection>
-AcquireIdleConnection(TrafficState& aState, const RegisteredServer& aServer, ReusePolicy aPolicy);
+AcquireIdleConnection(TrafficState& aState,
+                      const RegisteredServer& aServer,
+                      ReusePolicy aPolicy,
+                      const AllowedRegions& aRegions);
 
 // Opens a connection. Unless its stream is closed before, `aOnEnd` is called once from the event
 // loop: with true when the server can receive a request, and with false if no connection to it was
-// established. The server has received nothing then.
+// established. The server has received nothing then. `aRegions` restricts the hosts that may carry
+// it; without an allowed one the connection is direct.
 std::shared_ptr<ServerConnection>
 OpenConnection(TrafficState& aState,
                const RegisteredServer& aServer,
+               const AllowedRegions& aRegions,
                std::function<void(bool aIsOpen)> aOnEnd);
 
 // Returns a new direct connection, although direct paths may be known to have failed. `aOnEnd` is
--- a/trefoil/forward/traffic_thread.h
+++ b/trefoil/forward/traffic_thread.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/statusor.h"
 #include "trefoil/base/endpoint.h"
+#include "trefoil/dispatch/allowed_regions.h"
 #include "trefoil/dispatch/quota.h"
 #include "trefoil/dispatch/retry_budget.h"
 #include "trefoil/eventlog/event_log.h"
@@ -28,6 +29,8 @@
 {
   HostId mHost;
   AvailabilityZoneId mZone;
+  // Where the zones are, for requests that are restricted to regions.
+  RegionMap mRegions;
   // Endpoints for clients, for the readiness checks of the platform and for reading metrics.
   Endpoint mListen;
   Endpoint mReadiness;
--- a/trefoil/settings/gateway_settings.cc
+++ b/trefoil/settings/gateway_settings.cc
@@ -49,6 +49,22 @@
   return Milliseconds{ static_cast<std::int64_t>(number * aUnitMs) };
 }
 
+// Reads the regions of zones, each as "zone=region".
+std::map<AvailabilityZoneId, RegionId>
+ReadZoneRegions(TomlReader& aReader, std::string_view aKey)
+{
+  std::map<AvailabilityZoneId, RegionId> regions;
+  for (const std::string& text : aReader.OptionalStrings(aKey)) {
+    const auto equals = text.find('=');
+    if (equals == std::string::npos || equals == 0 || equals + 1 == text.size()) {
+      aReader.RecordError(aKey, "must be of the form zone=region");
+      return {};
+    }
+    regions[AvailabilityZoneId{ text.substr(0, equals) }] = RegionId{ text.substr(equals + 1) };
+  }
+  return regions;
+}
+
 } // namespace
 
 absl::StatusOr<GatewaySettings>
@@ -65,6 +81,8 @@
   for (const std::string& zone : reader.OptionalStrings("availability_zones")) {
     settings.mZones.emplace_back(zone);
   }
+  settings.mRegion = RegionId{ reader.OptionalString("region", "") };
+  settings.mZoneRegions = ReadZoneRegions(reader, "zone_regions");
   settings.mListen = ReadEndpoint(reader, "listen");
   settings.mReadiness = ReadEndpoint(reader, "readiness_listen");
   settings.mPeerListen = ReadEndpoint(reader, "peer_listen");
--- a/trefoil/settings/gateway_settings.h
+++ b/trefoil/settings/gateway_settings.h
@@ -10,6 +10,7 @@
 #include "trefoil/base/ids.h"
 #include "trefoil/base/instant.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,6 +25,9 @@
   AvailabilityZoneId mZone;
   // The availability zones in which servers may be ordered.
   std::vector<AvailabilityZoneId> mZones;
+  // The region of this host, empty if it is not stated, and of the zones.
+  RegionId mRegion;
+  std::map<AvailabilityZoneId, RegionId> mZoneRegions;
   // The endpoint for client requests.
   Endpoint mListen;
   // The endpoint for readiness checks.
--- a/trefoil/settings/gateway_settings_test.cc
+++ b/trefoil/settings/gateway_settings_test.cc
@@ -43,6 +43,23 @@
       CHECK_THAT(errorFor("drain_within_ms = 0\n"), Catch::Contains("drain_within_ms"));
     }
   }
+  WHEN("the region of the host and those of the zones are stated")
+  {
+    const auto read = ParseGatewaySettings(
+      kValidSettings + "region = \"north\"\nzone_regions = [\"a=north\", \"b=south\"]\n",
+      "gateway.toml");
+    THEN("they are known, and a zone without a region is an error")
+    {
+      REQUIRE(read.ok());
+      CHECK(read->mRegion == RegionId{ "north" });
+      CHECK(read->mZoneRegions.at(AvailabilityZoneId{ "b" }) == RegionId{ "south" });
+      for (const char* entry : { "a", "a=", "=north" }) {
+        const auto bad = ParseGatewaySettings(
+          kValidSettings + "zone_regions = [\"" + entry + "\"]\n", "gateway.toml");
+        CHECK_FALSE(bad.ok());
+      }
+    }
+  }
   WHEN("durations and slacks have fractions")
   {
     const auto read =
