--- a/tests/forward_path/test_gateway.h
+++ b/tests/forward_path/test_gateway.h
@@ -20,6 +20,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -101,6 +102,7 @@
   std::size_t mMaxBufferedBytes = std::size_t{ 32 } * 1024 * 1024;
   double mRetrySlack = 50;
   ForwardCodec mCodec = platform::MakeForwardCodec();
+  RegionMap mRegions;
 };
 
 // A traffic thread with one route of each kind, which forwards to the backend servers of a test.
@@ -112,6 +114,7 @@
   {
     mOptions = { .mHost = HostId{ aOptions.mHost },
                  .mZone = AvailabilityZoneId{ "a" },
+                 .mRegions = aOptions.mRegions,
                  .mListen = FreeEndpoint(),
                  .mReadiness = FreeEndpoint(),
                  .mRelay = FreeEndpoint(),
@@ -157,6 +160,17 @@
                      .mRevision = 1 });
   }
 
+  // Adds a server in a zone.
+  void AddServerIn(const char* aZone, const char* aName, const ScriptedServer& aServer)
+  {
+    RegisterServer(mServers,
+                   { .mId = BackendServerId{ aName },
+                     .mService = ServiceId{ "s" },
+                     .mEndpoint = aServer.ListenEndpoint(),
+                     .mZone = AvailabilityZoneId{ aZone },
+                     .mRevision = 1 });
+  }
+
   // Lets the other host carry connections for this one.
   void AddCarrier(const Gateway& aOther)
   {
@@ -191,6 +205,7 @@
                    .mConfirmedCurrentAt = aConfirmedAt,
                    .mHostList = std::make_shared<std::vector<HostId>>(mHostList),
                    .mSteering = mSteering,
+                   .mEvacuatedZones = mEvacuatedZones,
                    .mCarriers = std::make_shared<Carriers>(mCarriers) }));
     // Reports are made after the tasks that were posted before.
     Report();
@@ -230,6 +245,7 @@
   Catalogue mCatalogue;
   ServerRegistry mServers;
   std::map<ServiceId, VersionSteering> mSteering;
+  std::set<AvailabilityZoneId> mEvacuatedZones;
   std::vector<HostId> mHostList{ HostId{ "host-1" } };
   Carriers mCarriers;
 
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -37,12 +37,14 @@
   kServersFull,
   kServersLimited,
   kServerUnreachable,
+  // All servers that are left are in evacuated zones.
+  kZonesEvacuated,
   kBrokenAnswer,
   kDeadlineExceeded,
   kHostStops,
 };
 
-inline constexpr NameTable<RefusalReason, 15> kRefusalReasonNames{ {
+inline constexpr NameTable<RefusalReason, 16> kRefusalReasonNames{ {
   { RefusalReason::kNoConfiguration, "no_configuration" },
   { RefusalReason::kStaleConfiguration, "old_configuration" },
   { RefusalReason::kNoRoute, "no_route" },
@@ -55,6 +57,7 @@
   { RefusalReason::kServersFull, "servers_full" },
   { RefusalReason::kServersLimited, "servers_limited" },
   { RefusalReason::kServerUnreachable, "server_unreachable" },
+  { RefusalReason::kZonesEvacuated, "zones_evacuated" },
   { RefusalReason::kBrokenAnswer, "broken_answer" },
   { RefusalReason::kDeadlineExceeded, "out_of_time" },
   { RefusalReason::kHostStops, "host_stops" },
@@ -71,9 +74,11 @@
   kServerError,
   // The request was not sent, since the server must get no more requests of this host now.
   kHeldBack,
+  // The zone of the server was closed before the request was sent.
+  kZoneEvacuated,
 };
 
-inline constexpr NameTable<AttemptFailure, 7> kAttemptFailureNames{ {
+inline constexpr NameTable<AttemptFailure, 8> kAttemptFailureNames{ {
   { AttemptFailure::kConnectFailed, "connect_failed" },
   { AttemptFailure::kTurnedAway, "turned_away" },
   { AttemptFailure::kWrongServer, "other_server" },
@@ -81,6 +86,7 @@
   { AttemptFailure::kSilent, "silent" },
   { AttemptFailure::kServerError, "server_error" },
   { AttemptFailure::kHeldBack, "held_back" },
+  { AttemptFailure::kZoneEvacuated, "zone_evacuated" },
 } };
 
 // Retry-After value if the request cannot be served now: the time in which a server at its limit
@@ -258,6 +264,7 @@
   const Route* mRoute = nullptr;
   const ClientAccount* mAccount = nullptr;
   ServiceId mService;
+  AllowedRegions mAllowedRegions;
   double mQuotaCost = 0;
   bool mQuotaConsumed = false;
   QuotaDecision mQuotaDecision;
@@ -282,6 +289,8 @@
   bool mHasPaidForRetry = false;
   // Whether the last selection left out servers that are reached in no way.
   bool mLeftOutUnreachable = false;
+  // Whether the last selection left out servers in evacuated zones.
+  bool mLeftOutEvacuated = false;
   // Number of ended attempts in which the server may have run the request, and of all dispatches.
   int mPossibleRuns = 0;
   int mDispatches = 0;
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -39,6 +39,37 @@
 constexpr std::size_t kMaxLoggedParts = 8;
 // A stream is considered silent after this multiple of the event gap goal.
 constexpr int kSilenceGapFactor = 4;
+// Retry-After value if only servers in evacuated zones are left. An evacuation lasts for seconds at
+// least, unless servers register in another zone.
+constexpr Milliseconds kRetryAfterEvacuated{ 1'000 };
+
+// Returns whether the attempt ended before anything was sent, although its connection was open.
+bool
+IsUnsent(AttemptFailure aFailure)
+{
+  return aFailure == AttemptFailure::kHeldBack || aFailure == AttemptFailure::kZoneEvacuated;
+}
+
+// Returns why a request is refused after a failure of its last attempt, if it has not run.
+RefusalReason
+ReasonAfter(AttemptFailure aFailure)
+{
+  switch (aFailure) {
+    case AttemptFailure::kConnectFailed:
+      return RefusalReason::kServerUnreachable;
+    case AttemptFailure::kHeldBack:
+      return RefusalReason::kServersLimited;
+    case AttemptFailure::kZoneEvacuated:
+      return RefusalReason::kZonesEvacuated;
+    case AttemptFailure::kTurnedAway:
+    case AttemptFailure::kWrongServer:
+    case AttemptFailure::kBroken:
+    case AttemptFailure::kSilent:
+    case AttemptFailure::kServerError:
+      break;
+  }
+  return RefusalReason::kServersFull;
+}
 
 } // namespace
 
@@ -108,6 +139,14 @@
 void
 Exchange::SendRequest()
 {
+  // The zone may have been closed while the connection was being opened.
+  if (IsEvacuated(mState, mAttempt->mServer)) {
+    ++mFailedConnects;
+    mTriedServers.erase(mAttempt->mServer.mId);
+    mAttempt->mIsServerBlamed = false;
+    OnAttemptFailed(AttemptFailure::kZoneEvacuated);
+    return;
+  }
   mAttempt->mSent = true;
   mAttempt->mSentAt = SuspendAwareNow();
   mAttempt->mConnection->mStream->SetCallbacks(
@@ -325,9 +364,9 @@
       mDispatches - mFailedConnects >= mRoute->mAttempts + kMaxExtraDispatches) {
     return false;
   }
-  const bool notRun =
-    aFailure == AttemptFailure::kConnectFailed || aFailure == AttemptFailure::kTurnedAway ||
-    aFailure == AttemptFailure::kWrongServer || aFailure == AttemptFailure::kHeldBack;
+  const bool notRun = aFailure == AttemptFailure::kConnectFailed ||
+                      aFailure == AttemptFailure::kTurnedAway ||
+                      aFailure == AttemptFailure::kWrongServer || IsUnsent(aFailure);
   if (IsRefused(now)) {
     return false;
   }
@@ -335,7 +374,7 @@
     return false;
   }
   // An attempt that sent nothing put no load on a server, so its retry consumes no budget.
-  return aFailure == AttemptFailure::kConnectFailed || aFailure == AttemptFailure::kHeldBack ||
+  return aFailure == AttemptFailure::kConnectFailed || IsUnsent(aFailure) ||
          std::exchange(mHasPaidForRetry, false) ||
          ConsumeServiceRetry(mState.mRetries, mService, mState.mView->mHosts, now);
 }
@@ -401,12 +440,7 @@
     TryNextServer();
     return;
   }
-  if (aFailure == AttemptFailure::kHeldBack) {
-    FailRequest(RefusalReason::kServersLimited);
-    return;
-  }
-  FailRequest(aFailure == AttemptFailure::kConnectFailed ? RefusalReason::kServerUnreachable
-                                                         : RefusalReason::kServersFull);
+  FailRequest(ReasonAfter(aFailure));
 }
 
 // Ends the request without a further attempt. Aborts a stream that has begun; otherwise relays an
@@ -429,7 +463,10 @@
     Refuse(kBadGateway, RefusalReason::kBrokenAnswer, std::nullopt);
     return;
   }
-  Refuse(kServiceUnavailable, aReasonIfNotRun, RetryAfter(DelayOfRetry()));
+  Refuse(kServiceUnavailable,
+         aReasonIfNotRun,
+         RetryAfter(aReasonIfNotRun == RefusalReason::kZonesEvacuated ? kRetryAfterEvacuated
+                                                                      : DelayOfRetry()));
 }
 
 // Returns after which time the client may send the request again. Clients that are refused because
--- a/trefoil/forward/exchange_selection.cc
+++ b/trefoil/forward/exchange_selection.cc
@@ -35,11 +35,18 @@
   const PrefillTimes* prefillTimes = FindCacheHints(mState.mCacheHints, mCacheKey);
   mLeftOutUnreachable = false;
   const EventTotals serviceEvents = ServiceEvents(aServers, aNow);
+  mLeftOutEvacuated = false;
   const auto candidatesIf = [&](const auto& aHasVersion) {
     std::vector<ServerCandidate> candidates;
     for (const RegisteredServer* server : aServers) {
       if (!AcceptsRequests(*server, StatusOfServer(server->mId)) ||
-          mTriedServers.contains(server->mId) || !aHasVersion(*server)) {
+          mTriedServers.contains(server->mId) || !aHasVersion(*server) ||
+          !MayUseServersIn(mAllowedRegions, mState.mOptions.mRegions, server->mZone)) {
+        continue;
+      }
+      // Whatever part of the servers that is: an evacuation is an order, not a suspicion.
+      if (IsEvacuated(mState, *server)) {
+        mLeftOutEvacuated = true;
         continue;
       }
       const ServerReach reach = ReachOfServer(mState, *server, aNow);
@@ -297,6 +304,10 @@
     FailRequest(RefusalReason::kServerUnreachable);
     return;
   }
+  if (!server.has_value() && mLeftOutEvacuated) {
+    FailRequest(RefusalReason::kZonesEvacuated);
+    return;
+  }
   if (!server.has_value()) {
     FailRequest(mTriedServers.empty() ? RefusalReason::kNoServer : RefusalReason::kServersFull);
     return;
--- a/trefoil/forward/traffic_state.cc
+++ b/trefoil/forward/traffic_state.cc
@@ -51,6 +51,12 @@
   return *aLimit.mRank;
 }
 
+bool
+IsEvacuated(const TrafficState& aState, const RegisteredServer& aServer)
+{
+  return aState.mView && aState.mView->mEvacuatedZones.contains(aServer.mZone);
+}
+
 RefillRate
 OwnPartOfLimit(const TrafficState& aState, const BackendServerId& aServer, ServerLimit& aLimit)
 {
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -90,6 +90,10 @@
 void
 ReportCrashEvidence(TrafficState& aState, bool aIsOwn);
 
+// Returns whether operators have closed the server's zone, so that no request may be sent to it.
+bool
+IsEvacuated(const TrafficState& aState, const RegisteredServer& aServer);
+
 // Returns the position of this host in the order by which what the server permits is divided. The
 // list of hosts must be known.
 std::size_t
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -3,6 +3,7 @@
 #include "trefoil/base/store_revision.h"
 #include "trefoil/steering/host_entry.h"
 #include "trefoil/steering/internal/duties.h"
+#include "trefoil/steering/internal/evacuation_updates.h"
 #include "trefoil/steering/internal/move_calls.h"
 #include "trefoil/steering/internal/server_updates.h"
 #include "trefoil/steering/internal/store_relay_messages.h"
@@ -219,8 +220,16 @@
 OnHostList(SteeringState& aState, const StoreAnswer& aAnswer)
 {
   if (aAnswer.mOutcome != StoreOutcome::kDone) {
+    // Without the list a host has no carriers, and nobody to ask for what the store does not tell.
+    aState.mLoop.Cancel(std::exchange(aState.mHostsRetryTimer, 0));
+    const Milliseconds delay = HostListRetryDelay(++aState.mHostsReadFailures, aState.mRandom());
+    aState.mHostsRetryTimer = aState.mLoop.CallAt(SuspendAwareNow() + delay, [&aState] {
+      aState.mHostsRetryTimer = 0;
+      RefreshHosts(aState);
+    });
     return;
   }
+  aState.mHostsReadFailures = 0;
   std::map<HostId, ListedHost> listed;
   for (const StoreItem& item : aAnswer.mItems) {
     const auto endpoint = ParseEndpoint(item.mValue);
@@ -361,11 +370,14 @@
   const ControlCodec& codec = aState.mOptions.mCodec;
   aState.mStore.SetEraCallback([&aState](std::int64_t aEra) { return OnStoreEra(aState, aEra); });
   PrefixWatchCallbacks operators = LoggingCallbacks(aState, "operators");
-  operators.mOnList = [&aState](const std::vector<StoreItem>& aItems, std::int64_t /*aRevision*/) {
+  operators.mOnList = [&aState](const std::vector<StoreItem>& aItems, std::int64_t aRevision) {
+    // First, so that no view has the configuration without the closed zones.
+    OnEvacuationList(aState, aItems, aRevision);
     OnOperatorItems(aState, aItems, OrderSource::kList);
     PushStoreChanges(aState);
   };
   operators.mOnChanges = [&aState](const std::vector<StoreItem>& aItems) {
+    OnEvacuationItems(aState, aItems);
     OnOperatorItems(aState, aItems, OrderSource::kChange);
     PushStoreChanges(aState);
   };
@@ -461,6 +473,7 @@
 void
 RefreshHosts(SteeringState& aState)
 {
+  aState.mLoop.Cancel(std::exchange(aState.mHostsRetryTimer, 0));
   aState.mStore.Call(ListKeys{ .mPrefix = std::string{ kHostPrefix }, .mMayBeStale = true },
                      SuspendAwareNow() + kStoreCallTimeout,
                      [&aState](const StoreAnswer& aAnswer) { OnHostList(aState, aAnswer); });
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -5,6 +5,7 @@
 #include "trefoil/http/http_channel.h"
 #include "trefoil/steering/aggregation.h"
 #include "trefoil/steering/control_thread.h"
+#include "trefoil/steering/evacuation.h"
 #include "trefoil/steering/peer_table.h"
 #include "trefoil/steering/prefix_watch.h"
 #include "trefoil/steering/scaling.h"
@@ -45,6 +46,7 @@
   std::int64_t mStoreEra = 0;
   TrafficView mView;
   std::int64_t mCatalogueRevision = 0;
+  EvacuationState mEvacuation;
   ServerRegistry mServers;
   // Whether mView may lack changes of mServers, since an exception ended their handling.
   bool mServersUnpublished = false;
@@ -56,6 +58,10 @@
 
   // Whether the list of hosts has been read once.
   bool mHostsRefreshed = false;
+  // The failed reads of the list since the last one that succeeded, and the timer of the next one;
+  // 0 if none is scheduled beside the regular reads.
+  int mHostsReadFailures = 0;
+  EventLoop::TimerId mHostsRetryTimer = 0;
   PeerTable mPeers;
   AggregationState mAggregation;
   StoreRelay mRelay;
