Treat a response whose status is outside 100 to 599 as malformed

Clients got 600 and 999 of a broken server as its answer, and waited for an answer after 000 and 099, which were taken for informational responses.

The shared message reader takes such a status for malformed. It reads all responses that hosts receive: of servers (directly, or by way of another host, which passes on bytes only), about their health, of the store and the cloud API, and of trefoild's servers and hosts (trefoil/http/client). Ruled out: checks at each of these four places.

--- a/trefoil/http/message_reader.cc
+++ b/trefoil/http/message_reader.cc
@@ -14,6 +14,9 @@
 
 constexpr std::string_view kHeadTerminator = "\r\n\r\n";
 constexpr int kMinFinalStatus = 200;
+// A response with another status is malformed, since no reader could tell what it promises.
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 
 std::string
 ToString(beast::string_view aText)
@@ -45,9 +48,12 @@
   void on_response_impl(int aCode,
                         beast::string_view /*aReason*/,
                         int /*aVersion*/,
-                        error_code& /*aError*/) override
+                        error_code& aError) override
   {
     mResponse.mStatus = aCode;
+    if (aCode < kMinStatus || aCode > kMaxStatus) {
+      aError = beast::http::error::bad_status;
+    }
   }
   void on_field_impl(beast::http::field /*aField*/,
                      beast::string_view aName,
--- a/trefoil/http/message_reader_test.cc
+++ b/trefoil/http/message_reader_test.cc
@@ -153,6 +153,29 @@
   }
 }
 
+// Guards against broken answers that are taken for sound ones, by all that read responses.
+SCENARIO("a response has a status that HTTP does not know")
+{
+  const auto read = [](const char* aStatus) {
+    MessageReader reader = MessageReader::ForResponse({});
+    std::string bytes = fmt::format("HTTP/1.1 {} X\r\nContent-Length: 0\r\n\r\n", aStatus);
+    return reader.Consume(bytes);
+  };
+  THEN("it is malformed")
+  {
+    for (const char* status : { "000", "099", "600", "999" }) {
+      INFO(status);
+      CHECK(read(status) == MessageReadState::kMalformed);
+    }
+  }
+  THEN("the first and the last known one are read")
+  {
+    CHECK(read("200") == MessageReadState::kComplete);
+    CHECK(read("599") == MessageReadState::kComplete);
+    CHECK(read("100") == MessageReadState::kHead);
+  }
+}
+
 SCENARIO("a response is truncated")
 {
   MessageReader reader = MessageReader::ForResponse({});
