Test that calls fail on a status outside 100 to 599

The calls of trefoild (trefoil/http/client) and those to the store and the cloud API (trefoil/http/http_channel) depend on the shared reader for this.

With the reader's check switched off, both tests fail (600 and 999; 099 already failed the call before). http_test passes (26 cases, 528 assertions).

--- a/trefoil/http/http_channel_test.cc
+++ b/trefoil/http/http_channel_test.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <optional>
+#include <string_view>
 #include <thread>
 
 namespace trefoil {
@@ -55,5 +56,31 @@
   }
 }
 
+// Guards against a broken answer of the store or of the cloud API that is taken for a sound one.
+SCENARIO("a server answers a call with a status that HTTP does not know")
+{
+  Poco::Net::ServerSocket listener{ Poco::Net::SocketAddress{ "127.0.0.1", 0 } };
+  EventLoop loop;
+  std::optional<HttpReplyKind> reply;
+  HttpChannel channel{ loop,
+                       { .mAddress = "127.0.0.1", .mPort = listener.address().port() },
+                       StreamOptions{} };
+  channel.Send({ .mMethod = "POST", .mTarget = "/kv-range", .mBody = "{}" },
+               SuspendAwareNow() + kTestTimeout,
+               [&](const HttpReply& aReply) {
+                 reply = aReply.mKind;
+                 loop.Stop();
+               });
+  std::thread thread{ [&loop] { loop.Run(); } };
+  Poco::Net::StreamSocket socket = listener.acceptConnection();
+  const std::string_view answer = "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\n{}";
+  socket.sendBytes(answer.data(), static_cast<int>(answer.size()));
+  thread.join();
+  THEN("the caller learns that it may have run")
+  {
+    CHECK(reply == HttpReplyKind::kLost);
+  }
+}
+
 } // namespace
 } // namespace trefoil
--- a/trefoil/http/http_test.cc
+++ b/trefoil/http/http_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <string>
 #include <thread>
 #include <utility>
@@ -88,6 +89,18 @@
   CHECK(std::get<Failure>(result).mVerdict == Verdict::kMayHaveRun);
 }
 
+// Guards against an answer of a broken server that trefoild passes on as a sound one.
+TEST_CASE("A server answers with a status that HTTP does not know")
+{
+  const char* status = GENERATE("099", "600", "999");
+  CAPTURE(status);
+  const PiecewiseServer server{ { fmt::format("HTTP/1.1 {} X\r\nContent-Length: 0\r\n\r\n",
+                                              status) } };
+  const HttpResult result = Call(server.MakeCall());
+  REQUIRE(std::holds_alternative<Failure>(result));
+  CHECK(std::get<Failure>(result).mVerdict == Verdict::kMayHaveRun);
+}
+
 // Guards against bytes of a body that are lost if they arrive alone.
 TEST_CASE("The bytes of an answer arrive one by one")
 {
