Count the calls to the store by kind

Each call of trefoil-gateway, also one that fails to be sent, now adds to trefoil_store_calls_total{kind}. Counting by HTTP target in the adapter was ruled out: the metrics would then hold the platform's names.

--- a/cmd/trefoil_gateway.cc
+++ b/cmd/trefoil_gateway.cc
@@ -75,7 +75,7 @@
 }
 
 trefoil::ControlThreadOptions
-MakeControlThreadOptions(const trefoil::GatewaySettings& aSettings)
+MakeControlThreadOptions(const trefoil::GatewaySettings& aSettings, trefoil::Metrics& aMetrics)
 {
   return { .mHost = aSettings.mHost,
            .mZone = aSettings.mZone,
@@ -88,7 +88,8 @@
            .mUsageWindow = aSettings.mUsageWindow,
            .mUsageLateAfter = aSettings.mUsageLateAfter,
            .mServerNewsWithin = aSettings.mDrainWithin + aSettings.mSettleWithin,
-           .mCodec = trefoil::platform::MakeControlCodec() };
+           .mCodec = trefoil::platform::MakeControlCodec(),
+           .mMetrics = &aMetrics };
 }
 
 // Reads the settings file again and logs whether it is invalid or has changed since `aSettings`,
@@ -164,7 +165,7 @@
     return { .mStatus = traffic.status(), .mRetryUntil = retryUntil };
   }
   auto control = trefoil::ControlThread::Start(
-    MakeControlThreadOptions(*settings), *peerSocket, **traffic, aGateway.mLog);
+    MakeControlThreadOptions(*settings, aGateway.mMetrics), *peerSocket, **traffic, aGateway.mLog);
   if (!control.ok()) {
     return { .mStatus = control.status(), .mRetryUntil = retryUntil };
   }
--- a/trefoil/metrics/metrics.h
+++ b/trefoil/metrics/metrics.h
@@ -61,6 +61,8 @@
   kRelayRequests,
   // Connections that this host was asked to carry, by its answer.
   kRelaysCarried,
+  // Calls that this host has sent to the store, by kind.
+  kStoreCalls,
 };
 
 // The metric name and the label name of a LabelledCounter.
@@ -70,11 +72,12 @@
   const char* mLabel;
 };
 
-inline constexpr std::array<LabelledName, 4> kLabelledCounterNames{ {
+inline constexpr std::array<LabelledName, 5> kLabelledCounterNames{ {
   { "trefoil_refusals_total", "reason" },
   { "trefoil_attempt_ends_total", "end" },
   { "trefoil_relay_requests_total", "outcome" },
   { "trefoil_relays_total", "status" },
+  { "trefoil_store_calls_total", "kind" },
 } };
 
 enum class Gauge
--- a/trefoil/steering/control_thread.h
+++ b/trefoil/steering/control_thread.h
@@ -12,6 +12,7 @@
 #include "absl/status/statusor.h"
 #include "trefoil/eventlog/event_log.h"
 #include "trefoil/forward/traffic_thread.h"
+#include "trefoil/metrics/metrics.h"
 #include "trefoil/steering/control_codec.h"
 
 #include <Poco/Net/DatagramSocket.h>
@@ -40,6 +41,8 @@
   // leaves.
   Milliseconds mServerNewsWithin{ 5'000 };
   ControlCodec mCodec;
+  // Where calls to the store are counted; null if they are not. Must outlive the thread.
+  Metrics* mMetrics = nullptr;
 };
 
 // Binds the UDP socket for the messages of other entry hosts. It is separate from the start of the
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -8,6 +8,7 @@
 #include "trefoil/steering/internal/store_relay_messages.h"
 #include "trefoil/steering/quota_record.h"
 #include "trefoil/steering/refusal_record.h"
+#include "trefoil/steering/store_call_kind.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -166,6 +167,17 @@
   return true;
 }
 
+// Counts a call to the store by its kind.
+void
+CountStoreCall(SteeringState& aState, const StoreCall& aCall)
+{
+  if (aState.mOptions.mMetrics != nullptr) {
+    aState.mOptions.mMetrics->IncrementLabelled(
+      LabelledCounter::kStoreCalls,
+      NameOf(kStoreCallKindNames, KindOf(aCall, aState.mOptions.mCodec)));
+  }
+}
+
 PrefixWatchCallbacks
 LoggingCallbacks(SteeringState& aState, const char* aName)
 {
@@ -186,7 +198,8 @@
                                  aName,
                                  aLostFor.count());
              },
-           .mOnEra = [&aState](std::int64_t aEra) { return OnStoreEra(aState, aEra); } };
+           .mOnEra = [&aState](std::int64_t aEra) { return OnStoreEra(aState, aEra); },
+           .mOnCall = [&aState](const StoreCall& aCall) { CountStoreCall(aState, aCall); } };
 }
 
 PrefixWatchOptions
@@ -360,6 +373,8 @@
 {
   const ControlCodec& codec = aState.mOptions.mCodec;
   aState.mStore.SetEraCallback([&aState](std::int64_t aEra) { return OnStoreEra(aState, aEra); });
+  aState.mStore.SetCallObserver(
+    [&aState](const StoreCall& aCall) { CountStoreCall(aState, aCall); });
   PrefixWatchCallbacks operators = LoggingCallbacks(aState, "operators");
   operators.mOnList = [&aState](const std::vector<StoreItem>& aItems, std::int64_t /*aRevision*/) {
     OnOperatorItems(aState, aItems, OrderSource::kList);
--- a/trefoil/steering/prefix_watch.cc
+++ b/trefoil/steering/prefix_watch.cc
@@ -45,6 +45,7 @@
   , mRandom(std::random_device{}())
 {
   mChannel.SetEraCallback(mCallbacks.mOnEra);
+  mChannel.SetCallObserver(mCallbacks.mOnCall);
 }
 
 // Runs a step of the series of calls. The series goes on whatever becomes of the step: nothing else
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -55,8 +55,9 @@
   // between.
   std::function<void(StoreOutcome, Milliseconds aPending)> mOnStoreLost;
   std::function<void(Instant aSentAt, Milliseconds aLostFor)> mOnStoreRegained;
-  // See StoreChannel::SetEraCallback.
+  // See StoreChannel::SetEraCallback and SetCallObserver.
   StoreChannel::EraCallback mOnEra;
+  StoreChannel::CallObserver mOnCall;
 };
 
 // Returns how long the store may hold a watch open so that changes are known within `aKnownWithin`
--- a/trefoil/store/store_channel.cc
+++ b/trefoil/store/store_channel.cc
@@ -24,6 +24,9 @@
 void
 StoreChannel::Call(const StoreCall& aCall, Instant aDeadline, Callback aCallback)
 {
+  if (mObserver) {
+    mObserver(aCall);
+  }
   mChannel.Send(mCodec.mEncode(aCall),
                 aDeadline,
                 [this, aCall, callback = std::move(aCallback), decode = mCodec.mDecode](
--- a/trefoil/store/store_channel.h
+++ b/trefoil/store/store_channel.h
@@ -33,10 +33,14 @@
   // whether the answer is used; otherwise the outcome of the call is kUnknown.
   using EraCallback = std::function<bool(std::int64_t aEra)>;
 
+  // Called with each call that is sent or fails to be sent.
+  using CallObserver = std::function<void(const StoreCall&)>;
+
   StoreChannel(EventLoop& aLoop, const Endpoint& aStore, StoreCodec aCodec);
 
   // Must be called before the first call.
   void SetEraCallback(EraCallback aCallback) { mOnEra = std::move(aCallback); }
+  void SetCallObserver(CallObserver aObserver) { mObserver = std::move(aObserver); }
 
   // Sends a call. The loop runs the callback once, at `aDeadline` at the latest, unless Reset() is
   // called before. The outcome is kRefused if the call was not sent, and kUnknown if no valid
@@ -49,6 +53,7 @@
   HttpChannel mChannel;
   StoreCodec mCodec;
   EraCallback mOnEra;
+  CallObserver mObserver;
 };
 
 } // namespace trefoil
