Report only what changes in a server's entry, and log what operators can act on

A server rewrites its entry every 1,200 ms, and RegisterServer reported every difference but the revision as a change, so a warm-up or a remaining lifetime that runs down made each host copy and publish all servers and log a line, out of the budget that the lines of requests need.

RegisterServer now reports no change for an entry that only repeats the one before: revision, and a warm-up or remaining lifetime that has become shorter. The end of a warm-up, a longer one and the first notice are changes. A line is written only if phase, version, zone, address, service or reclaimable differ. Nothing in the traffic thread reads the two times yet; the registry holds the newest statement. Ruled out: ignoring the warm-up altogether, since a server may become cold again.

--- a/trefoil/catalogue/catalogue_test.cc
+++ b/trefoil/catalogue/catalogue_test.cc
@@ -88,6 +88,66 @@
   }
 }
 
+// Guards against: each of many servers that rewrite their entries every 1,200 ms makes all hosts
+// publish their servers, relay the entry and log a line.
+SCENARIO("a server rewrites its entry")
+{
+  ServerRegistry registry;
+  RegisteredServer server{ .mId = BackendServerId{ "e" },
+                           .mRemainingWarmUp = Milliseconds{ 3'000 },
+                           .mRevision = 5 };
+  RegisterServer(registry, server);
+  const RegisteredServer first = server;
+  ++server.mRevision;
+  WHEN("the rest of its warm-up has become shorter")
+  {
+    server.mRemainingWarmUp = Milliseconds{ 1'800 };
+    THEN("the registry has the new entry and reports no change")
+    {
+      CHECK_FALSE(RegisterServer(registry, server));
+      CHECK(registry.mServers.at(server.mId) == server);
+    }
+  }
+  WHEN("it has become warm")
+  {
+    server.mRemainingWarmUp = Milliseconds{ 0 };
+    THEN("that is a change, but none that operators can act on")
+    {
+      CHECK(RegisterServer(registry, server));
+      CHECK_FALSE(DiffersForOperators(first, server));
+    }
+  }
+  WHEN("it has become cold again")
+  {
+    server.mRemainingWarmUp = Milliseconds{ 3'001 };
+    THEN("that is a change")
+    {
+      CHECK(RegisterServer(registry, server));
+    }
+  }
+  WHEN("it gets notice that it will be reclaimed")
+  {
+    server.mRemainingLifetime = Milliseconds{ 5'000 };
+    THEN("only the first statement is a change")
+    {
+      CHECK(RegisterServer(registry, server));
+      ++server.mRevision;
+      server.mRemainingLifetime = Milliseconds{ 3'800 };
+      CHECK_FALSE(RegisterServer(registry, server));
+    }
+  }
+  WHEN("it starts to drain while its warm-up runs down")
+  {
+    server.mRemainingWarmUp = Milliseconds{ 1'800 };
+    server.mPhase = ServerPhase::kDraining;
+    THEN("that is a change that operators can act on")
+    {
+      CHECK(RegisterServer(registry, server));
+      CHECK(DiffersForOperators(first, server));
+    }
+  }
+}
+
 // Guards against requests to servers that were known to leave or to be gone when the store was
 // restored from a copy of before that (DRAIN).
 SCENARIO("the store is restored from a copy after servers have left")
--- a/trefoil/catalogue/server_registry.cc
+++ b/trefoil/catalogue/server_registry.cc
@@ -3,6 +3,8 @@
 #include "trefoil/base/store_revision.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace trefoil {
 namespace {
@@ -31,8 +33,44 @@
            aKnown.mPhase == ServerPhase::kDraining && aRestored.mPhase == ServerPhase::kReady));
 }
 
+// Returns whether a remaining time was stated before and is not longer now.
+bool
+HasRunDown(const std::optional<Milliseconds>& aBefore, const std::optional<Milliseconds>& aAfter)
+{
+  return aBefore.has_value() && aAfter.has_value() && *aAfter <= *aBefore;
+}
+
 } // namespace
 
+bool
+IsRefresh(const RegisteredServer& aBefore, const RegisteredServer& aAfter)
+{
+  RegisteredServer expected = aBefore;
+  expected.mRevision = aAfter.mRevision;
+  const bool warmsUp = aAfter.mRemainingWarmUp > Milliseconds{ 0 };
+  if (warmsUp && aAfter.mRemainingWarmUp <= aBefore.mRemainingWarmUp) {
+    expected.mRemainingWarmUp = aAfter.mRemainingWarmUp;
+  }
+  if (HasRunDown(aBefore.mRemainingLifetime, aAfter.mRemainingLifetime)) {
+    expected.mRemainingLifetime = aAfter.mRemainingLifetime;
+  }
+  return expected == aAfter;
+}
+
+bool
+DiffersForOperators(const RegisteredServer& aBefore, const RegisteredServer& aAfter)
+{
+  const auto facts = [](const RegisteredServer& aServer) {
+    return std::tie(aServer.mPhase,
+                    aServer.mVersion,
+                    aServer.mZone,
+                    aServer.mEndpoint,
+                    aServer.mService,
+                    aServer.mReclaimable);
+  };
+  return facts(aBefore) != facts(aAfter);
+}
+
 bool
 RegisterServer(ServerRegistry& aRegistry, const RegisteredServer& aServer)
 {
@@ -54,10 +92,8 @@
     entry->second.mRevision = aServer.mRevision;
     return false;
   }
-  RegisteredServer before = entry->second;
-  entry->second = aServer;
-  before.mRevision = aServer.mRevision;
-  return before != aServer;
+  const RegisteredServer before = std::exchange(entry->second, aServer);
+  return !IsRefresh(before, aServer);
 }
 
 bool
--- a/trefoil/catalogue/server_registry.h
+++ b/trefoil/catalogue/server_registry.h
@@ -81,8 +81,19 @@
   std::map<BackendServerId, ServerRemoval> mRemovals;
 };
 
+// Returns whether a later entry of a server only repeats the one before: it differs at most in the
+// revision, and in a warm-up or a remaining lifetime that has become shorter. Servers rewrite their
+// entries about once a second, so these are most of all entries. The end of a warm-up is a change.
+bool
+IsRefresh(const RegisteredServer& aBefore, const RegisteredServer& aAfter);
+
+// Returns whether two entries of a server differ in what operators can act on: phase, version,
+// zone, address, service, and whether it is reclaimable.
+bool
+DiffersForOperators(const RegisteredServer& aBefore, const RegisteredServer& aAfter);
+
 // Inserts or updates an entry unless the registry has a newer revision of it or of its removal.
-// Returns whether the registry changed in more than the revision.
+// Returns whether the registry changed in more than a refresh.
 bool
 RegisterServer(ServerRegistry& aRegistry, const RegisteredServer& aServer);
 
--- a/trefoil/steering/internal/server_updates.cc
+++ b/trefoil/steering/internal/server_updates.cc
@@ -121,8 +121,11 @@
       server.status());
     return DeregisterServer(aState.mServers, id, aItem.mRevision);
   }
+  const auto before = aState.mServers.mServers.find(id);
+  const bool isLogged =
+    before == aState.mServers.mServers.end() || DiffersForOperators(before->second, *server);
   const bool changed = RegisterServer(aState.mServers, *server);
-  if (changed) {
+  if (changed && isLogged) {
     LogServerChange(aState, *server);
   }
   return changed || reregistered;
