Let one host watch the store for a large fleet, and relay what changes

Two hosts of each zone watched both prefixes. A watch of the servers ended at once, since 94 servers rewrite their entries every 1,200 ms, and the next one followed after 500 ms; an empty watch of the operators' keys ended after 500 ms.

- GatherTime: the time between two watches of the servers follows drain_within_ms: 500 ms up to 2,000 ms as before, 1,000 ms from 3,000 ms on.
- From 32 hosts on the first watchers of the zones agree on one that watches for the fleet and one that stands by (PlanRelay).
The others query these, every 400 ms instead of 800 ms, and watch the store themselves while neither has a fresh record.
Age and silence at which any host calls the store itself are unchanged.
- A reply whose record is too old counts as missed, so that a watcher that the store rejects is left.
- Refreshes of servers are applied by the watcher and not relayed, but for one of each server in 15 s.
A second of refreshes of 94 servers would not fit into a message.

OnRelayReply has a new argument, which the tests of store_relay pass; what they check is the same.

--- a/cmd/trefoil_gateway.cc
+++ b/cmd/trefoil_gateway.cc
@@ -87,6 +87,7 @@
            .mOrdersServers = aSettings.mOrdersServers,
            .mUsageWindow = aSettings.mUsageWindow,
            .mUsageLateAfter = aSettings.mUsageLateAfter,
+           .mDrainWithin = aSettings.mDrainWithin,
            .mServerNewsWithin = aSettings.mDrainWithin + aSettings.mSettleWithin,
            .mCodec = trefoil::platform::MakeControlCodec(),
            .mMetrics = &aMetrics };
--- a/trefoil/steering/control_thread.cc
+++ b/trefoil/steering/control_thread.cc
@@ -28,8 +28,9 @@
 constexpr Milliseconds kSecondHostsRefresh{ 2'500 };
 constexpr Milliseconds kAggregatedHostsRefreshInterval{ 20'000 };
 // Interval between the queries of a host that does not watch the store itself. A revoked key or
-// a new configuration reaches such a host within this interval plus the wait of a watch.
-constexpr Milliseconds kRelayQueryInterval{ 800 };
+// a new configuration reaches such a host within this interval, or two of them in a fleet in which
+// the watchers of the zones query others, if the message that relays the change is lost.
+constexpr Milliseconds kRelayQueryInterval{ 400 };
 constexpr Milliseconds kCloudSilenceLimit{ 1'500 };
 
 // Logs the number of hosts in contact if it has changed.
--- a/trefoil/steering/control_thread.h
+++ b/trefoil/steering/control_thread.h
@@ -37,6 +37,8 @@
   bool mOrdersServers = false;
   Milliseconds mUsageWindow{ 0 };
   Milliseconds mUsageLateAfter{ 0 };
+  // How soon a server that leaves must get no more requests.
+  Milliseconds mDrainWithin{ 2'000 };
   // How soon after an outage of the store or of the network this host must know that a server
   // leaves.
   Milliseconds mServerNewsWithin{ 5'000 };
--- a/trefoil/steering/internal/server_updates.cc
+++ b/trefoil/steering/internal/server_updates.cc
@@ -131,8 +131,31 @@
   return changed || reregistered;
 }
 
+// Returns whether an entry only repeats what this host knows of the server.
+bool
+IsRefreshItem(const SteeringState& aState, const StoreItem& aItem)
+{
+  const auto known = aState.mServers.mServers.find(aState.mOptions.mCodec.mServerOfKey(aItem.mKey));
+  if (aItem.mRemoved || known == aState.mServers.mServers.end() ||
+      aState.mUnconfirmedRemovals.contains(known->first)) {
+    return false;
+  }
+  const auto server = aState.mOptions.mCodec.mDecodeServer(aItem);
+  return server.ok() && IsRefresh(known->second, *server);
+}
+
 } // namespace
 
+std::vector<StoreItem>
+ServerChangesToRelay(SteeringState& aState, const std::vector<StoreItem>& aItems)
+{
+  return ChangesToRelay(
+    aState.mServersRelayedAt,
+    aItems,
+    [&aState](const StoreItem& aItem) { return IsRefreshItem(aState, aItem); },
+    SuspendAwareNow());
+}
+
 void
 OnServerItems(SteeringState& aState, const std::vector<StoreItem>& aItems)
 {
--- a/trefoil/steering/internal/server_updates.h
+++ b/trefoil/steering/internal/server_updates.h
@@ -11,6 +11,11 @@
 void
 OnServerItems(SteeringState& aState, const std::vector<StoreItem>& aItems);
 
+// Returns those of the changed entries that other hosts need, before they are applied here. A
+// refresh of an entry is relayed only now and then, for hosts that know another state of it.
+std::vector<StoreItem>
+ServerChangesToRelay(SteeringState& aState, const std::vector<StoreItem>& aItems);
+
 // Applies all entries. A server without one was removed at `aRevision` or before.
 void
 OnServerList(SteeringState& aState, const std::vector<StoreItem>& aItems, std::int64_t aRevision);
--- a/trefoil/steering/internal/store_relay_messages.cc
+++ b/trefoil/steering/internal/store_relay_messages.cc
@@ -49,24 +49,28 @@
   const Instant now = SuspendAwareNow();
   StoreRelay& relay = aState.mRelay;
   ExpireSubscribers(relay, now);
-  std::vector<HostId> watchers = StoreWatchers(aState.mPeers, aState.mAggregation, now);
+  const std::vector<HostId> watchers = StoreWatchers(aState.mPeers, aState.mAggregation, now);
   const bool isWatcher = std::ranges::find(watchers, aState.mOptions.mHost) != watchers.end();
-  if (aState.mLeaving || isWatcher) {
-    watchers.clear();
-  }
-  if (watchers != relay.mWatchers) {
-    relay.mWatchers = std::move(watchers);
+  // The watchers of the zones prefer the first of the fleet; the other hosts of a zone spread their
+  // queries over its watchers.
+  RelayPlan plan = aState.mLeaving
+                     ? RelayPlan{}
+                     : PlanRelay(aState.mOptions.mHost,
+                                 watchers,
+                                 isWatcher ? FleetWatchers(aState.mPeers, aState.mAggregation, now)
+                                           : std::vector<HostId>{});
+  const std::size_t firstIndex = plan.mRole == RelayRole::kSubscriber ? aState.mRandom() % 2 : 0;
+  if (AdoptPlan(relay, std::move(plan), firstIndex)) {
     aState.mLog.Write(LogSeverity::kNotable,
                       LogEvent::kPeersChanged,
-                      "store_followed_by={} also={}",
+                      "store_role={} store_followed_by={} also={}",
+                      NameOf(kRelayRoleNames, relay.mRole),
                       relay.mWatchers.empty() ? aState.mOptions.mHost.Value()
                                               : relay.mWatchers.front().Value(),
                       relay.mWatchers.empty() ? std::string{} : relay.mWatchers.back().Value());
-    // The hosts of a zone spread their queries over its watchers.
-    relay.mWatcherIndex = aState.mRandom() % 2;
   }
-  SetWatchMode(aState, !relay.mWatchers.empty(), isWatcher);
   const auto target = NextQueryTarget(relay, now);
+  SetWatchMode(aState, IsRelayed(relay), isWatcher);
   if (!target.has_value()) {
     return;
   }
@@ -98,7 +102,10 @@
 void
 OnStoreReply(SteeringState& aState, const StoreReply& aReply)
 {
-  const auto querySentAt = OnRelayReply(aState.mRelay, aReply.mNumber);
+  const auto querySentAt =
+    OnRelayReply(aState.mRelay,
+                 aReply.mNumber,
+                 BoundedAge(std::max(aReply.mOperators.mAgeMs, aReply.mServers.mAgeMs)));
   if (aReply.mRegainedAgeMs >= 0) {
     RecordStoreRegained(aState, SuspendAwareNow() - BoundedAge(aReply.mRegainedAgeMs));
   }
@@ -110,6 +117,9 @@
 PushStoreChanges(SteeringState& aState)
 {
   for (auto& [host, subscriber] : aState.mRelay.mSubscribers) {
+    if (!LacksChanges(subscriber, aState.mOperatorWatch->Record(), aState.mServerWatch->Record())) {
+      continue;
+    }
     SendDatagram(aState, subscriber.mEndpoint, MakeReply(aState, 0, subscriber));
     AdvanceRevisions(aState, subscriber);
   }
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -24,12 +24,9 @@
 constexpr Milliseconds kOperatorWait{ 1'000 };
 constexpr Milliseconds kServerWait{ 5'000 };
 // A host that watches the store for others uses a shorter wait. A record is confirmed as of the
-// time at which its watch was sent, so it is up to two waits old when it is relayed, and the hosts
-// that receive it must not find it too old before their next query.
+// time at which its watch was sent, so it is up to two waits old when it is relayed, and one query
+// interval older after each of two relays. The hosts that receive it must not find it too old.
 constexpr Milliseconds kRelayingWait{ 500 };
-// Servers that start or leave together are read by one call. Well below the time within which a
-// leaving server must stop getting requests.
-constexpr Milliseconds kServerBatchDelay{ 500 };
 constexpr Milliseconds kOperatorBatchDelay{ 100 };
 constexpr Milliseconds kStoreCallTimeout{ 1'500 };
 
@@ -207,7 +204,7 @@
 {
   PrefixWatchOptions options{ .mPrefix = aState.mOptions.mCodec.mServerPrefix,
                               .mWait = kServerWait,
-                              .mBatchDelay = kServerBatchDelay,
+                              .mBatchDelay = GatherTime(aState.mOptions.mDrainWithin),
                               .mKeepsChanges = true };
   options.mWait = BoundedWait(options, aState.mOptions.mServerNewsWithin);
   return options;
@@ -420,6 +417,9 @@
     OnServerList(aState, aItems, aRevision);
     PushStoreChanges(aState);
   };
+  servers.mChangesToRelay = [&aState](const std::vector<StoreItem>& aItems) {
+    return ServerChangesToRelay(aState, aItems);
+  };
   servers.mOnChanges = [&aState](const std::vector<StoreItem>& aItems) {
     OnServerItems(aState, aItems);
     PushStoreChanges(aState);
--- a/trefoil/steering/prefix_watch.cc
+++ b/trefoil/steering/prefix_watch.cc
@@ -22,9 +22,33 @@
 // The wait of a watch whose answer is needed soon: if the store was lost, or if the prefix is
 // relayed and the relayed updates are late.
 constexpr Milliseconds kShortWait{ 100 };
+// Changes are gathered for half of the time that a slow answer of the store leaves; the other half
+// is for two relays, each of which may lose a message and wait for the next query.
+constexpr Milliseconds kSlowAnswer{ 1'000 };
+constexpr Milliseconds kMinGatherTime{ 500 };
+// A record is as old as its last watch when it is relayed, and it is relayed twice. With this time
+// it stays below the age at which hosts call the store themselves (StoreCallDueAt).
+constexpr Milliseconds kMaxGatherTime{ 1'000 };
+
+// Returns the newest revision that an answer to a watch states or contains.
+std::int64_t
+NewestRevision(const StoreAnswer& aAnswer)
+{
+  std::int64_t newest = aAnswer.mRevision;
+  for (const StoreItem& item : aAnswer.mItems) {
+    newest = std::max(newest, item.mRevision);
+  }
+  return newest;
+}
 
 } // namespace
 
+Milliseconds
+GatherTime(Milliseconds aInForceWithin)
+{
+  return std::clamp((aInForceWithin - kSlowAnswer) / 2, kMinGatherTime, kMaxGatherTime);
+}
+
 Milliseconds
 BoundedWait(const PrefixWatchOptions& aOptions, Milliseconds aKnownWithin)
 {
@@ -269,7 +293,12 @@
   mListsWithoutWatch = 0;
   OnCallSucceeded(aSentAt);
   mLastReceivedAt = SuspendAwareNow();
-  ApplyChanges(mRecord, aAnswer.mItems, aAnswer.mRevision, aSentAt, mOptions.mKeepsChanges);
+  ApplyChanges(mRecord,
+               mCallbacks.mChangesToRelay ? mCallbacks.mChangesToRelay(aAnswer.mItems)
+                                          : aAnswer.mItems,
+               NewestRevision(aAnswer),
+               aSentAt,
+               mOptions.mKeepsChanges);
   if (!aAnswer.mItems.empty()) {
     mCallbacks.mOnChanges(aAnswer.mItems);
   }
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -46,6 +46,9 @@
   // thrown. A key that is missing was removed at `aRevision` or before.
   std::function<void(const std::vector<StoreItem>&, std::int64_t aRevision)> mOnList;
   std::function<void(const std::vector<StoreItem>&)> mOnChanges;
+  // Returns those of the changes that other hosts need: refreshes of entries are left out. All are
+  // relayed if it is not set.
+  std::function<std::vector<StoreItem>(const std::vector<StoreItem>&)> mChangesToRelay;
   // Called when the record is confirmed to have been complete at `aWhen`: the time at which the
   // call was sent, here or by the host that relayed the answer. Not called while a change could not
   // be applied.
@@ -65,6 +68,12 @@
 Milliseconds
 BoundedWait(const PrefixWatchOptions& aOptions, Milliseconds aKnownWithin);
 
+// Returns how long changes are gathered before the next watch if they must be in force everywhere
+// within `aInForceWithin`. Short bounds keep the shortest time, and long ones do not go beyond what
+// the age of relayed records allows.
+Milliseconds
+GatherTime(Milliseconds aInForceWithin);
+
 class PrefixWatch
 {
 public:
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -50,6 +50,8 @@
   // Servers whose entries disappeared shortly after an outage of the store, with the revision
   // of the removal. They may still register again.
   std::map<BackendServerId, std::int64_t> mUnconfirmedRemovals;
+  // When an entry was last relayed to other hosts, by key; see ServerChangesToRelay.
+  std::map<std::string, Instant> mServersRelayedAt;
   // When the store came back after its last outage, as this host or another one observed it.
   std::optional<Instant> mStoreRegainedAt;
 
--- a/trefoil/steering/store_relay_test.cc
+++ b/trefoil/steering/store_relay_test.cc
@@ -9,6 +9,7 @@
 
 const Instant kNow{ std::chrono::hours{ 1 } };
 const AvailabilityZoneId kZone{ "a" };
+constexpr Milliseconds kFreshAge{ 300 };
 
 PeerTable
 MakePeerTable(const HostId& aSelf, int aHosts)
@@ -68,7 +69,7 @@
   {
     THEN("it confirms the time at which the query was sent, and the same watcher is queried next")
     {
-      CHECK(OnRelayReply(relay, relay.mQueryNumber) == kNow);
+      CHECK(OnRelayReply(relay, relay.mQueryNumber, kFreshAge) == kNow);
       CHECK(NextQueryTarget(relay, kNow + Milliseconds{ 800 }) == HostId{ "w1" });
     }
   }
@@ -84,7 +85,7 @@
       NextQueryTarget(relay, kNow + Milliseconds{ 800 });
       THEN("it confirms no time")
       {
-        CHECK_FALSE(OnRelayReply(relay, firstQuery).has_value());
+        CHECK_FALSE(OnRelayReply(relay, firstQuery, kFreshAge).has_value());
       }
     }
   }
@@ -92,11 +93,112 @@
   {
     THEN("they confirm no time")
     {
-      CHECK_FALSE(OnRelayReply(relay, 0).has_value());
+      CHECK_FALSE(OnRelayReply(relay, 0, kFreshAge).has_value());
     }
   }
 }
 
+// Guards against: each zone's watchers watch the store, or all hosts of a fleet wait for each
+// other.
+SCENARIO("the watchers of the zones query the fleet's watchers")
+{
+  const HostId first{ "a1" };
+  const HostId standby{ "b1" };
+  const std::vector<HostId> fleet{ first, standby };
+  THEN("the first watches the store, and the others follow it")
+  {
+    CHECK(PlanRelay(first, { first, HostId{ "a2" } }, fleet) ==
+          RelayPlan{ .mRole = RelayRole::kFleetWatcher, .mWatchers = { standby } });
+    CHECK(PlanRelay(standby, { standby, HostId{ "b2" } }, fleet) ==
+          RelayPlan{ .mRole = RelayRole::kZoneWatcher, .mWatchers = { first } });
+    CHECK(PlanRelay(HostId{ "c2" }, { HostId{ "c1" }, HostId{ "c2" } }, fleet) ==
+          RelayPlan{ .mRole = RelayRole::kZoneWatcher, .mWatchers = fleet });
+  }
+  THEN("the other hosts of a zone query the zone's watchers")
+  {
+    const std::vector<HostId> watchers{ HostId{ "c1" }, HostId{ "c2" } };
+    CHECK(PlanRelay(HostId{ "c3" }, watchers, fleet) ==
+          RelayPlan{ .mRole = RelayRole::kSubscriber, .mWatchers = watchers });
+  }
+  THEN("without watchers of the fleet the zone's watch the store")
+  {
+    CHECK(PlanRelay(first, { first, HostId{ "a2" } }, {}) == RelayPlan{});
+    CHECK(PlanRelay(first, {}, {}) == RelayPlan{});
+  }
+}
+
+// Guards against: a watcher that the store rejects, but that replies, keeps the others from finding
+// the one that stands by.
+SCENARIO("a watcher's replies are too old")
+{
+  constexpr Milliseconds kOldAge{ 1'600 };
+  StoreRelay relay;
+  AdoptPlan(relay,
+            { .mRole = RelayRole::kZoneWatcher, .mWatchers = { HostId{ "f1" }, HostId{ "f2" } } },
+            0);
+  CHECK(NextQueryTarget(relay, kNow) == HostId{ "f1" });
+  OnRelayReply(relay, relay.mQueryNumber, kOldAge);
+  CHECK(NextQueryTarget(relay, kNow) == HostId{ "f2" });
+  CHECK(IsRelayed(relay));
+  WHEN("the other one's are fresh")
+  {
+    OnRelayReply(relay, relay.mQueryNumber, kFreshAge);
+    THEN("that one is followed, and the first is tried again after a while")
+    {
+      int queries = 0;
+      while (NextQueryTarget(relay, kNow) == HostId{ "f2" }) {
+        OnRelayReply(relay, relay.mQueryNumber, kFreshAge);
+        ++queries;
+        REQUIRE(queries < 20);
+      }
+      CHECK(queries >= 5);
+      CHECK(IsRelayed(relay));
+    }
+  }
+  WHEN("the other one's are, too")
+  {
+    OnRelayReply(relay, relay.mQueryNumber, kOldAge);
+    NextQueryTarget(relay, kNow);
+    THEN("this host watches the store itself until a fresh reply arrives")
+    {
+      CHECK_FALSE(IsRelayed(relay));
+      OnRelayReply(relay, relay.mQueryNumber, kFreshAge);
+      CHECK(IsRelayed(relay));
+    }
+  }
+}
+
+// Guards against: the refreshes of all servers fill the messages to other hosts, which then call
+// the store themselves; or a host never hears of a change that a refresh seems to repeat.
+SCENARIO("a watcher relays changes but not refreshes")
+{
+  std::map<std::string, Instant> relayedAt;
+  const StoreItem item{ .mKey = "servers/e1", .mRevision = 5 };
+  const auto keysAt = [&](Instant aWhen, const std::vector<StoreItem>& aItems, bool aIsRefresh) {
+    return ChangesToRelay(
+             relayedAt, aItems, [aIsRefresh](const StoreItem&) { return aIsRefresh; }, aWhen)
+      .size();
+  };
+  CHECK(keysAt(kNow, { item }, false) == 1);
+  THEN("a refresh is left out")
+  {
+    CHECK(keysAt(kNow + std::chrono::seconds{ 1 }, { item }, true) == 0);
+  }
+  THEN("a refresh is relayed now and then")
+  {
+    CHECK(keysAt(kNow + std::chrono::seconds{ 20 }, { item }, true) == 1);
+    CHECK(keysAt(kNow + std::chrono::seconds{ 21 }, { item }, true) == 0);
+  }
+  THEN("two changes of a key are relayed, and removals are")
+  {
+    StoreItem removal = item;
+    removal.mRemoved = true;
+    CHECK(keysAt(kNow, { item, item }, true) == 2);
+    CHECK(keysAt(kNow, { removal }, true) == 1);
+    CHECK(relayedAt.empty());
+  }
+}
+
 SCENARIO("a host relays its record of a prefix to another host")
 {
   PrefixRecord record;
