Spread the relayed refreshes of servers over several messages

Servers that were listed together are due for a relayed refresh together, and 94 of them do not fit into a message, so that hosts would call the store for them. At most ten refreshes are relayed at a time now.

Tests: steering_test 66 cases pass ("they are spread over several messages").

--- a/trefoil/steering/store_relay.cc
+++ b/trefoil/steering/store_relay.cc
@@ -32,6 +32,9 @@
 // The store may return several changes of a key as one, so that two hosts that watch it see
 // different ones. A refresh is relayed once in this time, so that a difference ends.
 constexpr Milliseconds kRefreshRelayInterval{ 15'000 };
+// At most so many at a time: servers that were listed together are due together, and would not fit
+// into a message.
+constexpr int kMaxRefreshesAtOnce = 10;
 // The changes of two prefixes must fit into one datagram of 64 KB.
 constexpr std::size_t kMaxRelayedBytes = 30'000;
 
@@ -214,6 +217,7 @@
     ++changesOfKey[item.mKey];
   }
   std::vector<StoreItem> relayed;
+  int refreshes = 0;
   for (const StoreItem& item : aItems) {
     if (item.mRemoved) {
       aRelayedAt.erase(item.mKey);
@@ -221,8 +225,10 @@
       continue;
     }
     Instant& relayedAt = aRelayedAt.try_emplace(item.mKey, aNow).first->second;
-    if (changesOfKey[item.mKey] > 1 || aNow - relayedAt >= kRefreshRelayInterval ||
-        !aIsRefresh(item)) {
+    const bool isChange = changesOfKey[item.mKey] > 1 || !aIsRefresh(item);
+    const bool isDue = aNow - relayedAt >= kRefreshRelayInterval && refreshes < kMaxRefreshesAtOnce;
+    if (isChange || isDue) {
+      refreshes += isChange ? 0 : 1;
       relayedAt = aNow;
       relayed.push_back(item);
     }
--- a/trefoil/steering/store_relay_test.cc
+++ b/trefoil/steering/store_relay_test.cc
@@ -189,6 +189,26 @@
     CHECK(keysAt(kNow + std::chrono::seconds{ 20 }, { item }, true) == 1);
     CHECK(keysAt(kNow + std::chrono::seconds{ 21 }, { item }, true) == 0);
   }
+  WHEN("the refreshes of many servers are due together")
+  {
+    std::vector<StoreItem> items;
+    for (int i = 0; i < 94; ++i) {
+      items.push_back({ .mKey = fmt::format("servers/e{}", i), .mRevision = 6 });
+    }
+    CHECK(keysAt(kNow, items, false) == 94);
+    THEN("they are spread over several messages, all changes are not")
+    {
+      int messages = 0;
+      std::size_t relayed = 0;
+      while (relayed < items.size()) {
+        const std::size_t count = keysAt(kNow + std::chrono::seconds{ 16 + messages }, items, true);
+        CHECK(count <= 10);
+        relayed += count;
+        REQUIRE(++messages <= 14);
+      }
+      CHECK(keysAt(kNow + std::chrono::seconds{ 27 }, items, false) == 94);
+    }
+  }
   THEN("two changes of a key are relayed, and removals are")
   {
     StoreItem removal = item;
