--- a/cmd/trefoil_gateway.cc
+++ b/cmd/trefoil_gateway.cc
@@ -77,7 +77,7 @@
 }
 
 trefoil::ControlThreadOptions
-MakeControlThreadOptions(const trefoil::GatewaySettings& aSettings)
+MakeControlThreadOptions(const trefoil::GatewaySettings& aSettings, trefoil::Metrics& aMetrics)
 {
   return { .mHost = aSettings.mHost,
            .mZone = aSettings.mZone,
@@ -89,8 +89,10 @@
            .mOrdersServers = aSettings.mOrdersServers,
            .mUsageWindow = aSettings.mUsageWindow,
            .mUsageLateAfter = aSettings.mUsageLateAfter,
+           .mDrainWithin = aSettings.mDrainWithin,
            .mServerNewsWithin = aSettings.mDrainWithin + aSettings.mSettleWithin,
-           .mCodec = trefoil::platform::MakeControlCodec() };
+           .mCodec = trefoil::platform::MakeControlCodec(),
+           .mMetrics = &aMetrics };
 }
 
 // Reads the settings file again and logs whether it is invalid or has changed since `aSettings`,
@@ -166,7 +168,7 @@
     return { .mStatus = traffic.status(), .mRetryUntil = retryUntil };
   }
   auto control = trefoil::ControlThread::Start(
-    MakeControlThreadOptions(*settings), *peerSocket, **traffic, aGateway.mLog);
+    MakeControlThreadOptions(*settings, aGateway.mMetrics), *peerSocket, **traffic, aGateway.mLog);
   if (!control.ok()) {
     return { .mStatus = control.status(), .mRetryUntil = retryUntil };
   }
--- a/tests/control_path/test_host.h
+++ b/tests/control_path/test_host.h
@@ -65,7 +65,9 @@
                              .mZones = { AvailabilityZoneId{ "a" }, AvailabilityZoneId{ "b" } },
                              .mStore = aStore.ListenEndpoint(),
                              .mUsageWindow = Milliseconds{ 5'000 },
-                             .mCodec = aCodec },
+                             .mDrainWithin = Milliseconds{ 3'000 },
+                             .mCodec = aCodec,
+                             .mMetrics = &mMetrics },
                            BindPeerSocket(mPeerEndpoint).value(),
                            **mTraffic,
                            mLog);
--- a/trefoil/catalogue/server_registry.h
+++ b/trefoil/catalogue/server_registry.h
@@ -82,9 +82,20 @@
   std::map<BackendServerId, ServerRemoval> mRemovals;
 };
 
+// Returns whether a later entry of a server only repeats the one before: it differs at most in the
+// revision, and in a warm-up or a remaining lifetime that has become shorter. Servers rewrite their
+// entries about once a second, so these are most of all entries. The end of a warm-up is a change,
+// and so is a warm-up that is stated to be as long as before: it counts from the arrival.
+bool
+IsRefresh(const RegisteredServer& aBefore, const RegisteredServer& aAfter);
+
+// Returns whether two entries of a server differ in what operators can act on: phase, version,
+// zone, address, service, and whether it is reclaimable.
+bool
+DiffersForOperators(const RegisteredServer& aBefore, const RegisteredServer& aAfter);
+
 // Inserts or updates an entry unless the registry has a newer revision of it or of its removal.
-// Returns whether the registry changed in more than the revision. A newer statement that the server
-// warms up is a change even if it is the same, since it counts from its arrival.
+// Returns whether the registry changed in more than a refresh.
 bool
 RegisterServer(ServerRegistry& aRegistry, const RegisteredServer& aServer);
 
--- a/trefoil/metrics/metrics.h
+++ b/trefoil/metrics/metrics.h
@@ -66,6 +66,8 @@
   kRelaysCarried,
   // Requests sent to backend servers, by whether the server is in the host's own zone.
   kDispatchesByZone,
+  // Calls that this host has sent to the store, by kind.
+  kStoreCalls,
 };
 
 // The metric name and the label name of a LabelledCounter.
@@ -75,12 +77,13 @@
   const char* mLabel;
 };
 
-inline constexpr std::array<LabelledName, 5> kLabelledCounterNames{ {
+inline constexpr std::array<LabelledName, 6> kLabelledCounterNames{ {
   { "trefoil_refusals_total", "reason" },
   { "trefoil_attempt_ends_total", "end" },
   { "trefoil_relay_requests_total", "outcome" },
   { "trefoil_relays_total", "status" },
   { "trefoil_dispatches_total", "zone" },
+  { "trefoil_store_calls_total", "kind" },
 } };
 
 enum class Gauge
--- a/trefoil/steering/control_thread.h
+++ b/trefoil/steering/control_thread.h
@@ -12,6 +12,7 @@
 #include "absl/status/statusor.h"
 #include "trefoil/eventlog/event_log.h"
 #include "trefoil/forward/traffic_thread.h"
+#include "trefoil/metrics/metrics.h"
 #include "trefoil/steering/control_codec.h"
 
 #include <Poco/Net/DatagramSocket.h>
@@ -36,10 +37,14 @@
   bool mOrdersServers = false;
   Milliseconds mUsageWindow{ 0 };
   Milliseconds mUsageLateAfter{ 0 };
+  // How soon a server that leaves must get no more requests.
+  Milliseconds mDrainWithin{ 2'000 };
   // How soon after an outage of the store or of the network this host must know that a server
   // leaves.
   Milliseconds mServerNewsWithin{ 5'000 };
   ControlCodec mCodec;
+  // Where calls to the store are counted; null if they are not. Must outlive the thread.
+  Metrics* mMetrics = nullptr;
 };
 
 // Binds the UDP socket for the messages of other entry hosts. It is separate from the start of the
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -9,6 +9,7 @@
 #include "trefoil/steering/internal/store_relay_messages.h"
 #include "trefoil/steering/quota_record.h"
 #include "trefoil/steering/refusal_record.h"
+#include "trefoil/steering/store_call_kind.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -24,12 +25,9 @@
 constexpr Milliseconds kOperatorWait{ 1'000 };
 constexpr Milliseconds kServerWait{ 5'000 };
 // A host that watches the store for others uses a shorter wait. A record is confirmed as of the
-// time at which its watch was sent, so it is up to two waits old when it is relayed, and the hosts
-// that receive it must not find it too old before their next query.
+// time at which its watch was sent, so it is up to two waits old when it is relayed, and one query
+// interval older after each of two relays. The hosts that receive it must not find it too old.
 constexpr Milliseconds kRelayingWait{ 500 };
-// Servers that start or leave together are read by one call. Well below the time within which a
-// leaving server must stop getting requests.
-constexpr Milliseconds kServerBatchDelay{ 500 };
 constexpr Milliseconds kOperatorBatchDelay{ 100 };
 constexpr Milliseconds kStoreCallTimeout{ 1'500 };
 
@@ -167,6 +165,17 @@
   return true;
 }
 
+// Counts a call to the store by its kind.
+void
+CountStoreCall(SteeringState& aState, const StoreCall& aCall)
+{
+  if (aState.mOptions.mMetrics != nullptr) {
+    aState.mOptions.mMetrics->IncrementLabelled(
+      LabelledCounter::kStoreCalls,
+      NameOf(kStoreCallKindNames, KindOf(aCall, aState.mOptions.mCodec)));
+  }
+}
+
 PrefixWatchCallbacks
 LoggingCallbacks(SteeringState& aState, const char* aName)
 {
@@ -187,7 +196,8 @@
                                  aName,
                                  aLostFor.count());
              },
-           .mOnEra = [&aState](std::int64_t aEra) { return OnStoreEra(aState, aEra); } };
+           .mOnEra = [&aState](std::int64_t aEra) { return OnStoreEra(aState, aEra); },
+           .mOnCall = [&aState](const StoreCall& aCall) { CountStoreCall(aState, aCall); } };
 }
 
 PrefixWatchOptions
@@ -195,7 +205,7 @@
 {
   PrefixWatchOptions options{ .mPrefix = aState.mOptions.mCodec.mServerPrefix,
                               .mWait = kServerWait,
-                              .mBatchDelay = kServerBatchDelay,
+                              .mBatchDelay = GatherTime(aState.mOptions.mDrainWithin),
                               .mKeepsChanges = true };
   options.mWait = BoundedWait(options, aState.mOptions.mServerNewsWithin);
   return options;
@@ -369,6 +379,8 @@
 {
   const ControlCodec& codec = aState.mOptions.mCodec;
   aState.mStore.SetEraCallback([&aState](std::int64_t aEra) { return OnStoreEra(aState, aEra); });
+  aState.mStore.SetCallObserver(
+    [&aState](const StoreCall& aCall) { CountStoreCall(aState, aCall); });
   PrefixWatchCallbacks operators = LoggingCallbacks(aState, "operators");
   operators.mOnList = [&aState](const std::vector<StoreItem>& aItems, std::int64_t aRevision) {
     // First, so that no view has the configuration without the closed zones.
@@ -417,6 +429,9 @@
     OnServerList(aState, aItems, aRevision);
     PushStoreChanges(aState);
   };
+  servers.mChangesToRelay = [&aState](const std::vector<StoreItem>& aItems) {
+    return ServerChangesToRelay(aState, aItems);
+  };
   servers.mOnChanges = [&aState](const std::vector<StoreItem>& aItems) {
     OnServerItems(aState, aItems);
     PushStoreChanges(aState);
