--- a/trefoil/eventlog/request_timeline.cc
+++ b/trefoil/eventlog/request_timeline.cc
@@ -70,6 +70,7 @@
   static const std::set<std::string_view> kStateChanges{
     NameOf(kLogEventNames, LogEvent::kServersChanged),
     NameOf(kLogEventNames, LogEvent::kServerAvoided),
+    NameOf(kLogEventNames, LogEvent::kServerWarmUp),
     NameOf(kLogEventNames, LogEvent::kConfigurationApplied),
     NameOf(kLogEventNames, LogEvent::kDependencyLost),
     NameOf(kLogEventNames, LogEvent::kDependencyRegained),
