Bound what a host admits of a quota before it knows of the others

Callers of other accounts saw an account get more than its quota when its demand jumped to twelve times and more: until the hosts know of each other's requests, about 1 s, each admitted all that came. When hosts were cut off meanwhile, each side also used the whole level of before.

Each host now has an allowance, a leaky bucket with its share of what all hosts may use blindly, and the level is split when hosts go out of contact. A host that starts while little of the quota is left starts with little allowance. Refusals log quota_allowance.

A draw that the allowance refuses is given back.

--- a/trefoil/dispatch/quota.cc
+++ b/trefoil/dispatch/quota.cc
@@ -1,6 +1,7 @@
 #include "trefoil/dispatch/quota.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -15,6 +16,28 @@
 // A host whose round lasts longer than this many propagation times was frozen. The others count it
 // as out of contact after the same time.
 constexpr int kPropagationTimesOfFreeze = 2;
+// The loss of contact with a host is noticed within this many propagation times.
+constexpr double kPropagationTimesOfLoss = 1.25;
+
+// Lowers the level to what remains for the hosts in contact when others have gone out of contact.
+// What these have used since is not known, so the level of before the loss and what has refilled
+// since are divided. If the account was limited before, the reserve covers that use.
+void
+SplitLevel(AccountUsage& aUsage, const QuotaParameters& aParameters, Instant aNow)
+{
+  if (aParameters.mShare >= aUsage.mShare || aUsage.mLevels.empty()) {
+    return;
+  }
+  const QuotaLevel& before = aUsage.mLevels.front();
+  if (before.mIsLimited) {
+    return;
+  }
+  const double seconds = std::chrono::duration<double>(aNow - before.mAt).count();
+  const double refilled = seconds * aUsage.mFleet.mRatePerSecond;
+  const double used = aUsage.mCharged - before.mCharged;
+  const double level = aParameters.mShare * (before.mTokens / before.mShare + refilled) - used;
+  aUsage.mBucket.mTokens = std::min(aUsage.mBucket.mTokens, level);
+}
 
 // Refills the account's bucket up to `aNow`. A new bucket is full. Returns its rate and capacity.
 RefillRate
@@ -23,14 +46,21 @@
             const QuotaParameters& aParameters,
             Instant aNow)
 {
-  const double burst = (aAccount.mBurst + aParameters.mSlack) * aParameters.mShare;
-  const double rate = aAccount.mRatePerSecond * (1 + aParameters.mOverage) * aParameters.mShare;
+  aUsage.mFleet = { .mRatePerSecond = aAccount.mRatePerSecond * (1 + aParameters.mOverage),
+                    .mBurst = aAccount.mBurst + aParameters.mSlack,
+                    .mHosts = aParameters.mHosts,
+                    .mPropagationTime = aParameters.mPropagationTime,
+                    .mPartInContact = aParameters.mShare };
+  const double burst = aUsage.mFleet.mBurst * aParameters.mShare;
+  const double rate = aUsage.mFleet.mRatePerSecond * aParameters.mShare;
   if (aUsage.mBucket.mRefilledAt == Instant{}) {
     aUsage.mBucket.mTokens += burst;
     aUsage.mBucket.mRefilledAt = aNow;
   }
   aUsage.mRefill = { .mPerSecond = rate, .mMax = burst };
   Refill(aUsage.mBucket, aUsage.mRefill, aNow);
+  SplitLevel(aUsage, aParameters, aNow);
+  aUsage.mShare = aParameters.mShare;
   return aUsage.mRefill;
 }
 
@@ -58,6 +88,7 @@
 void
 ChargePeerUsage(AccountUsage& aUsage, double aCost)
 {
+  aUsage.mCharged += aCost;
   for (double* overflow : { &aUsage.mFormerOverflow, &aUsage.mOverflow }) {
     const double charged = std::min(*overflow, aCost);
     *overflow -= charged;
@@ -78,6 +109,24 @@
   return aUsage.mBucket.mTokens >= needed && !exceedsOwnPart;
 }
 
+// Returns whether this host may admit a request before it knows of the requests of the others, and
+// notes what is left for it.
+bool
+AllowanceCovers(AccountUsage& aUsage, double aCost, QuotaDecision& aDecision, Instant aNow)
+{
+  OwnAllowance& allowance = aUsage.mAllowance;
+  RecordCost(allowance, aCost);
+  const AllowanceLimits limits = LimitsOf(allowance, aUsage.mFleet);
+  if (allowance.mDrainedAt == Instant{}) {
+    // If little of the quota is left when a host starts, it may have used its allowance before.
+    const double left = std::clamp(aUsage.mBucket.mTokens / aUsage.mRefill.mMax, 0.0, 1.0);
+    allowance.mUsed = limits.mCapacity * (1 - left);
+  }
+  DrainAllowance(allowance, limits, aNow);
+  aDecision.mAllowanceLeft = limits.mCapacity - allowance.mUsed;
+  return aUsage.mFleet.mHosts == 1 || CoversCharge(allowance, limits, ChargeOf(allowance, aCost));
+}
+
 // Returns whether a request is admitted, with the given probability. The requests of one host are
 // admitted at even distances, which varies less than independent draws.
 bool
@@ -99,6 +148,8 @@
 RecordUsed(AccountUsage& aUsage, double aCost)
 {
   aUsage.mBucket.mTokens -= aCost;
+  aUsage.mCharged += aCost;
+  aUsage.mAllowance.mUsed += std::copysign(ChargeOf(aUsage.mAllowance, std::abs(aCost)), aCost);
   if (aUsage.mOwnPart.has_value()) {
     *aUsage.mOwnPart -= aCost;
   }
@@ -109,6 +160,8 @@
 RecordAsked(AccountUsage& aUsage, double aCost, const QuotaParameters& aParameters)
 {
   aUsage.mAskedInRound += aCost / aParameters.mShare;
+  aUsage.mAllowance.mOwnAskedInRound += aCost;
+  aUsage.mAllowance.mAllAskedInRound += aCost;
   aUsage.mOwnTotal.mAsked += aCost;
 }
 
@@ -148,6 +201,9 @@
     }
     decision.mAllowed = CoversCost(usage, aCost, aParameters) &&
                         DrawAdmission(usage, aParameters, decision.mProbability);
+    if (!AllowanceCovers(usage, aCost, decision, aNow) && std::exchange(decision.mAllowed, false)) {
+      *usage.mAdmissionCredit += 1;
+    }
   }
   RecordAsked(usage, aCost, aParameters);
   if (decision.mAllowed) {
@@ -186,6 +242,7 @@
   RefillQuota(usage, aAccount, aParameters, aNow);
   ChargePeerUsage(usage, aCosts.mUsed);
   usage.mAskedInRound += aCosts.mAsked / aParameters.mShare;
+  usage.mAllowance.mAllAskedInRound += aCosts.mAsked;
 }
 
 QuotaSnapshot
@@ -214,9 +271,19 @@
     std::chrono::duration<double>(aNow - std::exchange(aState.mRoundEndedAt, aNow)).count();
   for (auto& [account, usage] : aState.mAccounts) {
     const double asked = std::exchange(usage.mAskedInRound, 0.0);
+    EndAllowanceRound(usage.mAllowance, usage.mFleet, aNow);
     if (seconds > 0) {
       usage.mAskedPerSecond += kMeanWeight * (asked / seconds - usage.mAskedPerSecond);
     }
+    usage.mLevels.push_back({ .mAt = aNow,
+                              .mTokens = usage.mBucket.mTokens,
+                              .mShare = usage.mShare,
+                              .mCharged = usage.mCharged,
+                              .mIsLimited = usage.mAskedPerSecond > usage.mFleet.mRatePerSecond });
+    while (aNow - usage.mLevels.front().mAt >
+           kPropagationTimesOfLoss * aParameters.mPropagationTime) {
+      usage.mLevels.pop_front();
+    }
     usage.mFormerOverflow = std::exchange(usage.mOverflow, 0.0);
     usage.mOwnPart.reset();
   }
--- a/trefoil/dispatch/quota.h
+++ b/trefoil/dispatch/quota.h
@@ -16,12 +16,15 @@
 // some of the others refills its copy at their combined share of the rate, so that the parts of a
 // partitioned system stay within the quota together. A host that was frozen admits no more than its
 // part of the level until it has reported again, and charges the reports that waited to what has
-// refilled meanwhile. Pure functions.
+// refilled meanwhile. Before the hosts know of each other's requests, each admits no more than its
+// allowance (own_allowance.h), so that a jump of the demand is bounded. Pure functions.
 #pragma once
 
 #include "trefoil/admission/token_bucket.h"
 #include "trefoil/catalogue/catalogue.h"
+#include "trefoil/dispatch/own_allowance.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -36,6 +39,17 @@
   double mAsked = 0;
 };
 
+// The state of an account's bucket at the end of a round.
+struct QuotaLevel
+{
+  Instant mAt;
+  double mTokens = 0;
+  double mShare = 1;
+  double mCharged = 0;
+  // Whether the account asked for more than refills.
+  bool mIsLimited = false;
+};
+
 // The usage of one client account's quota.
 struct AccountUsage
 {
@@ -48,6 +62,15 @@
   double mFormerOverflow = 0;
   // What this host may use until the round ends; empty unless it was frozen.
   std::optional<double> mOwnPart;
+  // The share of the quota at the last refill, the cost that was charged to the bucket since the
+  // start, and the levels at the ends of the latest rounds.
+  double mShare = 1;
+  double mCharged = 0;
+  std::deque<QuotaLevel> mLevels;
+  // What this host may use before it knows of the requests of the others.
+  OwnAllowance mAllowance;
+  // The account's quota over all hosts when the bucket was refilled last.
+  FleetQuota mFleet;
   // What this host has received since its start.
   QuotaCosts mOwnTotal;
   // What was asked of all hosts in the current round, as far as it has been reported, and the
@@ -97,6 +120,8 @@
   // The size of the bucket, and what all hosts are taken to be asked for per second.
   double mCapacity = 0;
   double mAskedPerSecond = 0;
+  // What this host might still be charged before it knows of the requests of the others.
+  double mAllowanceLeft = 0;
 
   explicit operator bool() const { return mAllowed; }
 };
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -279,7 +279,8 @@
     LogEvent::kRequestRefused,
     "id={} route={} account={} service={} status={} reason={} dispatches={} version={} "
     "proof_age_ms={} quota_cost={:.0f} quota_level={:.0f} quota_probability={:.2f} "
-    "quota_share={:.2f} quota_capacity={:.0f} quota_asked_per_s={:.0f} ms={}",
+    "quota_share={:.2f} quota_capacity={:.0f} quota_asked_per_s={:.0f} quota_allowance={:.0f} "
+    "ms={}",
     mMetadata.mRequestId,
     mRoute == nullptr ? "" : mRoute->mName,
     mAccount == nullptr ? "" : mAccount->mName.Value(),
@@ -295,6 +296,7 @@
     mState.mView ? mState.mView->mQuotaShare : 0,
     mQuotaDecision.mCapacity,
     mQuotaDecision.mAskedPerSecond,
+    mQuotaDecision.mAllowanceLeft,
     (SuspendAwareNow() - mArrivedAt) / Milliseconds{ 1 });
   if (mQuotaConsumed && mDispatches == 0) {
     RefundQuota(mState.mQuotas, mAccount->mName, mQuotaCost);
