Test jumps of the demand with hosts that are cut off, killed and restart

Nothing tested a quota while hosts lose contact with each other or start again from the record of the store. The simulated fleet gets both, clients that use one host each, and the share that is refused at the first attempt.

--- a/tests/fleet_quota/quota_fleet.h
+++ b/tests/fleet_quota/quota_fleet.h
@@ -15,6 +15,7 @@
 #include <fmt/format.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <utility>
 #include <vector>
@@ -62,6 +63,15 @@
            .mBurst = kRate };
 }
 
+struct QuotaFleetOptions
+{
+  int mZones = kZones;
+  int mHostsInZone = kHostsInZone;
+  // The clients of the account, each of which uses one host, chosen at random; 0 means that each
+  // request goes to any host.
+  int mClients = 0;
+};
+
 struct FleetHost
 {
   HostId mName;
@@ -77,6 +87,11 @@
   Instant mNextList;
   // Whether the host cannot renew its lease.
   bool mIsCutFromStore = false;
+  // Hosts with the same number are in contact. Only those with 0 reach the store.
+  int mPart = 0;
+  std::uint64_t mIncarnation = 1;
+  // When a killed host starts again; empty while it runs.
+  std::optional<Instant> mStartsAt;
 };
 
 // Entry hosts before which an account asks for its usual share of the quota, or a multiple of it.
@@ -84,13 +99,13 @@
 class QuotaFleet
 {
 public:
-  explicit QuotaFleet(unsigned aSeed)
+  explicit QuotaFleet(unsigned aSeed, const QuotaFleetOptions& aOptions = {})
     : mRandom(aSeed)
   {
-    for (int i = 0; i < kZones * kHostsInZone; ++i) {
+    for (int i = 0; i < aOptions.mZones * aOptions.mHostsInZone; ++i) {
       auto host = std::make_unique<FleetHost>();
       host->mName = HostId{ fmt::format("host-{:03}", i) };
-      host->mZone = AvailabilityZoneId{ fmt::format("zone-{}", i % kZones) };
+      host->mZone = AvailabilityZoneId{ fmt::format("zone-{}", i % aOptions.mZones) };
       host->mEndpoint = { .mAddress = fmt::format("10.0.{}.{}", i / 200, i % 200), .mPort = 7600 };
       host->mNextRound = mNow + RandomTime(kInterval);
       host->mNextList = mNow + NextListTime();
@@ -101,6 +116,9 @@
       host->mTable = { .mSelf = host->mName, .mZone = host->mZone, .mListedHosts = mListed };
       host->mState = { .mEpoch = 1 };
     }
+    for (int client = 0; client < aOptions.mClients; ++client) {
+      mHostsOfClients.push_back(mRandom() % mHosts.size());
+    }
   }
 
   // Takes a random part of the hosts out of contact with the store, though not with each other, or
@@ -120,6 +138,25 @@
     mCutAt = mNow;
   }
 
+  // Takes hosts out of contact with the others and the store: the first `aCount`, which are of all
+  // zones, with each other or each by itself. 0 ends it.
+  void CutOff(int aCount, bool aAreTogether)
+  {
+    for (int i = 0; std::cmp_less(i, mHosts.size()); ++i) {
+      const int part = aAreTogether ? 1 : i + 1;
+      mHosts[static_cast<std::size_t>(i)]->mPart = i < aCount ? part : 0;
+    }
+  }
+
+  // Kills the last `aCount` hosts, which start again after `aDowntime` and read the record in the
+  // store. Their clients use other hosts until then.
+  void Kill(int aCount, Milliseconds aDowntime)
+  {
+    for (auto host = mHosts.rbegin(); host != mHosts.rbegin() + aCount; ++host) {
+      (*host)->mStartsAt = mNow + aDowntime;
+    }
+  }
+
   // Runs the fleet while the account asks for this multiple of its rate.
   void Run(Milliseconds aTime, double aDemand)
   {
@@ -132,8 +169,12 @@
     Instant next = mNow + untilNext();
     for (const Instant end = mNow + aTime; mNow < end; mNow += kStep) {
       Deliver();
+      WriteRecord();
       for (const auto& host : mHosts) {
-        if (HasPassed(host->mNextRound, mNow)) {
+        if (host->mStartsAt && HasPassed(*host->mStartsAt, mNow)) {
+          Start(*host);
+        }
+        if (!host->mStartsAt && HasPassed(host->mNextRound, mNow)) {
           RunRound(*host);
         }
       }
@@ -141,6 +182,7 @@
         const double asked = std::min(4 * kMeanCost, cost(mRandom));
         mAsked += asked;
         if (!Send(asked)) {
+          mRefused += asked;
           mRetries.emplace_back(mNow + kRetryDelay, asked);
         }
       }
@@ -166,6 +208,17 @@
     return largest;
   }
 
+  // Forgets what was asked for and admitted so far.
+  void ForgetRequests()
+  {
+    mAdmitted.clear();
+    mAsked = 0;
+    mRefused = 0;
+  }
+
+  // Returns the part of what was asked for that was refused at the first attempt.
+  double RefusedShare() const { return mRefused / mAsked; }
+
   // Returns the part of what was asked for that was admitted, second attempts included.
   double AdmittedShare() const
   {
@@ -177,6 +230,14 @@
   }
 
 private:
+  // A message on its way, with the part of its sender.
+  struct Posted
+  {
+    int mFromPart = 0;
+    Endpoint mTo;
+    Message mMessage;
+  };
+
   Milliseconds RandomTime(Milliseconds aBelow)
   {
     return Milliseconds{ static_cast<std::int64_t>(mRandom() %
@@ -187,10 +248,51 @@
 
   static WallTime Wall() { return FromUnixMilliseconds(1'772'000'000'000); }
 
+  // Writes the record in the store once an interval.
+  void WriteRecord()
+  {
+    if (!HasPassed(mNextRecord, mNow)) {
+      return;
+    }
+    mNextRecord = mNow + kInterval;
+    const auto writer = std::ranges::find_if(
+      mHosts, [](const auto& aHost) { return aHost->mPart == 0 && !aHost->mStartsAt; });
+    const auto usage = (*writer)->mQuotas.mAccounts.find(kAccount);
+    if (usage != (*writer)->mQuotas.mAccounts.end()) {
+      mRecord = SnapshotOf(usage->second);
+    }
+  }
+
+  void Start(FleetHost& aHost)
+  {
+    aHost.mStartsAt.reset();
+    ++aHost.mIncarnation;
+    aHost.mSequence = 0;
+    aHost.mTable = { .mSelf = aHost.mName, .mZone = aHost.mZone, .mListedHosts = mListed };
+    aHost.mState = { .mEpoch = aHost.mIncarnation };
+    aHost.mQuotas = {};
+    aHost.mNextRound = mNow + RandomTime(kInterval);
+    if (mRecord) {
+      RestoreQuota(aHost.mQuotas, kAccount, *mRecord, mNow);
+    }
+  }
+
+  // Returns the host of a random client, or another one if that host does not run.
+  FleetHost& AnyHost()
+  {
+    std::size_t host = mHostsOfClients.empty()
+                         ? mRandom() % mHosts.size()
+                         : mHostsOfClients[mRandom() % mHostsOfClients.size()];
+    while (mHosts[host]->mStartsAt) {
+      host = mRandom() % mHosts.size();
+    }
+    return *mHosts[host];
+  }
+
   // Sends a request of the account to one of the hosts. Returns whether it is admitted.
   bool Send(double aCost)
   {
-    FleetHost& host = *mHosts[mRandom() % mHosts.size()];
+    FleetHost& host = AnyHost();
     host.mParameters.mRandomValue = std::generate_canonical<double, 32>(mRandom);
     const bool admitted(ConsumeQuota(host.mQuotas, Account(), aCost, host.mParameters, mNow));
     if (admitted) {
@@ -203,7 +305,7 @@
   {
     const QuotaCosts& total = aHost.mQuotas.mAccounts[kAccount].mOwnTotal;
     return { .mUpdate = { .mHost = aHost.mName,
-                          .mIncarnation = 1,
+                          .mIncarnation = aHost.mIncarnation,
                           .mSequence = ++aHost.mSequence,
                           .mEndpoint = aHost.mEndpoint,
                           .mZone = aHost.mZone,
@@ -224,7 +326,7 @@
     BeginAggregationRound(aHost.mTable, aHost.mState, mNow);
     for (const auto& [host, listed] :
          AggregatedUpdateRecipients(aHost.mTable, aHost.mState, mNow)) {
-      Post(mNow + kMessageDelay, listed.mEndpoint, report);
+      Post(aHost, mNow + kMessageDelay, listed.mEndpoint, report);
       RecordSent(aHost.mState, host, mNow);
     }
     PeerUpdate added;
@@ -233,7 +335,7 @@
     Learn(aHost, added);
     for (std::size_t i = 0; i < totals.size(); ++i) {
       const auto delay = kTotalsSpread * static_cast<int>(i) / static_cast<int>(totals.size());
-      Post(mNow + kMessageDelay + delay, totals[i].mTo, totals[i].mMessage);
+      Post(aHost, mNow + kMessageDelay + delay, totals[i].mTo, totals[i].mMessage);
     }
     const FleetStatus status = StatusOfFleet(aHost.mTable, aHost.mState, mNow);
     aHost.mParameters.mHosts = status.mHosts;
@@ -244,7 +346,7 @@
 
   void ReadList(FleetHost& aHost)
   {
-    if (aHost.mIsCutFromStore || !HasPassed(aHost.mNextList, mNow)) {
+    if (aHost.mIsCutFromStore || aHost.mPart != 0 || !HasPassed(aHost.mNextList, mNow)) {
       return;
     }
     aHost.mNextList = mNow + NextListTime();
@@ -258,18 +360,21 @@
       ListedHostsAfter(aHost.mTable, aHost.mState, std::move(listed), mNow);
   }
 
-  void Post(Instant aAt, const Endpoint& aTo, const Message& aMessage)
+  void Post(const FleetHost& aFrom, Instant aAt, const Endpoint& aTo, const Message& aMessage)
   {
-    mMessages.emplace(aAt, std::pair{ aTo, aMessage });
+    mMessages.emplace(aAt, Posted{ .mFromPart = aFrom.mPart, .mTo = aTo, .mMessage = aMessage });
   }
 
   void Deliver()
   {
     for (; !mMessages.empty() && HasPassed(mMessages.begin()->first, mNow);
          mMessages.erase(mMessages.begin())) {
-      const auto& [to, message] = mMessages.begin()->second;
+      const auto& [part, to, message] = mMessages.begin()->second;
       FleetHost& host =
         **std::ranges::find(mHosts, to, [](const auto& aItem) { return aItem->mEndpoint; });
+      if (host.mPart != part || host.mStartsAt) {
+        continue;
+      }
       if (const auto* report = std::get_if<HostReport>(&message)) {
         ApplyHostReport(host.mTable, *report, mNow);
       } else if (const auto* totals = std::get_if<TotalsMessage>(&message)) {
@@ -297,10 +402,15 @@
   // All hosts, as the store lists them.
   std::map<HostId, ListedHost> mListed;
   Instant mCutAt;
-  std::multimap<Instant, std::pair<Endpoint, Message>> mMessages;
+  std::multimap<Instant, Posted> mMessages;
+  std::vector<std::size_t> mHostsOfClients;
+  // The record in the store.
+  std::optional<QuotaSnapshot> mRecord;
+  Instant mNextRecord;
   std::deque<std::pair<Instant, double>> mRetries;
   std::deque<std::pair<Instant, double>> mAdmitted;
   double mAsked = 0;
+  double mRefused = 0;
 };
 
 } // namespace trefoil
