Begin relayed changes after the newest one that the subscriber has

A host that lacks no change keeps its own revision when a reply says so, while the watcher noted its own, higher one for it. The next message began after that one, so the host found changes missing and called the store; so did all subscribers after a change of the operators' keys. The watcher now notes the newest change it has sent. Letting the subscriber take over the revision was ruled out: hosts of the version before would not.

--- a/trefoil/steering/internal/store_relay_messages.cc
+++ b/trefoil/steering/internal/store_relay_messages.cc
@@ -31,14 +31,16 @@
   return reply;
 }
 
-// Records that the changes up to the current revisions have been sent to a subscriber.
+// Records that the changes have been sent to a subscriber. A host that lacks no change keeps its
+// own revision, so the next message must contain the changes after the newest one that it has, not
+// those after the revision up to which there was none.
 void
 AdvanceRevisions(const SteeringState& aState, RelaySubscriber& aSubscriber)
 {
   aSubscriber.mOperatorRevision =
-    std::max(aSubscriber.mOperatorRevision, aState.mOperatorWatch->Record().mRevision);
+    std::max(aSubscriber.mOperatorRevision, aState.mOperatorWatch->Record().mLastChange);
   aSubscriber.mServerRevision =
-    std::max(aSubscriber.mServerRevision, aState.mServerWatch->Record().mRevision);
+    std::max(aSubscriber.mServerRevision, aState.mServerWatch->Record().mLastChange);
 }
 
 } // namespace
