Accept the memory of the machine as the setting memory_mb

The platform states the memory of each machine (Limits.MemoryMb), but its template passed nothing of it, so that a process could not know how much it may hold. A missing value and 0 stand for what the system reports; nothing uses the value yet.

--- a/trefoil/settings/common_settings.cc
+++ b/trefoil/settings/common_settings.cc
@@ -58,6 +58,20 @@
   return name;
 }
 
+std::int64_t
+ReadMemoryBytes(TomlReader& aReader, std::string_view aKey)
+{
+  constexpr double kBytesPerMegabyte = 1e6;
+  constexpr double kMaxMegabytes = 1e7;
+  const double megabytes = aReader.OptionalNumber(aKey, 0);
+  // The negated comparison also rejects NaN.
+  if (!(megabytes >= 0 && megabytes <= kMaxMegabytes)) {
+    aReader.RecordError(aKey, fmt::format("must be from 0 to {}", kMaxMegabytes));
+    return 0;
+  }
+  return static_cast<std::int64_t>(megabytes * kBytesPerMegabyte);
+}
+
 absl::StatusOr<std::string>
 ReadSettingsFile(std::string_view aPath)
 {
--- a/trefoil/settings/common_settings.h
+++ b/trefoil/settings/common_settings.h
@@ -8,6 +8,7 @@
 #include "trefoil/base/endpoint.h"
 #include "trefoil/settings/toml_reader.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -34,6 +35,12 @@
 std::string
 ReadNonEmptyString(TomlReader& aReader, std::string_view aKey);
 
+// Reads an optional amount of memory in units of 10^6 bytes, which may have a fraction. Returns the
+// bytes, or 0 if the key is missing. Records an error and returns 0 for a negative value and for
+// more than 10^7.
+std::int64_t
+ReadMemoryBytes(TomlReader& aReader, std::string_view aKey);
+
 // Returns the contents of a file. Returns NotFound if the file cannot be opened; MayBeIncomplete is
 // true of that error, since a writer may be replacing the file. Blocks on file I/O.
 absl::StatusOr<std::string>
--- a/trefoil/settings/gateway_settings.cc
+++ b/trefoil/settings/gateway_settings.cc
@@ -75,6 +75,7 @@
   settings.mOrdersServers = reader.OptionalBool("order_servers", false);
   settings.mMaxConnections = reader.OptionalInt(
     "most_connections", kDefaultMaxConnections, { .mMin = 1, .mMax = kMaxOpenConnections });
+  settings.mMemoryBytes = ReadMemoryBytes(reader, "memory_mb");
   settings.mStopNotice = ReadDuration(reader, "stop_notice_s", kDefaultStopNoticeS, kMsPerSecond);
   settings.mRevokeWithin = ReadDuration(reader, "revoke_within_ms", kDefaultRevokeMs, 1);
   settings.mDrainWithin = ReadDuration(reader, "drain_within_ms", kDefaultDrainMs, 1);
--- a/trefoil/settings/gateway_settings.h
+++ b/trefoil/settings/gateway_settings.h
@@ -42,6 +42,8 @@
   bool mOrdersServers = false;
   // The maximum number of open connections of the process.
   std::int64_t mMaxConnections = 0;
+  // The memory of the machine that the process may use, in bytes; 0 for what the system reports.
+  std::int64_t mMemoryBytes = 0;
   // The time from the stop signal until the process must have ended.
   Milliseconds mStopNotice{ 0 };
   // The time after which a revoked API key must be rejected.
--- a/trefoil/settings/gateway_settings_test.cc
+++ b/trefoil/settings/gateway_settings_test.cc
@@ -27,6 +27,10 @@
   CHECK_FALSE(settings->mMetrics.has_value());
   CHECK(settings->mRetryRatio == 0.25);
   CHECK(settings->mRevokeWithin == Milliseconds{ 5'000 });
+  CHECK(settings->mMemoryBytes == 0);
+  CHECK(
+    ParseGatewaySettings(kValidSettings + "memory_mb = 120.5\n", "gateway.toml")->mMemoryBytes ==
+    120'500'000);
   WHEN("a key is unknown or a value is invalid")
   {
     const auto errorFor = [](const std::string& aLine) {
@@ -40,6 +44,8 @@
       CHECK_THAT(errorFor("retry_slack = \"x\"\n"), Catch::Contains("retry_slack"));
       CHECK_THAT(errorFor("quota_slack = -1\n"), Catch::Contains("quota_slack"));
       CHECK_THAT(errorFor("stop_notice_s = 1e9\n"), Catch::Contains("stop_notice_s"));
+      CHECK_THAT(errorFor("memory_mb = -1\n"), Catch::Contains("memory_mb"));
+      CHECK_THAT(errorFor("memory_mb = \"big\"\n"), Catch::Contains("memory_mb"));
       CHECK_THAT(errorFor("drain_within_ms = 0\n"), Catch::Contains("drain_within_ms"));
     }
   }
--- a/trefoil/settings/host_settings.cc
+++ b/trefoil/settings/host_settings.cc
@@ -54,6 +54,7 @@
   settings.mSeeds = ReadEndpoints(reader, "seeds");
   settings.mMaxConnections =
     reader.OptionalInt("most_connections", kDefaultMaxConnections, { .mMin = 1, .mMax = 20'000 });
+  settings.mMemoryBytes = ReadMemoryBytes(reader, "memory_mb");
   settings.mMaxBodyBytes = reader.OptionalInt(
     "most_body_bytes", kDefaultMaxBodyBytes, { .mMin = 1024, .mMax = kMaxBodyBytesLimit });
   settings.mIdleConnectionMilliseconds =
--- a/trefoil/settings/host_settings.h
+++ b/trefoil/settings/host_settings.h
@@ -47,6 +47,8 @@
   std::vector<Endpoint> mSeeds;
   // The maximum number of open client connections.
   std::int64_t mMaxConnections = 0;
+  // The memory of the machine that the process may use, in bytes; 0 for what the system reports.
+  std::int64_t mMemoryBytes = 0;
   // The maximum size of a request body.
   std::int64_t mMaxBodyBytes = 0;
   // The time after which an idle client connection is closed.
