--- a/standin/platform_server_main.cc
+++ b/standin/platform_server_main.cc
@@ -8,6 +8,7 @@
 #include "trefoil/http/status_code.h"
 
 #include "absl/synchronization/mutex.h"
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 #include <fmt/format.h>
@@ -26,9 +27,10 @@
 
 Usage:
   standin-platform-server ID ADDRESS --platform=ADDRESS --service=NAME --zone=ZONE --runs=FILE
-    [--close-every=N] [--work-ms=N] [--server-version=NAME]
+    [--answer-bytes=N] [--close-every=N] [--work-ms=N] [--server-version=NAME]
 
 Options:
+  --answer-bytes=N  The length of the answers that are not streams, or that of their text if it is longer [default: 0].
   --close-every=N  Every Nth answer closes its connection.
   --runs=FILE  The file to which the id of each request that begins to run is appended.
   --server-version=NAME  The version that the server registers [default: v1].
@@ -50,6 +52,8 @@
   trefoil::Milliseconds mWorkDuration{ 0 };
   // Every answer with a multiple of this number closes its connection; 0 if none does.
   std::int64_t mCloseEvery = 0;
+  // Answers that are not streams are extended to this length.
+  std::size_t mAnswerBytes = 0;
   std::atomic<std::int64_t> mAnswers{ 0 };
   absl::Mutex mMutex;
 };
@@ -80,7 +84,9 @@
   }
   std::this_thread::sleep_for(aServer.mWorkDuration);
   if (!request.mTarget.starts_with("/talk/")) {
-    aExchange.Respond({ .mHeaders = headers, .mBody = "answer to " + id });
+    std::string body = "answer to " + id;
+    body.resize(std::max(body.size(), aServer.mAnswerBytes), '.');
+    aExchange.Respond({ .mHeaders = headers, .mBody = std::move(body) });
     return;
   }
   const std::string after{ HeaderValue(request.mHeaders, "Last-Event-Id") };
@@ -139,7 +145,8 @@
   Server server{ .mId = text("ID"),
                  .mRunsPath = text("--runs"),
                  .mWorkDuration = trefoil::Milliseconds{ std::stol(text("--work-ms")) },
-                 .mCloseEvery = closesSome ? std::stol(text("--close-every")) : 0 };
+                 .mCloseEvery = closesSome ? std::stol(text("--close-every")) : 0,
+                 .mAnswerBytes = std::stoul(text("--answer-bytes")) };
   const std::string registration = fmt::format(
     R"({{"Service":"{}","Address":"{}","Zone":"{}","Version":"{}","Slots":64,"State":"ready","born":{}}})",
     text("--service"),
