Keep what trefoil-gateway holds for its clients within a budget

Clients that sent many large bodies and stopped short of their end, left answers unread or sent far more than they may took all memory: nothing bounded what is held for all clients together, bodies doubled their capacity, the kernel's buffers grew to some MB a connection, and a refused client was read for a second.

The traffic thread counts what is held by kind and ends the clients that trefoil/memory names: 408 for an incomplete request that gives way, 503 for one without room, otherwise the connection closes. Buffered answers are part of the budget now (mMaxBufferedBytes is replaced by mMemoryLimits, also in two tests, with the same bytes). Bodies grow by half, requests are moved into the send buffer, empty buffers are released, the next request of a client waits for its unread answers, client sockets get 64 kB, log lines at most 4 kB, and the allocator returns large buffers. At the connection limit those that wait longest give way. Gauges, a counter and a log event tell of it.

Reading at most 256 kB of a refused client was tried and ruled out: forward_path asks that a client which reads only after it has sent 8 MB gets its answer (3 assertions failed). So closing connections share 16 MB.

Not run: linked_hosts, the other process tests.

--- a/cmd/trefoil_gateway.cc
+++ b/cmd/trefoil_gateway.cc
@@ -4,6 +4,7 @@
 #include "trefoil/command_line/command_line.h"
 #include "trefoil/eventlog/pipe_sink.h"
 #include "trefoil/settings/gateway_settings.h"
+#include "trefoil/startup/allocator.h"
 #include "trefoil/startup/signals.h"
 #include "trefoil/startup/startup.h"
 #include "trefoil/steering/control_thread.h"
@@ -71,7 +72,9 @@
            .mUsageWindow = aSettings.mUsageWindow,
            .mMaxConfigurationAge = aSettings.mRevokeWithin - kRevokeMargin,
            .mMaxConnections =
-             static_cast<std::size_t>(aSettings.mMaxConnections - kReservedConnections) };
+             static_cast<std::size_t>(aSettings.mMaxConnections - kReservedConnections),
+           .mMemoryLimits =
+             trefoil::LimitsOfMachine(trefoil::MachineMemory(aSettings.mMemoryBytes)) };
 }
 
 trefoil::ControlThreadOptions
@@ -250,6 +253,7 @@
 RunDaemon(int aArgumentCount, char** aArguments)
 {
   const sigset_t signals = trefoil::BlockDaemonSignals();
+  trefoil::ConfigureAllocator();
   const auto commandLine = trefoil::ParseCommandLine(
     { .mUsage = kUsage, .mVersion = kVersion }, aArgumentCount, aArguments);
   if (commandLine.mExit.has_value()) {
--- a/tests/forward_path/test_gateway.h
+++ b/tests/forward_path/test_gateway.h
@@ -122,7 +122,9 @@
                  .mUsageWindow = Milliseconds{ 5'000 },
                  .mMaxConfigurationAge = Milliseconds{ 60'000 },
                  .mMaxConnections = aOptions.mMaxConnections,
-                 .mMaxBufferedBytes = aOptions.mMaxBufferedBytes };
+                 .mMemoryLimits = { .mTotal = aOptions.mMaxBufferedBytes,
+                                    .mIncomplete = aOptions.mMaxBufferedBytes,
+                                    .mLarge = aOptions.mMaxBufferedBytes } };
     mTraffic = std::move(TrafficThread::Start(mOptions, mLog, mMetrics).value());
     const auto route = [this](const char* aName, RouteKind aKind, bool aResumable) {
       mCatalogue.mRoutes.push_back({ .mName = aName,
--- a/tests/linked_hosts/told_servers_test.cc
+++ b/tests/linked_hosts/told_servers_test.cc
@@ -54,8 +54,7 @@
                  .mRetries = { .mRatio = 0.2, .mSlack = 50, .mWindow = std::chrono::seconds{ 10 } },
                  .mUsageWindow = Milliseconds{ 5'000 },
                  .mMaxConfigurationAge = Milliseconds{ 60'000 },
-                 .mMaxConnections = 100,
-                 .mMaxBufferedBytes = std::size_t{ 32 } * 1024 * 1024 };
+                 .mMaxConnections = 100 };
     for (int i = 0; i < kServers; ++i) {
       mLinks.push_back(
         std::make_unique<ScriptedServer>([this, i, aScript](const ReceivedRequest& aRequest) {
--- a/trefoil/eventlog/event_log.cc
+++ b/trefoil/eventlog/event_log.cc
@@ -10,7 +10,9 @@
 namespace trefoil {
 namespace {
 
-// At 300 bytes per line, the queue takes less than 160 kB.
+// At 300 bytes per line, the queue takes less than 160 kB, and at kMaxLineBytes 2 MB. Lines contain
+// parts of requests, such as their ids, which may be as long as the head of a request.
+constexpr std::size_t kMaxLineBytes = 4'096;
 constexpr std::size_t kMaxQueuedLines = 512;
 // Twice the number of requests per second that one host serves at the peak of the target load (46).
 constexpr int kRoutineLinesPerSecond = 100;
@@ -24,6 +26,12 @@
   return aSeverity == LogSeverity::kRoutine ? kRoutineLinesPerSecond : kNotableLinesPerSecond;
 }
 
+std::string_view
+Shortened(std::string_view aFields)
+{
+  return aFields.substr(0, kMaxLineBytes);
+}
+
 } // namespace
 
 EventLog::EventLog(std::string aHost)
@@ -75,7 +83,7 @@
 void
 EventLog::Enqueue(LogEvent aEvent, const std::string& aFields)
 {
-  mLogger->info("host={} event={} {}", mHost, NameOf(kLogEventNames, aEvent), aFields);
+  mLogger->info("host={} event={} {}", mHost, NameOf(kLogEventNames, aEvent), Shortened(aFields));
 }
 
 } // namespace trefoil
--- a/trefoil/eventlog/event_log.h
+++ b/trefoil/eventlog/event_log.h
@@ -67,9 +67,10 @@
   kInputRejected,
   kInternalError,
   kLinesDropped,
+  kMemoryExhausted,
 };
 
-inline constexpr NameTable<LogEvent, 32> kLogEventNames{ {
+inline constexpr NameTable<LogEvent, 33> kLogEventNames{ {
   { LogEvent::kStart, "start" },
   { LogEvent::kStartDelayed, "start_delayed" },
   { LogEvent::kStop, "stop" },
@@ -102,6 +103,7 @@
   { LogEvent::kInputRejected, "input_rejected" },
   { LogEvent::kInternalError, "internal_error" },
   { LogEvent::kLinesDropped, "lines_dropped" },
+  { LogEvent::kMemoryExhausted, "memory_exhausted" },
 } };
 
 // The severity of a line. Each severity has a line budget of its own.
--- a/trefoil/forward/client_session.cc
+++ b/trefoil/forward/client_session.cc
@@ -14,6 +14,8 @@
 constexpr int kHeadersTooLarge = 431;
 // Bytes of further requests that a client may send before it receives the current answer.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 64 } * 1024;
+// The next request of a client is not read while more of the answers to earlier ones waits.
+constexpr std::size_t kMaxUnsentBeforeNext = std::size_t{ 64 } * 1024;
 // A client that acknowledges no sent bytes for this long is considered gone.
 constexpr Milliseconds kClientAckTimeout{ 6'000 };
 
@@ -42,7 +44,9 @@
   auto session = std::make_shared<ClientSession>(aLoop, std::move(aCallbacks));
   session->mStream = ByteStream::Adopt(aLoop, aSocket, { .mPeerTimeout = kClientAckTimeout });
   session->mStream->SetCallbacks({ .mOnBytes = [session] { session->OnBytes(); },
+                                   .mOnSent = [session] { session->OnSent(); },
                                    .mOnEnd = [session](StreamEnd /*aEnd*/) { session->OnEnd(); } });
+  session->mWaitingSince = SuspendAwareNow();
   session->SetTimer(session->mCallbacks->mLimits().mIdleTimeout);
   session->mFirstRequestDeadline = SuspendAwareNow() + kFirstRequestTime;
   return session;
@@ -78,7 +82,9 @@
   if (mAwaitingAnswer) {
     if (mStream->Received().size() > kMaxPipelinedBytes) {
       OnEnd();
+      return;
     }
+    ReportMemory(MemoryReport::kOther);
     return;
   }
   ReadRequests();
@@ -106,6 +112,9 @@
 ClientSession::ReadAvailableRequests()
 {
   while (!mAwaitingAnswer && mStream->IsOpen() && !mStream->Received().empty()) {
+    if (!mReader.has_value() && !ReadsAnswers()) {
+      break;
+    }
     if (!mReader.has_value()) {
       const ClientLimits limits = mCallbacks->mLimits();
       mReader = MessageReader::ForRequest(
@@ -129,6 +138,8 @@
       }
     }
     if (!mStream->IsOpen() || state != MessageReadState::kComplete) {
+      ShrinkIfEmpty(mStream->Received());
+      ReportMemory(MemoryReport::kReceiving);
       break;
     }
     HttpRequest request = mReader->Request();
@@ -141,6 +152,8 @@
     mAwaitingAnswer = true;
     mAnswerStarted = false;
     mFirstRequestDeadline = {};
+    ShrinkIfEmpty(mStream->Received());
+    ReportMemory(MemoryReport::kOther);
     mCallbacks->mOnRequest(shared_from_this(), std::move(request));
   }
 }
@@ -153,19 +166,98 @@
   mTimer = 0;
   mStream->Close();
   mAwaitingAnswer = false;
+  mReader.reset();
+  ReportMemory(MemoryReport::kOther);
   mCallbacks->mOnClosed(keep);
 }
 
+// Returns whether little enough of the earlier answers waits for the client. Otherwise stops to
+// read, until they have been sent.
+bool
+ClientSession::ReadsAnswers()
+{
+  const bool reads = mStream->Unsent() <= kMaxUnsentBeforeNext;
+  mStream->SetReading(reads);
+  return reads;
+}
+
+void
+ClientSession::OnSent()
+{
+  ReportMemory(MemoryReport::kOther);
+  mStream->SetReading(true);
+  if (!mAwaitingAnswer && !mStream->Received().empty()) {
+    ReadRequests();
+  }
+}
+
+void
+ClientSession::ReportMemory(MemoryReport aReport)
+{
+  ClientMemory memory{ .mSince = SuspendAwareNow() };
+  if (mStream->IsOpen()) {
+    memory.mIncomplete = (mReader.has_value() ? mReader->HeldBytes() : 0) +
+                         (mStream->Received().empty() ? 0 : mStream->Received().capacity());
+    memory.mUnsent = mStream->UnsentCapacity() + mUnacknowledged;
+  }
+  if (memory.mIncomplete != mReported.mIncomplete || memory.mUnsent != mReported.mUnsent) {
+    mReported = memory;
+    mCallbacks->mOnMemory(shared_from_this(), memory, aReport);
+  }
+}
+
 void
-ClientSession::RejectMalformed(int aStatus, std::string_view aReason)
+ClientSession::ReportUnacknowledged()
+{
+  mUnacknowledged = mStream->UnacknowledgedBytes();
+  ReportMemory(MemoryReport::kOther);
+}
+
+std::optional<Instant>
+ClientSession::WaitingSince()
+{
+  if (mAwaitingAnswer || !mStream->IsOpen() ||
+      (!mReader.has_value() && mStream->HasUnreadBytes())) {
+    return std::nullopt;
+  }
+  return mWaitingSince;
+}
+
+MemoryRefusal
+ClientSession::GiveWay()
+{
+  const auto keep = shared_from_this();
+  if (!mReader.has_value()) {
+    // Also ends a session that only sends its last answer.
+    const MemoryRefusal reason = mStream->Unsent() + mUnacknowledged > 0
+                                   ? MemoryRefusal::kUnreadAnswers
+                                   : MemoryRefusal::kConnectionLimit;
+    OnEnd();
+    return reason;
+  }
+  if (mInReadLoop) {
+    RejectMalformed(kServiceUnavailable,
+                    "there is no memory for the request now",
+                    mReader->IsHeadComplete() ? mCallbacks->mNoRoomHeaders(mReader->Request())
+                                              : mCallbacks->mNoRoomHeaders({}));
+    return MemoryRefusal::kNoRoom;
+  }
+  RejectMalformed(kRequestTimeout, "the request did not arrive before others needed its memory");
+  return MemoryRefusal::kGaveWay;
+}
+
+void
+ClientSession::RejectMalformed(int aStatus, std::string_view aReason, HttpHeaders aHeaders)
 {
   mCallbacks->mOnMalformed(aStatus, aReason);
   mCloseAfterAnswer = true;
   mAwaitingAnswer = true;
   mAnswerStarted = false;
-  SendAnswer({ .mStatus = aStatus,
-               .mHeaders = { { "Content-Type", "text/plain" } },
-               .mBody = std::string{ aReason } });
+  if (aHeaders.empty()) {
+    aHeaders = { { "Content-Type", "text/plain" } };
+  }
+  SendAnswer(
+    { .mStatus = aStatus, .mHeaders = std::move(aHeaders), .mBody = std::string{ aReason } });
 }
 
 void
@@ -193,6 +285,7 @@
   if (!mIsHeadRequest) {
     mStream->Send(aAnswer.mBody);
   }
+  ReportMemory(MemoryReport::kOther);
   OnAnswerSent();
 }
 
@@ -209,6 +302,7 @@
 {
   if (mAwaitingAnswer && !aBytes.empty() && !mIsHeadRequest) {
     mStream->Send(fmt::format("{:x}\r\n{}\r\n", aBytes.size(), aBytes));
+    ReportMemory(MemoryReport::kOther);
   }
 }
 
@@ -232,6 +326,7 @@
     CloseAfterSending();
     return;
   }
+  mWaitingSince = SuspendAwareNow();
   SetTimer(mCallbacks->mLimits().mIdleTimeout);
   if (!mStream->Received().empty()) {
     mLoop.Post([self = shared_from_this()] {
@@ -249,9 +344,13 @@
   const auto keep = shared_from_this();
   mLoop.Cancel(mTimer);
   mTimer = 0;
+  mReader.reset();
   // Ignore anything that the client sends from here on.
-  mStream->SetCallbacks({});
-  mStream->CloseAfterSending();
+  mStream->SetCallbacks(
+    { .mOnSent = [keep] { keep->ReportMemory(MemoryReport::kOther); },
+      .mOnEnd = [keep](StreamEnd /*aEnd*/) { keep->ReportMemory(MemoryReport::kOther); } });
+  mStream->CloseAfterSending(mCallbacks->mMaxDiscarded());
+  ReportMemory(MemoryReport::kOther);
   mCallbacks->mOnClosed(keep);
 }
 
--- a/trefoil/forward/client_session.h
+++ b/trefoil/forward/client_session.h
@@ -12,6 +12,7 @@
 
 #include "trefoil/catalogue/catalogue.h"
 #include "trefoil/http/message_reader.h"
+#include "trefoil/memory/memory_budget.h"
 #include "trefoil/reactor/byte_stream.h"
 
 #include <functional>
@@ -23,6 +24,20 @@
 
 class ClientSession;
 
+// When a session reports what it holds.
+enum class MemoryReport
+{
+  // Bytes of a request have been received.
+  kReceiving,
+  // While an answer is passed on, or after something was released.
+  kOther,
+};
+
+inline constexpr NameTable<MemoryReport, 2> kMemoryReportNames{ {
+  { MemoryReport::kReceiving, "receiving" },
+  { MemoryReport::kOther, "other" },
+} };
+
 struct SessionCallbacks
 {
   // Called with each complete request. The request is answered by SendAnswer or FinishAnswer.
@@ -32,8 +47,17 @@
   // Called when a request was malformed, too large or late. The session itself sends the error
   // answer and closes the connection.
   std::function<void(int aStatus, std::string_view aReason)> mOnMalformed;
+  // Called when what is held for the client has changed, also after mOnClosed. With
+  // MemoryReport::kReceiving the callback may end clients at once, this one included.
+  std::function<void(const std::shared_ptr<ClientSession>&, const ClientMemory&, MemoryReport)>
+    mOnMemory;
+  // Returns the headers of a refusal of a request that there is no room for. The request may have
+  // been received in part.
+  std::function<HttpHeaders(const HttpRequest&)> mNoRoomHeaders;
   // Returns the limits of the current configuration.
   std::function<ClientLimits()> mLimits;
+  // Returns how many bytes of what the client still sends after its last answer are discarded.
+  std::function<std::size_t()> mMaxDiscarded;
   // Returns whether the host is shutting down. Answers then carry "Connection: close".
   std::function<bool()> mStopping;
 };
@@ -61,6 +85,17 @@
   // connected is given time to send its first request.
   void CloseIfIdle(Instant aNow);
 
+  // Ends a client for lack of memory or connections. A request that is incomplete is refused: with
+  // 503 if it is the one that is being received now, otherwise with 408. Other clients are closed.
+  // Returns why the client was ended.
+  MemoryRefusal GiveWay();
+  // Returns since when the session waits for a request or the rest of one, or std::nullopt if it
+  // has a request or unread bytes.
+  std::optional<Instant> WaitingSince();
+  // Reports the bytes that the kernel holds because the client does not read them. To be called at
+  // intervals.
+  void ReportUnacknowledged();
+
   bool AnswerStarted() const { return mAnswerStarted; }
   // Returns whether the connection is open, be it only to send the last answer.
   bool IsOpen() const { return mStream->IsOpen(); }
@@ -72,7 +107,10 @@
   void OnEnd();
   void ReadRequests();
   void ReadAvailableRequests();
-  void RejectMalformed(int aStatus, std::string_view aReason);
+  void RejectMalformed(int aStatus, std::string_view aReason, HttpHeaders aHeaders = {});
+  void ReportMemory(MemoryReport aReport);
+  void OnSent();
+  bool ReadsAnswers();
   void SendHead(const HttpResponse& aHead, std::string_view aFraming);
   void OnAnswerSent();
   void CloseAfterSending();
@@ -91,6 +129,12 @@
   bool mIsHeadRequest = false;
   bool mInReadLoop = false;
   EventLoop::TimerId mTimer = 0;
+  // When the session began to wait for a request.
+  Instant mWaitingSince;
+  // Sent bytes that the client had not acknowledged when that was last checked.
+  std::size_t mUnacknowledged = 0;
+  // What was reported last.
+  ClientMemory mReported;
 };
 
 } // namespace trefoil
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -52,7 +52,7 @@
   mState.mMetrics.Add(Counter::kRequests, 1);
   mMetadata = mState.mOptions.mCodec.mReadRequest(mRequest);
   mDeadline = mArrivedAt + mMetadata.mClientTimeout.value_or(Milliseconds{ 0 });
-  if (!CheckRequest() || !CanEndBeforeStop() || !CheckAccount()) {
+  if (!CheckMemory() || !CheckRequest() || !CanEndBeforeStop() || !CheckAccount()) {
     return;
   }
   mDeadlineTimer =
@@ -61,6 +61,28 @@
   TryNextServer();
 }
 
+// Counts the request, and ends other clients if the budget is exhausted. Returns false if the
+// request was refused because there is no room for it.
+bool
+Exchange::CheckMemory()
+{
+  mRequestBytes = mRequest.mBody.capacity();
+  ChangeHeld(mState.mMemory, MemoryKind::kRequests, 0, mRequestBytes);
+  if (HasRoomForRequest(mState.mMemory, mRequestBytes)) {
+    return true;
+  }
+  if (mRequestBytes <= kSmallRequestBytes) {
+    mState.mRelieveMemory(mRequestBytes);
+    if (HasRoomForRequest(mState.mMemory, mRequestBytes)) {
+      return true;
+    }
+  }
+  mState.mMetrics.IncrementLabelled(LabelledCounter::kMemoryRefusals,
+                                    NameOf(kMemoryRefusalNames, MemoryRefusal::kNoRoom));
+  Refuse(kServiceUnavailable, RefusalReason::kNoMemory, RetryAfter(kRetryAfterFull));
+  return false;
+}
+
 // Determines route, service and deadline. Returns false if the request was answered with a
 // refusal.
 bool
@@ -332,6 +354,8 @@
   mOver = true;
   mState.mLoop.Cancel(std::exchange(mDeadlineTimer, 0));
   mState.mLoop.Cancel(std::exchange(mSilenceTimer, 0));
+  ChangeHeld(mState.mMemory, MemoryKind::kRequests, std::exchange(mRequestBytes, 0), 0);
+  SetServerError(std::nullopt);
   const ClientSession* session = mSession.get();
   mSession.reset();
   if (mOnEnd) {
@@ -339,6 +363,17 @@
   }
 }
 
+// Keeps an error answer of a server, which takes memory until the request ends.
+void
+Exchange::SetServerError(std::optional<HttpResponse> aAnswer)
+{
+  const auto bytes = [](const std::optional<HttpResponse>& aHeld) {
+    return aHeld.has_value() ? aHeld->mBody.size() : 0;
+  };
+  ChangeHeld(mState.mMemory, MemoryKind::kServerAnswers, bytes(mServerError), bytes(aAnswer));
+  mServerError = std::move(aAnswer);
+}
+
 Milliseconds
 Exchange::TimeLeft() const
 {
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -40,9 +40,10 @@
   kBrokenAnswer,
   kDeadlineExceeded,
   kHostStops,
+  kNoMemory,
 };
 
-inline constexpr NameTable<RefusalReason, 15> kRefusalReasonNames{ {
+inline constexpr NameTable<RefusalReason, 16> kRefusalReasonNames{ {
   { RefusalReason::kNoConfiguration, "no_configuration" },
   { RefusalReason::kStaleConfiguration, "old_configuration" },
   { RefusalReason::kNoRoute, "no_route" },
@@ -58,6 +59,7 @@
   { RefusalReason::kBrokenAnswer, "broken_answer" },
   { RefusalReason::kDeadlineExceeded, "out_of_time" },
   { RefusalReason::kHostStops, "host_stops" },
+  { RefusalReason::kNoMemory, "no_memory" },
 } };
 
 // Why an attempt yielded no answer that can be relayed to the client.
@@ -157,12 +159,16 @@
     bool mFoundSilent = false;
     // Whether a complete event, or the complete answer, was received.
     bool mIsSound = false;
-    // The received bytes that are counted in TrafficState::mBufferedBytes.
+    // What TrafficState::mMemory counts: the received bytes of the answer, and the copy of the
+    // request that is being sent.
     std::size_t mBufferedBytes = 0;
+    std::size_t mCopyBytes = 0;
     AnswerMetadata mAnswerMetadata;
   };
 
   void Start();
+  bool CheckMemory();
+  void SetServerError(std::optional<HttpResponse> aAnswer);
   bool CheckRequest();
   bool CheckAccount();
   void RecordPromptDemand();
@@ -178,6 +184,7 @@
   bool AcquireConnection(const RegisteredServer& aServer);
   void OnConnectionOpened(bool aIsOpen);
   void SendRequest();
+  void CountCopy();
   MessageReader ResponseReader() const;
   std::string BuildRequest(const RegisteredServer& aServer, Milliseconds aTimeLeft) const;
 
@@ -286,6 +293,8 @@
   std::optional<Instant> mAnswerBegunAt;
   // An error answer of a server, relayed to the client if no later attempt succeeds.
   std::optional<HttpResponse> mServerError;
+  // What TrafficState::mMemory counts for the request.
+  std::size_t mRequestBytes = 0;
   bool mOver = false;
 };
 
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -208,14 +208,22 @@
 bool
 Exchange::CheckBufferedBytes()
 {
-  const std::size_t partialEvent = mEvents.mPartialEvent.size();
-  const std::size_t buffered = mAttempt->mReader->Body().size() + partialEvent;
+  const std::string& body = mAttempt->mReader->Body();
+  const std::string& partialEvent = mEvents.mPartialEvent;
+  const std::size_t buffered = body.capacity() + partialEvent.capacity();
   const std::size_t before = std::exchange(mAttempt->mBufferedBytes, buffered);
-  mState.mBufferedBytes = mState.mBufferedBytes + buffered - before;
-  const bool isSound = buffered <= kMaxPlainAnswerBytes && partialEvent <= kMaxEventBytes;
-  // While many answers are large, those that grow are ended, so that the host's memory suffices.
-  const bool fits =
-    buffered <= before || mState.mBufferedBytes <= mState.mOptions.mMaxBufferedBytes;
+  ChangeHeld(mState.mMemory, MemoryKind::kServerAnswers, before, buffered);
+  const bool isSound = body.size() + partialEvent.size() <= kMaxPlainAnswerBytes &&
+                       partialEvent.size() <= kMaxEventBytes;
+  bool fits = true;
+  if (buffered > before && IsExhausted(mState.mMemory)) {
+    // Clients give way first. If that does not suffice, answers that grow are ended.
+    mState.mRelieveMemory(0);
+    if (!mAttempt.has_value()) {
+      return false;
+    }
+    fits = TotalHeldBytes(mState.mMemory) <= mState.mMemory.mLimits.mTotal;
+  }
   if (isSound && fits) {
     return true;
   }
@@ -353,7 +361,7 @@
   answer.mBody = std::move(mAttempt->mReader->Body());
   if (answer.mStatus >= kFirstServerError ||
       (mPossibleRuns > 0 && PromisesNotRun(answer.mStatus))) {
-    mServerError = std::move(answer);
+    SetServerError(std::move(answer));
     OnAttemptFailed(AttemptFailure::kServerError);
     return;
   }
--- a/trefoil/forward/exchange_attempt.cc
+++ b/trefoil/forward/exchange_attempt.cc
@@ -64,8 +64,8 @@
   return RequestBytes(
     { .mMethod = mRequest.mMethod,
       .mTarget = mRequest.mTarget,
-      .mHeaders = mState.mOptions.mCodec.mServerHeaders(mRequest.mHeaders, dispatch),
-      .mBody = mRequest.mBody });
+      .mHeaders = mState.mOptions.mCodec.mServerHeaders(mRequest.mHeaders, dispatch) },
+    mRequest.mBody);
 }
 
 void
@@ -105,11 +105,24 @@
   mAttempt->mSentAt = SuspendAwareNow();
   mAttempt->mConnection->mStream->SetCallbacks(
     { .mOnBytes = [self = shared_from_this()] { self->OnServerBytes(); },
+      .mOnSent = [self = shared_from_this()] { self->CountCopy(); },
       .mOnEnd = [self = shared_from_this()](StreamEnd aEnd) { self->OnServerEnd(aEnd); } });
-  mAttempt->mConnection->mStream->Send(BuildRequest(mAttempt->mServer, TimeLeft()));
+  mAttempt->mConnection->mStream->SendString(BuildRequest(mAttempt->mServer, TimeLeft()));
+  CountCopy();
   ArmSilenceTimer();
 }
 
+// Counts the copy of the request that has not been passed to the kernel yet.
+void
+Exchange::CountCopy()
+{
+  if (mAttempt.has_value()) {
+    const std::size_t bytes = mAttempt->mConnection->mStream->UnsentCapacity();
+    ChangeHeld(
+      mState.mMemory, MemoryKind::kRequests, std::exchange(mAttempt->mCopyBytes, bytes), bytes);
+  }
+}
+
 // Adds the request's prefill work to the server's backlog and reports the dispatch to other hosts
 // if it is large enough.
 void
@@ -226,7 +239,8 @@
 {
   Attempt attempt = std::move(*mAttempt);
   mAttempt.reset();
-  mState.mBufferedBytes -= attempt.mBufferedBytes;
+  ChangeHeld(mState.mMemory, MemoryKind::kServerAnswers, attempt.mBufferedBytes, 0);
+  ChangeHeld(mState.mMemory, MemoryKind::kRequests, attempt.mCopyBytes, 0);
   mState.mLoop.Cancel(std::exchange(mSilenceTimer, 0));
   ServerStatus& status = StatusOfServer(attempt.mServer.mId);
   --status.mInFlight;
@@ -410,7 +424,7 @@
   // mPossibleRuns includes the attempt that received mServerError. A status that guarantees "not
   // run" is relayed only if no other attempt may have run the request.
   if (mServerError.has_value() && (mPossibleRuns <= 1 || !PromisesNotRun(mServerError->mStatus))) {
-    DeliverAnswer(std::move(*mServerError));
+    DeliverAnswer(*mServerError);
     return;
   }
   if (mPossibleRuns > 0) {
--- a/trefoil/forward/server_connector.cc
+++ b/trefoil/forward/server_connector.cc
@@ -528,8 +528,12 @@
 RelayDecision
 DecideRelay(const TrafficState& aState, const RelayOpen& aOpen, const RelayLoad& aLoad)
 {
-  const auto reason =
-    ReasonToDecline(aLoad, { .mMaxConnections = aState.mOptions.mMaxConnections });
+  // Requests of the host's own clients come first.
+  constexpr std::size_t kCarriedParts = 4;
+  RelayLimits limits{ .mMaxConnections = aState.mOptions.mMaxConnections };
+  limits.mMaxBufferedBytes =
+    std::min(limits.mMaxBufferedBytes, aState.mMemory.mLimits.mTotal / kCarriedParts);
+  const auto reason = ReasonToDecline(aLoad, limits);
   if (reason.has_value()) {
     return { .mStatus = *reason };
   }
--- a/trefoil/forward/traffic_state.cc
+++ b/trefoil/forward/traffic_state.cc
@@ -19,6 +19,7 @@
   , mMetrics(aMetrics)
   , mConnectionPool(mLoop)
   , mRetries(MakeServiceRetryBudget(mOptions.mRetries))
+  , mMemory{ .mLimits = mOptions.mMemoryLimits }
   , mRandom(std::random_device{}())
 {
   mLoop.SetFailureHandler([this](std::string_view aReason) {
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -7,6 +7,7 @@
 #include "trefoil/forward/failure_blame.h"
 #include "trefoil/forward/server_connection_pool.h"
 #include "trefoil/forward/traffic_thread.h"
+#include "trefoil/memory/memory_budget.h"
 #include "trefoil/request/server_links.h"
 
 #include <cstdint>
@@ -67,8 +68,11 @@
   std::function<void(std::vector<LimitReport>)> mOnLimitReports;
   // Receives rejections of brittle servers.
   std::function<void(const RejectionReport&)> mOnRejection;
-  // Received bytes of all answers that cannot be relayed yet.
-  std::size_t mBufferedBytes = 0;
+  // What is held for clients, servers and other hosts.
+  MemoryBudget mMemory;
+  // Ends clients until the limits of mMemory hold with `aNeeded` bytes more. May end the client of
+  // any exchange.
+  std::function<void(std::size_t aNeeded)> mRelieveMemory;
   UsageWindows mUsage;
   std::map<ServiceId, ServiceLoad> mLoads;
   // Until when ServiceLoad::mBusyMs has been counted.
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -1,6 +1,7 @@
 #include "trefoil/forward/traffic_thread.h"
 
 #include "trefoil/forward/exchange.h"
+#include "trefoil/forward/memory_relief.h"
 #include "trefoil/forward/server_connector.h"
 #include "trefoil/forward/traffic_report.h"
 #include "trefoil/forward/traffic_updates.h"
@@ -21,6 +22,8 @@
 
 // Connections that wait to be accepted. Allows for many clients that reconnect simultaneously.
 constexpr int kListenBacklog = 512;
+// The least that is discarded of what a client still sends after its last answer.
+constexpr std::size_t kMinDiscardedBytes = std::size_t{ 256 } * 1024;
 // Delay before accepting connections again after the connection limit was reached or accepting
 // failed.
 constexpr Milliseconds kAcceptRetryDelay{ 20 };
@@ -33,12 +36,20 @@
 // How long before its end a host ends the requests that are left, so that their answers are sent.
 constexpr Milliseconds kFinalAnswerTime{ 300 };
 
+// What the kernel may hold for a connection in each direction; it doubles the number for its own
+// needs. The same as its initial size, so that requests of 64 kB arrive in one round trip.
+constexpr int kSocketBufferBytes = 64 * 1024;
+
 Poco::Net::ServerSocket
 BindListener(const Endpoint& aEndpoint)
 {
   Poco::Net::ServerSocket socket;
   BindExclusively(socket, aEndpoint);
   socket.setBlocking(false);
+  // Accepted connections inherit these. Without them the kernel lets the buffers of each connection
+  // grow to some MB, whether the process has memory or not.
+  socket.setReceiveBufferSize(kSocketBufferBytes);
+  socket.setSendBufferSize(kSocketBufferBytes);
   return socket;
 }
 
@@ -68,6 +79,9 @@
                                 RelayStatus aStatus) { RecordRelayAnswer(mState, aOpen, aStatus); },
           .mServerOptions = ServerStreamOptions() })
   {
+    mState.mRelieveMemory = [this](std::size_t aNeeded) {
+      RelieveMemory(mState, mRelief, aNeeded);
+    };
   }
 
   void Bind();
@@ -82,7 +96,8 @@
   std::size_t OpenConnections() const;
   bool HasConnectionsLeft();
   SocketHandler SessionStarter(std::shared_ptr<const SessionCallbacks> aCallbacks);
-  RelayDecision Decide(const RelayOpen& aOpen) const;
+  RelayDecision Decide(const RelayOpen& aOpen);
+  void CountMemory();
   std::shared_ptr<SessionCallbacks> BaseCallbacks();
   std::shared_ptr<const SessionCallbacks> ClientCallbacks();
   // Callbacks for sessions whose requests are answered directly by `aHandler`.
@@ -107,6 +122,7 @@
   // Sessions that have ended, but whose clients have not received the last answer yet.
   std::unordered_set<std::shared_ptr<ClientSession>> mClosingSessions;
   std::unordered_map<const ClientSession*, std::shared_ptr<Exchange>> mExchanges;
+  MemoryRelief mRelief;
   std::thread mThread;
   int mAbortedRequests = 0;
 };
@@ -127,6 +143,19 @@
       mExchanges.erase(aSession.get());
     }
   };
+  callbacks->mOnMemory = [this](const std::shared_ptr<ClientSession>& aSession,
+                                const ClientMemory& aMemory,
+                                MemoryReport aReport) {
+    OnSessionMemory(mState, mRelief, aSession, aMemory, aReport);
+  };
+  callbacks->mNoRoomHeaders = [this](const HttpRequest& aRequest) {
+    return mState.mOptions.mCodec.mOwnHeaders(
+      mState.mOptions.mCodec.mReadRequest(aRequest).mRequestId, kRetryAfterFull);
+  };
+  callbacks->mMaxDiscarded = [this] {
+    // One client gets its answer whatever it still sends; a crowd shares these bytes.
+    return std::max(kMinDiscardedBytes, kMaxDiscardedBytes / (mClosingSessions.size() + 1));
+  };
   callbacks->mOnMalformed = [this](int aStatus, std::string_view aReason) {
     mState.mLog.Write(LogSeverity::kNotable,
                       LogEvent::kRequestMalformed,
@@ -217,8 +246,9 @@
 }
 
 RelayDecision
-TrafficThread::Impl::Decide(const RelayOpen& aOpen) const
+TrafficThread::Impl::Decide(const RelayOpen& aOpen)
 {
+  CountMemory();
   return DecideRelay(mState,
                      aOpen,
                      { .mCarried = mCarrier.Carried(),
@@ -227,6 +257,17 @@
                        .mStopping = mState.mStopping });
 }
 
+// Counts what is held for other hosts.
+void
+TrafficThread::Impl::CountMemory()
+{
+  MemoryBudget& memory = mState.mMemory;
+  ChangeHeld(memory,
+             MemoryKind::kCarried,
+             HeldBytes(memory, MemoryKind::kCarried),
+             mCarrier.BufferedBytes());
+}
+
 void
 TrafficThread::Impl::Listen(const std::shared_ptr<Poco::Net::ServerSocket>& aListener,
                             const SocketHandler& aOnAccepted)
@@ -273,8 +314,12 @@
 bool
 TrafficThread::Impl::Accept(Poco::Net::ServerSocket& aListener, const SocketHandler& aOnAccepted)
 {
-  // At the connection limit, new connections wait in the listener's queue. A host that stops takes
-  // them all, since closing the listener would reset them.
+  // At the connection limit, sessions that wait give way to new connections, which wait in the
+  // listener's queue meanwhile. A host that stops takes them all, since closing the listener would
+  // reset them.
+  if (!HasConnectionsLeft() && IsReadable(aListener)) {
+    EndWaitingSessions(mState, mSessions);
+  }
   while ((HasConnectionsLeft() || mState.mStopping) && IsReadable(aListener)) {
     try {
       AcceptOne(aListener, aOnAccepted);
@@ -297,6 +342,13 @@
   SweepPaths(mState, now);
   ExpireCrashes(mState.mCrashes, now);
   DropClosedSessions();
+  for (const auto* sessions : { &mSessions, &mClosingSessions }) {
+    for (const auto& session : *sessions) {
+      session->ReportUnacknowledged();
+    }
+  }
+  CountMemory();
+  UpdateMemoryGauges(mState);
 }
 
 // Closes the listeners after accepting the connections that wait there. A request accepted later
@@ -316,7 +368,14 @@
 void
 TrafficThread::Impl::DropClosedSessions()
 {
-  std::erase_if(mClosingSessions, [](const auto& aSession) { return !aSession->IsOpen(); });
+  std::erase_if(mClosingSessions, [](const auto& aSession) {
+    if (aSession->IsOpen()) {
+      return false;
+    }
+    // Nothing is held for it any more.
+    aSession->ReportUnacknowledged();
+    return true;
+  });
 }
 
 // Ends the requests that are left with an answer that is true of them.
--- a/trefoil/forward/traffic_thread.h
+++ b/trefoil/forward/traffic_thread.h
@@ -16,6 +16,7 @@
 #include "trefoil/eventlog/event_log.h"
 #include "trefoil/forward/forward_codec.h"
 #include "trefoil/forward/traffic_view.h"
+#include "trefoil/memory/memory_budget.h"
 #include "trefoil/metrics/metrics.h"
 
 #include <functional>
@@ -46,8 +47,8 @@
   Milliseconds mMaxConfigurationAge{ 0 };
   // Limit on the client connections and the idle server connections together.
   std::size_t mMaxConnections = 0;
-  // Limit on the received bytes of all answers that cannot be relayed yet, together.
-  std::size_t mMaxBufferedBytes = std::size_t{ 32 } * 1024 * 1024;
+  // Limits on what is held for clients, servers and other hosts.
+  MemoryLimits mMemoryLimits = LimitsOfMachine(std::size_t{ 128 } * 1024 * 1024);
 };
 
 class TrafficThread
--- a/trefoil/http/framing.cc
+++ b/trefoil/http/framing.cc
@@ -65,6 +65,12 @@
 
 std::string
 RequestBytes(const HttpRequest& aRequest)
+{
+  return RequestBytes(aRequest, aRequest.mBody);
+}
+
+std::string
+RequestBytes(const HttpRequest& aRequest, std::string_view aBody)
 {
   std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", aRequest.mMethod, aRequest.mTarget);
   HttpHeaders headers = aRequest.mHeaders;
@@ -73,11 +79,13 @@
            IsSameHeaderName(aHeader.mName, kTransferEncoding);
   });
   AppendHeaders(bytes, headers);
-  if (!aRequest.mBody.empty() || AnticipatesBody(aRequest.mMethod)) {
-    fmt::format_to(std::back_inserter(bytes), "{}: {}\r\n", kContentLength, aRequest.mBody.size());
+  if (!aBody.empty() || AnticipatesBody(aRequest.mMethod)) {
+    fmt::format_to(std::back_inserter(bytes), "{}: {}\r\n", kContentLength, aBody.size());
   }
   bytes += "\r\n";
-  bytes += aRequest.mBody;
+  // Without this the string could take up to twice its length.
+  bytes.reserve(bytes.size() + aBody.size());
+  bytes += aBody;
   return bytes;
 }
 
--- a/trefoil/http/framing.h
+++ b/trefoil/http/framing.h
@@ -27,4 +27,8 @@
 std::string
 RequestBytes(const HttpRequest& aRequest);
 
+// The same with `aBody` in place of the request's own body, for a body that is not to be copied.
+std::string
+RequestBytes(const HttpRequest& aRequest, std::string_view aBody);
+
 } // namespace trefoil
--- a/trefoil/http/message_reader.cc
+++ b/trefoil/http/message_reader.cc
@@ -2,6 +2,7 @@
 
 #include "trefoil/http/framing.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <string_view>
@@ -21,6 +22,23 @@
   return { aText.data(), aText.size() };
 }
 
+// Appends bytes of a body of `aLength` bytes, or of an unknown length if that is 0. The capacity
+// grows by half: a string that doubles would hold up to twice its contents. It is not taken from
+// the stated length at once, since most of that may never come.
+void
+AppendGrowing(std::string& aBody, beast::string_view aBytes, std::uint64_t aLength)
+{
+  const std::size_t needed = aBody.size() + aBytes.size();
+  if (needed > aBody.capacity()) {
+    std::size_t capacity = std::max(needed, aBody.capacity() + aBody.capacity() / 2);
+    if (aLength >= needed) {
+      capacity = std::min<std::uint64_t>(capacity, aLength);
+    }
+    aBody.reserve(capacity);
+  }
+  aBody.append(aBytes.data(), aBytes.size());
+}
+
 // Stores the parts of a message that Boost.Beast reports through its callbacks.
 template<bool IsRequest>
 class Parser : public beast::http::basic_parser<IsRequest>
@@ -61,13 +79,14 @@
     }
   }
   void on_header_impl(error_code& /*aError*/) override { mHeadComplete = true; }
-  void on_body_init_impl(const boost::optional<std::uint64_t>& /*aLength*/,
+  void on_body_init_impl(const boost::optional<std::uint64_t>& aLength,
                          error_code& /*aError*/) override
   {
+    mBodyLength = aLength.value_or(0);
   }
   std::size_t on_body_impl(beast::string_view aBytes, error_code& /*aError*/) override
   {
-    mBody.append(aBytes.data(), aBytes.size());
+    AppendGrowing(mBody, aBytes, mBodyLength);
     return aBytes.size();
   }
   void on_chunk_header_impl(std::uint64_t /*aSize*/,
@@ -79,12 +98,14 @@
                                  beast::string_view aBytes,
                                  error_code& /*aError*/) override
   {
-    mBody.append(aBytes.data(), aBytes.size());
+    AppendGrowing(mBody, aBytes, mBodyLength);
     return aBytes.size();
   }
   void on_finish_impl(error_code& /*aError*/) override {}
 
   bool mHeadComplete = false;
+  // The stated length of the body; 0 if none is stated.
+  std::uint64_t mBodyLength = 0;
 };
 
 // Returns whether the head contains a header that is folded over several lines (RFC 9112, section
@@ -299,6 +320,18 @@
   return mImpl->mRequest ? mImpl->mRequest->mBody : mImpl->mResponse->mBody;
 }
 
+std::size_t
+MessageReader::HeldBytes() const
+{
+  const HttpHeaders& headers =
+    mImpl->mRequest ? mImpl->mRequest->mRequest.mHeaders : mImpl->mResponse->mResponse.mHeaders;
+  std::size_t bytes = sizeof(Impl) + sizeof(Parser<true>);
+  for (const HttpHeader& header : headers) {
+    bytes += sizeof(header) + header.mName.capacity() + header.mValue.capacity();
+  }
+  return bytes + (mImpl->mRequest ? mImpl->mRequest->mBody : mImpl->mResponse->mBody).capacity();
+}
+
 bool
 MessageReader::KeepsAlive() const
 {
--- a/trefoil/http/message_reader.h
+++ b/trefoil/http/message_reader.h
@@ -84,6 +84,8 @@
   std::string& Body();
   // Returns whether the connection may be reused after this message.
   bool KeepsAlive() const;
+  // Returns the bytes of memory that the message takes, its body with the capacity of its buffer.
+  std::size_t HeldBytes() const;
 
 private:
   struct Impl;
--- a/trefoil/metrics/metrics.h
+++ b/trefoil/metrics/metrics.h
@@ -61,6 +61,8 @@
   kRelayRequests,
   // Connections that this host was asked to carry, by its answer.
   kRelaysCarried,
+  // Clients that were refused or ended for lack of memory or connections, by reason.
+  kMemoryRefusals,
 };
 
 // The metric name and the label name of a LabelledCounter.
@@ -70,11 +72,12 @@
   const char* mLabel;
 };
 
-inline constexpr std::array<LabelledName, 4> kLabelledCounterNames{ {
+inline constexpr std::array<LabelledName, 5> kLabelledCounterNames{ {
   { "trefoil_refusals_total", "reason" },
   { "trefoil_attempt_ends_total", "end" },
   { "trefoil_relay_requests_total", "outcome" },
   { "trefoil_relays_total", "status" },
+  { "trefoil_memory_refusals_total", "reason" },
 } };
 
 enum class Gauge
@@ -88,15 +91,28 @@
   kHostsReachable,
   // Backend servers of all services that accept requests.
   kServersReady,
+  // Bytes that the process may hold for others, and those that it holds, by kind (MemoryKind).
+  kMemoryLimit,
+  kHeldIncompleteRequests,
+  kHeldRequests,
+  kHeldServerAnswers,
+  kHeldUnsentAnswers,
+  kHeldCarried,
 };
 
-inline constexpr NameTable<Gauge, 6> kGaugeNames{ {
+inline constexpr NameTable<Gauge, 12> kGaugeNames{ {
   { Gauge::kConfigurationAge, "trefoil_configuration_age_seconds" },
   { Gauge::kConfigurationVersion, "trefoil_configuration_version" },
   { Gauge::kServersAge, "trefoil_servers_age_seconds" },
   { Gauge::kHosts, "trefoil_hosts" },
   { Gauge::kHostsReachable, "trefoil_hosts_in_touch" },
   { Gauge::kServersReady, "trefoil_servers_ready" },
+  { Gauge::kMemoryLimit, "trefoil_memory_limit_bytes" },
+  { Gauge::kHeldIncompleteRequests, "trefoil_held_incomplete_requests_bytes" },
+  { Gauge::kHeldRequests, "trefoil_held_requests_bytes" },
+  { Gauge::kHeldServerAnswers, "trefoil_held_server_answers_bytes" },
+  { Gauge::kHeldUnsentAnswers, "trefoil_held_unsent_answers_bytes" },
+  { Gauge::kHeldCarried, "trefoil_held_carried_bytes" },
 } };
 
 enum class Latency
--- a/trefoil/reactor/byte_stream.cc
+++ b/trefoil/reactor/byte_stream.cc
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -18,6 +19,8 @@
 constexpr int kReadBufferBytes = 16 * 1024;
 // How long the peer may take to receive what was sent and to close the connection.
 constexpr Milliseconds kLingerTime{ 1'000 };
+// An empty buffer with more memory is released.
+constexpr std::size_t kMaxIdleCapacity = std::size_t{ 32 } * 1024;
 
 // Makes the kernel end the connection if the peer does not respond for `aTimeout`: TCP_USER_TIMEOUT
 // covers unacknowledged bytes and a closed window, TCP keep-alive probes cover an idle connection.
@@ -37,6 +40,14 @@
 
 } // namespace
 
+void
+ShrinkIfEmpty(std::string& aBytes)
+{
+  if (aBytes.empty() && aBytes.capacity() > kMaxIdleCapacity) {
+    aBytes = std::string{};
+  }
+}
+
 ByteStream::ByteStream(EventLoop& aLoop, const Poco::Net::StreamSocket& aSocket)
   : mLoop(aLoop)
   , mSocket(aSocket)
@@ -85,7 +96,7 @@
 void
 ByteStream::Watch()
 {
-  mWatchingWritable = !mConnected || !mUnsent.empty();
+  mWatchingWritable = !mConnected || Unsent() > 0;
   mLoop.Watch(mSocket,
               (mReading ? kReadable : 0) | (mWatchingWritable ? kWritable : 0),
               [self = shared_from_this()](unsigned aReady) { self->OnReady(aReady); });
@@ -150,6 +161,33 @@
   }
 }
 
+void
+ByteStream::SendString(std::string aBytes)
+{
+  if (!mOpen || mCloseWhenSent) {
+    return;
+  }
+  if (!mUnsent.empty()) {
+    Send(aBytes);
+    return;
+  }
+  mUnsent = std::move(aBytes);
+  if (mConnected) {
+    Flush();
+  }
+}
+
+std::size_t
+ByteStream::UnacknowledgedBytes() const
+{
+  int bytes = 0;
+  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg): the interface of the system.
+  if (!mOpen || ioctl(mSocket.impl()->sockfd(), TIOCOUTQ, &bytes) != 0) {
+    return 0;
+  }
+  return static_cast<std::size_t>(bytes);
+}
+
 bool
 ByteStream::HasUnreadBytes()
 {
@@ -184,11 +222,12 @@
 }
 
 void
-ByteStream::CloseAfterSending()
+ByteStream::CloseAfterSending(std::size_t aMaxDiscarded)
 {
+  mMayDiscard = aMaxDiscarded;
   SetReading(true);
-  mReceived.clear();
-  if (!std::exchange(mCloseWhenSent, true) && mOpen && mUnsent.empty()) {
+  mReceived = std::string{};
+  if (!std::exchange(mCloseWhenSent, true) && mOpen && Unsent() == 0) {
     EndSending();
   }
 }
@@ -248,10 +287,10 @@
     return;
   }
   if (mOpen && mConnected && (aReady & kWritable) != 0) {
-    const bool hadUnsent = !mUnsent.empty();
+    const bool hadUnsent = Unsent() > 0;
     Flush();
     const auto onSent = mCallbacks.mOnSent;
-    if (hadUnsent && mOpen && mUnsent.empty() && onSent) {
+    if (hadUnsent && mOpen && Unsent() == 0 && onSent) {
       onSent();
     }
   }
@@ -277,7 +316,11 @@
     return false;
   }
   if (mCloseWhenSent) {
-    return true;
+    mMayDiscard -= std::min(mMayDiscard, static_cast<std::size_t>(count));
+    if (mMayDiscard == 0) {
+      SetReading(false);
+    }
+    return mOpen;
   }
   mReceived.append(buffer.data(), static_cast<std::size_t>(count));
   if (mCallbacks.mOnBytes) {
@@ -290,26 +333,28 @@
 void
 ByteStream::Flush()
 {
-  std::size_t sent = 0;
+  const std::size_t before = mUnsentOffset;
   try {
-    while (sent < mUnsent.size()) {
+    while (Unsent() > 0) {
       const int count =
-        mSocket.sendBytes(mUnsent.data() + sent, static_cast<int>(mUnsent.size() - sent));
+        mSocket.sendBytes(mUnsent.data() + mUnsentOffset, static_cast<int>(Unsent()));
       if (count <= 0) {
         break;
       }
-      sent += static_cast<std::size_t>(count);
+      mUnsentOffset += static_cast<std::size_t>(count);
     }
   } catch (const Poco::Exception& error) {
     // Poco reports a full send buffer as an error, unlike an empty receive buffer.
     if (error.code() != EAGAIN && error.code() != EWOULDBLOCK) {
       mUnsent.clear();
+      mUnsentOffset = 0;
       EndLater(StreamEnd::kReset);
       return;
     }
   }
-  mUnsent.erase(0, sent);
-  if (mUnsent.empty() && mCloseWhenSent && sent > 0) {
+  const bool hasSent = mUnsentOffset > before;
+  DropSentBytes();
+  if (mUnsent.empty() && mCloseWhenSent && hasSent) {
     EndSending();
   }
   if (mOpen && mUnsent.empty() == mWatchingWritable) {
@@ -317,6 +362,17 @@
   }
 }
 
+// Removes what was sent once it is half of the buffer, so that a large one is not moved with each
+// write.
+void
+ByteStream::DropSentBytes()
+{
+  if (mUnsentOffset * 2 >= mUnsent.size()) {
+    mUnsent.erase(0, std::exchange(mUnsentOffset, 0));
+    ShrinkIfEmpty(mUnsent);
+  }
+}
+
 // Ends the stream from the event loop, for callers that do not expect a callback during the call.
 void
 ByteStream::EndLater(StreamEnd aEnd)
--- a/trefoil/reactor/byte_stream.h
+++ b/trefoil/reactor/byte_stream.h
@@ -63,6 +63,15 @@
   bool mCloseResets = false;
 };
 
+// The bytes that are read and discarded after CloseAfterSending, so that a peer that reads only
+// after it has sent all gets the answer.
+inline constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 16 } * 1024 * 1024;
+
+// Releases the memory of an empty string that has held much. A connection lives longer than the
+// large message that it once carried.
+void
+ShrinkIfEmpty(std::string& aBytes);
+
 class ByteStream : public std::enable_shared_from_this<ByteStream>
 {
 public:
@@ -87,6 +96,8 @@
   // Sends the bytes, buffering those that cannot be sent yet. Does nothing on a closed stream or
   // after CloseAfterSending.
   void Send(std::string_view aBytes);
+  // Like Send, but takes over the string if nothing else is buffered.
+  void SendString(std::string aBytes);
   // Closes the connection immediately and discards the unsent bytes. The kernel goes on sending
   // those that it holds, also when a path that is cut comes back later.
   void Close();
@@ -95,7 +106,8 @@
   // Ends the sending side after all buffered bytes have been sent, and closes the connection when
   // the peer has closed it, or one second later. Bytes that are received until then are discarded:
   // with unread bytes the kernel would reset the connection, and the peer could lose what was sent.
-  void CloseAfterSending();
+  // At most `aMaxDiscarded` bytes are read for that; the rest stays in the kernel.
+  void CloseAfterSending(std::size_t aMaxDiscarded = kMaxDiscardedBytes);
 
   // The received bytes that the caller has not removed from this string.
   std::string& Received() { return mReceived; }
@@ -106,8 +118,12 @@
   bool HasUnreadBytes();
   bool IsOpen() const { return mOpen; }
   bool IsConnected() const { return mConnected; }
-  // Returns the number of buffered bytes that have not been sent.
-  std::size_t Unsent() const { return mUnsent.size(); }
+  // Returns the number of buffered bytes that have not been passed to the kernel.
+  std::size_t Unsent() const { return mUnsent.size() - mUnsentOffset; }
+  // Returns the bytes of memory that the unsent bytes take.
+  std::size_t UnsentCapacity() const { return mUnsent.empty() ? 0 : mUnsent.capacity(); }
+  // Returns the number of bytes that the kernel holds because the peer has not acknowledged them.
+  std::size_t UnacknowledgedBytes() const;
 
 private:
   void Watch();
@@ -118,6 +134,7 @@
   void HandleEvents(unsigned aReady);
   bool Read();
   void Flush();
+  void DropSentBytes();
   void EndSending();
   void EndLater(StreamEnd aEnd);
   void CloseAndNotify(StreamEnd aEnd);
@@ -126,7 +143,11 @@
   Poco::Net::StreamSocket mSocket;
   StreamCallbacks mCallbacks;
   std::string mReceived;
+  // The bytes to send from mUnsentOffset on.
   std::string mUnsent;
+  std::size_t mUnsentOffset = 0;
+  // Bytes that may still be discarded after CloseAfterSending.
+  std::size_t mMayDiscard = 0;
   bool mOpen = true;
   bool mConnected = false;
   bool mWatchingWritable = false;
