--- a/trefoil/metrics/metrics.h
+++ b/trefoil/metrics/metrics.h
@@ -68,6 +68,8 @@
   kDispatchesByZone,
   // Calls that this host has sent to the store, by kind.
   kStoreCalls,
+  // Clients that were refused or ended for lack of memory or connections, by reason.
+  kMemoryRefusals,
 };
 
 // The metric name and the label name of a LabelledCounter.
@@ -77,13 +79,14 @@
   const char* mLabel;
 };
 
-inline constexpr std::array<LabelledName, 6> kLabelledCounterNames{ {
+inline constexpr std::array<LabelledName, 7> kLabelledCounterNames{ {
   { "trefoil_refusals_total", "reason" },
   { "trefoil_attempt_ends_total", "end" },
   { "trefoil_relay_requests_total", "outcome" },
   { "trefoil_relays_total", "status" },
   { "trefoil_dispatches_total", "zone" },
   { "trefoil_store_calls_total", "kind" },
+  { "trefoil_memory_refusals_total", "reason" },
 } };
 
 enum class Gauge
@@ -99,9 +102,16 @@
   kServersReady,
   // Availability zones that operators have ordered to be evacuated.
   kZonesEvacuated,
+  // Bytes that the process may hold for others, and those that it holds, by kind (MemoryKind).
+  kMemoryLimit,
+  kHeldIncompleteRequests,
+  kHeldRequests,
+  kHeldServerAnswers,
+  kHeldUnsentAnswers,
+  kHeldCarried,
 };
 
-inline constexpr NameTable<Gauge, 7> kGaugeNames{ {
+inline constexpr NameTable<Gauge, 13> kGaugeNames{ {
   { Gauge::kConfigurationAge, "trefoil_configuration_age_seconds" },
   { Gauge::kConfigurationVersion, "trefoil_configuration_version" },
   { Gauge::kServersAge, "trefoil_servers_age_seconds" },
@@ -109,6 +119,12 @@
   { Gauge::kHostsReachable, "trefoil_hosts_in_touch" },
   { Gauge::kServersReady, "trefoil_servers_ready" },
   { Gauge::kZonesEvacuated, "trefoil_zones_evacuated" },
+  { Gauge::kMemoryLimit, "trefoil_memory_limit_bytes" },
+  { Gauge::kHeldIncompleteRequests, "trefoil_held_incomplete_requests_bytes" },
+  { Gauge::kHeldRequests, "trefoil_held_requests_bytes" },
+  { Gauge::kHeldServerAnswers, "trefoil_held_server_answers_bytes" },
+  { Gauge::kHeldUnsentAnswers, "trefoil_held_unsent_answers_bytes" },
+  { Gauge::kHeldCarried, "trefoil_held_carried_bytes" },
 } };
 
 enum class Latency
