--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -45,7 +45,7 @@
   kNoMemory,
 };
 
-inline constexpr NameTable<RefusalReason, 16> kRefusalReasonNames{ {
+inline constexpr NameTable<RefusalReason, 17> kRefusalReasonNames{ {
   { RefusalReason::kNoConfiguration, "no_configuration" },
   { RefusalReason::kStaleConfiguration, "old_configuration" },
   { RefusalReason::kNoRoute, "no_route" },
