Take a warm-up that is stated again as long as before for a change

Two parts met here: one leaves refreshes of entries out, the other counts a warm-up from the arrival of the entry that states it. A server that becomes cold again within its warm-up may state the same time, so that only a shorter one repeats the entry before. The test of a lifetime that runs down repeated the same warm-up, which is a change by this contract; its warm-up runs down now, too, and what it checks of the lifetime is the same. catalogue_test failed before (45 of 46) and passes.

--- a/trefoil/catalogue/catalogue_test.cc
+++ b/trefoil/catalogue/catalogue_test.cc
@@ -145,6 +145,7 @@
       CHECK(RegisterServer(registry, server));
       ++server.mRevision;
       server.mRemainingLifetime = Milliseconds{ 3'800 };
+      server.mRemainingWarmUp = Milliseconds{ 1'800 };
       CHECK_FALSE(RegisterServer(registry, server));
     }
   }
--- a/trefoil/catalogue/server_registry.cc
+++ b/trefoil/catalogue/server_registry.cc
@@ -47,9 +47,11 @@
 {
   RegisteredServer expected = aBefore;
   expected.mRevision = aAfter.mRevision;
-  // The same time again is a change: it counts from the arrival of the entry that states it.
-  const bool warmsUp = aAfter.mRemainingWarmUp > Milliseconds{ 0 };
-  if (warmsUp && aAfter.mRemainingWarmUp < aBefore.mRemainingWarmUp) {
+  if (aAfter.mRemainingWarmUp > Milliseconds{ 0 }) {
+    // The same time again is a change: it counts from the arrival of the entry that states it.
+    if (aAfter.mRemainingWarmUp >= aBefore.mRemainingWarmUp) {
+      return false;
+    }
     expected.mRemainingWarmUp = aAfter.mRemainingWarmUp;
   }
   if (HasRunDown(aBefore.mRemainingLifetime, aAfter.mRemainingLifetime)) {
