--- a/review/standin-2/site.hpp
+++ b/review/standin-2/site.hpp
@@ -801,6 +801,17 @@
   {
     Open(Address{ .ip = "127.0.0.1" });
     Register("ready");
+    std::thread{
+      [this] {
+        for (;;) {
+          SleepMs(kBeatMs);
+          const std::lock_guard lock{ mMutex };
+          if (!mIsDown) {
+            Register("ready");
+          }
+        }
+      }
+    }.detach();
   }
 
   // Ends all channels. The engine is back after `aDownMs`, in a new lifetime. Returns whether it
@@ -826,6 +837,9 @@
     return true;
   }
 
+  const Address& At() const { return mServers.back()->address; }
+
+  // Writes the engine's entry, as it does about every HeartbeatIntervalMs.
   void Register(const std::string& aState)
   {
     mStore.Put("servers/" + id,
@@ -857,6 +871,8 @@
   std::atomic<int> runs{ 0 };
 
 private:
+  static constexpr std::int64_t kBeatMs = 1'200;
+
   static std::int64_t UnixMs()
   {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
