Test both daemons beside further clients that misbehave

Callers saw a process that ran out of memory or descriptors beside clients that do not keep to the limits. tests/hostile_clients had nine kinds of them; missing were heads over the limit and without end in each of their parts, empty lines in each form, framing without end, chunks of one byte, small answers that are not read, many complete requests at once, connections that stay after a large message, few descriptors, and crowds at the listeners for readiness, metrics and other hosts.

Clients that do not get on for 3 s count as settled. The stand-in of the platform's servers registers its slots.

--- a/standin/platform_server_main.cc
+++ b/standin/platform_server_main.cc
@@ -27,13 +27,14 @@
 
 Usage:
   standin-platform-server ID ADDRESS --platform=ADDRESS --service=NAME --zone=ZONE --runs=FILE
-    [--answer-bytes=N] [--close-every=N] [--work-ms=N] [--server-version=NAME]
+    [--answer-bytes=N] [--close-every=N] [--work-ms=N] [--server-version=NAME] [--slots=N]
 
 Options:
   --answer-bytes=N  The length of the answers that are not streams, or that of their text if it is longer [default: 0].
   --close-every=N  Every Nth answer closes its connection.
   --runs=FILE  The file to which the id of each request that begins to run is appended.
   --server-version=NAME  The version that the server registers [default: v1].
+  --slots=N  The number of requests at once that the server registers [default: 64].
   --work-ms=N  The time from the start of a request to its answer, or to the first event of a stream [default: 10].
 )";
 // The interval of the heartbeats that renew the registration, and the time after which the store
@@ -148,11 +149,12 @@
                  .mCloseEvery = closesSome ? std::stol(text("--close-every")) : 0,
                  .mAnswerBytes = std::stoul(text("--answer-bytes")) };
   const std::string registration = fmt::format(
-    R"({{"Service":"{}","Address":"{}","Zone":"{}","Version":"{}","Slots":64,"State":"ready","born":{}}})",
+    R"({{"Service":"{}","Address":"{}","Zone":"{}","Version":"{}","Slots":{},"State":"ready","born":{}}})",
     text("--service"),
     text("ADDRESS"),
     text("--zone"),
     text("--server-version"),
+    text("--slots"),
     trefoil::UnixMilliseconds(trefoil::WallNow()));
   std::thread{ SendHeartbeats, server.mId, *platform, registration }.detach();
   return trefoil::standin::ServeUntilSignal(
--- a/tests/hostile_clients/hostile_client.cc
+++ b/tests/hostile_clients/hostile_client.cc
@@ -4,8 +4,8 @@
 //   hostile-client whole_body 127.0.41.1:18080 --path=/write/1 --clients=60
 //
 // One thread serves all connections. Prints `settled` with what was sent and answered once each
-// client has sent all that it wants to send or has used up its connections, and keeps the
-// connections open until SIGTERM.
+// client has sent all that it wants to send or has used up its connections, or when none of them
+// gets on any more, and keeps the connections open until SIGTERM.
 #include "trefoil/base/endpoint.h"
 #include "trefoil/base/instant.h"
 #include "trefoil/base/name_table.h"
@@ -42,7 +42,9 @@
   --header=TEXT   A further header of each request.
 
 KIND: whole_body, body_in_pieces, large_chunks, small_chunks, announced_over_limit, sent_over_limit, byte_by_byte,
-unread_answers or open_only.
+unread_answers, open_only, heads_over_limit, endless_target, endless_header, endless_headers, endless_short_headers,
+empty_lines, bare_line_feeds, endless_trailers, endless_extension, tiny_chunks_over_limit, unread_small_answers,
+unfinished_heads, waiting_heads, idle_after_large, many_requests or endless_frame.
 )";
 
 enum class HostileKind
@@ -63,9 +65,36 @@
   kUnreadAnswers,
   // Connections without a request.
   kOpenOnly,
+  // Complete heads far over the limit.
+  kHeadsOverLimit,
+  // Heads that do not end: within the target, within one header, or with one header after the
+  // other, long or short.
+  kEndlessTarget,
+  kEndlessHeader,
+  kEndlessHeaders,
+  kEndlessShortHeaders,
+  // Empty lines before a request, which ends none of them.
+  kEmptyLines,
+  kBareLineFeeds,
+  // Chunked bodies that do not end, after the last chunk or within the size line of the first one.
+  kEndlessTrailers,
+  kEndlessExtension,
+  // A body over the limit in chunks of one byte.
+  kTinyChunksOverLimit,
+  // Small requests one after the other, whose answers are not read.
+  kUnreadSmallAnswers,
+  // Heads just below the limit, without their end or complete.
+  kUnfinishedHeads,
+  kWaitingHeads,
+  // Complete requests of 100 kB, after whose answers the connections stay open.
+  kIdleAfterLarge,
+  // Complete requests of 30 kB.
+  kManyRequests,
+  // A frame of the protocol between entry hosts that does not end.
+  kEndlessFrame,
 };
 
-constexpr NameTable<HostileKind, 9> kHostileKindNames{ {
+constexpr NameTable<HostileKind, 25> kHostileKindNames{ {
   { HostileKind::kWholeBody, "whole_body" },
   { HostileKind::kBodyInPieces, "body_in_pieces" },
   { HostileKind::kLargeChunks, "large_chunks" },
@@ -75,6 +104,22 @@
   { HostileKind::kByteByByte, "byte_by_byte" },
   { HostileKind::kUnreadAnswers, "unread_answers" },
   { HostileKind::kOpenOnly, "open_only" },
+  { HostileKind::kHeadsOverLimit, "heads_over_limit" },
+  { HostileKind::kEndlessTarget, "endless_target" },
+  { HostileKind::kEndlessHeader, "endless_header" },
+  { HostileKind::kEndlessHeaders, "endless_headers" },
+  { HostileKind::kEndlessShortHeaders, "endless_short_headers" },
+  { HostileKind::kEmptyLines, "empty_lines" },
+  { HostileKind::kBareLineFeeds, "bare_line_feeds" },
+  { HostileKind::kEndlessTrailers, "endless_trailers" },
+  { HostileKind::kEndlessExtension, "endless_extension" },
+  { HostileKind::kTinyChunksOverLimit, "tiny_chunks_over_limit" },
+  { HostileKind::kUnreadSmallAnswers, "unread_small_answers" },
+  { HostileKind::kUnfinishedHeads, "unfinished_heads" },
+  { HostileKind::kWaitingHeads, "waiting_heads" },
+  { HostileKind::kIdleAfterLarge, "idle_after_large" },
+  { HostileKind::kManyRequests, "many_requests" },
+  { HostileKind::kEndlessFrame, "endless_frame" },
 } };
 
 // Each client whose number is a multiple of this finishes its request.
@@ -90,6 +135,14 @@
 constexpr std::size_t kSlowBodyBytes = 1'000;
 // What the peer accepts is counted, not what the own kernel holds.
 constexpr int kSendBufferBytes = 64 * 1024;
+// What a client sends that does not end.
+constexpr std::size_t kEndlessBytes = 50'000'000;
+constexpr std::size_t kLongHeaderBytes = 1'000;
+constexpr std::size_t kLargeHeadBytes = 15'900;
+constexpr std::size_t kLargeRequestBytes = 100'000;
+constexpr std::size_t kOrdinaryRequestBytes = 30'000;
+// Clients that have neither sent nor received anything for this long do not go on.
+constexpr Milliseconds kStallTime{ 3'000 };
 // A client whose connection was closed connects again, up to this number of connections.
 constexpr int kConnectionsOfClient = 3;
 
@@ -130,6 +183,7 @@
 
 struct Totals
 {
+  Instant mLastProgress = Now();
   std::size_t mSentBytes = 0;
   std::size_t mClosed = 0;
   std::map<std::string, int> mStatuses;
@@ -158,11 +212,88 @@
   return script;
 }
 
+std::string
+Repeated(std::string_view aText, std::size_t aBytes)
+{
+  std::string text;
+  while (text.size() < aBytes) {
+    text += aText;
+  }
+  return text;
+}
+
+// Returns a script that goes on with `aUnit` after `aHead` until kEndlessBytes are sent.
+Script
+EndlessScript(std::string aHead, std::string_view aUnit)
+{
+  return { .mHead = std::move(aHead),
+           .mUnit = Repeated(aUnit, kLargeChunkBytes),
+           .mBodyBytes = kEndlessBytes };
+}
+
+// Returns a request without its empty line, whose head has up to `aBytes` bytes.
+std::string
+HeadOf(const Options& aOptions, std::size_t aBytes)
+{
+  std::string head = Head(aOptions, "Content-Length: 0\r\n");
+  head.resize(head.size() - 2);
+  const std::string header = fmt::format("X-Part: {}\r\n", std::string(kLongHeaderBytes, 'x'));
+  while (head.size() + header.size() < aBytes) {
+    head += header;
+  }
+  return head;
+}
+
+// Returns a complete request with a body of `aBodyBytes`.
+Script
+SizedScript(const Options& aOptions, std::size_t aBodyBytes)
+{
+  return { .mHead = Head(aOptions, fmt::format("Content-Length: {}\r\n", aBodyBytes)),
+           .mUnit = std::string(kLargeChunkBytes, 'x'),
+           .mBodyBytes = aBodyBytes };
+}
+
+// Returns the script of a client whose head is unusual, or that sends nothing but heads.
+Script
+MakeHeadScript(const Options& aOptions)
+{
+  const std::string open = HeadOf(aOptions, 0);
+  const std::string header = fmt::format("X-Part: {}\r\n", std::string(kLongHeaderBytes, 'x'));
+  switch (aOptions.mKind) {
+    case HostileKind::kHeadsOverLimit:
+      return { .mHead = HeadOf(aOptions, kOverLimitFactor * kLargeHeadBytes) + "\r\n" };
+    case HostileKind::kEndlessTarget:
+      return EndlessScript(fmt::format("GET {}/", aOptions.mPath), "x");
+    case HostileKind::kEndlessHeader:
+      return EndlessScript(open + "X-Part: ", "x");
+    case HostileKind::kEndlessHeaders:
+      return EndlessScript(open, header);
+    case HostileKind::kEndlessShortHeaders:
+      return EndlessScript(open, "a:\r\n");
+    case HostileKind::kEmptyLines:
+      return EndlessScript("", "\r\n");
+    case HostileKind::kBareLineFeeds:
+      return EndlessScript("", "\n");
+    case HostileKind::kUnreadSmallAnswers: {
+      Script script = EndlessScript("", Head(aOptions, ""));
+      script.mReads = false;
+      return script;
+    }
+    case HostileKind::kUnfinishedHeads:
+      return { .mHead = HeadOf(aOptions, kLargeHeadBytes) };
+    case HostileKind::kWaitingHeads:
+      return { .mHead = HeadOf(aOptions, kLargeHeadBytes) + "\r\n" };
+    default:
+      return {};
+  }
+}
+
 Script
 MakeScript(const Options& aOptions, bool aFinishes)
 {
   const std::string unit(kLargeChunkBytes, 'x');
   const std::string length = fmt::format("Content-Length: {}\r\n", aOptions.mBodyBytes);
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
   const std::size_t missing = aFinishes ? 0 : kMissingBytes;
   const std::string end = aFinishes ? "0\r\n\r\n" : "";
   switch (aOptions.mKind) {
@@ -206,10 +337,33 @@
       }
       return script;
     }
+    case HostileKind::kEndlessTrailers:
+      return EndlessScript(Head(aOptions, chunked) + "1\r\nx\r\n0\r\n", "X-Part: x\r\n");
+    case HostileKind::kEndlessExtension:
+      return EndlessScript(Head(aOptions, chunked) + "1;x=", "x");
+    case HostileKind::kTinyChunksOverLimit:
+      return EndlessScript(Head(aOptions, chunked), "1\r\nx\r\n");
+    case HostileKind::kIdleAfterLarge:
+      return SizedScript(aOptions, kLargeRequestBytes);
+    case HostileKind::kManyRequests:
+      return SizedScript(aOptions, kOrdinaryRequestBytes);
+    case HostileKind::kEndlessFrame:
+      // The length of the frame, 48 MB in little-endian order, then its bytes.
+      return EndlessScript(std::string{ "\x00\x00\x00\x03", 4 }, "x");
     case HostileKind::kOpenOnly:
+    case HostileKind::kHeadsOverLimit:
+    case HostileKind::kEndlessTarget:
+    case HostileKind::kEndlessHeader:
+    case HostileKind::kEndlessHeaders:
+    case HostileKind::kEndlessShortHeaders:
+    case HostileKind::kEmptyLines:
+    case HostileKind::kBareLineFeeds:
+    case HostileKind::kUnreadSmallAnswers:
+    case HostileKind::kUnfinishedHeads:
+    case HostileKind::kWaitingHeads:
       break;
   }
-  return {};
+  return MakeHeadScript(aOptions);
 }
 
 std::size_t
@@ -282,6 +436,7 @@
   std::array<char, 4'096> buffer{};
   const ssize_t count = recv(aClient.mSocket, buffer.data(), buffer.size(), 0);
   if (count > 0) {
+    aTotals.mLastProgress = Now();
     constexpr std::size_t kStatusEnd = std::string_view{ "HTTP/1.1 200" }.size();
     const bool wasKnown = aClient.mAnswer.size() >= kStatusEnd;
     aClient.mAnswer.append(buffer.data(), static_cast<std::size_t>(count));
@@ -303,6 +458,7 @@
   const std::string_view bytes = BytesAt(aClient.mScript, aClient.mSent);
   const ssize_t count = send(aClient.mSocket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   if (count >= 0) {
+    aTotals.mLastProgress = Now();
     aClient.mSent += static_cast<std::size_t>(count);
     aTotals.mSentBytes += static_cast<std::size_t>(count);
     aClient.mNextWrite = Now() + aClient.mScript.mPause;
@@ -352,7 +508,8 @@
   bool isReported = false;
   while (sStopped == 0) {
     Step(aClients, aOptions.mTarget, totals);
-    if (!isReported && std::ranges::all_of(aClients, IsSettled)) {
+    const bool isStalled = HasPassed(totals.mLastProgress + kStallTime, Now());
+    if (!isReported && (isStalled || std::ranges::all_of(aClients, IsSettled))) {
       isReported = true;
       std::string statuses;
       for (const auto& [status, count] : totals.mStatuses) {
