Release the buffers of connections that are empty

Callers saw a process that was killed for its memory beside a crowd of connections that were idle after large messages: each kept some 40 kB.

Cause: ShrinkIfEmpty and CloseAfterSending assigned an empty string, which keeps the capacity of the target in libstdc++ (the source is held in place and its characters are copied). So nothing was ever released.

Evidence: beside 1,100 such clients, a second after the crowd had been answered, mallinfo2 showed 447 buffers with 17.8 MB for 332 idle connections while the budget counted nothing for them (a trial with a mapping threshold of 8 kB).

Change: the memory is released by a swap, beyond 1 kB instead of 32 kB.

--- a/trefoil/reactor/byte_stream.cc
+++ b/trefoil/reactor/byte_stream.cc
@@ -19,8 +19,6 @@
 constexpr int kReadBufferBytes = 16 * 1024;
 // How long the peer may take to receive what was sent and to close the connection.
 constexpr Milliseconds kLingerTime{ 1'000 };
-// An empty buffer with more memory is released.
-constexpr std::size_t kMaxIdleCapacity = std::size_t{ 32 } * 1024;
 
 // Makes the kernel end the connection if the peer does not respond for `aTimeout`: TCP_USER_TIMEOUT
 // covers unacknowledged bytes and a closed window, TCP keep-alive probes cover an idle connection.
@@ -38,13 +36,20 @@
   aSocket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(aTimeout.count()));
 }
 
+// Assigning an empty string would keep the memory.
+void
+ReleaseMemory(std::string& aBytes)
+{
+  std::string{}.swap(aBytes);
+}
+
 } // namespace
 
 void
 ShrinkIfEmpty(std::string& aBytes)
 {
   if (aBytes.empty() && aBytes.capacity() > kMaxIdleCapacity) {
-    aBytes = std::string{};
+    ReleaseMemory(aBytes);
   }
 }
 
@@ -226,7 +231,7 @@
 {
   mMayDiscard = aMaxDiscarded;
   SetReading(true);
-  mReceived = std::string{};
+  ReleaseMemory(mReceived);
   if (!std::exchange(mCloseWhenSent, true) && mOpen && Unsent() == 0) {
     EndSending();
   }
--- a/trefoil/reactor/byte_stream.h
+++ b/trefoil/reactor/byte_stream.h
@@ -67,8 +67,11 @@
 // after it has sent all gets the answer.
 inline constexpr std::size_t kMaxDiscardedBytes = std::size_t{ 16 } * 1024 * 1024;
 
-// Releases the memory of an empty string that has held much. A connection lives longer than the
-// large message that it once carried.
+// The most memory that an empty buffer of a connection keeps.
+inline constexpr std::size_t kMaxIdleCapacity = std::size_t{ 1 } * 1024;
+
+// Releases the memory of an empty string beyond kMaxIdleCapacity. A connection lives longer than
+// the large message that it once carried.
 void
 ShrinkIfEmpty(std::string& aBytes);
 
