Count the heads of requests, and what follows from them

Cause: the budget counted the body of a complete request only. Its headers, what the codec reads from them (a string for each part of a prompt), the keys of these parts and the state of the exchange were not counted.

Change: MemoryOfRequest (forward/request_memory.h) says in one place what a request holds until it ends.

--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -1,5 +1,6 @@
 #include "trefoil/forward/exchange.h"
 
+#include "trefoil/forward/request_memory.h"
 #include "trefoil/http/status_code.h"
 
 #include <algorithm>
@@ -66,7 +67,7 @@
 bool
 Exchange::CheckMemory()
 {
-  mRequestBytes = mRequest.mBody.capacity();
+  mRequestBytes = MemoryOfRequest(mRequest, mMetadata);
   ChangeHeld(mState.mMemory, MemoryKind::kRequests, 0, mRequestBytes);
   if (HasRoomForRequest(mState.mMemory, mRequestBytes)) {
     return true;
--- a/trefoil/http/message.cc
+++ b/trefoil/http/message.cc
@@ -8,6 +8,34 @@
 #include <iterator>
 
 namespace trefoil {
+namespace {
+
+// The bytes of memory that a string takes beside its object.
+std::size_t
+AllocatedBytes(const std::string& aText)
+{
+  const std::size_t inPlace = std::string{}.capacity();
+  return aText.capacity() > inPlace ? aText.capacity() + 1 : 0;
+}
+
+} // namespace
+
+std::size_t
+HeldBytes(const HttpHeaders& aHeaders)
+{
+  std::size_t bytes = aHeaders.capacity() * sizeof(HttpHeader);
+  for (const HttpHeader& header : aHeaders) {
+    bytes += AllocatedBytes(header.mName) + AllocatedBytes(header.mValue);
+  }
+  return bytes;
+}
+
+std::size_t
+HeldBytes(const HttpRequest& aRequest)
+{
+  return AllocatedBytes(aRequest.mMethod) + AllocatedBytes(aRequest.mTarget) +
+         HeldBytes(aRequest.mHeaders) + AllocatedBytes(aRequest.mBody);
+}
 
 bool
 IsSameHeaderName(std::string_view aLeft, std::string_view aRight)
--- a/trefoil/http/message.h
+++ b/trefoil/http/message.h
@@ -4,6 +4,7 @@
 //   SetHeader(request.mHeaders, "Accept", "application/json");
 #pragma once
 
+#include <cstddef>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -35,6 +36,13 @@
   std::string mBody;
 };
 
+// Returns the bytes of memory that headers, or a request with them and its body, take beside the
+// struct itself.
+std::size_t
+HeldBytes(const HttpHeaders& aHeaders);
+std::size_t
+HeldBytes(const HttpRequest& aRequest);
+
 // Returns whether two header names are equal, ignoring case.
 bool
 IsSameHeaderName(std::string_view aFirst, std::string_view aSecond);
--- a/trefoil/http/message_reader.cc
+++ b/trefoil/http/message_reader.cc
@@ -331,11 +331,7 @@
 {
   const HttpHeaders& headers =
     mImpl->mRequest ? mImpl->mRequest->mRequest.mHeaders : mImpl->mResponse->mResponse.mHeaders;
-  std::size_t bytes = sizeof(Impl) + sizeof(Parser<true>);
-  for (const HttpHeader& header : headers) {
-    bytes += sizeof(header) + header.mName.capacity() + header.mValue.capacity();
-  }
-  return bytes + (mImpl->mRequest ? mImpl->mRequest->mBody : mImpl->mResponse->mBody).capacity();
+  return sizeof(Impl) + sizeof(Parser<true>) + trefoil::HeldBytes(headers) + (mImpl->mRequest ? mImpl->mRequest->mBody : mImpl->mResponse->mBody).capacity();
 }
 
 bool
