Cut off no small answer for the memory of new requests

Cause: a small request that finds no room ends other clients first. The last in their order were clients with any byte of an answer on its way, since the budget does not tell them from clients that leave answers unread.

--- a/trefoil/memory/memory_budget.cc
+++ b/trefoil/memory/memory_budget.cc
@@ -16,6 +16,8 @@
 // One request of 4 MB, half as much again for the growth of its buffer, the copy that is sent to
 // the server, and an answer.
 constexpr std::size_t kMinTotal = std::size_t{ 16 } * 1000 * 1000;
+// A small answer is unread after this time.
+constexpr Milliseconds kMinUnreadTime{ 5'000 };
 // Freed beyond what is needed, as a part of the limit.
 constexpr std::size_t kSlackParts = 16;
 
@@ -53,6 +55,15 @@
            .mWeight = isLarge ? age * static_cast<double>(aBytes) : age };
 }
 
+// Returns whether the client may give way. One that takes a small answer at its own pace does not:
+// its answer would be cut off for little memory.
+bool
+MayGiveWay(const ClientMemory& aMemory, Instant aNow)
+{
+  return aMemory.mIncomplete > 0 || aMemory.mUnsent > kSmallRequestBytes ||
+         aNow - aMemory.mSince >= kMinUnreadTime;
+}
+
 // Adds clients to `aEnded` until they hold `aNeeded` bytes, counted by `aBytesOf`.
 template<typename BytesFunction>
 void
@@ -64,7 +75,7 @@
 {
   std::vector<Rank> ranks;
   for (const auto& [client, memory] : aBudget.mClients) {
-    if (aBytesOf(memory) > 0) {
+    if (aBytesOf(memory) > 0 && MayGiveWay(memory, aNow)) {
       ranks.push_back(RankOf(client, memory, aBytesOf(memory), aNow));
     }
   }
--- a/trefoil/memory/memory_budget.h
+++ b/trefoil/memory/memory_budget.h
@@ -7,7 +7,8 @@
 //
 // Bytes are those of the allocated capacity, not of the contents. Clients give way in this order:
 // those that hold more than an ordinary request, by bytes times the time since they began; then the
-// others, by time. Pure functions over plain structs, not thread-safe.
+// others, by time. A small answer that the client has left for less than 5 s is not ended. Pure
+// functions over plain structs, not thread-safe.
 #pragma once
 
 #include "trefoil/base/instant.h"
--- a/trefoil/memory/memory_budget_test.cc
+++ b/trefoil/memory/memory_budget_test.cc
@@ -98,6 +98,23 @@
       CHECK(ClientsToEnd(budget, now) == std::vector<MemoryClientId>{ 1 });
     }
   }
+  GIVEN("clients that take small answers while requests fill the budget")
+  {
+    ChangeHeld(budget, MemoryKind::kRequests, 0, 20 * kMegabyte);
+    UpdateClient(budget, 1, { .mUnsent = 1'000, .mSince = start });
+    THEN("none of the answers is cut off")
+    {
+      CHECK(ClientsToEnd(budget, now, kMegabyte).empty());
+    }
+    WHEN("one has been left for long")
+    {
+      THEN("its client gives way")
+      {
+        CHECK(ClientsToEnd(budget, start + Milliseconds{ 10'000 }, kMegabyte) ==
+              std::vector<MemoryClientId>{ 1 });
+      }
+    }
+  }
   GIVEN("large complete requests")
   {
     ChangeHeld(budget, MemoryKind::kRequests, 0, 14 * kMegabyte);
