--- a/cmd/trefoild.cc
+++ b/cmd/trefoild.cc
@@ -3,6 +3,7 @@
 #include "trefoil/eventlog/pipe_sink.h"
 #include "trefoil/node/entry_host.h"
 #include "trefoil/settings/host_settings.h"
+#include "trefoil/startup/allocator.h"
 #include "trefoil/startup/signals.h"
 #include "trefoil/startup/startup.h"
 
@@ -182,6 +183,7 @@
 RunDaemon(int aArgumentCount, char** aArguments)
 {
   const sigset_t signals = trefoil::BlockDaemonSignals();
+  trefoil::ConfigureAllocator();
   const auto commandLine = trefoil::ParseCommandLine(
     { .mUsage = kUsage, .mVersion = kVersion }, aArgumentCount, aArguments);
   if (commandLine.mExit.has_value()) {
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -17,7 +17,7 @@
 #include "absl/synchronization/mutex.h"
 #include "standin/engine_request.h"
 #include "trefoil/base/instant.h"
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 
 #include <cstdint>
 #include <functional>
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -16,7 +16,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "trefoil/base/instant.h"
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 
 #include <Poco/JSON/Object.h>
 #include <cstdint>
--- a/standin/serve_until_signal.h
+++ b/standin/serve_until_signal.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "trefoil/command_line/command_line.h"
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 
 #include <string>
 #include <string_view>
--- a/standin/store.h
+++ b/standin/store.h
@@ -15,7 +15,7 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 
 #include <cstdint>
 #include <map>
--- a/tests/site/site.h
+++ b/tests/site/site.h
@@ -11,7 +11,7 @@
 #include "standin/engine.h"
 #include "standin/store.h"
 #include "trefoil/http/client.h"
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 #include "trefoil/node/entry_host.h"
 
 #include <cstdint>
--- a/trefoil/backend/load_response_test.cc
+++ b/trefoil/backend/load_response_test.cc
@@ -1,6 +1,6 @@
 #include "trefoil/backend/load_response.h"
 
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
--- a/trefoil/catalogue/catalogue.h
+++ b/trefoil/catalogue/catalogue.h
@@ -12,6 +12,7 @@
 #include "trefoil/base/ids.h"
 #include "trefoil/base/instant.h"
 #include "trefoil/base/name_table.h"
+#include "trefoil/http/client_limits.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -140,15 +141,6 @@
   std::set<RegionId> mAllowedRegions;
 };
 
-// Limits on the connections and requests of clients.
-struct ClientLimits
-{
-  std::size_t mMaxHeadBytes = std::size_t{ 16 } * 1024;
-  std::size_t mMaxBodyBytes = std::size_t{ 4 } * 1024 * 1024;
-  Milliseconds mHeadTimeout{ 3'000 };
-  Milliseconds mIdleTimeout{ 15'000 };
-};
-
 struct Catalogue
 {
   std::int64_t mVersion = 0;
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -53,7 +53,8 @@
   mState.mMetrics.Add(Counter::kRequests, 1);
   mMetadata = mState.mOptions.mCodec.mReadRequest(mRequest);
   mDeadline = mArrivedAt + mMetadata.mClientTimeout.value_or(Milliseconds{ 0 });
-  if (!CheckMemory() || !CheckRequest() || !CanEndBeforeStop() || !CheckAccount()) {
+  if (!CheckMemory() || !CheckConnections() || !CheckRequest() || !CanEndBeforeStop() ||
+      !CheckAccount()) {
     return;
   }
   mDeadlineTimer =
@@ -84,6 +85,19 @@
   return false;
 }
 
+// Returns false if the request was refused because no connection to a server is left for it.
+bool
+Exchange::CheckConnections()
+{
+  if (mState.mMakeRoomForRequest()) {
+    return true;
+  }
+  mState.mMetrics.IncrementLabelled(LabelledCounter::kMemoryRefusals,
+                                    NameOf(kMemoryRefusalNames, MemoryRefusal::kConnectionLimit));
+  Refuse(kServiceUnavailable, RefusalReason::kNoConnection, RetryAfter(kRetryAfterFull));
+  return false;
+}
+
 // Determines route, service and deadline. Returns false if the request was answered with a
 // refusal.
 bool
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -9,9 +9,9 @@
 #pragma once
 
 #include "trefoil/base/name_table.h"
-#include "trefoil/forward/client_session.h"
 #include "trefoil/forward/event_splitter.h"
 #include "trefoil/forward/traffic_state.h"
+#include "trefoil/http_server/client_session.h"
 
 #include <functional>
 #include <memory>
@@ -43,9 +43,11 @@
   kDeadlineExceeded,
   kHostStops,
   kNoMemory,
+  // No connection to a server is left.
+  kNoConnection,
 };
 
-inline constexpr NameTable<RefusalReason, 17> kRefusalReasonNames{ {
+inline constexpr NameTable<RefusalReason, 18> kRefusalReasonNames{ {
   { RefusalReason::kNoConfiguration, "no_configuration" },
   { RefusalReason::kStaleConfiguration, "old_configuration" },
   { RefusalReason::kNoRoute, "no_route" },
@@ -63,6 +65,7 @@
   { RefusalReason::kDeadlineExceeded, "out_of_time" },
   { RefusalReason::kHostStops, "host_stops" },
   { RefusalReason::kNoMemory, "no_memory" },
+  { RefusalReason::kNoConnection, "no_connection" },
 } };
 
 // Why an attempt yielded no answer that can be relayed to the client.
@@ -181,6 +184,7 @@
 
   void Start();
   bool CheckMemory();
+  bool CheckConnections();
   void SetServerError(std::optional<HttpResponse> aAnswer);
   bool CheckRequest();
   bool CheckAccount();
--- a/trefoil/forward/server_connection_pool.cc
+++ b/trefoil/forward/server_connection_pool.cc
@@ -136,6 +136,20 @@
   }
 }
 
+bool
+ServerConnectionPool::CloseOneIdle()
+{
+  for (auto& [server, idle] : mIdleConnections) {
+    if (!idle.empty()) {
+      // The one that has been idle for longest.
+      const auto connection = idle.front();
+      CloseIdleConnection(server, connection->mStream.get());
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 ServerConnectionPool::Release(const std::shared_ptr<ServerConnection>& aConnection,
                               std::optional<Milliseconds> aKeepAliveTimeout)
--- a/trefoil/forward/server_connection_pool.h
+++ b/trefoil/forward/server_connection_pool.h
@@ -99,6 +99,8 @@
   void Sweep(const ServerRegistry& aServers, Instant aNow);
   // Closes the idle connections that `aIsUsable` does not accept.
   void CloseUnusable(const Filter& aIsUsable);
+  // Closes an idle connection. Returns false if there is none.
+  bool CloseOneIdle();
   // Returns the number of idle connections.
   std::size_t IdleCount() const { return mIdleCount; }
   // Returns the number of connections, idle or in use.
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -77,6 +77,8 @@
   // Ends clients until the limits of mMemory hold with `aNeeded` bytes more. May end the client of
   // any exchange.
   std::function<void(std::size_t aNeeded)> mRelieveMemory;
+  // Returns whether a connection to a server is left for a further request.
+  std::function<bool()> mMakeRoomForRequest;
   UsageWindows mUsage;
   std::map<ServiceId, ServiceLoad> mLoads;
   // Until when ServiceLoad::mBusyMs has been counted.
--- a/trefoil/http/check_request_head.cc
+++ b/trefoil/http/check_request_head.cc
@@ -12,13 +12,16 @@
 
 constexpr int kUriTooLong = 414;
 constexpr int kHeaderFieldsTooLarge = 431;
+// The longest registered method has 17 characters.
+constexpr std::size_t kMaxMethodBytes = 32;
 
 bool
 IsValidMethod(std::string_view aText)
 {
-  return !aText.empty() && std::ranges::all_of(aText, [](unsigned char aCharacter) {
-    return std::isupper(aCharacter) != 0 || aCharacter == '-';
-  });
+  return !aText.empty() && aText.size() <= kMaxMethodBytes &&
+         std::ranges::all_of(aText, [](unsigned char aCharacter) {
+           return std::isupper(aCharacter) != 0 || aCharacter == '-';
+         });
 }
 
 // Returns whether a header can be written to another connection without changing the message there.
--- a/trefoil/http/check_request_head.h
+++ b/trefoil/http/check_request_head.h
@@ -13,8 +13,7 @@
 namespace trefoil {
 
 // Maximum total size of the header names and values. A request that exceeds it is answered with
-// status 431. The server (server.h) also refuses more than 100 headers, with status 400, because
-// that is the default limit of Poco.
+// status 431.
 inline constexpr std::size_t kMaxHeaderBytes = std::size_t{ 32 } * 1024;
 // Maximum length of the request target. A request that exceeds it is answered with status 414.
 inline constexpr std::size_t kMaxTargetBytes = std::size_t{ 8 } * 1024;
--- a/trefoil/http/client.cc
+++ b/trefoil/http/client.cc
@@ -2,6 +2,7 @@
 
 #include "trefoil/http/framing.h"
 #include "trefoil/http/message_reader.h"
+#include "trefoil/net/socket_wait.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
@@ -9,6 +10,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <string_view>
 
 namespace trefoil {
@@ -33,6 +35,10 @@
 // How often a call checks whether an earlier deadline has been set.
 constexpr Milliseconds kDeadlineCheckInterval{ 100 };
 constexpr std::size_t kReadBufferBytes = std::size_t{ 16 } * 1024;
+// What the kernel may hold of an answer that is not read yet; it doubles the number for its own
+// needs. By itself it would let this grow to some MB for each connection.
+constexpr int kReceiveBufferBytes = 128 * 1024;
+constexpr std::size_t kMaxCopiedBytes = std::size_t{ 16 } * 1024;
 constexpr std::size_t kMaxLineBytes = std::size_t{ 1 } * 1024 * 1024;
 
 Poco::Timespan
@@ -50,16 +56,24 @@
   return timedOut ? absl::DeadlineExceededError(text) : absl::UnavailableError(text);
 }
 
+std::string_view
+BodyOf(const HttpCall& aCall)
+{
+  return aCall.mBody.value_or(aCall.mRequest.mBody);
+}
+
 std::string
-RenderRequest(const HttpCall& aCall)
+RenderHead(const HttpCall& aCall)
 {
-  HttpRequest request = aCall.mRequest;
+  HttpRequest request{ .mMethod = aCall.mRequest.mMethod,
+                       .mTarget = aCall.mRequest.mTarget,
+                       .mHeaders = aCall.mRequest.mHeaders };
   std::erase_if(request.mHeaders, [](const HttpHeader& aHeader) {
     return IsSameHeaderName(aHeader.mName, "Host") || IsHopByHop(aHeader.mName);
   });
   request.mHeaders.push_back({ .mName = "Host", .mValue = ToText(aCall.mServer) });
   request.mHeaders.push_back({ .mName = "Connection", .mValue = "close" });
-  return RequestBytes(request);
+  return RequestHead(request, BodyOf(aCall).size());
 }
 
 void
@@ -75,6 +89,20 @@
   }
 }
 
+// Sends the request. A short body goes into one packet with the head, a long one is not copied.
+void
+SendRequest(Poco::Net::StreamSocket& aSocket, const HttpCall& aCall)
+{
+  std::string head = RenderHead(aCall);
+  std::string_view body = BodyOf(aCall);
+  if (body.size() <= kMaxCopiedBytes) {
+    head += body;
+    body = {};
+  }
+  Send(aSocket, head, aCall.mDeadline);
+  Send(aSocket, body, aCall.mDeadline);
+}
+
 // Returns an error if the answer can no longer be completed.
 absl::Status
 StatusOf(MessageReadState aState)
@@ -96,16 +124,25 @@
   return absl::InternalError("unknown state of a message");
 }
 
+// Returns the stated length of the body, or 0 if it has none.
+std::size_t
+StatedLength(const HttpHeaders& aHeaders)
+{
+  std::size_t length = 0;
+  const std::string_view text = HeaderValue(aHeaders, "Content-Length");
+  std::from_chars(text.data(), text.data() + text.size(), length);
+  return length;
+}
+
 } // namespace
 
 Poco::Net::StreamSocket
 ConnectDirectly(const Endpoint& aServer, Instant aDeadline)
 {
-  Poco::Net::StreamSocket socket;
-  const auto timeout =
-    std::min(TimeoutUntil(aDeadline),
-             Poco::Timespan{ std::chrono::microseconds{ kConnectTimeout }.count() });
-  socket.connect(Poco::Net::SocketAddress{ aServer.mAddress, aServer.mPort }, timeout);
+  const Poco::Net::SocketAddress address{ aServer.mAddress, aServer.mPort };
+  Poco::Net::StreamSocket socket{ address.family() };
+  socket.setReceiveBufferSize(kReceiveBufferBytes);
+  ConnectBefore(socket, address, std::min(aDeadline, Now() + kConnectTimeout));
   socket.setNoDelay(true);
   return socket;
 }
@@ -124,12 +161,8 @@
     }
     const Instant waitUntil =
       earlier.empty() ? deadline : std::min(deadline, Now() + kDeadlineCheckInterval);
-    try {
-      if (aConnection.mSocket.poll(TimeoutUntil(waitUntil), Poco::Net::Socket::SELECT_READ)) {
-        return absl::OkStatus();
-      }
-    } catch (const Poco::Exception& error) {
-      return StatusOf(error);
+    if (trefoil::WaitUntilReadable(aConnection.mSocket, waitUntil)) {
+      return absl::OkStatus();
     }
   }
 }
@@ -204,7 +237,7 @@
     return Failure{ .mVerdict = Verdict::kNotRun, .mStatus = StatusOf(error) };
   }
   try {
-    Send(connection->mSocket, RenderRequest(aCall), aCall.mDeadline);
+    SendRequest(connection->mSocket, aCall);
   } catch (const Poco::Exception& error) {
     return Failure{ .mVerdict = Verdict::kMayHaveRun, .mStatus = StatusOf(error) };
   }
@@ -221,7 +254,23 @@
 HttpStream::ReadAll(const HttpCall& aCall)
 {
   MessageReader& reader = mConnection->mReader;
+  std::size_t reserved = kReadBufferBytes;
+  const auto reserve = [&](std::size_t aBytes) {
+    if (!aCall.mReserveMemory || aBytes <= reserved) {
+      return true;
+    }
+    const std::size_t more = aBytes - reserved;
+    reserved = aBytes;
+    return aCall.mReserveMemory(more);
+  };
+  bool hasMemory = reserve(StatedLength(reader.Response().mHeaders));
   while (reader.State() != MessageReadState::kComplete) {
+    // A body without a stated length grows in steps, by half each.
+    hasMemory = hasMemory && (reader.Body().size() < reserved || reserve(reserved * 2));
+    if (!hasMemory) {
+      return Failure{ .mVerdict = Verdict::kMayHaveRun,
+                      .mStatus = absl::ResourceExhaustedError("no memory for the answer") };
+    }
     const absl::Status received = Receive(*mConnection, aCall.mDeadline);
     if (!received.ok()) {
       return Failure{ .mVerdict = Verdict::kMayHaveRun, .mStatus = received };
--- a/trefoil/http/client.h
+++ b/trefoil/http/client.h
@@ -25,7 +25,9 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -41,11 +43,16 @@
   // Establishes the connection instead of a direct connect to mServer; empty for the latter.
   Connector mConnector;
   HttpRequest mRequest;
+  // A body that is sent in place of that of mRequest and not copied. It outlives the call.
+  std::optional<std::string_view> mBody;
   Instant mDeadline;
   // Deadlines that may be set during the call, and count if they are earlier. None is null.
   std::vector<const AtomicDeadline*> mEarlierDeadlines;
   // A response with a longer body is an error.
   std::size_t mMaxBodyBytes = std::size_t{ 64 } << 20;
+  // Waits until there is memory for `aBytes` more of the response's body. The call fails if it
+  // returns false. May be empty. Not called for streams that are read line by line.
+  std::function<bool(std::size_t aBytes)> mReserveMemory;
 };
 
 using HttpResult = std::variant<HttpResponse, Failure>;
--- a/trefoil/http/framing.cc
+++ b/trefoil/http/framing.cc
@@ -71,6 +71,16 @@
 
 std::string
 RequestBytes(const HttpRequest& aRequest, std::string_view aBody)
+{
+  std::string bytes = RequestHead(aRequest, aBody.size());
+  // Without this the string could take up to twice its length.
+  bytes.reserve(bytes.size() + aBody.size());
+  bytes += aBody;
+  return bytes;
+}
+
+std::string
+RequestHead(const HttpRequest& aRequest, std::size_t aBodyBytes)
 {
   std::string bytes = fmt::format("{} {} HTTP/1.1\r\n", aRequest.mMethod, aRequest.mTarget);
   HttpHeaders headers = aRequest.mHeaders;
@@ -79,13 +89,10 @@
            IsSameHeaderName(aHeader.mName, kTransferEncoding);
   });
   AppendHeaders(bytes, headers);
-  if (!aBody.empty() || AnticipatesBody(aRequest.mMethod)) {
-    fmt::format_to(std::back_inserter(bytes), "{}: {}\r\n", kContentLength, aBody.size());
+  if (aBodyBytes > 0 || AnticipatesBody(aRequest.mMethod)) {
+    fmt::format_to(std::back_inserter(bytes), "{}: {}\r\n", kContentLength, aBodyBytes);
   }
   bytes += "\r\n";
-  // Without this the string could take up to twice its length.
-  bytes.reserve(bytes.size() + aBody.size());
-  bytes += aBody;
   return bytes;
 }
 
--- a/trefoil/http/framing.h
+++ b/trefoil/http/framing.h
@@ -6,6 +6,7 @@
 
 #include "trefoil/http/message.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -31,4 +32,8 @@
 std::string
 RequestBytes(const HttpRequest& aRequest, std::string_view aBody);
 
+// Returns the bytes that precede a body of `aBodyBytes`, the empty line included.
+std::string
+RequestHead(const HttpRequest& aRequest, std::size_t aBodyBytes);
+
 } // namespace trefoil
--- a/trefoil/http/message_reader.cc
+++ b/trefoil/http/message_reader.cc
@@ -172,6 +172,15 @@
   return aParser.mResponse.mHeaders;
 }
 
+bool
+KeepsLimits(const HttpHeaders& aHeaders, const HttpMessageLimits& aLimits)
+{
+  return aHeaders.size() <= aLimits.mMaxHeaders &&
+         std::ranges::all_of(aHeaders, [&aLimits](const HttpHeader& aHeader) {
+           return aHeader.mName.size() + aHeader.mValue.size() <= aLimits.mMaxHeaderBytes;
+         });
+}
+
 // Parses `aBytes` up to the end of the message or an error, and removes the parsed bytes.
 template<bool IsRequest>
 MessageReadState
@@ -192,7 +201,8 @@
   const MessageReadState state = StateAfterParsing(aParser, error);
   // The parser takes the lines of a list header one by one, so that it does not see the codings
   // that another line names.
-  if (!hadHead && aParser.is_header_done() && !FramingError(HeadersOf(aParser)).empty()) {
+  if (!hadHead && aParser.is_header_done() &&
+      (!KeepsLimits(HeadersOf(aParser), aLimits) || !FramingError(HeadersOf(aParser)).empty())) {
     return MessageReadState::kMalformed;
   }
   // The parser keeps nothing itself: a line that has not ended stays in the buffer.
@@ -314,6 +324,14 @@
   return mImpl->mRequest->mRequest;
 }
 
+HttpRequest
+MessageReader::TakeRequest()
+{
+  HttpRequest request = std::move(mImpl->mRequest->mRequest);
+  request.mBody = std::move(mImpl->mRequest->mBody);
+  return request;
+}
+
 const HttpResponse&
 MessageReader::Response() const
 {
@@ -331,7 +349,8 @@
 {
   const HttpHeaders& headers =
     mImpl->mRequest ? mImpl->mRequest->mRequest.mHeaders : mImpl->mResponse->mResponse.mHeaders;
-  return sizeof(Impl) + sizeof(Parser<true>) + trefoil::HeldBytes(headers) + (mImpl->mRequest ? mImpl->mRequest->mBody : mImpl->mResponse->mBody).capacity();
+  return sizeof(Impl) + sizeof(Parser<true>) + trefoil::HeldBytes(headers) +
+         (mImpl->mRequest ? mImpl->mRequest->mBody : mImpl->mResponse->mBody).capacity();
 }
 
 bool
--- a/trefoil/http/message_reader.h
+++ b/trefoil/http/message_reader.h
@@ -15,6 +15,7 @@
 #include "trefoil/http/message.h"
 
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -52,6 +53,9 @@
   // trailers.
   std::size_t mMaxHeadBytes = std::size_t{ 32 } * 1024;
   std::size_t mMaxBodyBytes = std::size_t{ 64 } * 1024 * 1024;
+  // A message with more headers, or with a longer one, is malformed.
+  std::size_t mMaxHeaders = std::numeric_limits<std::size_t>::max();
+  std::size_t mMaxHeaderBytes = std::numeric_limits<std::size_t>::max();
 };
 
 class MessageReader
@@ -77,6 +81,9 @@
   // The head of the request. Must be called only on a reader for requests; complete once
   // IsHeadComplete() is true.
   const HttpRequest& Request() const;
+  // Returns the complete request with its body, and leaves an empty one. Must be called only on a
+  // reader for requests.
+  HttpRequest TakeRequest();
   // The status and headers of the response. Must be called only on a reader for responses; complete
   // once IsHeadComplete() is true.
   const HttpResponse& Response() const;
--- a/trefoil/forward/client_session.cc
+++ b/trefoil/http_server/client_session.cc
@@ -1,24 +1,21 @@
-#include "trefoil/forward/client_session.h"
+#include "trefoil/http_server/client_session.h"
 
 #include "trefoil/http/check_request_head.h"
 #include "trefoil/http/reason_phrase.h"
 #include "trefoil/http/status_code.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <utility>
 
 namespace trefoil {
 namespace {
 
-constexpr int kBodyTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
 // Bytes of further requests that a client may send before it receives the current answer.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 64 } * 1024;
 // The next request of a client is not read while more of the answers to earlier ones waits.
 constexpr std::size_t kMaxUnsentBeforeNext = std::size_t{ 64 } * 1024;
-// A client that acknowledges no sent bytes for this long is considered gone.
-constexpr Milliseconds kClientAckTimeout{ 6'000 };
-
 // A client sends its first request within a round trip after it has connected, or later under load.
 constexpr Milliseconds kFirstRequestTime{ 500 };
 
@@ -42,9 +39,14 @@
                      std::shared_ptr<const SessionCallbacks> aCallbacks)
 {
   auto session = std::make_shared<ClientSession>(aLoop, std::move(aCallbacks));
-  session->mStream = ByteStream::Adopt(aLoop, aSocket, { .mPeerTimeout = kClientAckTimeout });
+  const SessionOptions& options = session->mCallbacks->mOptions;
+  session->mStream = ByteStream::Adopt(
+    aLoop,
+    aSocket,
+    { .mPeerTimeout = options.mAckTimeout, .mKeepsHalfClosed = options.mServesHalfClosed });
   session->mStream->SetCallbacks({ .mOnBytes = [session] { session->OnBytes(); },
                                    .mOnSent = [session] { session->OnSent(); },
+                                   .mOnPeerClosed = [session] { session->OnPeerClosed(); },
                                    .mOnEnd = [session](StreamEnd /*aEnd*/) { session->OnEnd(); } });
   session->mWaitingSince = SuspendAwareNow();
   session->SetTimer(session->mCallbacks->mLimits().mIdleTimeout);
@@ -62,6 +64,13 @@
   });
 }
 
+void
+ClientSession::SetRequestTimer()
+{
+  SetTimer(
+    std::min(Remaining(mRequestDeadline, SuspendAwareNow()), mCallbacks->mOptions.mStallTimeout));
+}
+
 // Called when the client has sent no request, or only part of one, in time.
 void
 ClientSession::OnTimer()
@@ -113,48 +122,118 @@
 {
   while (!mAwaitingAnswer && mStream->IsOpen() && !mStream->Received().empty()) {
     if (!mReader.has_value() && !ReadsAnswers()) {
-      break;
-    }
-    if (!mReader.has_value()) {
-      const ClientLimits limits = mCallbacks->mLimits();
-      mReader = MessageReader::ForRequest(
-        { .mMaxHeadBytes = limits.mMaxHeadBytes, .mMaxBodyBytes = limits.mMaxBodyBytes });
-      SetTimer(limits.mHeadTimeout);
+      return;
     }
-    const MessageReadState state = mReader->Consume(mStream->Received());
-    if (state == MessageReadState::kHeadTooLarge) {
-      RejectMalformed(kHeadersTooLarge, "the request's headers are too long");
-    } else if (state == MessageReadState::kBodyTooLarge) {
-      RejectMalformed(kBodyTooLarge, "the request's body is too long");
-    } else if (state == MessageReadState::kMalformed) {
-      RejectMalformed(kBadRequest, "the request is malformed");
-    } else if (state == MessageReadState::kFramingTooLarge) {
-      RejectMalformed(kBadRequest, "the framing of the request's body is too long");
-    } else if (mReader->IsHeadComplete()) {
-      const auto refusal = CheckRequestHead(mReader->Request());
-      if (refusal.has_value()) {
-        RejectMalformed(refusal->mStatus, refusal->mBody);
-        break;
-      }
+    const MessageReadState state = ReadRequest();
+    if (!CheckRead(state)) {
+      return;
     }
     if (!mStream->IsOpen() || state != MessageReadState::kComplete) {
+      SendContinue(state);
       ShrinkIfEmpty(mStream->Received());
       ReportMemory(MemoryReport::kReceiving);
       break;
     }
-    HttpRequest request = mReader->Request();
-    request.mBody = std::move(mReader->Body());
-    mCloseAfterAnswer = RequestsClose(request) || !mReader->KeepsAlive();
-    mIsHeadRequest = request.mMethod == "HEAD";
-    mReader.reset();
-    mLoop.Cancel(mTimer);
-    mTimer = 0;
-    mAwaitingAnswer = true;
-    mAnswerStarted = false;
-    mFirstRequestDeadline = {};
-    ShrinkIfEmpty(mStream->Received());
-    ReportMemory(MemoryReport::kOther);
-    mCallbacks->mOnRequest(shared_from_this(), std::move(request));
+    PassOnRequest();
+  }
+  if (mStream->IsPeerClosed() && mReader.has_value() && !mAwaitingAnswer) {
+    OnPeerClosed();
+  }
+}
+
+// Reads what has arrived of the current request, or of the next one. Returns the state of its
+// reader.
+MessageReadState
+ClientSession::ReadRequest()
+{
+  if (!mReader.has_value()) {
+    const ClientLimits limits = mCallbacks->mLimits();
+    mReader =
+      MessageReader::ForRequest({ .mMaxHeadBytes = limits.mMaxHeadBytes,
+                                  .mMaxBodyBytes = limits.mMaxBodyBytes,
+                                  .mMaxHeaders = mCallbacks->mOptions.mMaxHeaders,
+                                  .mMaxHeaderBytes = mCallbacks->mOptions.mMaxHeaderBytes });
+    mHasSentContinue = false;
+    mRequestDeadline = SuspendAwareNow() + limits.mHeadTimeout;
+    SetRequestTimer();
+  } else if (mCallbacks->mOptions.mStallTimeout < Milliseconds::max()) {
+    SetRequestTimer();
+  }
+  return mReader->Consume(mStream->Received());
+}
+
+// Returns false if the request was refused because of what has been read of it.
+bool
+ClientSession::CheckRead(MessageReadState aState)
+{
+  switch (aState) {
+    case MessageReadState::kHeadTooLarge:
+      RejectMalformed(kHeadersTooLarge, "the request's headers are too long");
+      return false;
+    case MessageReadState::kBodyTooLarge:
+      RejectMalformed(kPayloadTooLarge, "the request's body is too long");
+      return false;
+    case MessageReadState::kMalformed:
+      RejectMalformed(kBadRequest, "the request is malformed");
+      return false;
+    case MessageReadState::kFramingTooLarge:
+      RejectMalformed(kBadRequest, "the framing of the request's body is too long");
+      return false;
+    case MessageReadState::kHead:
+    case MessageReadState::kBody:
+    case MessageReadState::kComplete:
+      break;
+  }
+  if (!mReader->IsHeadComplete()) {
+    return true;
+  }
+  const auto refusal = CheckRequestHead(mReader->Request());
+  if (refusal.has_value()) {
+    RejectMalformed(refusal->mStatus, refusal->mBody);
+  }
+  return !refusal.has_value();
+}
+
+// Tells a client that waits for it to send the body of its request (RFC 9110, section 10.1.1).
+void
+ClientSession::SendContinue(MessageReadState aState)
+{
+  if (aState == MessageReadState::kBody && mStream->IsOpen() && !mHasSentContinue &&
+      mReader->Body().empty() &&
+      HasListElement(mReader->Request().mHeaders, "Expect", "100-continue")) {
+    mHasSentContinue = true;
+    mStream->Send("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void
+ClientSession::PassOnRequest()
+{
+  HttpRequest request = mReader->TakeRequest();
+  mCloseAfterAnswer = RequestsClose(request) || !mReader->KeepsAlive();
+  mIsHeadRequest = request.mMethod == "HEAD";
+  mReader.reset();
+  mLoop.Cancel(mTimer);
+  mTimer = 0;
+  mAwaitingAnswer = true;
+  mAnswerStarted = false;
+  mFirstRequestDeadline = {};
+  ShrinkIfEmpty(mStream->Received());
+  ReportMemory(MemoryReport::kOther);
+  mCallbacks->mOnRequest(shared_from_this(), std::move(request));
+}
+
+// Called when a client that is served nevertheless has shut down its sending side.
+void
+ClientSession::OnPeerClosed()
+{
+  if (mAwaitingAnswer) {
+    return;
+  }
+  if (mReader.has_value()) {
+    RejectMalformed(kBadRequest, "the request is cut short");
+  } else if (mStream->Received().empty()) {
+    CloseAfterSending();
   }
 }
 
@@ -186,6 +265,9 @@
 {
   ReportMemory(MemoryReport::kOther);
   mStream->SetReading(true);
+  if (mCallbacks->mOnSent) {
+    mCallbacks->mOnSent(shared_from_this());
+  }
   if (!mAwaitingAnswer && !mStream->Received().empty()) {
     ReadRequests();
   }
@@ -265,9 +347,12 @@
 {
   std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n", aHead.mStatus, ReasonPhrase(aHead.mStatus));
   AppendHeaders(bytes, aHead.mHeaders);
-  mCloseAfterAnswer = mCloseAfterAnswer || mCallbacks->mStopping();
-  if (mCloseAfterAnswer) {
+  const bool statesClose = HasListElement(aHead.mHeaders, "Connection", "close");
+  mCloseAfterAnswer = mCloseAfterAnswer || statesClose || mCallbacks->mStopping();
+  if (mCloseAfterAnswer && !statesClose) {
     bytes += "Connection: close\r\n";
+  } else if (!mCloseAfterAnswer && mCallbacks->mOptions.mStatesKeepAlive) {
+    bytes += "Connection: Keep-Alive\r\n";
   }
   bytes += aFraming;
   bytes += "\r\n";
@@ -276,14 +361,14 @@
 }
 
 void
-ClientSession::SendAnswer(const HttpResponse& aAnswer)
+ClientSession::SendAnswer(HttpResponse aAnswer)
 {
   if (!mAwaitingAnswer) {
     return;
   }
   SendHead(aAnswer, fmt::format("Content-Length: {}\r\n", aAnswer.mBody.size()));
   if (!mIsHeadRequest) {
-    mStream->Send(aAnswer.mBody);
+    mStream->SendString(std::move(aAnswer.mBody));
   }
   ReportMemory(MemoryReport::kOther);
   OnAnswerSent();
@@ -326,6 +411,10 @@
     CloseAfterSending();
     return;
   }
+  if (mStream->IsPeerClosed() && mStream->Received().empty()) {
+    CloseAfterSending();
+    return;
+  }
   mWaitingSince = SuspendAwareNow();
   SetTimer(mCallbacks->mLimits().mIdleTimeout);
   if (!mStream->Received().empty()) {
@@ -363,6 +452,14 @@
   }
 }
 
+void
+ClientSession::AwaitFirstRequestUntil(Instant aDeadline)
+{
+  if (mFirstRequestDeadline != Instant{}) {
+    mFirstRequestDeadline = std::max(mFirstRequestDeadline, aDeadline);
+  }
+}
+
 void
 ClientSession::CloseIfIdle(Instant aNow)
 {
--- a/trefoil/forward/client_session.h
+++ b/trefoil/http_server/client_session.h
@@ -10,12 +10,13 @@
 // on the thread of the event loop.
 #pragma once
 
-#include "trefoil/catalogue/catalogue.h"
+#include "trefoil/http/client_limits.h"
 #include "trefoil/http/message_reader.h"
 #include "trefoil/memory/memory_budget.h"
 #include "trefoil/reactor/byte_stream.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -38,12 +39,31 @@
   { MemoryReport::kOther, "other" },
 } };
 
+struct SessionOptions
+{
+  // A client that acknowledges no sent bytes for about this long is considered gone.
+  Milliseconds mAckTimeout{ 6'000 };
+  // A request of which no byte has arrived for this long is late.
+  Milliseconds mStallTimeout = Milliseconds::max();
+  // A request with more headers, or with a longer one, is malformed.
+  std::size_t mMaxHeaders = std::numeric_limits<std::size_t>::max();
+  std::size_t mMaxHeaderBytes = std::numeric_limits<std::size_t>::max();
+  // Whether clients that have shut down their sending side get the answers to their requests.
+  // Otherwise they are considered gone.
+  bool mServesHalfClosed = false;
+  // Whether answers after which the connection stays open say so, for clients of HTTP/1.0.
+  bool mStatesKeepAlive = false;
+};
+
 struct SessionCallbacks
 {
+  SessionOptions mOptions;
   // Called with each complete request. The request is answered by SendAnswer or FinishAnswer.
   std::function<void(const std::shared_ptr<ClientSession>&, HttpRequest)> mOnRequest;
   // Called when the connection is closed. A request that is still unanswered must be cancelled.
   std::function<void(const std::shared_ptr<ClientSession>&)> mOnClosed;
+  // Called when all that was buffered for the client has been passed to the kernel. May be empty.
+  std::function<void(const std::shared_ptr<ClientSession>&)> mOnSent;
   // Called when a request was malformed, too large or late. The session itself sends the error
   // answer and closes the connection.
   std::function<void(int aStatus, std::string_view aReason)> mOnMalformed;
@@ -73,7 +93,7 @@
   ClientSession(EventLoop& aLoop, std::shared_ptr<const SessionCallbacks> aCallbacks);
 
   // Sends a complete answer whose body length is known.
-  void SendAnswer(const HttpResponse& aAnswer);
+  void SendAnswer(HttpResponse aAnswer);
   // Send an answer in chunks: the headers, any number of body pieces, then the end.
   void StartAnswer(const HttpResponse& aHead);
   void SendBody(std::string_view aBytes);
@@ -84,6 +104,8 @@
   // Closes the connection if no request is being received or processed. A client that has just
   // connected is given time to send its first request.
   void CloseIfIdle(Instant aNow);
+  // Gives a client that has not sent its first request time until `aDeadline` at least.
+  void AwaitFirstRequestUntil(Instant aDeadline);
 
   // Ends a client for lack of memory or connections. A request that is incomplete is refused: with
   // 503 if it is the one that is being received now, otherwise with 408. Other clients are closed.
@@ -105,8 +127,13 @@
 private:
   void OnBytes();
   void OnEnd();
+  void OnPeerClosed();
   void ReadRequests();
   void ReadAvailableRequests();
+  MessageReadState ReadRequest();
+  bool CheckRead(MessageReadState aState);
+  void PassOnRequest();
+  void SendContinue(MessageReadState aState);
   void RejectMalformed(int aStatus, std::string_view aReason, HttpHeaders aHeaders = {});
   void ReportMemory(MemoryReport aReport);
   void OnSent();
@@ -115,6 +142,7 @@
   void OnAnswerSent();
   void CloseAfterSending();
   void SetTimer(Milliseconds aDelay);
+  void SetRequestTimer();
   void OnTimer();
 
   EventLoop& mLoop;
@@ -127,8 +155,12 @@
   bool mAnswerStarted = false;
   bool mCloseAfterAnswer = false;
   bool mIsHeadRequest = false;
+  // Whether the client was told to send the body of the request that is being received.
+  bool mHasSentContinue = false;
   bool mInReadLoop = false;
   EventLoop::TimerId mTimer = 0;
+  // When the request that is being received is late.
+  Instant mRequestDeadline;
   // When the session began to wait for a request.
   Instant mWaitingSince;
   // Sent bytes that the client had not acknowledged when that was last checked.
--- a/trefoil/http/handler_exception_test.cc
+++ b/trefoil/http_server/handler_exception_test.cc
@@ -1,5 +1,6 @@
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <array>
@@ -62,5 +63,37 @@
   }
 }
 
+// Guards against: an exception of one request leaves its slot taken, so that a server at its limit
+// of connections accepts none any more.
+SCENARIO("an exception closes one connection and frees its slot")
+{
+  GIVEN("a server that serves one connection at a time, with a failing handler")
+  {
+    const auto server = HttpServer::Start(
+      { .mListen = { .mAddress = "127.0.51.1", .mPort = 0 },
+        .mHandler = [](HttpExchange& /*aExchange*/) { throw std::runtime_error{ "failed" }; },
+        .mMaxConnections = 1 });
+    REQUIRE(server.ok());
+    THEN("each of several connections is served and closed")
+    {
+      for (int i = 0; i < 3; ++i) {
+        Poco::Net::StreamSocket client{ Poco::Net::SocketAddress{ "127.0.51.1", server->Port() } };
+        client.setReceiveTimeout(Poco::Timespan{ 20, 0 });
+        const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        client.sendBytes(request.data(), static_cast<int>(request.size()));
+        std::array<char, 1024> buffer{};
+        bool timedOut = false;
+        try {
+          while (client.receiveBytes(buffer.data(), buffer.size()) > 0) {
+          }
+        } catch (const Poco::TimeoutException&) {
+          timedOut = true;
+        }
+        CHECK_FALSE(timedOut);
+      }
+    }
+  }
+}
+
 } // namespace
 } // namespace trefoil
--- a/trefoil/http/http_test.cc
+++ b/trefoil/http_server/http_call_test.cc
@@ -1,5 +1,5 @@
 #include "trefoil/http/client.h"
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
--- a/trefoil/memory/memory_budget.cc
+++ b/trefoil/memory/memory_budget.cc
@@ -18,6 +18,9 @@
 constexpr std::size_t kMinTotal = std::size_t{ 16 } * 1000 * 1000;
 // A small answer is unread after this time.
 constexpr Milliseconds kMinUnreadTime{ 5'000 };
+// The part of the machine for requests in the kernel.
+constexpr std::size_t kKernelParts = 8;
+constexpr std::size_t kMinKernel = std::size_t{ 4 } * 1000 * 1000;
 // Freed beyond what is needed, as a part of the limit.
 constexpr std::size_t kSlackParts = 16;
 
@@ -101,7 +104,10 @@
 LimitsOfMachine(std::size_t aMachineBytes)
 {
   const std::size_t total = std::max(kMinTotal, Excess(aMachineBytes, kOwnBytes) / kUncountedParts);
-  return { .mTotal = total, .mIncomplete = total / 2, .mLarge = total - total / 4 };
+  return { .mTotal = total,
+           .mIncomplete = total / 2,
+           .mLarge = total - total / 4,
+           .mKernel = std::max(kMinKernel, aMachineBytes / kKernelParts) };
 }
 
 void
--- a/trefoil/memory/memory_budget.h
+++ b/trefoil/memory/memory_budget.h
@@ -35,14 +35,17 @@
   kUnsentAnswers,
   // Connections that are carried for other hosts.
   kCarried,
+  // Connections of clients, beside what they receive and send.
+  kConnections,
 };
 
-inline constexpr NameTable<MemoryKind, 5> kMemoryKindNames{ {
+inline constexpr NameTable<MemoryKind, 6> kMemoryKindNames{ {
   { MemoryKind::kIncompleteRequests, "incomplete_requests" },
   { MemoryKind::kRequests, "requests" },
   { MemoryKind::kServerAnswers, "server_answers" },
   { MemoryKind::kUnsentAnswers, "unsent_answers" },
   { MemoryKind::kCarried, "carried" },
+  { MemoryKind::kConnections, "connections" },
 } };
 
 // Why a client was refused or ended for lack of memory or connections.
@@ -73,12 +76,18 @@
   std::size_t mIncomplete = 0;
   // Further large requests are refused above this, so that small ones find room.
   std::size_t mLarge = 0;
+  // What the kernel may hold of requests that the process has not read, beside mTotal.
+  std::size_t mKernel = 0;
 };
 
 // A request that holds no more than this is small. The requests of ordinary clients have up to
 // 100 kB, and a growing string has up to one and a half times the capacity of its contents.
 inline constexpr std::size_t kSmallRequestBytes = std::size_t{ 160 } * 1024;
 
+// What a connection of a client takes beside what it receives and sends: its objects, its timer and
+// the buffers that it keeps.
+inline constexpr std::size_t kConnectionBytes = std::size_t{ 4 } * 1024;
+
 // Returns the limits for a process that may use `aMachineBytes`. They suffice for one request of 4
 // MB also on a small machine.
 MemoryLimits
--- a/trefoil/memory/memory_budget_test.cc
+++ b/trefoil/memory/memory_budget_test.cc
@@ -15,6 +15,7 @@
   CHECK(limits.mTotal == 48 * kMegabyte);
   CHECK(limits.mIncomplete == 24 * kMegabyte);
   CHECK(limits.mLarge == 36 * kMegabyte);
+  CHECK(limits.mKernel == 15 * kMegabyte);
   WHEN("the machine is very small")
   {
     MemoryBudget budget{ .mLimits = LimitsOfMachine(10 * kMegabyte) };
--- a/trefoil/metrics/metrics.h
+++ b/trefoil/metrics/metrics.h
@@ -109,9 +109,10 @@
   kHeldServerAnswers,
   kHeldUnsentAnswers,
   kHeldCarried,
+  kHeldConnections,
 };
 
-inline constexpr NameTable<Gauge, 13> kGaugeNames{ {
+inline constexpr NameTable<Gauge, 14> kGaugeNames{ {
   { Gauge::kConfigurationAge, "trefoil_configuration_age_seconds" },
   { Gauge::kConfigurationVersion, "trefoil_configuration_version" },
   { Gauge::kServersAge, "trefoil_servers_age_seconds" },
@@ -125,6 +126,7 @@
   { Gauge::kHeldServerAnswers, "trefoil_held_server_answers_bytes" },
   { Gauge::kHeldUnsentAnswers, "trefoil_held_unsent_answers_bytes" },
   { Gauge::kHeldCarried, "trefoil_held_carried_bytes" },
+  { Gauge::kHeldConnections, "trefoil_held_connections_bytes" },
 } };
 
 enum class Latency
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -1,12 +1,17 @@
 #include "trefoil/node/entry_host.h"
 
 #include "trefoil/base/digest.h"
+#include "trefoil/frontend/verdict_response.h"
+#include "trefoil/memory/memory_budget.h"
 #include "trefoil/net/bind_error.h"
 #include "trefoil/node/internal/admission_request.h"
+#include "trefoil/node/internal/caller.h"
 #include "trefoil/node/internal/guarded_step.h"
 #include "trefoil/node/internal/peer_requests.h"
 #include "trefoil/node/internal/peer_streams.h"
 #include "trefoil/node/internal/shared_request_state.h"
+#include "trefoil/startup/allocator.h"
+#include "trefoil/startup/descriptors.h"
 #include "trefoil/store_client/store_client.h"
 #include "trefoil/wire/codec.h"
 
@@ -38,12 +43,45 @@
 constexpr std::string_view kDocumentPrefix = "services/";
 // Another host whose callers read a stream of this host holds a connection while it waits for
 // updates.
-constexpr std::int64_t kMaxPeerConnections = 256;
+constexpr std::size_t kMaxPeerConnections = 256;
 // Sockets of connections that are carried for other hosts, two for each.
 constexpr std::size_t kMaxRelayConnections = 512;
+// Descriptors that are kept for files, listeners, the log and calls to the store.
+constexpr std::size_t kReservedDescriptors = 60;
+// The parts of the other descriptors that connections of other hosts, and those that are carried
+// for them, may take.
+constexpr std::size_t kPeerParts = 8;
+constexpr std::size_t kRelayParts = 8;
 // The most time at the end of the stop notice that is reserved for handing streams over.
 constexpr Milliseconds kMaxHandOverReserve{ 3000 };
 
+// The connections that the process may have open.
+struct ConnectionShares
+{
+  std::size_t mClients = 0;
+  std::size_t mPeers = 0;
+  std::size_t mRelays = 0;
+};
+
+ConnectionShares
+SharesOfConnections(const HostSettings& aSettings)
+{
+  const std::size_t left =
+    DescriptorsLeft({ .mMax = DescriptorLimit(), .mReserved = kReservedDescriptors });
+  ConnectionShares shares{ .mPeers = std::min(kMaxPeerConnections, left / kPeerParts + 1),
+                           .mRelays = std::min(kMaxRelayConnections, left / kRelayParts + 1) };
+  shares.mClients =
+    std::min(static_cast<std::size_t>(aSettings.mMaxConnections),
+             DescriptorsLeft({ .mMax = left, .mReserved = shares.mPeers + shares.mRelays }));
+  return shares;
+}
+
+MemoryLimits
+MemoryLimitsOf(const HostSettings& aSettings)
+{
+  return LimitsOfMachine(MachineMemory(aSettings.mMemoryBytes));
+}
+
 Milliseconds
 HandOverReserve(std::int64_t aNoticeMilliseconds)
 {
@@ -82,7 +120,7 @@
   , mConnector({ .mHost = mSettings.mHost, .mZone = mSettings.mZone, .mSnapshots = &mSnapshots })
   , mRelayThread({ .mConnector = &mConnector,
                    .mSnapshots = &mSnapshots,
-                   .mMaxConnections = kMaxRelayConnections })
+                   .mMaxConnections = SharesOfConnections(mSettings).mRelays })
   , mTraffic{ .mHost = mSettings.mHost,
               .mZone = mSettings.mZone,
               .mSnapshots = &mSnapshots,
@@ -120,7 +158,7 @@
           [hostPointer](const Poco::Net::StreamSocket& aSocket, const RelayOpen& aOpen) {
             hostPointer->mRelayThread.Carry(aSocket, aOpen);
           },
-        .mMaxConnections = kMaxPeerConnections });
+        .mMaxConnections = static_cast<std::int64_t>(SharesOfConnections(aSettings).mPeers) });
     if (!peerServer.ok()) {
       return peerServer.status();
     }
@@ -132,8 +170,19 @@
         .mHandler = [hostPointer](
                       HttpExchange& aExchange) { ServeRequest(hostPointer->mTraffic, aExchange); },
         .mMaxBodyBytes = static_cast<std::size_t>(aSettings.mMaxBodyBytes),
-        .mMaxConnections = aSettings.mMaxConnections,
-        .mIdleConnectionMilliseconds = aSettings.mIdleConnectionMilliseconds });
+        .mMaxConnections = static_cast<std::int64_t>(SharesOfConnections(aSettings).mClients),
+        .mConnectionsPerRequest = 1,
+        .mIdleConnectionMilliseconds = aSettings.mIdleConnectionMilliseconds,
+        .mMemoryLimits = MemoryLimitsOf(aSettings),
+        .mMakeRefusal =
+          [] {
+            return RenderFailure(
+              NewRequestId(),
+              { .mVerdict = Verdict::kNotRun,
+                .mStatus = absl::UnavailableError("there is no room for the request now") });
+          },
+        .mMetrics = &hostPointer->mMetrics,
+        .mLog = [](std::string_view aText) { spdlog::warn("{}", aText); } });
     if (!server.ok()) {
       return server.status();
     }
--- a/trefoil/node/entry_host.h
+++ b/trefoil/node/entry_host.h
@@ -10,7 +10,7 @@
 #pragma once
 
 #include "absl/status/statusor.h"
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 #include "trefoil/node/admission_controller.h"
 #include "trefoil/node/control_request_broker.h"
 #include "trefoil/node/event_queue.h"
--- a/trefoil/node/internal/answer_stream.h
+++ b/trefoil/node/internal/answer_stream.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "trefoil/frontend/completion.h"
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 #include "trefoil/node/internal/stream_record.h"
 
 #include <cstdint>
--- a/trefoil/node/internal/completion_handler.h
+++ b/trefoil/node/internal/completion_handler.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "trefoil/backend/engine_client.h"
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 #include "trefoil/node/request_routing.h"
 
 namespace trefoil {
--- a/trefoil/node/internal/plain_service_handler.cc
+++ b/trefoil/node/internal/plain_service_handler.cc
@@ -1,5 +1,6 @@
 #include "trefoil/node/internal/plain_service_handler.h"
 
+#include "trefoil/base/digest.h"
 #include "trefoil/frontend/verdict_response.h"
 #include "trefoil/http/client.h"
 #include "trefoil/node/internal/admission_request.h"
@@ -11,9 +12,12 @@
 #include "trefoil/node/internal/shared_request_state.h"
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <set>
+#include <string>
 #include <string_view>
+#include <utility>
 
 namespace trefoil {
 namespace {
@@ -101,6 +105,9 @@
   return aFailure.mVerdict == Verdict::kMayHaveRun && absl::IsUnavailable(aFailure.mStatus);
 }
 
+// Waits until there is memory for so many bytes more of the answer (HttpCall::mReserveMemory).
+using MemoryReservation = std::function<bool(std::size_t aBytes)>;
+
 // The result of a call, and whether this host was cut off from the server, so that the server is
 // not to blame for a failure.
 struct ServerResult
@@ -115,7 +122,8 @@
            const Caller& aCaller,
            const HttpRequest& aRequest,
            const WatchedRequest& aWatched,
-           SuspectKey aKey)
+           SuspectKey aKey,
+           const MemoryReservation& aReserveMemory)
 {
   const BackendServerSpec& server = aWatched.mServer;
   const InFlightGuard inFlight{ *aContext.mRouting, server.mServer };
@@ -123,15 +131,20 @@
                       { .mService = aCaller.mDocument->mService,
                         .mServer = &server,
                         .mRoute = RouteLabel(aRequest),
-                        .mIdentity = aCaller.mAccount.Value() + aRequest.mBody } };
+                        .mIdentity =
+                          aCaller.mAccount.Value() + std::to_string(Digest64(aRequest.mBody)) } };
   TakenPath path;
   AnswerWatch watch{ *aContext.mConnector, aWatched, path };
   HttpResult result =
     Call({ .mServer = server.mEndpoint,
            .mConnector = watch.MakeConnector(),
-           .mRequest = aRequest,
+           .mRequest = { .mMethod = aRequest.mMethod,
+                         .mTarget = aRequest.mTarget,
+                         .mHeaders = aRequest.mHeaders },
+           .mBody = aRequest.mBody,
            .mDeadline = aCaller.mDeadline,
-           .mEarlierDeadlines = { &aContext.mRequestState->mStopsAt, &watch.GivenUpAt() } });
+           .mEarlierDeadlines = { &aContext.mRequestState->mStopsAt, &watch.GivenUpAt() },
+           .mReserveMemory = aReserveMemory });
   CrashRegistry& crashes = aContext.mRequestState->mCrashes;
   const auto* failure = std::get_if<Failure>(&result);
   if (failure == nullptr) {
@@ -159,7 +172,10 @@
 }
 
 HttpResult
-CallService(const TrafficContext& aContext, const Caller& aCaller, const HttpRequest& aRequest)
+CallService(const TrafficContext& aContext,
+            const Caller& aCaller,
+            const HttpRequest& aRequest,
+            const MemoryReservation& aReserveMemory)
 {
   const Repeatable repeatable = IsRepeatable(aCaller, aRequest);
   const SuspectKey key = KeyOf(aCaller, aRequest);
@@ -189,7 +205,8 @@
                                      { .mServer = *server,
                                        .mMayRepeat = repeatable == Repeatable::kYes,
                                        .mMayTryDirect = attempt == 0 },
-                                     key);
+                                     key,
+                                     aReserveMemory);
     const auto* failure = std::get_if<Failure>(&called.mResult);
     // After a crash the reservation stays until it expires, so that the crash is not recorded for
     // the other requests that were running on the server.
@@ -233,10 +250,13 @@
 
 // Calls the service, records the latency and filters the headers of the response.
 HttpResult
-CallAndMeasure(const TrafficContext& aContext, const Caller& aCaller, const HttpRequest& aRequest)
+CallAndMeasure(const TrafficContext& aContext,
+               const Caller& aCaller,
+               const HttpRequest& aRequest,
+               const MemoryReservation& aReserveMemory)
 {
   const Instant startedAt = Now();
-  HttpResult result = CallService(aContext, aCaller, aRequest);
+  HttpResult result = CallService(aContext, aCaller, aRequest, aReserveMemory);
   aContext.mRequestState->mPlainAnswerTimes.Record(
     AnswerTimesRoute(aCaller, aRequest), startedAt, Now());
   aContext.mMetrics->Observe(Latency::kPlainResponse, Now() - startedAt);
@@ -279,20 +299,23 @@
   }
   request.mHeaders = ForwardedHeaders(aExchange.Request().mHeaders);
   SetHeader(request.mHeaders, kRequestIdHeader, id.Value());
-  const auto dispatch = [&] { return CallAndMeasure(aContext, *caller, request); };
+  const auto reserveMemory = [&aExchange, &caller](std::size_t aBytes) {
+    return aExchange.ReserveMemory(aBytes, caller->mDeadline);
+  };
+  const auto dispatch = [&] { return CallAndMeasure(aContext, *caller, request, reserveMemory); };
   if (HasIdempotencyKey(request) && IsRepeatable(*caller, request) == Repeatable::kNo) {
     const KeyedRequest keyed{ .mCaller = *caller, .mRequest = aExchange.Request(), .mId = id };
     aExchange.Respond(ServeKeyed(aContext, keyed, dispatch));
     return;
   }
-  const HttpResult result = dispatch();
+  HttpResult result = dispatch();
   if (const auto* failure = std::get_if<Failure>(&result)) {
     aExchange.Respond(RenderFailure(id, *failure));
     return;
   }
-  HttpResponse answer = std::get<HttpResponse>(result);
+  auto& answer = std::get<HttpResponse>(result);
   AddVerdictHeaders(answer, id, Verdict::kRan);
-  aExchange.Respond(answer);
+  aExchange.Respond(std::move(answer));
 }
 
 } // namespace trefoil
--- a/trefoil/node/internal/plain_service_handler.h
+++ b/trefoil/node/internal/plain_service_handler.h
@@ -1,7 +1,7 @@
 // Serves requests to plain services: /{service}/... is forwarded to a backend server.
 #pragma once
 
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 #include "trefoil/node/request_routing.h"
 
 namespace trefoil {
--- a/trefoil/node/internal/reattach_handler.h
+++ b/trefoil/node/internal/reattach_handler.h
@@ -2,7 +2,7 @@
 // Last-Event-ID, on any host that the caller reaches.
 #pragma once
 
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 #include "trefoil/node/request_routing.h"
 
 namespace trefoil {
--- a/trefoil/node/request_routing.h
+++ b/trefoil/node/request_routing.h
@@ -6,7 +6,7 @@
 // Thread-safe. Each request is served by one thread.
 #pragma once
 
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 #include "trefoil/metrics/metrics.h"
 #include "trefoil/node/admission_controller.h"
 #include "trefoil/node/control_request_broker.h"
--- a/trefoil/node/store_worker_test.cc
+++ b/trefoil/node/store_worker_test.cc
@@ -1,7 +1,7 @@
 #include "trefoil/node/store_worker.h"
 
 #include "standin/store.h"
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 
 #include <catch2/catch.hpp>
 
--- a/trefoil/operations/document_test.cc
+++ b/trefoil/operations/document_test.cc
@@ -2,7 +2,7 @@
 
 #include "standin/store.h"
 #include "trefoil/http/client.h"
-#include "trefoil/http/server.h"
+#include "trefoil/http_server/http_server.h"
 
 #include <catch2/catch.hpp>
 #include <thread>
--- a/trefoil/reactor/byte_stream.cc
+++ b/trefoil/reactor/byte_stream.cc
@@ -88,6 +88,7 @@
     stream->mSocket.setBlocking(false);
     ConfigurePeerTimeout(stream->mSocket, aOptions.mPeerTimeout);
     stream->mCloseResets = aOptions.mCloseResets;
+    stream->mKeepsHalfClosed = aOptions.mKeepsHalfClosed;
     if (stream->mCloseResets) {
       stream->SetReset(true);
     }
@@ -137,7 +138,8 @@
 void
 ByteStream::SetReading(bool aReading)
 {
-  if (mOpen && aReading != std::exchange(mReading, aReading)) {
+  // After its end the connection would be readable all the time.
+  if (mOpen && !mPeerClosed && aReading != std::exchange(mReading, aReading)) {
     UpdateWatch();
   }
 }
@@ -245,6 +247,10 @@
     if (mCloseResets) {
       SetReset(false);
     }
+    if (mPeerClosed) {
+      Close();
+      return;
+    }
     mTimer =
       mLoop.CallAt(SuspendAwareNow() + kLingerTime, [self = shared_from_this()] { self->Close(); });
   } catch (const std::exception&) {
@@ -317,8 +323,7 @@
     return true;
   }
   if (count == 0) {
-    CloseAndNotify(StreamEnd::kClosedByPeer);
-    return false;
+    return OnPeerClosed();
   }
   if (mCloseWhenSent) {
     mMayDiscard -= std::min(mMayDiscard, static_cast<std::size_t>(count));
@@ -335,6 +340,22 @@
   return mOpen;
 }
 
+// Returns whether the stream is still open.
+bool
+ByteStream::OnPeerClosed()
+{
+  if (!mKeepsHalfClosed || mCloseWhenSent) {
+    CloseAndNotify(StreamEnd::kClosedByPeer);
+    return false;
+  }
+  SetReading(false);
+  mPeerClosed = true;
+  if (const auto onPeerClosed = mCallbacks.mOnPeerClosed) {
+    onPeerClosed();
+  }
+  return mOpen;
+}
+
 void
 ByteStream::Flush()
 {
--- a/trefoil/reactor/byte_stream.h
+++ b/trefoil/reactor/byte_stream.h
@@ -47,6 +47,9 @@
   std::function<void()> mOnConnected;
   // Called when the last buffered byte has been passed to the kernel, but not during Send.
   std::function<void()> mOnSent;
+  // Called once when the peer has shut down its sending side, if StreamOptions::mKeepsHalfClosed is
+  // set.
+  std::function<void()> mOnPeerClosed;
   // Called once when the connection has ended, but not after Close.
   std::function<void(StreamEnd)> mOnEnd;
 };
@@ -61,6 +64,8 @@
   // Makes every end of the connection a reset for the peer, also that of a killed process, except
   // after CloseAfterSending. The peer can then tell a complete transfer from one that was cut off.
   bool mCloseResets = false;
+  // Keeps the connection open for sending after the peer has shut down its sending side.
+  bool mKeepsHalfClosed = false;
 };
 
 // The bytes that are read and discarded after CloseAfterSending, so that a peer that reads only
@@ -119,6 +124,8 @@
   void SetReading(bool aReading);
   // Returns whether the socket has bytes, or an end, that have not been read yet.
   bool HasUnreadBytes();
+  // Returns whether the peer has shut down its sending side and the stream was kept open.
+  bool IsPeerClosed() const { return mPeerClosed; }
   bool IsOpen() const { return mOpen; }
   bool IsConnected() const { return mConnected; }
   // Returns the number of buffered bytes that have not been passed to the kernel.
@@ -136,6 +143,7 @@
   void OnReady(unsigned aReady);
   void HandleEvents(unsigned aReady);
   bool Read();
+  bool OnPeerClosed();
   void Flush();
   void DropSentBytes();
   void EndSending();
@@ -157,6 +165,8 @@
   bool mReading = true;
   bool mCloseWhenSent = false;
   bool mCloseResets = false;
+  bool mKeepsHalfClosed = false;
+  bool mPeerClosed = false;
   // Ends a connection that is not established, or not closed by the peer, in time.
   EventLoop::TimerId mTimer = 0;
 };
