Bound what trefoild holds of requests of other hosts

Cause: a request of another host may have up to 72 MB, and each of 256 connections could hold one; the kernel's buffers grew beside that.

Change: the requests that are being received share a quarter of the memory budget. A connection that exceeds it is closed; hosts repeat requests that they still need. The receive buffers have 64 kB. Answers are not limited by this: only hosts that asked receive them.

--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -52,6 +52,8 @@
 // for them, may take.
 constexpr std::size_t kPeerParts = 8;
 constexpr std::size_t kRelayParts = 8;
+// The part of the memory budget that requests of other hosts may take.
+constexpr std::size_t kPeerMemoryParts = 4;
 // The most time at the end of the stop notice that is reserved for handing streams over.
 constexpr Milliseconds kMaxHandOverReserve{ 3000 };
 
@@ -158,7 +160,8 @@
           [hostPointer](const Poco::Net::StreamSocket& aSocket, const RelayOpen& aOpen) {
             hostPointer->mRelayThread.Carry(aSocket, aOpen);
           },
-        .mMaxConnections = static_cast<std::int64_t>(SharesOfConnections(aSettings).mPeers) });
+        .mMaxConnections = static_cast<std::int64_t>(SharesOfConnections(aSettings).mPeers),
+        .mMaxReceivedBytes = MemoryLimitsOf(aSettings).mTotal / kPeerMemoryParts });
     if (!peerServer.ok()) {
       return peerServer.status();
     }
--- a/trefoil/wire/peer_link.cc
+++ b/trefoil/wire/peer_link.cc
@@ -16,6 +16,7 @@
 #include <Poco/ThreadPool.h>
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <fmt/format.h>
 
 namespace trefoil {
@@ -30,6 +31,7 @@
 constexpr Milliseconds kServerIoTimeout{ 5000 };
 // Sockets interpret a timeout of zero as no timeout.
 constexpr Milliseconds kMinSocketTimeout{ 1 };
+constexpr int kReceiveBufferBytes = 64 * 1024;
 constexpr int kIdleThreadSeconds = 60;
 constexpr int kThreadStackBytes = 256 * 1024;
 
@@ -40,10 +42,58 @@
   return Poco::Timespan{ std::chrono::microseconds{ remaining }.count() };
 }
 
-// Reads `aSize` bytes. Throws a Poco exception on a timeout or if the connection closes. Grows the
-// buffer as data arrives, so that a forged length cannot cause a large allocation.
+// What the frames that are being received may hold together.
+class ReceiveBudget
+{
+public:
+  explicit ReceiveBudget(std::size_t aMaxBytes)
+    : mMaxBytes(aMaxBytes)
+  {
+  }
+
+  // Throws a Poco exception if the bytes exceed the budget.
+  void Take(std::size_t aBytes)
+  {
+    if (mBytes.fetch_add(aBytes) + aBytes > mMaxBytes) {
+      mBytes.fetch_sub(aBytes);
+      throw Poco::Net::NetException("no memory for the frame");
+    }
+  }
+  void Return(std::size_t aBytes) { mBytes.fetch_sub(aBytes); }
+
+private:
+  const std::size_t mMaxBytes;
+  std::atomic<std::size_t> mBytes = 0;
+};
+
+// The part of a budget that one connection uses, until its end.
+class ReceiveShare
+{
+public:
+  explicit ReceiveShare(ReceiveBudget& aBudget)
+    : mBudget(aBudget)
+  {
+  }
+  ~ReceiveShare() { mBudget.Return(mBytes); }
+  ReceiveShare(const ReceiveShare&) = delete;
+  ReceiveShare& operator=(const ReceiveShare&) = delete;
+
+  void Take(std::size_t aBytes)
+  {
+    mBudget.Take(aBytes);
+    mBytes += aBytes;
+  }
+
+private:
+  ReceiveBudget& mBudget;
+  std::size_t mBytes = 0;
+};
+
+// Reads `aSize` bytes. Throws a Poco exception on a timeout, if the connection closes or if the
+// bytes exceed `aShare`, which may be null. Grows the buffer as data arrives, so that a forged
+// length cannot cause a large allocation.
 std::string
-ReadBytes(StreamSocket& aSocket, std::size_t aSize, Instant aDeadline)
+ReadBytes(StreamSocket& aSocket, std::size_t aSize, Instant aDeadline, ReceiveShare* aShare)
 {
   std::string bytes;
   std::array<char, kReadBufferBytes> buffer{};
@@ -57,20 +107,25 @@
     if (received <= 0) {
       throw Poco::Net::NetException("the peer closed the connection before the end of a frame");
     }
+    if (aShare != nullptr) {
+      // A string that grows takes up to twice its length.
+      aShare->Take(2 * static_cast<std::size_t>(received));
+    }
     bytes.append(buffer.data(), static_cast<std::size_t>(received));
   }
   return bytes;
 }
 
 absl::StatusOr<Message>
-ReadFrame(StreamSocket& aSocket, Instant aDeadline)
+ReadFrame(StreamSocket& aSocket, Instant aDeadline, ReceiveShare* aShare = nullptr)
 {
-  const std::size_t length = MessageLength(ReadBytes(aSocket, kFrameLengthBytes, aDeadline));
+  const std::size_t length =
+    MessageLength(ReadBytes(aSocket, kFrameLengthBytes, aDeadline, aShare));
   if (length > kMaxMessageBytes) {
     return absl::InvalidArgumentError(
       fmt::format("a frame of {} bytes exceeds the maximum message size", length));
   }
-  return Decode(ReadBytes(aSocket, length, aDeadline));
+  return Decode(ReadBytes(aSocket, length, aDeadline, aShare));
 }
 
 void
@@ -91,9 +146,10 @@
 class Connection : public Poco::Net::TCPServerConnection
 {
 public:
-  Connection(const StreamSocket& aSocket, const PeerServerOptions& aOptions)
+  Connection(const StreamSocket& aSocket, const PeerServerOptions& aOptions, ReceiveBudget& aBudget)
     : Poco::Net::TCPServerConnection(aSocket)
     , mOptions(aOptions)
+    , mShare(aBudget)
   {
   }
 
@@ -101,7 +157,7 @@
   {
     try {
       const Instant deadline = Now() + kServerIoTimeout;
-      const auto request = ReadFrame(socket(), deadline);
+      const auto request = ReadFrame(socket(), deadline, &mShare);
       if (!request.ok()) {
         return;
       }
@@ -123,6 +179,7 @@
 
 private:
   const PeerServerOptions& mOptions;
+  ReceiveShare mShare;
 };
 
 class ConnectionFactory : public Poco::Net::TCPServerConnectionFactory
@@ -130,6 +187,7 @@
 public:
   explicit ConnectionFactory(PeerServerOptions aOptions)
     : mOptions(std::move(aOptions))
+    , mBudget(mOptions.mMaxReceivedBytes)
   {
   }
 
@@ -137,11 +195,12 @@
   createConnection( // NOLINT(readability-identifier-naming): the library's name
     const StreamSocket& aSocket) override
   {
-    return new Connection{ aSocket, mOptions };
+    return new Connection{ aSocket, mOptions, mBudget };
   }
 
 private:
   const PeerServerOptions mOptions;
+  ReceiveBudget mBudget;
 };
 
 // The prefix of an error message that means that the request was not sent.
@@ -239,6 +298,8 @@
   try {
     Poco::Net::ServerSocket socket;
     BindExclusively(socket, aOptions.mListen);
+    // Accepted connections inherit it. By itself the kernel would let it grow to some MB for each.
+    socket.setReceiveBufferSize(kReceiveBufferBytes);
     socket.listen();
     return PeerServer{ std::make_unique<State>(aOptions, socket) };
   } catch (const std::exception& error) {
--- a/trefoil/wire/peer_link.h
+++ b/trefoil/wire/peer_link.h
@@ -17,6 +17,7 @@
 #include "trefoil/wire/message.h"
 
 #include <Poco/Net/StreamSocket.h>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -63,6 +64,9 @@
   // Called like mHandler. If empty, such connections are closed.
   RelayHandler mOnRelay;
   std::int64_t mMaxConnections = 16;
+  // What the requests that are being received may hold together. A connection that exceeds it is
+  // closed; the peer sends the request again.
+  std::size_t mMaxReceivedBytes = std::size_t{ 256 } << 20;
 };
 
 // Accepts connections and answers requests on its own threads until it is destroyed.
--- a/trefoil/wire/peer_link_test.cc
+++ b/trefoil/wire/peer_link_test.cc
@@ -1,5 +1,6 @@
 #include "trefoil/wire/peer_link.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <catch2/catch.hpp>
@@ -47,6 +48,46 @@
   }
 }
 
+// Guards against connections that send large frames, or never end them, and take all memory.
+SCENARIO("requests of other hosts share a memory budget")
+{
+  auto server =
+    PeerServer::Start({ .mListen = { .mAddress = "127.0.0.1", .mPort = 0 },
+                        .mHandler = [](const Message& /*aRequest*/) -> std::optional<Message> {
+                          return DocumentsReply{};
+                        },
+                        .mMaxReceivedBytes = std::size_t{ 256 } * 1024 });
+  REQUIRE(server.ok());
+  GIVEN("connections whose frames exceed it")
+  {
+    // The length of the frame, 16 MB in little-endian order.
+    const std::string frame = std::string{ "\x00\x00\x00\x01", 4 } + std::string(500'000, 'x');
+    THEN("they are closed before the frame has ended, and an ordinary request is answered")
+    {
+      for (int i = 0; i < 3; ++i) {
+        Poco::Net::StreamSocket socket{ Poco::Net::SocketAddress{ "127.0.0.1", server->Port() } };
+        socket.setReceiveTimeout(Poco::Timespan{ 20, 0 });
+        char byte = 0;
+        bool hasEnded = false;
+        try {
+          socket.sendBytes(frame.data(), static_cast<int>(frame.size()));
+          hasEnded = socket.receiveBytes(&byte, 1) <= 0;
+        } catch (const Poco::TimeoutException&) {
+          hasEnded = false;
+        } catch (const Poco::Exception&) {
+          // The connection is reset, since the server has not read all.
+          hasEnded = true;
+        }
+        CHECK(hasEnded);
+      }
+      CHECK(CallPeer({ .mAddress = "127.0.0.1", .mPort = server->Port() },
+                     DocumentsRequest{},
+                     Now() + kTestTimeout)
+              .ok());
+    }
+  }
+}
+
 // Returns the processor time of this process.
 std::chrono::nanoseconds
 ProcessorTime()
