Derive the connections of trefoil-gateway from its descriptors

Callers could not connect for 6 to 7 s to a host that said that it was ready, and got 503 from one with 300 descriptors beside a crowd.

Cause: the template passed all descriptors of the platform as most_connections, of which the platform keeps 200 for files; and nothing looked at what the system lets the process open. Accepting then failed, as did connections to servers.

Change: most_descriptors and reserved_descriptors. Connections get what is left of the descriptors that the platform states, and that the system permits. The defaults change nothing for a process with enough of them.

--- a/cmd/trefoil_gateway.cc
+++ b/cmd/trefoil_gateway.cc
@@ -5,10 +5,12 @@
 #include "trefoil/eventlog/pipe_sink.h"
 #include "trefoil/settings/gateway_settings.h"
 #include "trefoil/startup/allocator.h"
+#include "trefoil/startup/descriptors.h"
 #include "trefoil/startup/signals.h"
 #include "trefoil/startup/startup.h"
 #include "trefoil/steering/control_thread.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -45,7 +47,7 @@
 constexpr trefoil::Milliseconds kStopMargin{ 700 };
 // The connections that are reserved for calls to the platform and to other hosts. The traffic
 // thread may use the rest of the connection limit.
-constexpr std::int64_t kReservedConnections = 16;
+constexpr std::size_t kReservedConnections = 16;
 // The fractions of the platform's allowance beyond a quota that entry hosts use. The rest covers
 // updates that arrive late.
 constexpr double kQuotaOverageFraction = 0.8;
@@ -54,6 +56,21 @@
 // configuration is older than that time less this margin, so that no revoked key is accepted late.
 constexpr trefoil::Milliseconds kRevokeMargin{ 1'000 };
 
+// Returns the connections that the traffic thread may have open.
+std::size_t
+MaxConnections(const trefoil::GatewaySettings& aSettings)
+{
+  const std::size_t system = trefoil::DescriptorLimit();
+  const auto stated = static_cast<std::size_t>(aSettings.mMaxDescriptors);
+  const std::size_t descriptors = trefoil::DescriptorsLeft(
+    { .mMax = stated == 0 ? system : std::min(stated, system),
+      .mReserved = static_cast<std::size_t>(aSettings.mReservedDescriptors) });
+  return std::min(
+    descriptors,
+    trefoil::DescriptorsLeft({ .mMax = static_cast<std::size_t>(aSettings.mMaxConnections),
+                               .mReserved = kReservedConnections }));
+}
+
 trefoil::TrafficOptions
 MakeTrafficOptions(const trefoil::GatewaySettings& aSettings)
 {
@@ -73,8 +90,7 @@
            .mQuotaSlack = kQuotaSlackFraction * aSettings.mQuotaSlack,
            .mUsageWindow = aSettings.mUsageWindow,
            .mMaxConfigurationAge = aSettings.mRevokeWithin - kRevokeMargin,
-           .mMaxConnections =
-             static_cast<std::size_t>(aSettings.mMaxConnections - kReservedConnections),
+           .mMaxConnections = MaxConnections(aSettings),
            .mMemoryLimits =
              trefoil::LimitsOfMachine(trefoil::MachineMemory(aSettings.mMemoryBytes)) };
 }
--- a/trefoil/settings/gateway_settings.cc
+++ b/trefoil/settings/gateway_settings.cc
@@ -10,6 +10,7 @@
 
 constexpr std::int64_t kMaxOpenConnections = 100'000;
 constexpr std::int64_t kDefaultMaxConnections = 2'000;
+constexpr std::int64_t kDefaultReservedDescriptors = 60;
 constexpr double kMaxDurationS = 3'600;
 // Defaults for a platform that does not specify these bounds.
 constexpr double kDefaultStopNoticeS = 25;
@@ -94,6 +95,11 @@
   settings.mOrdersServers = reader.OptionalBool("order_servers", false);
   settings.mMaxConnections = reader.OptionalInt(
     "most_connections", kDefaultMaxConnections, { .mMin = 1, .mMax = kMaxOpenConnections });
+  settings.mMaxDescriptors =
+    reader.OptionalInt("most_descriptors", 0, { .mMin = 0, .mMax = kMaxOpenConnections });
+  settings.mReservedDescriptors = reader.OptionalInt("reserved_descriptors",
+                                                     kDefaultReservedDescriptors,
+                                                     { .mMin = 0, .mMax = kMaxOpenConnections });
   settings.mMemoryBytes = ReadMemoryBytes(reader, "memory_mb");
   settings.mStopNotice = ReadDuration(reader, "stop_notice_s", kDefaultStopNoticeS, kMsPerSecond);
   settings.mRevokeWithin = ReadDuration(reader, "revoke_within_ms", kDefaultRevokeMs, 1);
--- a/trefoil/settings/gateway_settings.h
+++ b/trefoil/settings/gateway_settings.h
@@ -46,6 +46,10 @@
   bool mOrdersServers = false;
   // The maximum number of open connections of the process.
   std::int64_t mMaxConnections = 0;
+  // The descriptors that the process may open, 0 for what the system permits, and those of them
+  // that are kept for what is no connection of a client or to a server.
+  std::int64_t mMaxDescriptors = 0;
+  std::int64_t mReservedDescriptors = 0;
   // The memory of the machine that the process may use, in bytes; 0 for what the system reports.
   std::int64_t mMemoryBytes = 0;
   // The time from the stop signal until the process must have ended.
