--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -179,6 +179,12 @@
   callers_of_cuts=(--callers-per-host=$(((35 + hosts) / hosts)) --pause-ms=300)
   [ $((seed % 2)) = 0 ] || callers_of_cuts+=(--bodies=16)
 fi
+# Each fourth seed has clients of host 1 that misbehave, on a path without a route, so that nothing of theirs runs.
+crowds=(whole_body large_chunks endless_headers bare_line_feeds tiny_chunks_over_limit open_only)
+if [ $((seed % 4)) = 0 ]; then
+  start crowd build/tests/hostile_clients/hostile-client "${crowds[seed / 4 % ${#crowds[@]}]}" "$(host_address 1 18080)" \
+    --path=/none/ --clients=30
+fi
 build/tests/soak/soak-client --seconds="$seconds" --seed="$seed" "${callers_of_cuts[@]}" "${addresses[@]}" >"$work/results" &
 callers=$!
 revoked="" next_cut=0
@@ -234,6 +240,7 @@
   for kind in write read talk; do echo "end-$i-$kind $kind $(ask "end-$i-$kind" "$i" $kind key) true true" >>"$work/results"; done
 done
 failed=0
+[ ! -e "$work/crowd.pid" ] || terminate crowd
 terminate $(seq -f 'host-%.0f' $hosts)
 check_ends || failed=1
 awk -v seed="$seed" -v schedule="$schedule" -v hosts="$hosts" -v contact_ms=3000 \
