Test both daemons beside clients that come back without end

A crowd that is closed connects again at once; whether an ordinary caller still gets a connection then, and whether the log stays bounded, was not tested.

Change: the kind `reconnecting`, 700 clients at 400 connections. A comment of the HTTP client says how memory is reserved.

--- a/tests/hostile_clients/hostile_client.cc
+++ b/tests/hostile_clients/hostile_client.cc
@@ -44,7 +44,7 @@
 KIND: whole_body, body_in_pieces, large_chunks, small_chunks, announced_over_limit, sent_over_limit, byte_by_byte,
 unread_answers, open_only, heads_over_limit, endless_target, endless_header, endless_headers, endless_short_headers,
 empty_lines, bare_line_feeds, endless_trailers, endless_extension, tiny_chunks_over_limit, unread_small_answers,
-unfinished_heads, waiting_heads, idle_after_large, many_requests or endless_frame.
+unfinished_heads, waiting_heads, idle_after_large, many_requests, endless_frame or reconnecting.
 )";
 
 enum class HostileKind
@@ -92,9 +92,11 @@
   kManyRequests,
   // A frame of the protocol between entry hosts that does not end.
   kEndlessFrame,
+  // Malformed requests, from clients that connect again as soon as they are closed, without end.
+  kReconnecting,
 };
 
-constexpr NameTable<HostileKind, 25> kHostileKindNames{ {
+constexpr NameTable<HostileKind, 26> kHostileKindNames{ {
   { HostileKind::kWholeBody, "whole_body" },
   { HostileKind::kBodyInPieces, "body_in_pieces" },
   { HostileKind::kLargeChunks, "large_chunks" },
@@ -120,6 +122,7 @@
   { HostileKind::kIdleAfterLarge, "idle_after_large" },
   { HostileKind::kManyRequests, "many_requests" },
   { HostileKind::kEndlessFrame, "endless_frame" },
+  { HostileKind::kReconnecting, "reconnecting" },
 } };
 
 // Each client whose number is a multiple of this finishes its request.
@@ -158,6 +161,8 @@
   // The pause between two writes.
   Milliseconds mPause{ 0 };
   bool mReads = true;
+  // Whether a client goes on connecting when it has used up its connections.
+  bool mReturns = false;
 };
 
 struct Options
@@ -281,6 +286,8 @@
     }
     case HostileKind::kUnfinishedHeads:
       return { .mHead = HeadOf(aOptions, kLargeHeadBytes) };
+    case HostileKind::kReconnecting:
+      return { .mHead = "malformed\r\n\r\n", .mReturns = true };
     case HostileKind::kWaitingHeads:
       return { .mHead = HeadOf(aOptions, kLargeHeadBytes) + "\r\n" };
     default:
@@ -361,6 +368,7 @@
     case HostileKind::kUnreadSmallAnswers:
     case HostileKind::kUnfinishedHeads:
     case HostileKind::kWaitingHeads:
+    case HostileKind::kReconnecting:
       break;
   }
   return MakeHeadScript(aOptions);
@@ -396,7 +404,11 @@
 bool
 IsSettled(const Client& aClient)
 {
-  return aClient.mSocket < 0 ? aClient.mConnections >= kConnectionsOfClient : IsAllSent(aClient);
+  const bool hasUsedConnections = aClient.mConnections >= kConnectionsOfClient;
+  if (aClient.mScript.mReturns) {
+    return hasUsedConnections;
+  }
+  return aClient.mSocket < 0 ? hasUsedConnections : IsAllSent(aClient);
 }
 
 void
@@ -474,7 +486,8 @@
   const Instant now = Now();
   std::vector<pollfd> polled;
   for (Client& client : aClients) {
-    if (client.mSocket < 0 && client.mConnections < kConnectionsOfClient) {
+    if (client.mSocket < 0 &&
+        (client.mConnections < kConnectionsOfClient || client.mScript.mReturns)) {
       Connect(client, aTarget);
     }
     const bool writes = !IsAllSent(client) && HasPassed(client.mNextWrite, now);
--- a/tests/hostile_clients/hostile_clients.sh
+++ b/tests/hostile_clients/hostile_clients.sh
@@ -23,7 +23,7 @@
 # The most bytes that the daemon may log.
 most_log_bytes=1000000
 case $kind in
-  open_only) clients=700 ;;
+  open_only | reconnecting) clients=700 ;;
   unfinished_heads | waiting_heads | many_requests) clients=390 ;;
   # The connections that a machine of this memory has room for, in proportion to the smallest one: 3,075 and 120 MB.
   idle_after_large) clients=1100 most_connections=1200 ;;
--- a/trefoil/http/client.cc
+++ b/trefoil/http/client.cc
@@ -265,7 +265,7 @@
   };
   bool hasMemory = reserve(StatedLength(reader.Response().mHeaders));
   while (reader.State() != MessageReadState::kComplete) {
-    // A body without a stated length grows in steps, by half each.
+    // Memory for a body without a stated length is reserved in steps that double.
     hasMemory = hasMemory && (reader.Body().size() < reserved || reserve(reserved * 2));
     if (!hasMemory) {
       return Failure{ .mVerdict = Verdict::kMayHaveRun,
