Answer a client of trefoild that sends on while its request runs

Cause: a session ends a client that has sent 64 kB beyond its request before the answer, which trefoil-gateway does on purpose. The handler of trefoild runs on another thread, so that under load the bytes were read before the answer was there. Without load the answer came first.

Change: in trefoild the session stops reading instead, and goes on with the next request or with the end of the connection.

--- a/trefoil/http_server/client_session.cc
+++ b/trefoil/http_server/client_session.cc
@@ -90,8 +90,12 @@
 {
   if (mAwaitingAnswer) {
     if (mStream->Received().size() > kMaxPipelinedBytes) {
-      OnEnd();
-      return;
+      if (!mCallbacks->mOptions.mServesHalfClosed) {
+        OnEnd();
+        return;
+      }
+      // The next request, or the end of this answer, resumes reading.
+      mStream->SetReading(false);
     }
     ReportMemory(MemoryReport::kOther);
     return;
--- a/trefoil/http_server/client_session.h
+++ b/trefoil/http_server/client_session.h
@@ -48,8 +48,8 @@
   // A request with more headers, or with a longer one, is malformed.
   std::size_t mMaxHeaders = std::numeric_limits<std::size_t>::max();
   std::size_t mMaxHeaderBytes = std::numeric_limits<std::size_t>::max();
-  // Whether clients that have shut down their sending side get the answers to their requests.
-  // Otherwise they are considered gone.
+  // Whether clients that have shut down their sending side, or that send much more than a request
+  // before its answer, get the answers to their requests. Otherwise they are considered gone.
   bool mServesHalfClosed = false;
   // Whether answers after which the connection stays open say so, for clients of HTTP/1.0.
   bool mStatesKeepAlive = false;
--- a/trefoil/http_server/http_server_test.cc
+++ b/trefoil/http_server/http_server_test.cc
@@ -132,6 +132,61 @@
   }
 }
 
+// Guards against an answer that is lost because its client sends on while the handler runs.
+SCENARIO("a client sends much more than its request")
+{
+  constexpr Milliseconds kHandlerTime{ 200 };
+  const auto server = HttpServer::Start({ .mListen = { .mAddress = kAddress, .mPort = 0 },
+                                          .mHandler = [kHandlerTime](HttpExchange& aExchange) {
+                                            std::this_thread::sleep_for(kHandlerTime);
+                                            aExchange.Respond({ .mBody = "served\n" });
+                                          } });
+  REQUIRE(server.ok());
+  StreamSocket client = Connect(*server);
+  GIVEN("bytes that are no request")
+  {
+    Send(client,
+         "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" + std::string(1'000'000, 'x'));
+    THEN("it gets its answer")
+    {
+      CHECK(ReceiveUntil(client, "served\n").ends_with("served\n"));
+    }
+  }
+  GIVEN("many further requests")
+  {
+    constexpr int kRequests = 5;
+    // Each one longer than what is read before the answer to the former one.
+    const std::string body(100'000, 'x');
+    const std::jthread sender{ [&] {
+      try {
+        for (int i = 0; i < kRequests; ++i) {
+          Send(
+            client,
+            fmt::format("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n", body.size()) +
+              body);
+        }
+      } catch (const Poco::Exception&) {
+        // The answers are missing then.
+        return;
+      }
+    } };
+    THEN("it gets all answers")
+    {
+      std::string received;
+      for (std::size_t answers = 0; answers < kRequests;) {
+        const std::string more = ReceiveUntil(client, "served\n");
+        REQUIRE_FALSE(more.empty());
+        received += more;
+        answers = 0;
+        for (std::size_t at = received.find("served\n"); at != std::string::npos;
+             at = received.find("served\n", at + 1)) {
+          ++answers;
+        }
+      }
+    }
+  }
+}
+
 // Guards against a server that has no descriptor left for the connections that requests take.
 SCENARIO("connections are kept for the requests of clients")
 {
