Limit the connections of other hosts also while no client is connected

Cause: the first client is accepted whatever the limit. Connections of other hosts are accepted by the same rule, and without a client each of them counted as the first connection.

Change: the exception holds while nothing is connected at all.

--- a/trefoil/http_server/connection_use.cc
+++ b/trefoil/http_server/connection_use.cc
@@ -17,7 +17,8 @@
   ConnectionUse next = aUse;
   ++next.mClients;
   ++next.mNewClients;
-  return aUse.mClients == 0 || NeededConnections(aLimits, next) <= aLimits.mMax;
+  const bool isFirst = aUse.mClients + aUse.mOthers == 0;
+  return isFirst || NeededConnections(aLimits, next) <= aLimits.mMax;
 }
 
 bool
--- a/trefoil/http_server/connection_use.h
+++ b/trefoil/http_server/connection_use.h
@@ -37,7 +37,7 @@
 std::size_t
 NeededConnections(const ConnectionLimits& aLimits, const ConnectionUse& aUse);
 
-// Returns whether a further client may be accepted. The first one always may.
+// Returns whether a further connection may be accepted. The first one always may.
 bool
 MayAccept(const ConnectionLimits& aLimits, const ConnectionUse& aUse);
 
--- a/trefoil/http_server/connection_use_test.cc
+++ b/trefoil/http_server/connection_use_test.cc
@@ -52,6 +52,10 @@
     {
       CHECK_FALSE(MayAccept(limits, use));
     }
+    THEN("they are limited also without a client")
+    {
+      CHECK_FALSE(MayAccept(limits, { .mOthers = 9 }));
+    }
   }
   GIVEN("a limit that is too low for any request")
   {
