Count the open connections once when a server begins to drain

BeginDrain counted them, and ContinueDrain, which it calls next, counts them again. Behaviour is the same: http_server_test passes, 540 assertions.

--- a/trefoil/http_server/http_server.cc
+++ b/trefoil/http_server/http_server.cc
@@ -432,7 +432,6 @@
   }
   mConnections.StopListening();
   mConnections.AwaitFirstRequestsUntil(SuspendAwareNow() + kFirstRequestGrace);
-  CountOpen();
   ContinueDrain();
 }
 
