Tell a host of hosts of its zone that it does not know

Cause: the hosts 1, 3 and 5 of one zone know only host 6 of another zone. A digest replaces the stored hosts of its zone, and one that is not newer is dropped. So host 6 forgets host 1 whenever a digest of 3 or 5 comes, and finds it only if it happens to choose it for its next message. Hosts without seeds do not ask. Ruled out: a lost datagram or a process that did not start; a model of these six hosts without either loses as much.

Change: who receives a digest that is no newer than the one it has, and names fewer hosts, or others of a zone of up to three, answers its sender with its own digests.

--- a/trefoil/membership/gossip.cc
+++ b/trefoil/membership/gossip.cc
@@ -232,10 +232,17 @@
     return {};
   }
   ApplyHostHeartbeat(aState, aMessage.mSender, aNow);
+  bool answer = false;
   for (const ZoneDigest& digest : aMessage.mZones) {
+    answer = answer || (digest.mZone == aMessage.mSender.mZone && LacksKnownHosts(aState, digest));
     ApplyZoneDigest(aState, digest, aNow);
   }
-  return {};
+  Datagrams datagrams;
+  if (answer) {
+    datagrams.push_back(
+      { .mTo = aMessage.mSender.mPeerEndpoint, .mMessage = MakeZoneGossip(aState) });
+  }
+  return datagrams;
 }
 
 Datagrams
--- a/trefoil/membership/internal/gossip_helpers.cc
+++ b/trefoil/membership/internal/gossip_helpers.cc
@@ -82,6 +82,12 @@
   return hosts.size() < kMaxMembers && static_cast<std::size_t>(ofZone) < kMaxHostsPerOtherZone;
 }
 
+bool
+HasContact(const ZoneDigest& aDigest, const HostId& aHost)
+{
+  return std::ranges::find(aDigest.mContacts, aHost, &Heartbeat::mHost) != aDigest.mContacts.end();
+}
+
 } // namespace
 
 std::uint64_t
@@ -169,6 +175,22 @@
     aState.mMembers, aHeartbeat, aNow + (ownZone ? kSuspectTimeout : kOtherZoneSuspectTimeout));
 }
 
+bool
+LacksKnownHosts(const GossipState& aState, const ZoneDigest& aDigest)
+{
+  const auto found = aState.mZones.find(aDigest.mZone);
+  if (found == aState.mZones.end() || aDigest.mVersion > found->second.mDigest.mVersion) {
+    return false;
+  }
+  const ZoneDigest& known = found->second.mDigest;
+  if (aDigest.mLiveHosts != known.mLiveHosts || known.mLiveHosts > kContactsPerZone) {
+    return aDigest.mLiveHosts < known.mLiveHosts;
+  }
+  return std::ranges::any_of(known.mContacts, [&aDigest](const Heartbeat& aContact) {
+    return !HasContact(aDigest, aContact.mHost);
+  });
+}
+
 void
 ApplyZoneDigest(GossipState& aState, const ZoneDigest& aDigest, Instant aNow)
 {
--- a/trefoil/membership/internal/gossip_helpers.h
+++ b/trefoil/membership/internal/gossip_helpers.h
@@ -36,6 +36,12 @@
 void
 ApplyHostHeartbeat(GossipState& aState, const Heartbeat& aHeartbeat, Instant aNow);
 
+// Returns whether a digest of another zone is no newer than the one that this host has and names
+// fewer hosts, or others although a digest names all hosts of so small a zone. Its sender may then
+// have no contact with the rest of its zone.
+bool
+LacksKnownHosts(const GossipState& aState, const ZoneDigest& aDigest);
+
 // Applies a digest of any zone. A digest of the own zone adds its contacts only; one of another
 // zone replaces the stored digest and contacts if its version is higher.
 void
