Let bodies grow by half, as the budget assumes

A request of an ordinary client could count as large: a body of 100 kB took up to 200 kB, above the 160 kB up to which a request is small, so that it was refused at three quarters of the budget and gave way first.

Cause: AppendGrowing asked for one and a half times the contents or the stated length, but reserve() of libstdc++ at least doubles a capacity. Found by a plain answer of 524 kB that did not fit into 1 MB of budget while one of 516 kB did: reads of 16 kB double to 512 and 1,024 kB.

Change: the bytes move to a new string, whose capacity is what is asked for. The peak while a body grows is the old and the new capacity, as before.

--- a/trefoil/http/message_reader.cc
+++ b/trefoil/http/message_reader.cc
@@ -28,6 +28,9 @@
 // Appends bytes of a body of `aLength` bytes, or of an unknown length if that is 0. The capacity
 // grows by half: a string that doubles would hold up to twice its contents. It is not taken from
 // the stated length at once, since most of that may never come.
+//
+// The bytes move to another string to grow, because reserve() of libstdc++ at least doubles a
+// capacity.
 void
 AppendGrowing(std::string& aBody, beast::string_view aBytes, std::uint64_t aLength)
 {
@@ -37,7 +40,10 @@
     if (aLength >= needed) {
       capacity = std::min<std::uint64_t>(capacity, aLength);
     }
-    aBody.reserve(capacity);
+    std::string grown;
+    grown.reserve(capacity);
+    grown.append(aBody);
+    aBody = std::move(grown);
   }
   aBody.append(aBytes.data(), aBytes.size());
 }
--- a/trefoil/http/message_reader_test.cc
+++ b/trefoil/http/message_reader_test.cc
@@ -105,6 +105,39 @@
   }
 }
 
+SCENARIO("a large body arrives in several pieces")
+{
+  constexpr std::size_t kBodyBytes = 150'000;
+  constexpr std::size_t kPieceBytes = 7'000;
+  GIVEN("a body whose length is stated, or one in chunks")
+  {
+    const bool isChunked = GENERATE(false, true);
+    CAPTURE(isChunked);
+    MessageReader reader = MessageReader::ForRequest({});
+    std::string bytes = "POST / HTTP/1.1\r\nHost: x\r\n" +
+                        (isChunked ? std::string{ "Transfer-Encoding: chunked" }
+                                   : fmt::format("Content-Length: {}", kBodyBytes)) +
+                        "\r\n\r\n";
+    reader.Consume(bytes);
+    THEN("it never takes more than one and a half times its contents")
+    {
+      for (std::size_t sent = 0; sent < kBodyBytes;) {
+        const std::size_t count = std::min(kPieceBytes, kBodyBytes - sent);
+        const std::string piece(count, 'x');
+        bytes += isChunked ? fmt::format("{:x}\r\n{}\r\n", count, piece) : piece;
+        sent += count;
+        reader.Consume(bytes);
+        REQUIRE(reader.Body().size() == sent);
+        REQUIRE(reader.Body().capacity() <= sent + sent / 2);
+      }
+      AND_THEN("a body of a stated length takes no more than that in the end")
+      {
+        CHECK((isChunked || reader.Body().capacity() == kBodyBytes));
+      }
+    }
+  }
+}
+
 SCENARIO("informational responses do not end")
 {
   MessageReader reader = MessageReader::ForResponse({});
