Use one rule for the room of a request in both daemons

The gateway repeated MakeRoomForRequest of http_server/memory_relief, so a change of that rule would have reached trefoild only. TrafficState now has the MemoryRelief, and Exchange calls the same function. Three functions had that name; those about connections are MakeRoomForServerConnection now. request_memory uses AllocatedBytes of http/message instead of a copy.

--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -70,15 +70,9 @@
 {
   mRequestBytes = MemoryOfRequest(mRequest, mMetadata);
   ChangeHeld(mState.mMemory, MemoryKind::kRequests, 0, mRequestBytes);
-  if (HasRoomForRequest(mState.mMemory, mRequestBytes)) {
+  if (MakeRoomForRequest(*mState.mRelief, mRequestBytes)) {
     return true;
   }
-  if (mRequestBytes <= kSmallRequestBytes) {
-    mState.mRelieveMemory(mRequestBytes);
-    if (HasRoomForRequest(mState.mMemory, mRequestBytes)) {
-      return true;
-    }
-  }
   mState.mMetrics.IncrementLabelled(LabelledCounter::kMemoryRefusals,
                                     NameOf(kMemoryRefusalNames, MemoryRefusal::kNoRoom));
   Refuse(kServiceUnavailable, RefusalReason::kNoMemory, RetryAfter(kRetryAfterFull));
@@ -89,7 +83,7 @@
 bool
 Exchange::CheckConnections()
 {
-  if (mState.mMakeRoomForRequest()) {
+  if (mState.mMakeRoomForServerConnection()) {
     return true;
   }
   mState.mMetrics.IncrementLabelled(LabelledCounter::kMemoryRefusals,
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -218,7 +218,7 @@
   bool fits = true;
   if (buffered > before && IsExhausted(mState.mMemory)) {
     // Clients give way first. If that does not suffice, answers that grow are ended.
-    mState.mRelieveMemory(0);
+    RelieveMemory(*mState.mRelief, 0);
     if (!mAttempt.has_value()) {
       return false;
     }
--- a/trefoil/forward/request_memory.cc
+++ b/trefoil/forward/request_memory.cc
@@ -15,13 +15,12 @@
 MemoryOfRequest(const HttpRequest& aRequest, const RequestMetadata& aMetadata)
 {
   std::size_t bytes = sizeof(Exchange) + kAttemptBytes + HeldBytes(aRequest) +
-                      aMetadata.mRequestId.capacity() + aMetadata.mHost.capacity() +
-                      aMetadata.mKey.capacity() + aMetadata.mLastEventId.capacity() +
+                      AllocatedBytes(aMetadata.mRequestId) + AllocatedBytes(aMetadata.mHost) +
+                      AllocatedBytes(aMetadata.mKey) + AllocatedBytes(aMetadata.mLastEventId) +
                       aMetadata.mPrompt.capacity() * sizeof(PromptPart);
-  const std::size_t inPlace = std::string{}.capacity();
   for (const PromptPart& part : aMetadata.mPrompt) {
     // A vector that grows takes up to twice its contents.
-    bytes += 2 * sizeof(PromptPartKey) + (part.mId.capacity() > inPlace ? part.mId.capacity() : 0);
+    bytes += 2 * sizeof(PromptPartKey) + AllocatedBytes(part.mId);
   }
   return bytes;
 }
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -8,6 +8,7 @@
 #include "trefoil/forward/failure_blame.h"
 #include "trefoil/forward/server_connection_pool.h"
 #include "trefoil/forward/traffic_thread.h"
+#include "trefoil/http_server/memory_relief.h"
 #include "trefoil/memory/memory_budget.h"
 #include "trefoil/request/server_links.h"
 
@@ -74,11 +75,11 @@
   std::function<void(const RejectionReport&)> mOnRejection;
   // What is held for clients, servers and other hosts.
   MemoryBudget mMemory;
-  // Ends clients until the limits of mMemory hold with `aNeeded` bytes more. May end the client of
-  // any exchange.
-  std::function<void(std::size_t aNeeded)> mRelieveMemory;
+  // Ends clients when mMemory is exhausted, those of any exchange included. Is never null while
+  // requests are processed.
+  MemoryRelief* mRelief = nullptr;
   // Returns whether a connection to a server is left for a further request.
-  std::function<bool()> mMakeRoomForRequest;
+  std::function<bool()> mMakeRoomForServerConnection;
   UsageWindows mUsage;
   std::map<ServiceId, ServiceLoad> mLoads;
   // Until when ServiceLoad::mBusyMs has been counted.
--- a/trefoil/forward/traffic_thread.cc
+++ b/trefoil/forward/traffic_thread.cc
@@ -53,10 +53,10 @@
           .mServerOptions = ServerStreamOptions() })
     , mConnections(mState.mLoop, mState.mMemory, ConnectionsOptions())
   {
-    mState.mRelieveMemory = [this](std::size_t aNeeded) {
-      RelieveMemory(mConnections.Relief(), aNeeded);
+    mState.mRelief = &mConnections.Relief();
+    mState.mMakeRoomForServerConnection = [this] {
+      return mConnections.MakeRoomForServerConnection();
     };
-    mState.mMakeRoomForRequest = [this] { return mConnections.MakeRoomForRequest(); };
   }
 
   void Bind();
--- a/trefoil/http/message.cc
+++ b/trefoil/http/message.cc
@@ -8,9 +8,7 @@
 #include <iterator>
 
 namespace trefoil {
-namespace {
 
-// The bytes of memory that a string takes beside its object.
 std::size_t
 AllocatedBytes(const std::string& aText)
 {
@@ -18,8 +16,6 @@
   return aText.capacity() > inPlace ? aText.capacity() + 1 : 0;
 }
 
-} // namespace
-
 std::size_t
 HeldBytes(const HttpHeaders& aHeaders)
 {
--- a/trefoil/http/message.h
+++ b/trefoil/http/message.h
@@ -36,6 +36,10 @@
   std::string mBody;
 };
 
+// Returns the bytes of memory that a string takes beside its object.
+std::size_t
+AllocatedBytes(const std::string& aText);
+
 // Returns the bytes of memory that headers, or a request with them and its body, take beside the
 // struct itself.
 std::size_t
--- a/trefoil/http_server/client_connections.cc
+++ b/trefoil/http_server/client_connections.cc
@@ -225,7 +225,7 @@
 }
 
 bool
-ClientConnections::MakeRoomForRequest()
+ClientConnections::MakeRoomForServerConnection()
 {
   // A host that stops has accepted all connections, and their requests must not be lost.
   if (mOptions.mStopping() || MayBeginRequest(mOptions.mLimits, Use())) {
--- a/trefoil/http_server/client_connections.h
+++ b/trefoil/http_server/client_connections.h
@@ -81,9 +81,10 @@
   // Accepts the connections that wait, and closes the endpoints.
   void StopListening();
 
-  // Returns whether a request may begin that ClientConnectionsOptions::mOtherUse does not count
-  // yet, after connections that can be spared have been closed.
-  bool MakeRoomForRequest();
+  // Returns whether a connection to a server is left for a request that
+  // ClientConnectionsOptions::mOtherUse does not count yet, after connections that can be spared
+  // have been closed.
+  bool MakeRoomForServerConnection();
   // Closes the sessions that have no request (ClientSession::CloseIfIdle).
   void CloseIdle(Instant aNow);
   // Gives clients that have not sent their first request time until `aDeadline` at least.
--- a/trefoil/http_server/http_server.cc
+++ b/trefoil/http_server/http_server.cc
@@ -284,7 +284,8 @@
 HttpServer::State::OnRequest(const std::shared_ptr<ClientSession>& aSession, HttpRequest aRequest)
 {
   const std::size_t bytes = MemoryOfRequest(aRequest);
-  if (!mConnections.MakeRoomForRequest() || !MakeRoomForRequest(mConnections.Relief(), bytes)) {
+  if (!mConnections.MakeRoomForServerConnection() ||
+      !MakeRoomForRequest(mConnections.Relief(), bytes)) {
     if (mOptions.mMetrics != nullptr) {
       mOptions.mMetrics->IncrementLabelled(LabelledCounter::kMemoryRefusals,
                                            NameOf(kMemoryRefusalNames, MemoryRefusal::kNoRoom));
