Deliver the complete answer of a write when the budget is used up

Callers of a write that had run got 502 although its answer was there.

Cause: the bytes of an answer were counted when it was complete too, and an answer that does not fit into the budget is ended. A complete one holds nothing for longer, and the request must not run again.

Change: for lack of memory only answers that are not complete are ended. The limit on the length of an answer holds as before.

--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -216,7 +216,7 @@
   void RecordStatedLimit();
   void RecordBrittleness();
   void RecordLeaving();
-  bool CheckBufferedBytes();
+  bool CheckBufferedBytes(MessageReadState aState);
   void RelayEvents();
   void RecordEventTime(std::int64_t aEvents);
   void RecordAnswerBegun();
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -62,7 +62,7 @@
     if (mAttempt->mHeadChecked && !mAttempt->mSkippingAnswer) {
       RecordAnswerBegun();
       RelayEvents();
-      if (mAttempt.has_value() && !CheckBufferedBytes()) {
+      if (mAttempt.has_value() && !CheckBufferedBytes(state)) {
         return;
       }
       if (mAttempt.has_value() && state == MessageReadState::kComplete) {
@@ -204,9 +204,10 @@
 }
 
 // Counts the bytes of the answer that cannot be relayed yet. Returns false if there are too many of
-// them and the attempt has ended.
+// them and the attempt has ended. A complete answer holds nothing for longer, so it is not ended
+// for lack of memory: the request may have run, and must not run again.
 bool
-Exchange::CheckBufferedBytes()
+Exchange::CheckBufferedBytes(MessageReadState aState)
 {
   const std::string& body = mAttempt->mReader->Body();
   const std::string& partialEvent = mEvents.mPartialEvent;
@@ -222,7 +223,8 @@
     if (!mAttempt.has_value()) {
       return false;
     }
-    fits = TotalHeldBytes(mState.mMemory) <= mState.mMemory.mLimits.mTotal;
+    fits = aState == MessageReadState::kComplete ||
+           TotalHeldBytes(mState.mMemory) <= mState.mMemory.mLimits.mTotal;
   }
   if (isSound && fits) {
     return true;
