Grow only bodies of a stated length by half

Cause: let bodies in chunks grow by half too. They took less of the budget, so each client sent more before it gave way.

Change: bodies in chunks double again. A stated length tells where a body ends, so that only there capacity beyond it is known to be wasted.

--- a/trefoil/http/message_reader.cc
+++ b/trefoil/http/message_reader.cc
@@ -25,23 +25,18 @@
   return { aText.data(), aText.size() };
 }
 
-// Appends bytes of a body of `aLength` bytes, or of an unknown length if that is 0. The capacity
-// grows by half: a string that doubles would hold up to twice its contents. It is not taken from
-// the stated length at once, since most of that may never come.
-//
-// The bytes move to another string to grow, because reserve() of libstdc++ at least doubles a
-// capacity.
+// Appends bytes of a body of `aLength` bytes, or of an unknown length if that is 0. A body of a
+// stated length grows by half, and never beyond that length. The length is not allocated at once,
+// since most of it may never come.
 void
 AppendGrowing(std::string& aBody, beast::string_view aBytes, std::uint64_t aLength)
 {
   const std::size_t needed = aBody.size() + aBytes.size();
-  if (needed > aBody.capacity()) {
-    std::size_t capacity = std::max(needed, aBody.capacity() + aBody.capacity() / 2);
-    if (aLength >= needed) {
-      capacity = std::min<std::uint64_t>(capacity, aLength);
-    }
+  if (needed > aBody.capacity() && needed <= aLength) {
+    // Not by reserve() of the body itself, since libstdc++ at least doubles a capacity.
     std::string grown;
-    grown.reserve(capacity);
+    grown.reserve(
+      std::min<std::uint64_t>(aLength, std::max(needed, aBody.capacity() + aBody.capacity() / 2)));
     grown.append(aBody);
     aBody = std::move(grown);
   }
--- a/trefoil/memory/memory_budget.h
+++ b/trefoil/memory/memory_budget.h
@@ -81,7 +81,7 @@
 };
 
 // A request that holds no more than this is small. The requests of ordinary clients have up to
-// 100 kB, and a growing string has up to one and a half times the capacity of its contents.
+// 100 kB, and while they grow to a stated length up to one and a half times the capacity of that.
 inline constexpr std::size_t kSmallRequestBytes = std::size_t{ 160 } * 1024;
 
 // What a connection of a client takes beside what it receives and sends: its objects, its timer and
