Give connections that wait to be accepted a smaller receive buffer

Cause: the receive buffer of a client shrinks with the number of clients, but only when it is accepted. Until then it has that of the listener, 64 kB that the kernel doubles. Samples of /proc/net/tcp during the test showed 22 to 27 MB in receive queues, up to 100 kB, a whole request, in one, and nothing in those of servers.

Change: the listener has 16 kB, and each connection gets its own size when it is accepted; those of other hosts 64 kB as before.

--- a/trefoil/http_server/client_connections.cc
+++ b/trefoil/http_server/client_connections.cc
@@ -19,8 +19,12 @@
 constexpr Milliseconds kAcceptRetryDelay{ 20 };
 constexpr Milliseconds kFailureReportInterval{ 1'000 };
 // What the kernel may hold for a connection in each direction; it doubles the number for its own
-// needs. The same as its initial size, so that requests of 64 kB arrive in one round trip.
+// needs. The same as its initial size.
 constexpr std::size_t kSocketBufferBytes = std::size_t{ 64 } * 1024;
+// What it may hold of a request before the connection is accepted, since a crowd fills the queue of
+// the listener with these. No less than what a sender with the usual initial window sends in its
+// first round trip.
+constexpr std::size_t kQueuedBufferBytes = std::size_t{ 16 } * 1024;
 // The least that it may hold of a request of each client in a crowd.
 constexpr std::size_t kMinSocketBufferBytes = std::size_t{ 8 } * 1024;
 
@@ -32,30 +36,32 @@
   socket.setBlocking(false);
   // Accepted connections inherit these. Without them the kernel lets the buffers of each connection
   // grow to some MB, whether the process has memory or not.
-  socket.setReceiveBufferSize(static_cast<int>(kSocketBufferBytes));
+  socket.setReceiveBufferSize(static_cast<int>(kQueuedBufferBytes));
   socket.setSendBufferSize(static_cast<int>(kSocketBufferBytes));
   return socket;
 }
 
-// Limits what the kernel holds of the requests of the last of `aClients`. The buffers of all
-// clients together stay near `aKernelBytes`: they shrink with the number of clients, and those of
-// the first ones are not taken back.
 void
-LimitReceiveBuffer(Poco::Net::StreamSocket aSocket, std::size_t aKernelBytes, std::size_t aClients)
+SetReceiveBuffer(Poco::Net::StreamSocket aSocket, std::size_t aBytes)
 {
-  constexpr std::size_t kParts = 4;
-  const std::size_t bytes = std::max(kMinSocketBufferBytes, aKernelBytes / kParts / aClients);
-  if (bytes >= kSocketBufferBytes) {
-    return;
-  }
   try {
-    aSocket.setReceiveBufferSize(static_cast<int>(bytes));
+    aSocket.setReceiveBufferSize(static_cast<int>(aBytes));
   } catch (const Poco::Exception&) {
     // The connection has ended, which its session finds out.
     return;
   }
 }
 
+// Returns what the kernel may hold of the requests of the last of `aClients`. The buffers of all
+// clients together stay near `aKernelBytes`: they shrink with the number of clients, and those of
+// the first ones are not taken back.
+std::size_t
+ReceiveBufferOf(std::size_t aClients, std::size_t aKernelBytes)
+{
+  constexpr std::size_t kParts = 4;
+  return std::clamp(aKernelBytes / kParts / aClients, kMinSocketBufferBytes, kSocketBufferBytes);
+}
+
 } // namespace
 
 ClientConnections::ClientConnections(EventLoop& aLoop,
@@ -76,22 +82,32 @@
 ClientConnections::AddListener(const Endpoint& aEndpoint, const ListenerHandlers& aHandlers)
 {
   const bool usesServers = aHandlers.mUsesServers;
-  return AddListener(aEndpoint,
-                     [this, usesServers, callbacks = MakeCallbacks(aHandlers)](
-                       const Poco::Net::StreamSocket& aSocket) {
-                       LimitReceiveBuffer(
-                         aSocket, mRelief.mMemory.mLimits.mKernel, mSessions.size() + 1);
-                       const auto session = ClientSession::Start(mLoop, aSocket, callbacks);
-                       mSessions.insert(session);
-                       ChangeHeld(mRelief.mMemory, MemoryKind::kConnections, 0, kConnectionBytes);
-                       if (usesServers) {
-                         mNew.insert(session.get());
-                       }
-                     });
+  return Bind(aEndpoint,
+              [this, usesServers, callbacks = MakeCallbacks(aHandlers)](
+                const Poco::Net::StreamSocket& aSocket) {
+                SetReceiveBuffer(
+                  aSocket, ReceiveBufferOf(mSessions.size() + 1, mRelief.mMemory.mLimits.mKernel));
+                const auto session = ClientSession::Start(mLoop, aSocket, callbacks);
+                mSessions.insert(session);
+                ChangeHeld(mRelief.mMemory, MemoryKind::kConnections, 0, kConnectionBytes);
+                if (usesServers) {
+                  mNew.insert(session.get());
+                }
+              });
 }
 
 std::uint16_t
 ClientConnections::AddListener(const Endpoint& aEndpoint, SocketHandler aOnAccepted)
+{
+  return Bind(aEndpoint,
+              [onAccepted = std::move(aOnAccepted)](const Poco::Net::StreamSocket& aSocket) {
+                SetReceiveBuffer(aSocket, kSocketBufferBytes);
+                onAccepted(aSocket);
+              });
+}
+
+std::uint16_t
+ClientConnections::Bind(const Endpoint& aEndpoint, SocketHandler aOnAccepted)
 {
   mListeners.push_back(
     { .mSocket = BindListener(aEndpoint), .mOnAccepted = std::move(aOnAccepted) });
--- a/trefoil/http_server/client_connections.h
+++ b/trefoil/http_server/client_connections.h
@@ -109,6 +109,7 @@
     SocketHandler mOnAccepted;
   };
 
+  std::uint16_t Bind(const Endpoint& aEndpoint, SocketHandler aOnAccepted);
   void Watch(std::size_t aListener);
   bool Accept(Poco::Net::ServerSocket& aListener, const SocketHandler& aOnAccepted);
   bool HasConnectionsLeft();
