Leave connections that are being opened out of the kernel's bytes in a test

Cause, in the test: /proc/net/tcp is read without a lock. Of a connection in SYN_SENT the queues are differences of sequence numbers of which only one may be set yet. Shown with a program that opens connections without end: in 3,961 reads, three queues above 100 MB (3.1 to 4.1 GB), all in SYN_SENT, none in another state.

Change: connections in SYN_SENT are left out; they have received nothing, and send nothing before they are open. Bounds and crowd are as before.

--- a/tests/hostile_clients/hostile_clients.sh
+++ b/tests/hostile_clients/hostile_clients.sh
@@ -126,6 +126,8 @@
   fi
 }
 # kernel_bytes: prints the bytes that the kernel holds for the daemon's connections with clients and servers.
+# Connections that are being opened hold none, but the kernel may show a queue of some GB for them while it sets their sequence
+# numbers.
 kernel_bytes() {
   local address ip port own others
   address() { IFS=.: read -ra ip <<<"$1"; printf '%02X%02X%02X%02X:%04X' "${ip[3]}" "${ip[2]}" "${ip[1]}" "${ip[0]}" "${ip[4]}"; }
@@ -134,7 +136,7 @@
   awk -v own="$own" -v others="$others" 'function hex(text, i, n) {
       for (i = 1; i <= length(text); i++) n = n * 16 + index("0123456789ABCDEF", substr(text, i, 1)) - 1
       return n }
-    NR > 1 && $4 != "0A" && (index(own, $2) || index(others, $3)) { split($5, q, ":"); sum += hex(q[1]) + hex(q[2]) }
+    NR > 1 && $4 != "0A" && $4 != "02" && (index(own, $2) || index(others, $3)) { split($5, q, ":"); sum += hex(q[1]) + hex(q[2]) }
     END { printf "%.0f", sum }' /proc/net/tcp
 }
 peak_kernel=0 peak_descriptors=0
