--- a/trefoil/membership/zone_join_test.cc
+++ b/trefoil/membership/zone_join_test.cc
@@ -12,8 +12,8 @@
 const Instant kStart = Instant{} + Milliseconds{ 1'000'000 };
 constexpr Milliseconds kStep{ 10 };
 
-// The hosts 1 to 5, of which the odd ones are in zone-a, start alone. A host of zone-b starts later
-// and introduces them to each other. Messages take no time.
+// Six hosts, of which the odd ones are in zone-a and the others in zone-b. Only the last one has
+// seeds, the other five. Messages take no time.
 struct Site
 {
   std::vector<GossipState> mHosts;
