Bound the requests that wait for one service by the host's connections

Cause: 32 requests run on the server and up to 4,096 more may wait for admission. 200 requests, which is what 400 connections allow, took all of them, 168 of these only waiting (stacks of the threads: 168 in AdmissionController::WaitForAdmission, 32 in Call). Other callers stay in the queue of the listener, which is full as well, so that their connects are retried after 1, 2, 4, 8, 16 and 32 s. Ruled out: the memory budget (44 of 64 MB, nothing ended) and the descriptors (247).

Change: a service's queue may hold as many requests as the host has room for beside all that it has taken, at least 8. Services whose requests all wait so leave room, and further requests to them are refused at once with 503 and Retry-After.

--- a/trefoil/node/admission_controller.cc
+++ b/trefoil/node/admission_controller.cc
@@ -14,6 +14,8 @@
 
 // Maximum number of demands of other hosts that are relayed per service in one message.
 constexpr std::size_t kMaxRelayedDemands = 16;
+// Number of requests that may wait for each service, even if the host has no room left.
+constexpr std::size_t kMinQueued = 8;
 
 std::int64_t
 SlotsOf(const ServiceDocument& aDocument)
@@ -121,9 +123,22 @@
           AdmissionOptionsChanged{ .mSlots = SlotsOf(aDocument), .mPeakWorkPerMinute = peak },
           now);
   }
+  state.mOptions.mMaxQueued = MaxQueued();
   return state;
 }
 
+// Returns how many requests may wait for one service. Services whose requests all wait leave room
+// for the others, however many they are: n of them leave a part of 1 / (n + 1).
+std::size_t
+AdmissionController::MaxQueued() const
+{
+  std::size_t taken = 0;
+  for (const auto& [service, state] : mStates) {
+    taken += state.mQueue.mPlaces.size() + state.mRunning.size();
+  }
+  return std::max(kMinQueued, mOptions.mMaxRequests - std::min(mOptions.mMaxRequests, taken));
+}
+
 void
 AdmissionController::Apply(AdmissionState& aState, const AdmissionEvent& aEvent, Instant aNow)
 {
--- a/trefoil/node/admission_controller.h
+++ b/trefoil/node/admission_controller.h
@@ -7,7 +7,8 @@
 //
 // Holds one admission state per service, all under one mutex that is never held across I/O. A
 // waiting thread blocks on a condition variable until its request is decided or the latest time
-// at which the request can start; no thread spins. Thread-safe.
+// at which the request can start; no thread spins. The requests that wait for one service may be as
+// many as the host has room for beside all that it has taken. Thread-safe.
 #pragma once
 
 #include "absl/base/thread_annotations.h"
@@ -30,6 +31,8 @@
   std::uint64_t mIncarnation = 0;
   // Number of hosts assumed to share the limits until the other hosts have been observed.
   std::size_t mHostsAtStart = 1;
+  // Number of requests to all services that this host has room for, running and waiting.
+  std::size_t mMaxRequests = 8192;
 };
 
 class AdmissionController;
@@ -93,6 +96,7 @@
   };
 
   AdmissionState& StateFor(const ServiceDocument& aDocument) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
+  std::size_t MaxQueued() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
   void Apply(AdmissionState& aState, const AdmissionEvent& aEvent, Instant aNow)
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mMutex);
   AdmissionEffect WaitForDecision(AdmissionState& aState, QueueTicket aTicket, Waiter& aWaiter)
--- a/trefoil/node/admission_controller_test.cc
+++ b/trefoil/node/admission_controller_test.cc
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 #include <future>
+#include <vector>
 
 namespace trefoil {
 namespace {
@@ -19,15 +20,24 @@
   return { .mAccount = ClientAccountId{ "clubs" }, .mDeadline = Now() + aUntilDeadline };
 }
 
-// Blocks until one request of the service is queued.
+// Blocks until so many requests of the service are queued.
 void
-WaitUntilOneIsQueued(const AdmissionController& aController, const ServiceId& aService)
+WaitUntilQueued(const AdmissionController& aController,
+                const ServiceId& aService,
+                std::size_t aRequests)
 {
   const Instant end = Now() + kLongTimeout;
-  while (aController.Counts(aService).mWaiting == 0 && !HasPassed(end, Now())) {
+  while (aController.Counts(aService).mWaiting < aRequests && !HasPassed(end, Now())) {
     absl::SleepFor(absl::Milliseconds(1));
   }
-  REQUIRE(aController.Counts(aService).mWaiting == 1);
+  REQUIRE(aController.Counts(aService).mWaiting == aRequests);
+}
+
+// Blocks until one request of the service is queued.
+void
+WaitUntilOneIsQueued(const AdmissionController& aController, const ServiceId& aService)
+{
+  WaitUntilQueued(aController, aService, 1);
 }
 
 TEST_CASE("Admission blocks a traffic thread until its request may run")
@@ -71,6 +81,59 @@
   }
 }
 
+TEST_CASE("Requests that wait for a service leave room for those of others")
+{
+  const auto documentOf = [](const std::string& aService) {
+    return ServiceDocument{ .mService = ServiceId{ aService },
+                            .mServers = { {} },
+                            .mSlotsPerServer = 1 };
+  };
+  const ServiceDocument slow = documentOf("slow");
+  const ServiceDocument rules = documentOf("rules");
+  AdmissionController controller{ { .mHost = HostId{ "h1" }, .mMaxRequests = 41 } };
+  std::vector<std::future<absl::Status>> waiting;
+  const auto wait = [&](const ServiceDocument& aDocument) {
+    const std::size_t queued = controller.Counts(aDocument.mService).mWaiting;
+    waiting.push_back(std::async(std::launch::async, [&controller, &aDocument] {
+      return controller.WaitForAdmission(aDocument, Arrival(kLongTimeout)).status();
+    }));
+    WaitUntilQueued(controller, aDocument.mService, queued + 1);
+  };
+  const auto isRefused = [&controller](const ServiceDocument& aDocument) {
+    const auto status =
+      controller.WaitForAdmission(aDocument, Arrival(Milliseconds{ 2'000 })).status();
+    CHECK(RetryAfterSeconds(status).value_or(0) >= 1);
+    return status.message() == "too many requests wait";
+  };
+  std::optional<absl::StatusOr<ScopedAdmission>> runsSlow{ controller.WaitForAdmission(
+    slow, Arrival(kLongTimeout)) };
+  REQUIRE(runsSlow->ok());
+  for (int i = 0; i < 20; ++i) {
+    wait(slow);
+  }
+
+  SECTION("no more of them wait than there is room for beside them")
+  {
+    CHECK(isRefused(slow));
+  }
+  SECTION("a request of another service runs, and others of it wait")
+  {
+    std::optional<absl::StatusOr<ScopedAdmission>> runsRules{ controller.WaitForAdmission(
+      rules, Arrival(kLongTimeout)) };
+    REQUIRE(runsRules->ok());
+    for (int i = 0; i < 10; ++i) {
+      wait(rules);
+    }
+    CHECK(isRefused(rules));
+    runsRules.reset();
+  }
+  runsSlow.reset();
+  for (auto& status : waiting) {
+    CHECK(status.get().ok());
+  }
+  CHECK(controller.Counts(slow.mService).mRunning == 0);
+}
+
 TEST_CASE("A caller can lower but not raise the priority of its client account")
 {
   const auto document = std::make_shared<const ServiceDocument>(ServiceDocument{
--- a/trefoil/node/entry_host.cc
+++ b/trefoil/node/entry_host.cc
@@ -48,6 +48,8 @@
 constexpr std::size_t kMaxRelayConnections = 512;
 // Descriptors that are kept for files, listeners, the log and calls to the store.
 constexpr std::size_t kReservedDescriptors = 60;
+// A request takes its client's connection and one to a server.
+constexpr std::size_t kConnectionsOfRequest = 2;
 // The parts of the other descriptors that connections of other hosts, and those that are carried
 // for them, may take.
 constexpr std::size_t kPeerParts = 8;
@@ -112,9 +114,11 @@
   , mStoreWorker({ .mStore = { .mEndpoint = mSettings.mStore }, .mQueue = &mQueue })
   , mPeerWorker({ .mQueue = &mQueue })
   , mRequestBroker(mQueue)
-  , mAdmissionController({ .mHost = mSettings.mHost,
-                           .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())),
-                           .mHostsAtStart = mSettings.mSeeds.size() + 1 })
+  , mAdmissionController(
+      { .mHost = mSettings.mHost,
+        .mIncarnation = static_cast<std::uint64_t>(UnixMilliseconds(WallNow())),
+        .mHostsAtStart = mSettings.mSeeds.size() + 1,
+        .mMaxRequests = SharesOfConnections(mSettings).mClients / kConnectionsOfRequest })
   , mRequestState(std::make_unique<SharedRequestState>(
       mSettings.mHost,
       [this](const Message& aMessage) { BroadcastMessage(aMessage); },
