Refuse requests when the list of client accounts is empty

Cause: a credential was asked for only if the catalogue had accounts, and the catalogue held the same empty vector for a document without a list of accounts and for one with an empty list. The check of the configuration's age was skipped with it. Ruled out: a configuration that was not applied, and kept connections (the log names the version; each request had a connection).

DecideAccess is the one place that decides who sent a request and whether it may run; the decision is in request_done, request_refused and trefoil_request_access_total.

--- a/tests/forward_path/allowed_regions_test.cc
+++ b/tests/forward_path/allowed_regions_test.cc
@@ -31,7 +31,7 @@
     }
     return served == kRequests;
   };
-  gateway.mCatalogue.mAccounts.front().mAllowedRegions = { kNorth };
+  gateway.mCatalogue.mAccounts->front().mAllowedRegions = { kNorth };
   WHEN("no server is in the region")
   {
     gateway.Publish();
--- a/tests/forward_path/test_gateway.h
+++ b/tests/forward_path/test_gateway.h
@@ -144,7 +144,8 @@
     route("write", RouteKind::kNonIdempotent, false);
     route("live", RouteKind::kStream, false);
     route("talk", RouteKind::kStream, true);
-    mCatalogue.mAccounts = { { .mName = ClientAccountId{ "club" }, .mKeys = { "k" } } };
+    mCatalogue.mAccounts =
+      std::vector<ClientAccount>{ { .mName = ClientAccountId{ "club" }, .mKeys = { "k" } } };
   }
 
   void AddServer(const char* aName, const ScriptedServer& aServer)
--- a/tests/linked_hosts/told_servers_test.cc
+++ b/tests/linked_hosts/told_servers_test.cc
@@ -131,7 +131,8 @@
     };
     route("read", RouteKind::kIdempotent);
     route("write", RouteKind::kNonIdempotent);
-    catalogue.mAccounts = { { .mName = ClientAccountId{ "club" }, .mKeys = { "k" } } };
+    catalogue.mAccounts =
+      std::vector<ClientAccount>{ { .mName = ClientAccountId{ "club" }, .mKeys = { "k" } } };
     ServerRegistry servers;
     for (int i = 0; i < kServers; ++i) {
       RegisterServer(servers,
--- a/trefoil/catalogue/catalogue.cc
+++ b/trefoil/catalogue/catalogue.cc
@@ -12,8 +12,9 @@
     const Route& route = aCatalogue.mRoutes[i];
     index.mRoutes[Poco::toLower(route.mHost)].emplace(route.mPathPrefix, i);
   }
-  for (std::size_t i = 0; i < aCatalogue.mAccounts.size(); ++i) {
-    for (const std::string& key : aCatalogue.mAccounts[i].mKeys) {
+  const auto accounts = AccountsOf(aCatalogue);
+  for (std::size_t i = 0; i < accounts.size(); ++i) {
+    for (const std::string& key : accounts[i].mKeys) {
       index.mAccountsByKey.emplace(key, i);
     }
   }
@@ -41,11 +42,21 @@
   return nullptr;
 }
 
+std::span<const ClientAccount>
+AccountsOf(const Catalogue& aCatalogue)
+{
+  if (!aCatalogue.mAccounts.has_value()) {
+    return {};
+  }
+  return *aCatalogue.mAccounts;
+}
+
 const ClientAccount*
 FindAccount(const Catalogue& aCatalogue, const CatalogueIndex& aIndex, std::string_view aKey)
 {
   const auto account = aIndex.mAccountsByKey.find(std::string{ aKey });
-  return account == aIndex.mAccountsByKey.end() ? nullptr : &aCatalogue.mAccounts[account->second];
+  return account == aIndex.mAccountsByKey.end() ? nullptr
+                                                : &AccountsOf(aCatalogue)[account->second];
 }
 
 const RouteTarget*
--- a/trefoil/catalogue/catalogue.h
+++ b/trefoil/catalogue/catalogue.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -146,7 +147,9 @@
   std::int64_t mVersion = 0;
   std::vector<Route> mRoutes;
   std::map<ServiceId, CatalogueService> mServices;
-  std::vector<ClientAccount> mAccounts;
+  // std::nullopt if the configuration has no list of accounts: it uses no credentials then. With an
+  // empty list no credential is valid.
+  std::optional<std::vector<ClientAccount>> mAccounts;
   ClientLimits mLimits;
 };
 
@@ -171,6 +174,10 @@
           std::string_view aHost,
           std::string_view aPath);
 
+// Returns the accounts of the catalogue; none if it has no list of them.
+std::span<const ClientAccount>
+AccountsOf(const Catalogue& aCatalogue);
+
 // Returns the account with the credential `aKey`, or nullptr if there is none.
 const ClientAccount*
 FindAccount(const Catalogue& aCatalogue, const CatalogueIndex& aIndex, std::string_view aKey);
--- a/trefoil/catalogue/catalogue_test.cc
+++ b/trefoil/catalogue/catalogue_test.cc
@@ -13,7 +13,8 @@
   catalogue.mRoutes = { { .mName = "all", .mHost = "Club.example", .mPathPrefix = "/" },
                         { .mName = "deep", .mHost = "club.example", .mPathPrefix = "/a/b/" },
                         { .mName = "other", .mHost = "other.example", .mPathPrefix = "/a/" } };
-  catalogue.mAccounts = { { .mName = ClientAccountId{ "x" }, .mKeys = { "k1", "k2" } } };
+  catalogue.mAccounts =
+    std::vector<ClientAccount>{ { .mName = ClientAccountId{ "x" }, .mKeys = { "k1", "k2" } } };
   const CatalogueIndex index = MakeCatalogueIndex(catalogue);
   const auto routeName = [&](std::string_view aHost, std::string_view aPath) {
     const Route* route = FindRoute(catalogue, index, aHost, aPath);
--- a/trefoil/forward/exchange.cc
+++ b/trefoil/forward/exchange.cc
@@ -54,7 +54,7 @@
   mMetadata = mState.mOptions.mCodec.mReadRequest(mRequest);
   mDeadline = mArrivedAt + mMetadata.mClientTimeout.value_or(Milliseconds{ 0 });
   if (!CheckMemory() || !CheckConnections() || !CheckRequest() || !CanEndBeforeStop() ||
-      !CheckAccount()) {
+      !CheckAccess() || !CheckCrashes() || !CheckQuota()) {
     return;
   }
   mDeadlineTimer =
@@ -131,34 +131,46 @@
   return true;
 }
 
-// Checks the credential, recorded crashes and the quota. Returns false if the request was answered
-// with a refusal.
+// Determines the account. Returns false if the request was answered with a refusal.
 bool
-Exchange::CheckAccount()
+Exchange::CheckAccess()
 {
-  if (!mCatalogue->mCatalogue.mAccounts.empty() && !mRoute->mAllowsAnonymous) {
-    if (mArrivedAt - mState.mView->mConfirmedCurrentAt > mState.mOptions.mMaxConfigurationAge) {
-      // Counts toward the demand for the service and on the quota, although this host may not serve
-      // the request.
-      RecordPromptDemand();
-      const ClientAccount* account =
-        FindAccount(mCatalogue->mCatalogue, mCatalogue->mIndex, mMetadata.mKey);
-      if (account != nullptr) {
-        RecordQuotaDemand(mState.mQuotas,
-                          account->mName,
-                          QuotaCost(*account, mMetadata.mPromptTokens + mMetadata.mOutputTokens),
-                          QuotaParametersNow(mState));
-      }
-      Refuse(kServiceUnavailable, RefusalReason::kStaleConfiguration, RetryAfter(kRetryAfterFull));
-      return false;
-    }
-    mAccount = FindAccount(mCatalogue->mCatalogue, mCatalogue->mIndex, mMetadata.mKey);
-    if (mAccount == nullptr) {
-      Refuse(kUnauthorized, RefusalReason::kUnknownApiKey, std::nullopt);
-      return false;
+  const RequestAccess access =
+    DecideAccess(mCatalogue->mCatalogue,
+                 mCatalogue->mIndex,
+                 { .mRoute = *mRoute,
+                   .mKey = mMetadata.mKey,
+                   .mConfigurationIsCurrent = mArrivedAt - mState.mView->mConfirmedCurrentAt <=
+                                              mState.mOptions.mMaxConfigurationAge });
+  mAccess = access.mDecision;
+  mState.mMetrics.IncrementLabelled(LabelledCounter::kRequestAccess, AccessText());
+  if (access.mDecision == AccessDecision::kStaleConfiguration) {
+    // Counts toward the demand for the service and on the quota, although this host may not serve
+    // the request.
+    RecordPromptDemand();
+    if (access.mAccount != nullptr) {
+      RecordQuotaDemand(
+        mState.mQuotas,
+        access.mAccount->mName,
+        QuotaCost(*access.mAccount, mMetadata.mPromptTokens + mMetadata.mOutputTokens),
+        QuotaParametersNow(mState));
     }
+    Refuse(kServiceUnavailable, RefusalReason::kStaleConfiguration, RetryAfter(kRetryAfterFull));
+    return false;
+  }
+  if (!IsAdmitted(access.mDecision)) {
+    Refuse(kUnauthorized, RefusalReason::kUnknownApiKey, std::nullopt);
+    return false;
   }
+  mAccount = access.mAccount;
   mAllowedRegions = RegionsAllowedFor(*mRoute, mAccount);
+  return true;
+}
+
+// Returns false if the request was refused because it, or a part of its prompt, crashes servers.
+bool
+Exchange::CheckCrashes()
+{
   mRequestKey =
     RequestKeyOf({ .mAccount = mAccount == nullptr ? ClientAccountId{} : mAccount->mName,
                    .mService = mService,
@@ -176,6 +188,13 @@
       kServiceUnavailable, RefusalReason::kPromptCrashesServers, Remaining(*until, mArrivedAt));
     return false;
   }
+  return true;
+}
+
+// Returns false if the request was refused because the quota of its account is used up.
+bool
+Exchange::CheckQuota()
+{
   if (mAccount != nullptr) {
     mQuotaCost = QuotaCost(*mAccount, mMetadata.mPromptTokens + mMetadata.mOutputTokens);
     mQuotaDecision =
@@ -190,6 +209,13 @@
   return true;
 }
 
+// Returns the name of the access decision; empty before it.
+std::string_view
+Exchange::AccessText() const
+{
+  return mAccess.has_value() ? NameOf(kAccessDecisionNames, *mAccess) : std::string_view{};
+}
+
 void
 Exchange::RecordPromptDemand()
 {
@@ -309,13 +335,14 @@
   mState.mLog.Write(
     LogSeverity::kNotable,
     LogEvent::kRequestRefused,
-    "id={} route={} account={} service={} status={} reason={} dispatches={} version={} "
+    "id={} route={} account={} access={} service={} status={} reason={} dispatches={} version={} "
     "proof_age_ms={} quota_cost={:.0f} quota_level={:.0f} quota_probability={:.2f} "
     "quota_share={:.2f} quota_capacity={:.0f} quota_asked_per_s={:.0f} quota_allowance={:.0f} "
     "ms={}",
     mMetadata.mRequestId,
     mRoute == nullptr ? "" : mRoute->mName,
     mAccount == nullptr ? "" : mAccount->mName.Value(),
+    AccessText(),
     mService.Value(),
     aStatus,
     NameOf(kRefusalReasonNames, aReason),
--- a/trefoil/forward/exchange.h
+++ b/trefoil/forward/exchange.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "trefoil/base/name_table.h"
+#include "trefoil/catalogue/request_access.h"
 #include "trefoil/forward/event_splitter.h"
 #include "trefoil/forward/traffic_state.h"
 #include "trefoil/http_server/client_session.h"
@@ -18,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace trefoil {
@@ -187,7 +189,10 @@
   bool CheckConnections();
   void SetServerError(std::optional<HttpResponse> aAnswer);
   bool CheckRequest();
-  bool CheckAccount();
+  bool CheckAccess();
+  bool CheckCrashes();
+  bool CheckQuota();
+  std::string_view AccessText() const;
   void RecordPromptDemand();
   void TryNextServer();
   std::optional<RegisteredServer> SelectServer();
@@ -273,6 +278,8 @@
   RequestMetadata mMetadata;
   std::shared_ptr<const PublishedCatalogue> mCatalogue;
   const Route* mRoute = nullptr;
+  // std::nullopt until it is decided who sent the request.
+  std::optional<AccessDecision> mAccess;
   const ClientAccount* mAccount = nullptr;
   ServiceId mService;
   AllowedRegions mAllowedRegions;
--- a/trefoil/forward/exchange_answer.cc
+++ b/trefoil/forward/exchange_answer.cc
@@ -416,24 +416,26 @@
 {
   const Instant now = SuspendAwareNow();
   RecordAnswerTime(mState.mAnswerTimes, AnswerTimesName(), mArrivedAt, now);
-  mState.mLog.Write(LogSeverity::kRoutine,
-                    LogEvent::kRequestDone,
-                    "id={} route={} account={} service={} status={} dispatches={} {} prompt={} "
-                    "shared={} quota_cost={:.0f} quota_level={:.0f} first_ms={} ms={} parts={}",
-                    mMetadata.mRequestId,
-                    mRoute->mName,
-                    mAccount == nullptr ? "" : mAccount->mName.Value(),
-                    mService.Value(),
-                    aStatus,
-                    mDispatches,
-                    BasisText(),
-                    mMetadata.mPromptTokens,
-                    mSharedTokens,
-                    mQuotaCost,
-                    mQuotaDecision.mLevel,
-                    (mAnswerBegunAt.value_or(now) - mArrivedAt) / Milliseconds{ 1 },
-                    (now - mArrivedAt) / Milliseconds{ 1 },
-                    SharedPartsText());
+  mState.mLog.Write(
+    LogSeverity::kRoutine,
+    LogEvent::kRequestDone,
+    "id={} route={} account={} access={} service={} status={} dispatches={} {} prompt={} "
+    "shared={} quota_cost={:.0f} quota_level={:.0f} first_ms={} ms={} parts={}",
+    mMetadata.mRequestId,
+    mRoute->mName,
+    mAccount == nullptr ? "" : mAccount->mName.Value(),
+    AccessText(),
+    mService.Value(),
+    aStatus,
+    mDispatches,
+    BasisText(),
+    mMetadata.mPromptTokens,
+    mSharedTokens,
+    mQuotaCost,
+    mQuotaDecision.mLevel,
+    (mAnswerBegunAt.value_or(now) - mArrivedAt) / Milliseconds{ 1 },
+    (now - mArrivedAt) / Milliseconds{ 1 },
+    SharedPartsText());
 }
 
 void
--- a/trefoil/forward/traffic_updates.cc
+++ b/trefoil/forward/traffic_updates.cc
@@ -19,7 +19,7 @@
     return cost == aCosts.end() ? 0.0 : cost->second;
   };
   const QuotaParameters parameters = QuotaParametersNow(aState);
-  for (const ClientAccount& account : aState.mView->mCatalogue->mCatalogue.mAccounts) {
+  for (const ClientAccount& account : AccountsOf(aState.mView->mCatalogue->mCatalogue)) {
     const QuotaCosts costs{ .mUsed = costOf(aUpdate.mQuotaUsed, account.mName),
                             .mAsked = costOf(aUpdate.mQuotaAsked, account.mName) };
     if (costs.mUsed > 0 || costs.mAsked > 0) {
--- a/trefoil/metrics/metrics.h
+++ b/trefoil/metrics/metrics.h
@@ -70,6 +70,8 @@
   kStoreCalls,
   // Clients that were refused or ended for lack of memory or connections, by reason.
   kMemoryRefusals,
+  // Requests, by the decision on their access (AccessDecision).
+  kRequestAccess,
 };
 
 // The metric name and the label name of a LabelledCounter.
@@ -79,7 +81,7 @@
   const char* mLabel;
 };
 
-inline constexpr std::array<LabelledName, 7> kLabelledCounterNames{ {
+inline constexpr std::array<LabelledName, 8> kLabelledCounterNames{ {
   { "trefoil_refusals_total", "reason" },
   { "trefoil_attempt_ends_total", "end" },
   { "trefoil_relay_requests_total", "outcome" },
@@ -87,6 +89,7 @@
   { "trefoil_dispatches_total", "zone" },
   { "trefoil_store_calls_total", "kind" },
   { "trefoil_memory_refusals_total", "reason" },
+  { "trefoil_request_access_total", "access" },
 } };
 
 enum class Gauge
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -78,7 +78,8 @@
                     before,
                     RevisionText(aItem.mRevision),
                     applied.mRoutes.size(),
-                    applied.mAccounts.size());
+                    applied.mAccounts.has_value() ? std::to_string(applied.mAccounts->size())
+                                                  : "unlisted");
 }
 
 void
