Take a request with a credential for its account's on every route

Cause: the route's permission for requests without a credential was taken as a reason not to look at one. Ruled out: an account that is found and lost on the way to the server (the log line of such a request has none).

--- a/tests/forward_path/access_test.cc
+++ b/tests/forward_path/access_test.cc
@@ -11,10 +11,12 @@
 namespace {
 
 const char* const kClub = R"({"Name":"club","ApiKeys":["club-key"]})";
-// A route that takes an account, in the form of the documents.
+// Routes that require an account or none, in the form of the documents.
 const char* const kRoutes = R"("Routes":[
   {"Name":"write","Host":"h.example","PathPrefix":"/write/","Kind":"non_idempotent","TimeoutMs":8000,
-   "Service":"s"}])";
+   "Service":"s"},
+  {"Name":"open","Host":"h.example","PathPrefix":"/open/","Kind":"non_idempotent","TimeoutMs":8000,
+   "Service":"s","AllowAnonymous":true}])";
 
 // A gateway before one server, with its client.
 class AccessSite
@@ -118,5 +120,77 @@
   }
 }
 
+// Guards against: on a route that allows anonymous requests, a request with a credential runs
+// without its account, or though its credential was withdrawn.
+SCENARIO("a route allows anonymous requests")
+{
+  AccessSite site;
+  const std::string accounts = fmt::format(R"(,"Tenants":[{}])", kClub);
+  site.Configure(accounts);
+  const auto accountOfLastRun = [&site] {
+    const std::vector<HttpRequest> requests = site.mServer.ReceivedRequests();
+    return std::string{ HeaderValue(requests.back().mHeaders, "Tenant") };
+  };
+  WHEN("a request has no credential")
+  {
+    THEN("it runs without an account, whatever account it names itself")
+    {
+      CHECK(site.Ask("Tenant: club\r\n", "open") == 200);
+      CHECK(accountOfLastRun().empty());
+      CHECK(site.mGateway.Usage(ClientAccountId{ "club" }) == 0);
+    }
+  }
+  WHEN("a request has the credential of an account")
+  {
+    THEN("it runs as the account, whatever account it names itself, and counts as its usage")
+    {
+      for (const char* key : { "Token club-key", "token club-key", "TOKEN  club-key" }) {
+        CHECK(site.Ask(fmt::format("Tenant: guild\r\nAuthorization: {}\r\n", key), "open") == 200);
+        CHECK(accountOfLastRun() == "club");
+      }
+      CHECK(site.mGateway.Usage(ClientAccountId{ "club" }) == 3);
+    }
+    AND_WHEN("the account has a quota of one request")
+    {
+      site.Configure(
+        R"(,"Tenants":[{"Name":"club","ApiKeys":["club-key"],"RatePerS":0.001,"Burst":1}])");
+      THEN("the second one is refused")
+      {
+        CHECK(site.Ask(WithKey("club-key"), "open") == 200);
+        CHECK(site.Ask(WithKey("club-key"), "open") == 429);
+        CHECK(site.Ask("", "open") == 200);
+      }
+    }
+  }
+  WHEN("a request has a credential that no account has")
+  {
+    THEN("it does not run")
+    {
+      CHECK(site.Ask(WithKey("stranger-key"), "open") == 401);
+      CHECK(site.Runs() == 0);
+    }
+  }
+  WHEN("the account of a credential is withdrawn")
+  {
+    site.Configure(R"(,"Tenants":[])");
+    THEN("requests with it do not run any more, those without any do")
+    {
+      CHECK(site.Ask(WithKey("club-key"), "open") == 401);
+      CHECK(site.Ask("", "open") == 200);
+      CHECK(site.Runs() == 1);
+    }
+  }
+  WHEN("the configuration is not confirmed for long")
+  {
+    site.Configure(accounts, std::chrono::minutes{ 2 });
+    THEN("requests with a credential are refused until it is, those without one run")
+    {
+      CHECK(site.Ask(WithKey("club-key"), "open") == 503);
+      CHECK(site.Ask("", "open") == 200);
+      CHECK(site.Runs() == 1);
+    }
+  }
+}
+
 } // namespace
 } // namespace trefoil
--- a/trefoil/catalogue/request_access.cc
+++ b/trefoil/catalogue/request_access.cc
@@ -8,7 +8,8 @@
   if (!aCatalogue.mAccounts.has_value()) {
     return { .mDecision = AccessDecision::kAccountsUnlisted };
   }
-  if (aQuery.mRoute.mAllowsAnonymous) {
+  // A credential counts also where none is required: the server must learn whose request it is.
+  if (aQuery.mRoute.mAllowsAnonymous && aQuery.mKey.empty()) {
     return { .mDecision = AccessDecision::kAnonymous };
   }
   const ClientAccount* account = FindAccount(aCatalogue, aIndex, aQuery.mKey);
--- a/trefoil/catalogue/request_access.h
+++ b/trefoil/catalogue/request_access.h
@@ -19,10 +19,10 @@
 {
   // The configuration has no list of accounts, so that credentials mean nothing.
   kAccountsUnlisted,
-  // The route serves requests without a credential.
+  // The request has no credential, and its route requires none.
   kAnonymous,
   kAccount,
-  // Refused: an account is required, and none has the credential.
+  // Refused: no account has the credential, or the credential that the route requires is missing.
   kUnknownCredential,
   // Refused: the configuration is so old that the credential may have been withdrawn or added.
   kStaleConfiguration,
--- a/trefoil/catalogue/request_access_test.cc
+++ b/trefoil/catalogue/request_access_test.cc
@@ -55,6 +55,10 @@
       CHECK(Decide(catalogue, true, "").mDecision == AccessDecision::kAnonymous);
       CHECK(Decide(catalogue, true, "", false).mDecision == AccessDecision::kAnonymous);
     }
+    THEN("a credential is refused there too")
+    {
+      CHECK(Decide(catalogue, true, "club-key").mDecision == AccessDecision::kUnknownCredential);
+    }
   }
   GIVEN("an account")
   {
@@ -83,6 +87,27 @@
         }
       }
     }
+    // Guards against: a request with a credential is taken for an anonymous one.
+    WHEN("the route allows anonymous requests")
+    {
+      THEN("a request without a credential is anonymous, however old the configuration is")
+      {
+        CHECK(Decide(catalogue, true, "").mDecision == AccessDecision::kAnonymous);
+        CHECK(Decide(catalogue, true, "", false).mDecision == AccessDecision::kAnonymous);
+      }
+      THEN("a credential decides as on a closed route")
+      {
+        const RequestAccess access = Decide(catalogue, true, "club-key");
+        CHECK(access.mDecision == AccessDecision::kAccount);
+        REQUIRE(access.mAccount != nullptr);
+        CHECK(access.mAccount->mName == kClub);
+        CHECK(Decide(catalogue, true, "other").mDecision == AccessDecision::kUnknownCredential);
+        CHECK(Decide(catalogue, true, "club-key", false).mDecision ==
+              AccessDecision::kStaleConfiguration);
+        CHECK(Decide(catalogue, true, "other", false).mDecision ==
+              AccessDecision::kStaleConfiguration);
+      }
+    }
   }
   THEN("refusals admit no request")
   {
