Find a part that crashes servers in long prompts

Cause: a crash kept the 64 suspects with the lowest digests, of all requests that waited. A part above them was in no list, and a list that was cut counted as one without it. Nothing told that lists were cut. Ruled out: sound parts that are blamed as often (five crashes are enough for all of them), and reports between hosts that do not arrive (one host alone fails too).

Change: the lists hold 32,768 parts of a crash and 65,536 in all. Beyond that those stay that are likeliest to be the cause, and a choice among equals that differs between crashes and reports. A list that was cut is marked, also in messages, where hosts of earlier versions take the mark for an answered part; what it lacks may have been in the crash, so that no sound part is refused in its place. The same for the requests of a crash. Refusals that are over give way, and many at once do not end those of other causes. crash_list_cut and trefoil_crash_list_entries_left_out_total tell of each cut.

--- a/trefoil/eventlog/event_log.h
+++ b/trefoil/eventlog/event_log.h
@@ -56,6 +56,7 @@
   kRelayAnswered,
   kPromptPartRefused,
   kCrashingRequestRefused,
+  kCrashListCut,
   kConfigurationApplied,
   kServersChanged,
   kPeersChanged,
@@ -72,7 +73,7 @@
   kMemoryExhausted,
 };
 
-inline constexpr NameTable<LogEvent, 35> kLogEventNames{ {
+inline constexpr NameTable<LogEvent, 36> kLogEventNames{ {
   { LogEvent::kStart, "start" },
   { LogEvent::kStartDelayed, "start_delayed" },
   { LogEvent::kStop, "stop" },
@@ -94,6 +95,7 @@
   { LogEvent::kRelayAnswered, "relay_answered" },
   { LogEvent::kPromptPartRefused, "prompt_part_refused" },
   { LogEvent::kCrashingRequestRefused, "crashing_request_refused" },
+  { LogEvent::kCrashListCut, "crash_list_cut" },
   { LogEvent::kConfigurationApplied, "configuration_in_force" },
   { LogEvent::kServersChanged, "servers_changed" },
   { LogEvent::kPeersChanged, "peers_changed" },
--- a/trefoil/forward/traffic_report.cc
+++ b/trefoil/forward/traffic_report.cc
@@ -59,6 +59,31 @@
   }
 }
 
+// Tells in the log and the metrics which lists of crashes were cut since the last call.
+void
+TellLeftOut(TrafficState& aState)
+{
+  const CrashTracker& tracker = aState.mCrashes;
+  for (std::size_t i = 0; i < kCrashListNames.size(); ++i) {
+    const std::uint64_t leftOut =
+      tracker.mLeftOut[i] - std::exchange(aState.mLeftOutTold[i], tracker.mLeftOut[i]);
+    if (leftOut == 0) {
+      continue;
+    }
+    const std::string_view list = kCrashListNames[i].mName;
+    aState.mMetrics.AddLabelled(LabelledCounter::kCrashListEntriesLeftOut, list, leftOut);
+    aState.mLog.Write(LogSeverity::kNotable,
+                      LogEvent::kCrashListCut,
+                      "list={} left_out={} crashes={} parts={} requests={} refusals={}",
+                      list,
+                      leftOut,
+                      tracker.mCrashes.size(),
+                      tracker.mPartListings.size(),
+                      tracker.mRequestListings.size(),
+                      tracker.mRefusals.size());
+  }
+}
+
 } // namespace
 
 TrafficReport
@@ -73,6 +98,8 @@
                         .mCrashes = EvidenceToReport(aState.mCrashes, now),
                         .mLoads = aState.mLoads,
                         .mOutcomes = aState.mOutcomes };
+  CountLeftOutOfReport(aState.mCrashes, report.mCrashes);
+  TellLeftOut(aState);
   for (const auto& [account, use] : aState.mQuotas.mAccounts) {
     report.mQuotaUsed[account] = { .mTotal = use.mOwnTotal, .mSnapshot = SnapshotOf(use) };
   }
--- a/trefoil/forward/traffic_state.cc
+++ b/trefoil/forward/traffic_state.cc
@@ -38,8 +38,9 @@
   aState.mLoop.CallAt(SuspendAwareNow() + kCrashReportDelay, [&aState] {
     aState.mEvidenceDue = false;
     const Instant since = std::exchange(aState.mEvidenceSentAt, SuspendAwareNow());
-    aState.mOnCrashEvidence(EvidenceChangedSince(aState.mCrashes, since),
-                            std::exchange(aState.mHasOwnEvidence, false));
+    CrashEvidence evidence = EvidenceChangedSince(aState.mCrashes, since);
+    CountLeftOutOfReport(aState.mCrashes, evidence);
+    aState.mOnCrashEvidence(std::move(evidence), std::exchange(aState.mHasOwnEvidence, false));
   });
 }
 
--- a/trefoil/forward/traffic_state.h
+++ b/trefoil/forward/traffic_state.h
@@ -53,6 +53,8 @@
   QuotaState mQuotas;
   ServiceRetryBudget mRetries;
   CrashTracker mCrashes;
+  // What the log and the metrics tell of CrashTracker::mLeftOut.
+  LeftOutCounts mLeftOutTold{};
   // Receives new evidence. mEvidenceDue is whether a call is scheduled, and mHasOwnEvidence
   // whether it contains observations of this host.
   std::function<void(CrashEvidence, bool)> mOnCrashEvidence;
--- a/trefoil/metrics/metrics.cc
+++ b/trefoil/metrics/metrics.cc
@@ -91,14 +91,20 @@
 
 void
 Metrics::IncrementLabelled(LabelledCounter aCounter, std::string_view aLabel)
+{
+  AddLabelled(aCounter, aLabel, 1);
+}
+
+void
+Metrics::AddLabelled(LabelledCounter aCounter, std::string_view aLabel, std::uint64_t aCount)
 {
   const absl::MutexLock lock{ &mMutex };
   auto& counts = mLabelledCounts[IndexOf(aCounter)];
   const auto found = counts.find(aLabel);
   if (found != counts.end()) {
-    ++found->second;
+    found->second += aCount;
   } else {
-    counts.emplace(aLabel, 1);
+    counts.emplace(aLabel, aCount);
   }
 }
 
--- a/trefoil/metrics/metrics.h
+++ b/trefoil/metrics/metrics.h
@@ -72,6 +72,8 @@
   kMemoryRefusals,
   // Requests, by the decision on their access (AccessDecision).
   kRequestAccess,
+  // Entries that were left out of the lists of crashes for lack of room, by list (CrashList).
+  kCrashListEntriesLeftOut,
 };
 
 // The metric name and the label name of a LabelledCounter.
@@ -81,7 +83,7 @@
   const char* mLabel;
 };
 
-inline constexpr std::array<LabelledName, 8> kLabelledCounterNames{ {
+inline constexpr std::array<LabelledName, 9> kLabelledCounterNames{ {
   { "trefoil_refusals_total", "reason" },
   { "trefoil_attempt_ends_total", "end" },
   { "trefoil_relay_requests_total", "outcome" },
@@ -90,6 +92,7 @@
   { "trefoil_store_calls_total", "kind" },
   { "trefoil_memory_refusals_total", "reason" },
   { "trefoil_request_access_total", "access" },
+  { "trefoil_crash_list_entries_left_out_total", "list" },
 } };
 
 enum class Gauge
@@ -158,6 +161,8 @@
   // Adds one to the counter with the label value `aLabel`, which must come from a fixed table of
   // names.
   void IncrementLabelled(LabelledCounter aCounter, std::string_view aLabel);
+  // Adds `aCount` in the same way.
+  void AddLabelled(LabelledCounter aCounter, std::string_view aLabel, std::uint64_t aCount);
   void Set(Gauge aGauge, double aValue);
   // Adds one observation to a latency histogram.
   void Observe(Latency aKind, Instant::duration aLatency);
--- a/trefoil/request/crash_evidence.cc
+++ b/trefoil/request/crash_evidence.cc
@@ -1,6 +1,7 @@
 // The exchange of evidence between hosts.
 #include "trefoil/request/crash_tracker.h"
 #include "trefoil/request/internal/crash_blame.h"
+#include "trefoil/request/internal/crash_lists.h"
 #include "trefoil/request/internal/crash_records.h"
 
 #include <algorithm>
@@ -16,6 +17,8 @@
 constexpr std::size_t kMaxReportedCrashes = 32;
 // Requests in a report, over all crashes in it.
 constexpr std::size_t kMaxReportedRequests = 48;
+// The same for parts. A report with as many of all fits into one datagram.
+constexpr std::size_t kMaxReportedParts = 2'048;
 
 bool
 MergeRefusal(CrashTracker& aTracker, SuspectKey aSuspect, const Refusal& aRefusal, Instant aNow)
@@ -44,14 +47,22 @@
 }
 
 // Returns the requests of the crashes that a report contains: those with the most crashes, and of
-// the others those of the latest crashes. An outage breaks very many at once.
+// the others those of the latest crashes, in an order that `aSalt` determines. An outage breaks
+// very many at once.
 std::set<SuspectKey>
-RequestsToReport(const CrashTracker& aTracker, const std::vector<ServerCrash>& aCrashes)
+RequestsToReport(const CrashTracker& aTracker,
+                 const std::vector<ServerCrash>& aCrashes,
+                 std::uint64_t aSalt)
 {
   std::vector<std::pair<int, SuspectKey>> ranked;
   std::set<SuspectKey> requests;
   for (const ServerCrash& crash : aCrashes) {
+    std::vector<std::pair<std::uint64_t, SuspectKey>> ordered;
     for (const auto& [request, standing] : crash.mRequests) {
+      ordered.emplace_back(OrderOf(aTracker, request, standing, aSalt).second, request);
+    }
+    std::ranges::sort(ordered);
+    for (const auto& [order, request] : ordered) {
       if (requests.insert(request).second) {
         ranked.emplace_back(BlameOfRequest(aTracker, request).mCrashes, request);
       }
@@ -69,6 +80,46 @@
   return requests;
 }
 
+// Leaves out the parts of a report that do not fit into it. Among parts of the same rank those of
+// the latest crashes stay, and of these a choice that `aSalt` determines.
+void
+LimitParts(const CrashTracker& aTracker, CrashEvidence& aEvidence, std::uint64_t aSalt)
+{
+  struct ReportedPart
+  {
+    SuspectRank mRank = SuspectRank::kAnsweredAfter;
+    // Crashes are ordered from the latest one.
+    std::size_t mCrash = 0;
+    std::uint64_t mOrder = 0;
+    PromptPartKey mPart = 0;
+
+    auto operator<=>(const ReportedPart&) const = default;
+  };
+  std::size_t total = 0;
+  for (const ServerCrash& crash : aEvidence.mCrashes) {
+    total += crash.mParts.size();
+  }
+  if (total <= kMaxReportedParts) {
+    return;
+  }
+  std::vector<ReportedPart> parts;
+  parts.reserve(total);
+  for (std::size_t i = 0; i < aEvidence.mCrashes.size(); ++i) {
+    for (const auto& [part, standing] : aEvidence.mCrashes[i].mParts) {
+      const auto [rank, order] = OrderOf(aTracker, part, standing, aSalt);
+      parts.push_back({ .mRank = rank, .mCrash = i, .mOrder = order, .mPart = part });
+    }
+  }
+  const auto firstLeftOut = parts.begin() + kMaxReportedParts;
+  std::ranges::nth_element(parts, firstLeftOut);
+  for (auto leftOut = firstLeftOut; leftOut != parts.end(); ++leftOut) {
+    ServerCrash& crash = aEvidence.mCrashes[leftOut->mCrash];
+    crash.mPartsCut = crash.mPartsCut || leftOut->mRank != SuspectRank::kAnsweredAfter;
+    crash.mParts.erase(leftOut->mPart);
+  }
+  aEvidence.mPartsLeftOut = total - kMaxReportedParts;
+}
+
 } // namespace
 
 CrashEvidence
@@ -94,11 +145,13 @@
       evidence.mCrashes.push_back(*crash);
     }
   }
-  const std::set<SuspectKey> requests = RequestsToReport(aTracker, evidence.mCrashes);
+  const auto salt = static_cast<std::uint64_t>(aSince.time_since_epoch().count());
+  const std::set<SuspectKey> requests = RequestsToReport(aTracker, evidence.mCrashes, salt);
   for (ServerCrash& crash : evidence.mCrashes) {
     std::erase_if(crash.mRequests,
                   [&requests](const auto& aItem) { return !requests.contains(aItem.first); });
   }
+  LimitParts(aTracker, evidence, salt);
   std::erase_if(evidence.mCrashes, [](const ServerCrash& aCrash) {
     return aCrash.mRequests.empty() && aCrash.mParts.empty();
   });
@@ -110,6 +163,12 @@
   return evidence;
 }
 
+void
+CountLeftOutOfReport(CrashTracker& aTracker, const CrashEvidence& aEvidence)
+{
+  CountLeftOut(aTracker, CrashList::kReportedParts, aEvidence.mPartsLeftOut);
+}
+
 bool
 MergeEvidence(CrashTracker& aTracker, const CrashEvidence& aEvidence, Instant aNow)
 {
--- a/trefoil/request/crash_tracker.cc
+++ b/trefoil/request/crash_tracker.cc
@@ -2,6 +2,7 @@
 
 #include "trefoil/base/digest.h"
 #include "trefoil/request/internal/crash_blame.h"
+#include "trefoil/request/internal/crash_lists.h"
 #include "trefoil/request/internal/crash_records.h"
 
 #include <algorithm>
@@ -97,9 +98,12 @@
   for (const PromptPartKey part : aSuspects.mParts) {
     crash.mParts.emplace(part, SuspectStanding::kNeverAnswered);
   }
-  const bool isNews = JudgeRequests(aTracker, AddCrash(aTracker, crash, aNow), aNow);
-  if (isNews) {
+  const CrashChanges changes = AddCrash(aTracker, crash, aNow);
+  const bool isNews = JudgeRequests(aTracker, changes, aNow);
+  if (isNews && changes.mRepeatsParts) {
     UpdateRefusals(aTracker, aNow);
+  } else if (isNews) {
+    RenewRefusals(aTracker, aNow);
   }
   return isNews;
 }
@@ -170,8 +174,12 @@
 void
 ExpireCrashes(CrashTracker& aTracker, Instant aNow)
 {
-  std::erase_if(aTracker.mCrashes, [aNow](const ServerCrash& aCrash) {
-    return HasPassed(aCrash.mAt + kRetention, aNow);
+  std::erase_if(aTracker.mCrashes, [&aTracker, aNow](const ServerCrash& aCrash) {
+    const bool isOver = HasPassed(aCrash.mAt + kRetention, aNow);
+    if (isOver) {
+      ForgetListings(aTracker, aCrash);
+    }
+    return isOver;
   });
   for (auto* answers : { &aTracker.mAnsweredAt, &aTracker.mAnsweredEarlier }) {
     std::erase_if(*answers,
--- a/trefoil/request/crash_tracker.h
+++ b/trefoil/request/crash_tracker.h
@@ -17,6 +17,12 @@
 // Copies of a request share its key, so sound copies of a popular request are told from one that
 // crashes its servers by their answers: a request that has been answered before is blamed less.
 //
+// Prompts can have thousands of parts, and many requests can wait at a server that crashes. The
+// lists are bounded; those stay that are likeliest to be the cause, and among equals a random
+// choice that differs from crash to crash and from report to report, so that no part is left out
+// for good. A list that was cut is no evidence against the parts that it still has, nor for those
+// it lacks.
+//
 // Hosts exchange what they know as CrashEvidence. Merging it is idempotent and independent of
 // the order, so evidence may be lost, repeated, delayed or forwarded by other hosts. Plain data and
 // pure functions.
@@ -26,6 +32,8 @@
 #include "trefoil/base/instant.h"
 #include "trefoil/base/name_table.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -104,8 +112,13 @@
   Instant mAt;
   // The parts of the requests that were waiting for an answer.
   std::map<PromptPartKey, SuspectStanding> mParts;
+  // Whether parts that may be the cause were left out of mParts for lack of room, here or on
+  // another host. A part that is missing from the list may have been in the crash then.
+  bool mPartsCut = false;
   // The requests that were running.
   std::map<SuspectKey, SuspectStanding> mRequests;
+  // The same as mPartsCut for requests, by this host alone.
+  bool mRequestsCut = false;
   // Whether the server has answered since on an older connection, so that it did not crash.
   bool mDisproved = false;
   // When this host last learned something new of it.
@@ -126,10 +139,36 @@
   Instant mChangedAt;
 };
 
+// The lists of a CrashTracker that are bounded.
+enum class CrashList
+{
+  kCrashes,
+  kParts,
+  kRequests,
+  kRefusals,
+  // The parts in a report to other hosts.
+  kReportedParts,
+};
+
+inline constexpr NameTable<CrashList, 5> kCrashListNames{ {
+  { CrashList::kCrashes, "crashes" },
+  { CrashList::kParts, "parts" },
+  { CrashList::kRequests, "requests" },
+  { CrashList::kRefusals, "refusals" },
+  { CrashList::kReportedParts, "reported_parts" },
+} };
+
+// The number of entries that were left out of each list for lack of room, by CrashList.
+using LeftOutCounts = std::array<std::uint64_t, kCrashListNames.size()>;
+
 struct CrashTracker
 {
-  // Oldest first.
+  // Oldest first. Change these only by the functions below.
   std::vector<ServerCrash> mCrashes;
+  // The number of crashes in mCrashes that list each part, and each request.
+  std::unordered_map<PromptPartKey, std::uint32_t> mPartListings;
+  std::unordered_map<SuspectKey, std::uint32_t> mRequestListings;
+  LeftOutCounts mLeftOut{};
   // The latest answers on this host: with each part, and of each request. The older half is dropped
   // when the newer one is full.
   std::unordered_map<SuspectKey, Instant> mAnsweredAt;
@@ -148,6 +187,8 @@
 {
   std::vector<ServerCrash> mCrashes;
   std::map<SuspectKey, Refusal> mRefusals;
+  // The number of parts that were left out of the crashes for lack of room. Not sent.
+  std::size_t mPartsLeftOut = 0;
 
   bool Empty() const { return mCrashes.empty() && mRefusals.empty(); }
 };
@@ -230,6 +271,10 @@
 CrashEvidence
 EvidenceChangedSince(const CrashTracker& aTracker, Instant aSince);
 
+// Counts what was left out of evidence that is sent.
+void
+CountLeftOutOfReport(CrashTracker& aTracker, const CrashEvidence& aEvidence);
+
 // Applies the evidence of another host. Returns whether it contained something new. What this host
 // knows better is kept: a host that has lost its own links to the servers takes that for crashes.
 // If CrashTracker::mKnowsBetter is set afterwards, the other hosts should be told soon.
--- a/trefoil/request/internal/crash_blame.cc
+++ b/trefoil/request/internal/crash_blame.cc
@@ -1,7 +1,11 @@
 #include "trefoil/request/internal/crash_blame.h"
 
+#include "trefoil/request/internal/crash_lists.h"
+
 #include <algorithm>
+#include <set>
 #include <utility>
+#include <vector>
 
 namespace trefoil {
 namespace {
@@ -29,6 +33,17 @@
   }
 }
 
+// Returns how long the refusal of a level lasts; the first level is 1.
+Instant::duration
+RefusalTime(std::int64_t aLevel)
+{
+  Instant::duration time = kFirstRefusal;
+  for (std::int64_t i = 1; i < aLevel && time < kMaxRefusal; ++i) {
+    time *= kRefusalFactor;
+  }
+  return std::min<Instant::duration>(time, kMaxRefusal);
+}
+
 // Refuses a suspect from `aNow` on, for longer than the time before if it has not been answered
 // since.
 void
@@ -39,30 +54,12 @@
   }
   Refusal& refusal = aTracker.mRefusals[aSuspect];
   const std::int64_t level = refusal.mAnswered ? 0 : refusal.mLevel;
-  Instant::duration duration = kFirstRefusal;
-  for (std::int64_t i = 0; i < level && duration < kMaxRefusal; ++i) {
-    duration *= kRefusalFactor;
-  }
-  refusal = { .mUntil = aNow + std::min<Instant::duration>(duration, kMaxRefusal),
+  refusal = { .mUntil = aNow + RefusalTime(level + 1),
               .mGeneration = refusal.mGeneration + 1,
               .mLevel = level + 1,
               .mChangedAt = aNow };
 }
 
-// Refuses the suspects again that crashed a server after their refusal had ended.
-void
-RenewRefusals(CrashTracker& aTracker, Instant aNow)
-{
-  for (const auto& [suspect, refusal] : aTracker.mRefusals) {
-    for (const ServerCrash& crash : aTracker.mCrashes) {
-      if (!refusal.mAnswered && crash.mAt >= refusal.mUntil &&
-          (IsBlamed(crash, crash.mParts, suspect) || IsBlamed(crash, crash.mRequests, suspect))) {
-        Refuse(aTracker, suspect, aNow);
-      }
-    }
-  }
-}
-
 // Returns whether this host knows enough of a request to end a refusal of it that another host may
 // have decided on. Without the crashes, as after a start, the refusal is all that is known.
 bool
@@ -82,33 +79,102 @@
   refusal.mChangedAt = aNow;
 }
 
-// Returns the parts that are blamed for the most crashes that no refused part explains. If some of
+// The parts that are likeliest to be the cause of the crashes that no refused part explains.
+struct LikeliestParts
+{
+  std::vector<PromptPartKey> mParts;
+  // The number of crashes that each of them may have caused, with those whose lists were cut.
+  int mCrashes = 0;
+  // Whether a part that lists lack may have been in as many crashes.
+  bool mMayLackCause = false;
+};
+
+// The crashes that a part is blamed for.
+struct PartBlame
+{
+  PromptPartKey mPart = 0;
+  Blame mListed;
+  // With the crashes whose cut lists may lack it.
+  Blame mPossible;
+};
+
+PartBlame
+BlameOfPart(const std::vector<const ServerCrash*>& aCrashes, PromptPartKey aPart)
+{
+  PartBlame blame{ .mPart = aPart };
+  for (const ServerCrash* crash : aCrashes) {
+    const auto listed = crash->mParts.find(aPart);
+    if (listed == crash->mParts.end()) {
+      if (crash->mPartsCut) {
+        AddBlame(blame.mPossible, crash->mAt);
+      }
+    } else if (IsBlamed(*crash, listed->second)) {
+      AddBlame(blame.mListed, crash->mAt);
+      AddBlame(blame.mPossible, crash->mAt);
+      blame.mListed.mAnsweredBefore =
+        blame.mListed.mAnsweredBefore || listed->second == SuspectStanding::kAnsweredBefore;
+    }
+  }
+  return blame;
+}
+
+// Returns the parts that are blamed for enough crashes and may have caused the most. If some of
 // them have never been answered, these only.
-std::map<PromptPartKey, Blame>
-MostBlamedParts(const CrashTracker& aTracker)
+LikeliestParts
+FindLikeliestParts(const CrashTracker& aTracker)
 {
-  std::map<PromptPartKey, Blame> blamed;
-  int most = 0;
+  std::vector<const ServerCrash*> crashes;
+  int cutLists = 0;
   for (const ServerCrash& crash : aTracker.mCrashes) {
-    if (IsExplained(aTracker, crash)) {
-      continue;
+    if (!crash.mDisproved && !IsExplained(aTracker, crash)) {
+      crashes.push_back(&crash);
+      cutLists += crash.mPartsCut ? 1 : 0;
     }
-    for (const auto& [part, standing] : crash.mParts) {
-      if (IsBlamed(crash, standing)) {
-        Blame& blame = blamed[part];
-        AddBlame(blame, crash.mAt);
-        blame.mAnsweredBefore =
-          blame.mAnsweredBefore || standing == SuspectStanding::kAnsweredBefore;
-        most = std::max(most, blame.mCrashes);
+  }
+  LikeliestParts likeliest;
+  if (crashes.size() < static_cast<std::size_t>(kMinCrashesToRefusePart)) {
+    return likeliest;
+  }
+  std::set<PromptPartKey> repeated;
+  for (const ServerCrash* crash : crashes) {
+    for (const auto& [part, standing] : crash->mParts) {
+      if (IsListedOften(aTracker, part)) {
+        repeated.insert(part);
       }
     }
   }
-  std::erase_if(blamed, [most](const auto& aItem) { return aItem.second.mCrashes < most; });
-  const auto isAnswered = [](const auto& aItem) { return aItem.second.mAnsweredBefore; };
-  if (!std::ranges::all_of(blamed, isAnswered)) {
+  std::vector<PartBlame> blamed;
+  for (const PromptPartKey part : repeated) {
+    const PartBlame blame = BlameOfPart(crashes, part);
+    if (blame.mListed.mCrashes >= kMinCrashesToRefusePart) {
+      blamed.push_back(blame);
+      likeliest.mCrashes = std::max(likeliest.mCrashes, blame.mPossible.mCrashes);
+    }
+  }
+  std::erase_if(blamed, [&likeliest](const PartBlame& aBlame) {
+    return aBlame.mPossible.mCrashes < likeliest.mCrashes;
+  });
+  // A part that is listed too seldom to be blamed may be in all cut lists besides.
+  likeliest.mMayLackCause = cutLists > 0 && cutLists + kMinCrashesToRefusePart > likeliest.mCrashes;
+  const auto isAnswered = [](const PartBlame& aBlame) { return aBlame.mListed.mAnsweredBefore; };
+  if (likeliest.mMayLackCause || !std::ranges::all_of(blamed, isAnswered)) {
     std::erase_if(blamed, isAnswered);
   }
-  return blamed;
+  for (const PartBlame& blame : blamed) {
+    likeliest.mParts.push_back(blame.mPart);
+  }
+  return likeliest;
+}
+
+// Drops the refusals that are over if there is no room left.
+void
+DropRefusalsThatAreOver(CrashTracker& aTracker, Instant aNow)
+{
+  if (aTracker.mRefusals.size() >= kMaxRefusals) {
+    const auto dropped = std::erase_if(
+      aTracker.mRefusals, [aNow](const auto& aItem) { return !IsInForce(aItem.second, aNow); });
+    CountLeftOut(aTracker, CrashList::kRefusals, dropped);
+  }
 }
 
 } // namespace
@@ -119,6 +185,7 @@
   if (aTracker.mRefusals.size() >= kMaxRefusals) {
     aTracker.mRefusals.erase(std::ranges::min_element(
       aTracker.mRefusals, {}, [](const auto& aItem) { return aItem.second.mUntil; }));
+    CountLeftOut(aTracker, CrashList::kRefusals, 1);
   }
 }
 
@@ -141,7 +208,14 @@
 IsExplained(const CrashTracker& aTracker, const ServerCrash& aCrash)
 {
   return std::ranges::any_of(aTracker.mRefusals, [&](const auto& aItem) {
-    return !aItem.second.mAnswered && IsBlamed(aCrash, aCrash.mParts, aItem.first);
+    const auto& [suspect, refusal] = aItem;
+    if (refusal.mAnswered) {
+      return false;
+    }
+    return IsBlamed(aCrash, aCrash.mParts, suspect) ||
+           (aCrash.mPartsCut && !aCrash.mParts.contains(suspect) &&
+            aCrash.mAt <= refusal.mUntil - RefusalTime(refusal.mLevel) &&
+            aTracker.mPartListings.contains(suspect));
   });
 }
 
@@ -288,19 +362,45 @@
   return blame.mCrashes >= kMinCrashesToRunAlone;
 }
 
+bool
+IsListedOften(const CrashTracker& aTracker, PromptPartKey aPart)
+{
+  const auto listings = aTracker.mPartListings.find(aPart);
+  return listings != aTracker.mPartListings.end() &&
+         listings->second >= static_cast<std::uint32_t>(kMinCrashesToRefusePart);
+}
+
+void
+RenewRefusals(CrashTracker& aTracker, Instant aNow)
+{
+  for (const auto& [suspect, refusal] : aTracker.mRefusals) {
+    for (const ServerCrash& crash : aTracker.mCrashes) {
+      if (!refusal.mAnswered && crash.mAt >= refusal.mUntil &&
+          (IsBlamed(crash, crash.mParts, suspect) || IsBlamed(crash, crash.mRequests, suspect))) {
+        Refuse(aTracker, suspect, aNow);
+      }
+    }
+  }
+}
+
 void
 UpdateRefusals(CrashTracker& aTracker, Instant aNow)
 {
   RenewRefusals(aTracker, aNow);
+  DropRefusalsThatAreOver(aTracker, aNow);
   while (aTracker.mRefusals.size() < kMaxRefusals) {
-    const auto blamed = MostBlamedParts(aTracker);
-    const int crashes = blamed.empty() ? 0 : blamed.begin()->second.mCrashes;
-    if (crashes < kMinCrashesToRefusePart ||
-        (blamed.size() > 1 && crashes < kCrashesToRefuseAllParts)) {
+    const LikeliestParts likeliest = FindLikeliestParts(aTracker);
+    const bool isCertain = likeliest.mParts.size() == 1 && !likeliest.mMayLackCause;
+    if (likeliest.mParts.empty() || (!isCertain && likeliest.mCrashes < kCrashesToRefuseAllParts)) {
       return;
     }
-    for (const auto& [part, blame] : blamed) {
-      Refuse(aTracker, part, aNow);
+    for (const PromptPartKey part : likeliest.mParts) {
+      // Refusals that are in force stay: those of other causes count as much.
+      if (aTracker.mRefusals.size() >= kMaxRefusals && !aTracker.mRefusals.contains(part)) {
+        CountLeftOut(aTracker, CrashList::kRefusals, 1);
+      } else {
+        Refuse(aTracker, part, aNow);
+      }
     }
   }
 }
--- a/trefoil/request/internal/crash_blame.h
+++ b/trefoil/request/internal/crash_blame.h
@@ -52,7 +52,8 @@
          SuspectKey aSuspect);
 
 // Returns whether a part that is or was refused explains the crash. A refused request explains
-// none, since the cause may be one of its parts.
+// none, since the cause may be one of its parts. A crash before the refusal whose list was cut
+// counts as explained, since the list may lack the part.
 bool
 IsExplained(const CrashTracker& aTracker, const ServerCrash& aCrash);
 
@@ -107,7 +108,16 @@
 bool
 JudgeRequest(CrashTracker& aTracker, SuspectKey aRequest, Instant aNow);
 
-// Decides which parts are refused. Must be called when crashes have been added.
+// Returns whether enough crashes list the part to refuse it.
+bool
+IsListedOften(const CrashTracker& aTracker, PromptPartKey aPart);
+
+// Refuses the suspects again that crashed a server after their refusal had ended.
+void
+RenewRefusals(CrashTracker& aTracker, Instant aNow);
+
+// Decides which parts are refused, after RenewRefusals(). Must be called when crashes have been
+// added or what is known of them has changed.
 void
 UpdateRefusals(CrashTracker& aTracker, Instant aNow);
 
--- a/trefoil/request/internal/crash_records.cc
+++ b/trefoil/request/internal/crash_records.cc
@@ -1,6 +1,7 @@
 #include "trefoil/request/internal/crash_records.h"
 
 #include "trefoil/request/internal/crash_blame.h"
+#include "trefoil/request/internal/crash_lists.h"
 
 #include <algorithm>
 #include <iterator>
@@ -11,27 +12,34 @@
 
 // Bounds on memory and on the size of messages.
 constexpr std::size_t kMaxCrashes = 256;
-constexpr std::size_t kMaxPartsOfCrash = 64;
 constexpr std::size_t kMaxIdsOfCrash = 16;
-constexpr std::size_t kMaxRequestsOfCrash = 64;
 constexpr std::size_t kMaxAnswered = 20'000;
+// The parts of several requests whose heads are as large as the default limit.
+constexpr SuspectListBounds kPartBounds{ .mList = CrashList::kParts,
+                                         .mMaxOfCrash = 32'768,
+                                         .mKeptOfCrash = 16'384,
+                                         .mMaxOfAll = 65'536 };
+constexpr SuspectListBounds kRequestBounds{ .mList = CrashList::kRequests,
+                                            .mMaxOfCrash = 128,
+                                            .mKeptOfCrash = 64,
+                                            .mMaxOfAll = 16'384 };
 
 // Merges the standing of suspects of a report into those of a crash at `aCrashedAt`, and what this
 // host knows of them.
 SuspectChanges
 MergeSuspects(const CrashTracker& aTracker,
-              std::map<SuspectKey, SuspectStanding>& aKnown,
-              const std::map<SuspectKey, SuspectStanding>& aAdded,
-              std::size_t aMaxSuspects,
+              SuspectListings& aListings,
+              SuspectMap& aKnown,
+              const SuspectMap& aAdded,
               Instant aCrashedAt)
 {
   SuspectChanges changes;
   for (const auto& [suspect, standing] : aAdded) {
-    if (!aKnown.contains(suspect) && aKnown.size() >= aMaxSuspects) {
-      continue;
-    }
     const SuspectStanding merged = std::max(standing, StandingAt(aTracker, suspect, aCrashedAt));
     const auto [known, inserted] = aKnown.try_emplace(suspect, merged);
+    if (inserted) {
+      ++aListings[suspect];
+    }
     if (inserted || known->second < merged) {
       changes.mChanged.push_back(suspect);
       if (merged > standing) {
@@ -56,9 +64,7 @@
 
 // Remembers the answers after the crash that a report tells of, as answers on this host would be.
 void
-RememberAnswersOf(CrashTracker& aTracker,
-                  const std::map<SuspectKey, SuspectStanding>& aSuspects,
-                  Instant aCrashedAt)
+RememberAnswersOf(CrashTracker& aTracker, const SuspectMap& aSuspects, Instant aCrashedAt)
 {
   for (const auto& [suspect, standing] : aSuspects) {
     const auto known = LastAnswerAt(aTracker, suspect);
@@ -88,7 +94,9 @@
   const bool isNew = crash == aTracker.mCrashes.end();
   if (isNew) {
     if (aTracker.mCrashes.size() >= kMaxCrashes) {
+      ForgetListings(aTracker, aTracker.mCrashes.front());
       aTracker.mCrashes.erase(aTracker.mCrashes.begin());
+      CountLeftOut(aTracker, CrashList::kCrashes, 1);
     }
     const auto position =
       std::ranges::upper_bound(aTracker.mCrashes, aAdded.mAt, {}, &ServerCrash::mAt);
@@ -100,13 +108,21 @@
   }
   RememberAnswersOf(aTracker, aAdded.mParts, crash->mAt);
   RememberAnswersOf(aTracker, aAdded.mRequests, crash->mAt);
-  const bool partsChanged =
-    !MergeSuspects(aTracker, crash->mParts, aAdded.mParts, kMaxPartsOfCrash, crash->mAt)
-       .mChanged.empty();
+  const std::vector<SuspectKey> changedParts =
+    MergeSuspects(aTracker, aTracker.mPartListings, crash->mParts, aAdded.mParts, crash->mAt)
+      .mChanged;
+  const bool partsChanged = !changedParts.empty();
   CrashChanges changes{
-    .mRequests =
-      MergeSuspects(aTracker, crash->mRequests, aAdded.mRequests, kMaxRequestsOfCrash, crash->mAt)
+    .mRequests = MergeSuspects(
+      aTracker, aTracker.mRequestListings, crash->mRequests, aAdded.mRequests, crash->mAt)
   };
+  // Hosts that cut a list would otherwise report again and again what they have from each other.
+  const bool hasNewSuspects = (partsChanged && !crash->mPartsCut) ||
+                              (!changes.mRequests.mChanged.empty() && !crash->mRequestsCut);
+  const bool isNewlyCut = aAdded.mPartsCut && !crash->mPartsCut;
+  crash->mPartsCut = crash->mPartsCut || aAdded.mPartsCut;
+  changes.mRepeatsParts = std::ranges::any_of(
+    changedParts, [&aTracker](PromptPartKey aPart) { return IsListedOften(aTracker, aPart); });
   changes.mDisprovedHere =
     !aAdded.mDisproved && !crash->mDisproved && IsDisprovedHere(aTracker, *crash);
   const bool disproved = (aAdded.mDisproved && !crash->mDisproved) || changes.mDisprovedHere;
@@ -114,9 +130,11 @@
     Disprove(aTracker, *crash, aNow);
   }
   changes.mParts = partsChanged || disproved;
-  if (isNew || changes.mParts || !changes.mRequests.mChanged.empty()) {
+  if (isNew || isNewlyCut || hasNewSuspects || disproved) {
     crash->mChangedAt = aNow;
   }
+  BoundLists(aTracker, *crash, &ServerCrash::mParts, kPartBounds);
+  BoundLists(aTracker, *crash, &ServerCrash::mRequests, kRequestBounds);
   return changes;
 }
 
--- a/trefoil/request/internal/crash_records.h
+++ b/trefoil/request/internal/crash_records.h
@@ -26,6 +26,8 @@
 {
   // Whether parts of a crash or the crash itself are news for other hosts.
   bool mParts = false;
+  // Whether parts were added that are in enough crashes to be refused.
+  bool mRepeatsParts = false;
   SuspectChanges mRequests;
   // Whether this host knows that the server has not crashed, which the report does not say.
   bool mDisprovedHere = false;
--- a/trefoil/wire/codec_test.cc
+++ b/trefoil/wire/codec_test.cc
@@ -164,6 +164,51 @@
     CHECK(refusal.mLevel == 2);
     CHECK(refusal.mAnswered);
   }
+  // Guards against: a list that was cut counts as a complete one at the receiver.
+  SECTION("a list that was cut is marked")
+  {
+    CHECK_FALSE(ToCrashEvidence(message, receivedAt).mCrashes[0].mPartsCut);
+    CrashEvidence cut = evidence;
+    cut.mCrashes[0].mPartsCut = true;
+    const auto decoded = Decode(Encode(ToCrashEvidenceMessage(HostId{ "h1" }, cut, sentAt)));
+    REQUIRE(decoded.ok());
+    const CrashEvidence received =
+      ToCrashEvidence(std::get<CrashEvidenceMessage>(*decoded), receivedAt);
+    CHECK(received.mCrashes[0].mPartsCut);
+    CHECK(received.mCrashes[0].mParts == evidence.mCrashes[0].mParts);
+  }
+  // Guards against: a report of long prompts is larger than a datagram and never arrives.
+  SECTION("the longest report fits into a datagram")
+  {
+    CrashTracker tracker;
+    const Instant now = sentAt + std::chrono::seconds{ 40 };
+    std::uint64_t lastKey = ~std::uint64_t{ 0 };
+    const auto newKey = [&lastKey] { return --lastKey; };
+    for (int i = 0; i < 40; ++i) {
+      for (int request = 0; request < 64; ++request) {
+        CrashSuspects suspects{ .mRequest = newKey() };
+        std::generate_n(std::back_inserter(suspects.mParts), 200, newKey);
+        RecordCrash(tracker,
+                    BackendServerId{ "i-0123456789abcdef0123456789abcdef" },
+                    suspects,
+                    newKey(),
+                    sentAt + i * std::chrono::seconds{ 1 });
+      }
+    }
+    for (ServerCrash& crash : tracker.mCrashes) {
+      crash.mChangedAt = now;
+    }
+    while (tracker.mRefusals.size() < 256) {
+      tracker.mRefusals[newKey()] = {
+        .mUntil = now + std::chrono::minutes{ 10 }, .mGeneration = 9, .mLevel = 9, .mChangedAt = now
+      };
+    }
+    const std::string bytes =
+      Encode(ToCrashEvidenceMessage(HostId{ "h1" }, EvidenceToReport(tracker, now), now));
+    INFO("bytes: " << bytes.size());
+    CHECK(bytes.size() > 20'000);
+    CHECK(bytes.size() <= 65'507);
+  }
   SECTION("values out of range are limited")
   {
     message.mCrashes[0].mAgeMilliseconds = std::numeric_limits<std::int64_t>::max();
--- a/trefoil/wire/crash_evidence_conversion.cc
+++ b/trefoil/wire/crash_evidence_conversion.cc
@@ -32,6 +32,9 @@
                                .mStanding = static_cast<std::uint8_t>(
                                  static_cast<std::uint8_t>(standing) + kRequestStandingOffset) });
     }
+    if (crash.mPartsCut) {
+      entry.mParts.push_back({ .mStanding = kPartsCutStanding });
+    }
     message.mCrashes.push_back(std::move(entry));
   }
   for (const auto& [part, refusal] : aEvidence.mRefusals) {
@@ -55,6 +58,10 @@
                        .mAt = aNow - BoundedAge(entry.mAgeMilliseconds),
                        .mDisproved = entry.mDisproved };
     for (const SuspectMessage& suspect : entry.mParts) {
+      if (suspect.mStanding == kPartsCutStanding) {
+        crash.mPartsCut = true;
+        continue;
+      }
       const bool isRequest = suspect.mStanding >= kRequestStandingOffset &&
                              suspect.mStanding < 2 * kRequestStandingOffset;
       const int standing = suspect.mStanding - (isRequest ? kRequestStandingOffset : 0);
--- a/trefoil/wire/crash_evidence_message.h
+++ b/trefoil/wire/crash_evidence_message.h
@@ -16,13 +16,18 @@
 // for one that they do not know, and ignore the suspect.
 inline constexpr std::uint8_t kRequestStandingOffset = 3;
 
+// The standing of an entry that is no suspect: parts were left out of the list of the crash for
+// lack of room. Hosts of earlier versions take it for a part that has been answered.
+inline constexpr std::uint8_t kPartsCutStanding = 2 * kRequestStandingOffset;
+
 // A suspect of a crash.
 struct SuspectMessage
 {
   // A digest of the service and the id of the part, or of the request.
   std::uint64_t mPart = 0;
   // The numeric value of SuspectStanding, plus kRequestStandingOffset for a request. Receivers take
-  // values that they do not know for a part with the highest standing.
+  // values that they do not know for a part with the highest standing. kPartsCutStanding marks a
+  // list that was cut.
   std::uint8_t mStanding = 0;
 
   template<typename Archive>
