Log and count when a host's record of the store falls behind

Change: PrefixWatch reports four events (behind, history_gone, listed, caught_up) with revisions; the control thread writes them as lines store_record and counts them in trefoil_store_record_events_total{event}. No call to the store changes.

--- a/tests/control_path/store_calls_test.cc
+++ b/tests/control_path/store_calls_test.cc
@@ -81,6 +81,11 @@
       CHECK(host.OwnMetrics().Render().find("trefoil_store_calls_total{kind=\"watch_servers\"}") !=
             std::string::npos);
     }
+    THEN("they see that the keys were listed")
+    {
+      CHECK(host.OwnMetrics().Render().find(
+              "trefoil_store_record_events_total{event=\"listed\"}") != std::string::npos);
+    }
   }
 }
 
--- a/trefoil/eventlog/event_log.h
+++ b/trefoil/eventlog/event_log.h
@@ -42,6 +42,7 @@
   kDependencyLost,
   kDependencyRegained,
   kStoreReplaced,
+  kStoreRecord,
   kRequestDone,
   kRequestRefused,
   kRequestFailed,
@@ -73,7 +74,7 @@
   kMemoryExhausted,
 };
 
-inline constexpr NameTable<LogEvent, 36> kLogEventNames{ {
+inline constexpr NameTable<LogEvent, 37> kLogEventNames{ {
   { LogEvent::kStart, "start" },
   { LogEvent::kStartDelayed, "start_delayed" },
   { LogEvent::kStop, "stop" },
@@ -81,6 +82,7 @@
   { LogEvent::kDependencyLost, "dependency_lost" },
   { LogEvent::kDependencyRegained, "dependency_regained" },
   { LogEvent::kStoreReplaced, "store_replaced" },
+  { LogEvent::kStoreRecord, "store_record" },
   { LogEvent::kRequestDone, "request_done" },
   { LogEvent::kRequestRefused, "request_refused" },
   { LogEvent::kRequestFailed, "request_failed" },
--- a/trefoil/eventlog/request_timeline.cc
+++ b/trefoil/eventlog/request_timeline.cc
@@ -76,6 +76,7 @@
     NameOf(kLogEventNames, LogEvent::kZoneEvacuated),
     NameOf(kLogEventNames, LogEvent::kDependencyLost),
     NameOf(kLogEventNames, LogEvent::kDependencyRegained),
+    NameOf(kLogEventNames, LogEvent::kStoreRecord),
     NameOf(kLogEventNames, LogEvent::kPeersChanged),
     NameOf(kLogEventNames, LogEvent::kStart),
     NameOf(kLogEventNames, LogEvent::kStop),
--- a/trefoil/metrics/metrics.h
+++ b/trefoil/metrics/metrics.h
@@ -68,6 +68,8 @@
   kDispatchesByZone,
   // Calls that this host has sent to the store, by kind.
   kStoreCalls,
+  // What happened to the records of the store's keys, by event (RecordEvent).
+  kStoreRecordEvents,
   // Clients that were refused or ended for lack of memory or connections, by reason.
   kMemoryRefusals,
   // Requests, by the decision on their access (AccessDecision).
@@ -83,13 +85,14 @@
   const char* mLabel;
 };
 
-inline constexpr std::array<LabelledName, 9> kLabelledCounterNames{ {
+inline constexpr std::array<LabelledName, 10> kLabelledCounterNames{ {
   { "trefoil_refusals_total", "reason" },
   { "trefoil_attempt_ends_total", "end" },
   { "trefoil_relay_requests_total", "outcome" },
   { "trefoil_relays_total", "status" },
   { "trefoil_dispatches_total", "zone" },
   { "trefoil_store_calls_total", "kind" },
+  { "trefoil_store_record_events_total", "event" },
   { "trefoil_memory_refusals_total", "reason" },
   { "trefoil_request_access_total", "access" },
   { "trefoil_crash_list_entries_left_out_total", "list" },
--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -177,6 +177,47 @@
   }
 }
 
+// Logs and counts what happened to the record of a watch.
+void
+OnRecordEvent(SteeringState& aState, const char* aName, const RecordReport& aReport)
+{
+  const std::string_view event = NameOf(kRecordEventNames, aReport.mEvent);
+  const Instant now = SuspendAwareNow();
+  std::string details;
+  switch (aReport.mEvent) {
+    case RecordEvent::kBehind:
+      details = fmt::format(" last_change={} items_since={}",
+                            RevisionText(aReport.mNewRevision),
+                            aReport.mItemsSince.has_value() ? RevisionText(*aReport.mItemsSince)
+                                                            : "omitted");
+      break;
+    case RecordEvent::kHistoryGone:
+      details = fmt::format(
+        " list_in_ms={}",
+        std::chrono::duration_cast<Milliseconds>(aReport.mListDueAt - now).count());
+      break;
+    case RecordEvent::kListed:
+      details = fmt::format(" listed_revision={}", RevisionText(aReport.mNewRevision));
+      break;
+    case RecordEvent::kCaughtUp:
+      details = fmt::format(
+        " behind_ms={}",
+        std::chrono::duration_cast<Milliseconds>(now - aReport.mBehindSince).count());
+      break;
+  }
+  aState.mLog.Write(LogSeverity::kNotable,
+                    LogEvent::kStoreRecord,
+                    "watch={} state={} role={} revision={}{}",
+                    aName,
+                    event,
+                    NameOf(kRelayRoleNames, aState.mRelay.mRole),
+                    RevisionText(aReport.mRevision),
+                    details);
+  if (aState.mOptions.mMetrics != nullptr) {
+    aState.mOptions.mMetrics->IncrementLabelled(LabelledCounter::kStoreRecordEvents, event);
+  }
+}
+
 PrefixWatchCallbacks
 LoggingCallbacks(SteeringState& aState, const char* aName)
 {
@@ -197,6 +238,10 @@
                                  aName,
                                  aLostFor.count());
              },
+           .mOnRecordEvent =
+             [&aState, aName](const RecordReport& aReport) {
+               OnRecordEvent(aState, aName, aReport);
+             },
            .mOnEra = [&aState](std::int64_t aEra) { return OnStoreEra(aState, aEra); },
            .mOnCall = [&aState](const StoreCall& aCall) { CountStoreCall(aState, aCall); } };
 }
--- a/trefoil/steering/prefix_watch.cc
+++ b/trefoil/steering/prefix_watch.cc
@@ -168,9 +168,13 @@
   }
   OnCallSucceeded(aSentAt);
   mLastReceivedAt = SuspendAwareNow();
+  const std::int64_t revisionBefore = mRecord.mRevision;
   ApplyList(mRecord, mListRevision, aSentAt);
   mCallbacks.mOnList(mListedItems, mListRevision);
   mUnapplied = 0;
+  Report(
+    { .mEvent = RecordEvent::kListed, .mRevision = revisionBefore, .mNewRevision = mListRevision });
+  OnCaughtUp();
   mListedItems.clear();
   mLoop.RunGuarded([&] { mCallbacks.mOnConfirmed(aSentAt); });
   ContinueWatching();
@@ -233,6 +237,7 @@
     return;
   }
   if (outcome == UpdateOutcome::kBehind) {
+    OnBehind(aUpdate);
     if (mUnapplied > 0) {
       // The list that is scheduled, or in progress, returns the changes.
       return;
@@ -252,7 +257,11 @@
     return;
   }
   // The record may be complete although one of its changes is not applied.
-  if (aUpdate.mConfirmedAt.has_value() && mUnapplied == 0) {
+  if (mUnapplied > 0) {
+    return;
+  }
+  OnCaughtUp();
+  if (aUpdate.mConfirmedAt.has_value()) {
     mLastReceivedAt = SuspendAwareNow();
     mCallbacks.mOnConfirmed(mRecord.mConfirmedAt);
   }
@@ -302,6 +311,7 @@
   if (!aAnswer.mItems.empty()) {
     mCallbacks.mOnChanges(aAnswer.mItems);
   }
+  OnCaughtUp();
   mLoop.RunGuarded([&] { mCallbacks.mOnConfirmed(mRecord.mConfirmedAt); });
   if (aAnswer.mItems.empty() || mOptions.mBatchDelay == Milliseconds{ 0 }) {
     ContinueWatching();
@@ -315,13 +325,19 @@
 void
 PrefixWatch::OnHistoryGone()
 {
+  const Instant now = SuspendAwareNow();
   if (mListsWithoutWatch++ == 0) {
+    Report(
+      { .mEvent = RecordEvent::kHistoryGone, .mRevision = mRecord.mRevision, .mListDueAt = now });
     List({});
     return;
   }
   const Milliseconds delay =
     std::min(kMaxBackoff, kMinBackoff * (1 << std::min(mListsWithoutWatch, kMaxDoublings)));
-  ScheduleCall(SuspendAwareNow() + delay, CallKind::kList);
+  Report({ .mEvent = RecordEvent::kHistoryGone,
+           .mRevision = mRecord.mRevision,
+           .mListDueAt = now + delay });
+  ScheduleCall(now + delay, CallKind::kList);
 }
 
 void
@@ -351,4 +367,35 @@
   }
 }
 
+void
+PrefixWatch::OnBehind(const PrefixUpdate& aUpdate)
+{
+  if (mBehindSince.has_value()) {
+    return;
+  }
+  mBehindSince = SuspendAwareNow();
+  Report({ .mEvent = RecordEvent::kBehind,
+           .mRevision = mRecord.mRevision,
+           .mNewRevision = aUpdate.mLastChange,
+           .mItemsSince = aUpdate.mItemsSince });
+}
+
+void
+PrefixWatch::OnCaughtUp()
+{
+  if (mBehindSince.has_value()) {
+    Report({ .mEvent = RecordEvent::kCaughtUp,
+             .mRevision = mRecord.mRevision,
+             .mBehindSince = *std::exchange(mBehindSince, std::nullopt) });
+  }
+}
+
+void
+PrefixWatch::Report(const RecordReport& aReport)
+{
+  if (mCallbacks.mOnRecordEvent) {
+    mLoop.RunGuarded([&] { mCallbacks.mOnRecordEvent(aReport); });
+  }
+}
+
 } // namespace trefoil
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -14,12 +14,14 @@
 // All functions must be called on the thread of the event loop, which also runs the callbacks.
 #pragma once
 
+#include "trefoil/base/name_table.h"
 #include "trefoil/reactor/event_loop.h"
 #include "trefoil/store/prefix_record.h"
 #include "trefoil/store/store_channel.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -40,6 +42,41 @@
   bool mKeepsChanges = false;
 };
 
+// What happens to a record that other hosts relay, or that the store cannot continue.
+enum class RecordEvent
+{
+  // An update omits changes that this host lacks. Reported once until it has caught up.
+  kBehind,
+  // The store no longer has the changes after the record's revision.
+  kHistoryGone,
+  // A list has been applied.
+  kListed,
+  // A record that was behind has all changes again.
+  kCaughtUp,
+};
+
+inline constexpr NameTable<RecordEvent, 4> kRecordEventNames{ {
+  { RecordEvent::kBehind, "behind" },
+  { RecordEvent::kHistoryGone, "history_gone" },
+  { RecordEvent::kListed, "listed" },
+  { RecordEvent::kCaughtUp, "caught_up" },
+} };
+
+struct RecordReport
+{
+  RecordEvent mEvent = RecordEvent::kBehind;
+  // The record's revision, for kListed that before the list.
+  std::int64_t mRevision = 0;
+  // The newest change that the update states, or the revision of the list; 0 if there is neither.
+  std::int64_t mNewRevision = 0;
+  // For kBehind: the update contains the changes after this revision; std::nullopt if it has none.
+  std::optional<std::int64_t> mItemsSince;
+  // For kHistoryGone: when the next list is due.
+  Instant mListDueAt;
+  // For kCaughtUp: since when the record was behind.
+  Instant mBehindSince;
+};
+
 struct PrefixWatchCallbacks
 {
   // Called with all items of the prefix, again if an earlier call of mOnList or mOnChanges has
@@ -58,6 +95,8 @@
   // between.
   std::function<void(StoreOutcome, Milliseconds aPending)> mOnStoreLost;
   std::function<void(Instant aSentAt, Milliseconds aLostFor)> mOnStoreRegained;
+  // Called with what operators need to see why a host lacks changes.
+  std::function<void(const RecordReport&)> mOnRecordEvent;
   // See StoreChannel::SetEraCallback and SetCallObserver.
   StoreChannel::EraCallback mOnEra;
   StoreChannel::CallObserver mOnCall;
@@ -120,6 +159,9 @@
   void OnHistoryGone();
   void OnCallFailed(StoreOutcome aOutcome, CallKind aKind);
   void OnCallSucceeded(Instant aSentAt);
+  void OnBehind(const PrefixUpdate& aUpdate);
+  void OnCaughtUp();
+  void Report(const RecordReport& aReport);
 
   EventLoop& mLoop;
   StoreChannel mChannel;
@@ -143,6 +185,8 @@
   int mUnapplied = 0;
   // Lists after which the store did not have the changes, since the last watch that succeeded.
   int mListsWithoutWatch = 0;
+  // Since when updates have shown changes that the record lacks.
+  std::optional<Instant> mBehindSince;
   bool mStoreLost = false;
   // When the store was lost; meaningful while mStoreLost is true.
   Instant mStoreLostAt;
