Show a relayed host that never lists what the store has dropped

Callers of such a host are served by an old configuration without end (CONFIG).

The test drops a change from the history of a store and sends updates that show the lack: the first time the host lists the keys, the second time it never does.

--- a/trefoil/steering/prefix_watch_test.cc
+++ b/trefoil/steering/prefix_watch_test.cc
@@ -28,6 +28,7 @@
 // More lists than fit into the time of a test with a backoff that grows.
 constexpr int kManyLists = 20;
 constexpr const char* kKey = "servers/a";
+constexpr int kGoneStatus = 410;
 
 HttpRequest
 EncodeCall(const StoreCall& aCall)
@@ -42,7 +43,9 @@
 {
   StoreAnswer answer{ .mOutcome = StoreOutcome::kDone, .mRevision = std::stoll(aAnswer.mBody) };
   const auto* watch = std::get_if<WatchKeys>(&aCall);
-  if (watch == nullptr || watch->mAfterRevision < answer.mRevision) {
+  if (aAnswer.mStatus == kGoneStatus) {
+    answer.mOutcome = StoreOutcome::kCompacted;
+  } else if (watch == nullptr || watch->mAfterRevision < answer.mRevision) {
     answer.mItems.push_back({ .mKey = kKey, .mRevision = answer.mRevision });
   }
   return answer;
@@ -84,6 +87,9 @@
     mHeld.reset();
   }
 
+  // Forgets all changes up to now: only a list shows them to those that lack them.
+  void DropHistory() { mHistorySince = mRevision; }
+
   void CloseConnection()
   {
     if (mStream) {
@@ -93,6 +99,8 @@
   }
 
   int mLists = 0;
+  // Whether the store forgets each change at once.
+  bool mHasNoHistory = false;
 
 private:
   void Accept()
@@ -112,6 +120,8 @@
     if (target == "/list") {
       ++mLists;
       Answer();
+    } else if (mHasNoHistory || std::stoll(target.substr(1)) < mHistorySince) {
+      Answer(kGoneStatus);
     } else if (std::stoll(target.substr(1)) < mRevision) {
       Answer();
     } else {
@@ -119,17 +129,19 @@
     }
   }
 
-  void Answer()
+  void Answer(int aStatus = 200)
   {
     const std::string body = std::to_string(mRevision);
     mStream->Send(
-      fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body));
+      fmt::format("HTTP/1.1 {} Text\r\nContent-Length: {}\r\n\r\n{}", aStatus, body.size(), body));
   }
 
   EventLoop& mLoop;
   Poco::Net::ServerSocket mListener;
   std::shared_ptr<ByteStream> mStream;
   std::int64_t mRevision = kFirstRevision;
+  // Watches after a lower revision are answered that the history is gone.
+  std::int64_t mHistorySince = 0;
   // The revision after which a watch that is held open waits for changes.
   std::optional<std::int64_t> mHeld;
 };
@@ -338,6 +350,74 @@
   }
 }
 
+// Returns whether a host to which others relay applies the revision, while their updates show that
+// it lacks changes, without these, more often than a list may be due.
+bool
+ReachesDespiteUpdates(WatchedStore& aTest, std::int64_t aRevision)
+{
+  return aTest.Becomes([&aTest, aRevision] {
+    aTest.mWatch.ApplyUpdate(
+      { .mRevision = aRevision, .mLastChange = aRevision, .mConfirmedAt = SuspendAwareNow() });
+    return aTest.mApplied == aRevision;
+  });
+}
+
+// Guards against: a host handles requests by an old configuration without end, since each update
+// that shows its lack replaces the list that is due by a watch that the store cannot answer
+// (CONFIG).
+SCENARIO("the store has dropped changes that a host lacks, and others relay their updates to it")
+{
+  WatchedStore test;
+  REQUIRE(test.Reaches(kFirstRevision));
+  const auto loseChange = [&test] {
+    test.OnLoop([&test] {
+      test.mStore.ChangeSilently();
+      test.mStore.DropHistory();
+      return true;
+    });
+  };
+  test.OnLoop([&test] {
+    test.mWatch.SetRelayed(true);
+    return true;
+  });
+  WHEN("it lacks a change")
+  {
+    loseChange();
+    THEN("it lists the keys, and the change is applied")
+    {
+      CHECK(ReachesDespiteUpdates(test, kFirstRevision + 1));
+      CHECK(test.OnLoop([&] { return test.mStore.mLists; }) == 2);
+    }
+    AND_WHEN("it lacks another one after that list, which no watch has followed")
+    {
+      REQUIRE(ReachesDespiteUpdates(test, kFirstRevision + 1));
+      loseChange();
+      THEN("it lists the keys again, once")
+      {
+        CHECK(ReachesDespiteUpdates(test, kFirstRevision + 2));
+        CHECK(test.OnLoop([&] { return test.mStore.mLists; }) == 3);
+      }
+    }
+  }
+}
+
+// Guards against: all hosts list the keys without end, the dearest call (issue 26).
+SCENARIO("the store has no history at all")
+{
+  WatchedStore test;
+  test.OnLoop([&test] { return test.mStore.mHasNoHistory = true; });
+  THEN("the lists become rarer, and changes are applied")
+  {
+    std::this_thread::sleep_for(kSomeTime);
+    CHECK(test.OnLoop([&] { return test.mStore.mLists; }) < kManyLists);
+    test.OnLoop([&test] {
+      test.mStore.ChangeSilently();
+      return true;
+    });
+    CHECK(test.Reaches(kFirstRevision + 1));
+  }
+}
+
 // Guards against requests to servers that have said they leave: a watch whose answer is lost alone,
 // so that no other call shows it, must end early enough (DRAIN).
 SCENARIO("a watch is bounded by how soon changes must be known")
