Keep a list that is due until it has been sent

Cause: what the next call to the store is stood in a timer. A relayed update that omits changes cancelled the timer and sent a watch instead, also when a list was due since the store had dropped the history; the watch was answered with 410 again, and the next update came before the delayed list. The delay grew with each 410 and went back only after a watch that succeeded, which a host to which others relay does not send in calm. SetRelayed(false) had the same fault, and a timer that the relay put off kept the list waiting for up to 2.2 s.

Change: the kind of the next call follows from the state of the record alone (NeedsList), so that nothing replaces a list. A list that is due ends with it or with an update that completes the record. A series of lists ends 2 s after the last one; within a series the delay grows as before, now with jitter.

--- a/trefoil/steering/prefix_watch.cc
+++ b/trefoil/steering/prefix_watch.cc
@@ -19,6 +19,9 @@
 // The backoff after changes that could not be applied goes on doubling up to this. A list is the
 // most expensive call, and all hosts may have received the same changes.
 constexpr Milliseconds kMaxRelistBackoff{ 2'000 };
+// Lists that are further apart are no series, so that each one is sent at once. A host to which
+// others relay may send no watch between two lists.
+constexpr Milliseconds kListSeriesGap{ 2'000 };
 // The wait of a watch whose answer is needed soon: if the store was lost, or if the prefix is
 // relayed and the relayed updates are late.
 constexpr Milliseconds kShortWait{ 100 };
@@ -88,7 +91,7 @@
 {
   mLoop.Cancel(std::exchange(mNextCallTimer, 0));
   mChannel.Reset();
-  ScheduleCall(AfterBackoff(mUnapplied++, kMaxRelistBackoff), CallKind::kList);
+  ScheduleCall(AfterBackoff(mUnapplied++, kMaxRelistBackoff));
 }
 
 // Returns the time of the next call after `aFailures` earlier failures and another one.
@@ -102,24 +105,24 @@
   return SuspendAwareNow() + backoff / 2 + Milliseconds{ jitter };
 }
 
-// Sends a call. Only a list brings back what could not be applied.
-void
-PrefixWatch::Call(CallKind aKind)
+// Returns whether only a list brings the record up to date. The next call follows from this alone,
+// so that nothing can replace a list that is due by a watch.
+bool
+PrefixWatch::NeedsList() const
 {
-  RunStep([this, aKind] { CallNow(mUnapplied > 0 ? CallKind::kList : aKind); });
+  return mRecord.mRevision == 0 || mHistoryGone || mUnapplied > 0;
 }
 
 void
-PrefixWatch::CallNow(CallKind aKind)
+PrefixWatch::Call()
 {
-  switch (aKind) {
-    case CallKind::kList:
+  RunStep([this] {
+    if (NeedsList()) {
       List({});
-      return;
-    case CallKind::kWatch:
+    } else {
       Watch();
-      return;
-  }
+    }
+  });
 }
 
 void
@@ -131,7 +134,6 @@
     mListSentAt = now;
   }
   mCallSentAt = now;
-  mCallKind = CallKind::kList;
   mChannel.Call(ListKeys{ .mPrefix = mOptions.mPrefix, .mAfterKey = aAfterKey },
                 now + kListTimeout,
                 [this, isFirstPage = aAfterKey.empty()](const StoreAnswer& aAnswer) {
@@ -148,12 +150,12 @@
 PrefixWatch::OnListPage(const StoreAnswer& aAnswer, Instant aSentAt)
 {
   if (aAnswer.mOutcome != StoreOutcome::kDone) {
-    OnCallFailed(aAnswer.mOutcome, CallKind::kList);
+    OnCallFailed(aAnswer.mOutcome);
     return;
   }
   const std::int64_t era = EraOf(aAnswer.mRevision);
   if (era < EraOf(mRecord.mRevision)) {
-    OnCallFailed(StoreOutcome::kUnknown, CallKind::kList);
+    OnCallFailed(StoreOutcome::kUnknown);
     return;
   }
   if (era != EraOf(mListRevision)) {
@@ -172,6 +174,7 @@
   ApplyList(mRecord, mListRevision, aSentAt);
   mCallbacks.mOnList(mListedItems, mListRevision);
   mUnapplied = 0;
+  mHistoryGone = false;
   Report(
     { .mEvent = RecordEvent::kListed, .mRevision = revisionBefore, .mNewRevision = mListRevision });
   OnCaughtUp();
@@ -184,33 +187,42 @@
 PrefixWatch::ContinueWatching()
 {
   if (mRelayed) {
-    ScheduleCall(StoreCallDueAt(mRecord, mLastReceivedAt), CallKind::kWatch);
+    ScheduleCall(StoreCallDueAt(mRecord, mLastReceivedAt));
   } else {
     Watch();
   }
 }
 
 void
-PrefixWatch::ScheduleCall(Instant aWhen, CallKind aKind)
+PrefixWatch::ScheduleCall(Instant aWhen)
 {
-  mNextCallTimer = mLoop.CallAt(aWhen, [this, aKind] {
+  mNextCallTimer = mLoop.CallAt(aWhen, [this] {
     mNextCallTimer = 0;
     const Instant callAt = StoreCallDueAt(mRecord, mLastReceivedAt);
-    if (mRelayed && mUnapplied == 0 && !HasPassed(callAt, SuspendAwareNow())) {
-      ScheduleCall(callAt, aKind);
+    if (mRelayed && !NeedsList() && !HasPassed(callAt, SuspendAwareNow())) {
+      ScheduleCall(callAt);
     } else {
-      Call(aKind);
+      Call();
     }
   });
 }
 
+// Sends the scheduled call now if it is a watch and the store answers. A list that is due, or a
+// call after a failed one, keeps its delay.
 void
-PrefixWatch::SetRelayed(bool aRelayed)
+PrefixWatch::AdvanceWatch()
 {
-  if (std::exchange(mRelayed, aRelayed) && !aRelayed && mNextCallTimer != 0 && !mStoreLost &&
-      mUnapplied == 0) {
+  if (mNextCallTimer != 0 && !mStoreLost && !NeedsList()) {
     mLoop.Cancel(std::exchange(mNextCallTimer, 0));
-    Call(CallKind::kWatch);
+    Call();
+  }
+}
+
+void
+PrefixWatch::SetRelayed(bool aRelayed)
+{
+  if (std::exchange(mRelayed, aRelayed) && !aRelayed) {
+    AdvanceWatch();
   }
 }
 
@@ -222,7 +234,7 @@
     return;
   }
   mChannel.Reset();
-  Call(mCallKind);
+  Call();
 }
 
 void
@@ -238,17 +250,9 @@
   }
   if (outcome == UpdateOutcome::kBehind) {
     OnBehind(aUpdate);
-    if (mUnapplied > 0) {
-      // The list that is scheduled, or in progress, returns the changes.
-      return;
-    }
-    if (mNextCallTimer != 0 && !mStoreLost) {
-      mLoop.Cancel(std::exchange(mNextCallTimer, 0));
-      Call(CallKind::kWatch);
-    } else {
-      // A watch that the store holds open would have returned the changes by now.
-      RenewCallSentBefore(SuspendAwareNow() - mOptions.mAnswerMargin);
-    }
+    AdvanceWatch();
+    // A watch that the store holds open would have returned the changes by now.
+    RenewCallSentBefore(SuspendAwareNow() - mOptions.mAnswerMargin);
     return;
   }
   if (outcome == UpdateOutcome::kChanged &&
@@ -260,6 +264,7 @@
   if (mUnapplied > 0) {
     return;
   }
+  mHistoryGone = false;
   OnCaughtUp();
   if (aUpdate.mConfirmedAt.has_value()) {
     mLastReceivedAt = SuspendAwareNow();
@@ -272,7 +277,6 @@
 {
   const Instant now = SuspendAwareNow();
   mCallSentAt = now;
-  mCallKind = CallKind::kWatch;
   const Milliseconds wait = mRelayed || mStoreLost ? kShortWait : mOptions.mWait;
   mChannel.Call(
     WatchKeys{ .mPrefix = mOptions.mPrefix, .mAfterRevision = mRecord.mRevision, .mWait = wait },
@@ -290,16 +294,16 @@
   const std::int64_t eraBefore = EraOf(mRecord.mRevision);
   if (aAnswer.mOutcome != StoreOutcome::kDone || EraOf(aAnswer.mRevision) < eraBefore) {
     OnCallFailed(aAnswer.mOutcome == StoreOutcome::kDone ? StoreOutcome::kUnknown
-                                                         : aAnswer.mOutcome,
-                 CallKind::kWatch);
+                                                         : aAnswer.mOutcome);
     return;
   }
   if (EraOf(aAnswer.mRevision) > eraBefore) {
     // The changes after a revision of an earlier life do not lead to the present.
+    mHistoryGone = true;
     List({});
     return;
   }
-  mListsWithoutWatch = 0;
+  mListsInSeries = 0;
   OnCallSucceeded(aSentAt);
   mLastReceivedAt = SuspendAwareNow();
   ApplyChanges(mRecord,
@@ -317,34 +321,36 @@
     ContinueWatching();
     return;
   }
-  ScheduleCall(SuspendAwareNow() + mOptions.mBatchDelay, CallKind::kWatch);
+  ScheduleCall(SuspendAwareNow() + mOptions.mBatchDelay);
 }
 
-// Lists the prefix again. If the store does not have the changes after that list either, the calls
-// are repeated with increasing delays.
+// Lists the prefix again: at once if that is the first time lately, else with an increasing delay,
+// since the store may have no history at all.
 void
 PrefixWatch::OnHistoryGone()
 {
+  mHistoryGone = true;
   const Instant now = SuspendAwareNow();
-  if (mListsWithoutWatch++ == 0) {
-    Report(
-      { .mEvent = RecordEvent::kHistoryGone, .mRevision = mRecord.mRevision, .mListDueAt = now });
+  if (HasPassed(mListSeriesEndsAt, now)) {
+    mListsInSeries = 0;
+  }
+  const int listsBefore = mListsInSeries++;
+  const Instant listAt = listsBefore == 0 ? now : AfterBackoff(listsBefore, kMaxBackoff);
+  mListSeriesEndsAt = listAt + kListSeriesGap;
+  Report(
+    { .mEvent = RecordEvent::kHistoryGone, .mRevision = mRecord.mRevision, .mListDueAt = listAt });
+  if (listsBefore == 0) {
     List({});
-    return;
+  } else {
+    ScheduleCall(listAt);
   }
-  const Milliseconds delay =
-    std::min(kMaxBackoff, kMinBackoff * (1 << std::min(mListsWithoutWatch, kMaxDoublings)));
-  Report({ .mEvent = RecordEvent::kHistoryGone,
-           .mRevision = mRecord.mRevision,
-           .mListDueAt = now + delay });
-  ScheduleCall(now + delay, CallKind::kList);
 }
 
 void
-PrefixWatch::OnCallFailed(StoreOutcome aOutcome, CallKind aKind)
+PrefixWatch::OnCallFailed(StoreOutcome aOutcome)
 {
   const Instant now = SuspendAwareNow();
-  ScheduleCall(AfterBackoff(mFailures++, kMaxBackoff), aKind);
+  ScheduleCall(AfterBackoff(mFailures++, kMaxBackoff));
   if (!mStoreLost) {
     mStoreLost = true;
     mStoreLostAt = now;
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -123,7 +123,7 @@
               PrefixWatchCallbacks aCallbacks);
 
   // Sends the first call. Must be called once.
-  void Start() { Call(CallKind::kList); }
+  void Start() { Call(); }
   // Sets whether other hosts relay the prefix to this one, so that the store is called only if
   // their updates are missing or too old.
   void SetRelayed(bool aRelayed);
@@ -139,25 +139,20 @@
   bool IsStoreLost() const { return mStoreLost; }
 
 private:
-  enum class CallKind
-  {
-    kList,
-    kWatch,
-  };
-
   void RunStep(const EventLoop::Task& aStep);
   void RelistLater();
-  void Call(CallKind aKind);
-  void CallNow(CallKind aKind);
+  bool NeedsList() const;
+  void Call();
   Instant AfterBackoff(int aFailures, Milliseconds aMaxBackoff);
   void List(const std::string& aAfterKey);
   void OnListPage(const StoreAnswer& aAnswer, Instant aSentAt);
   void ContinueWatching();
-  void ScheduleCall(Instant aWhen, CallKind aKind);
+  void ScheduleCall(Instant aWhen);
+  void AdvanceWatch();
   void Watch();
   void OnWatchAnswer(const StoreAnswer& aAnswer, Instant aSentAt);
   void OnHistoryGone();
-  void OnCallFailed(StoreOutcome aOutcome, CallKind aKind);
+  void OnCallFailed(StoreOutcome aOutcome);
   void OnCallSucceeded(Instant aSentAt);
   void OnBehind(const PrefixUpdate& aUpdate);
   void OnCaughtUp();
@@ -176,15 +171,17 @@
   Instant mLastReceivedAt;
   // The timer of the next call; 0 while a call is in progress.
   EventLoop::TimerId mNextCallTimer = 0;
-  // When the latest call was sent, and whether it is a list.
+  // When the latest call was sent.
   Instant mCallSentAt;
-  CallKind mCallKind = CallKind::kList;
   int mFailures = 0;
   // Changes and lists that could not be applied since the last list that was; if any, the record is
   // not confirmed.
   int mUnapplied = 0;
-  // Lists after which the store did not have the changes, since the last watch that succeeded.
-  int mListsWithoutWatch = 0;
+  // Whether the store no longer has changes that the record lacks, so that no watch returns them.
+  bool mHistoryGone = false;
+  // Lists for this reason that followed each other, and when the next one starts a new series.
+  int mListsInSeries = 0;
+  Instant mListSeriesEndsAt;
   // Since when updates have shown changes that the record lacks.
   std::optional<Instant> mBehindSince;
   bool mStoreLost = false;
