Advance a record's revision when an update shows that nothing changed

Callers of hosts that had been quiet were served by an old configuration (CONFIG): after 24 s without a change of the operators' keys 21 hosts of a zone stood at the revisions of their last lists, older than the 20 s of history that the store keeps.

Cause: an update whose newest change is known proves that the host has all changes up to the revision of the update, but only the time of the proof was recorded. From the old revision neither the store nor a watcher that has listed meanwhile could continue, so that each lost message led to a list.

Change: the record takes over the revision, as it does with an update that contains changes. Ruled out: doing so for the operators' keys alone; updates with changes have always moved the servers' revision past refreshes that are not relayed, and these are relayed again within 15 s.

--- a/trefoil/steering/internal/store_relay_messages.cc
+++ b/trefoil/steering/internal/store_relay_messages.cc
@@ -31,9 +31,9 @@
   return reply;
 }
 
-// Records that the changes have been sent to a subscriber. A host that lacks no change keeps its
-// own revision, so the next message must contain the changes after the newest one that it has, not
-// those after the revision up to which there was none.
+// Records that the changes have been sent to a subscriber. The next message contains those after the
+// newest one that was sent, not those after this host's revision: a subscriber to which only a
+// message without changes was lost can then apply it.
 void
 AdvanceRevisions(const SteeringState& aState, RelaySubscriber& aSubscriber)
 {
--- a/trefoil/store/prefix_record.cc
+++ b/trefoil/store/prefix_record.cc
@@ -66,7 +66,8 @@
   }
   const Instant currentAt = aUpdate.mConfirmedAt.value_or(Instant{});
   if (aUpdate.mLastChange <= aRecord.mRevision) {
-    aRecord.mConfirmedAt = std::max(aRecord.mConfirmedAt, currentAt);
+    // The update covers all changes up to its revision, and this host has the last of them.
+    ApplyChanges(aRecord, {}, aUpdate.mRevision, currentAt, aRetainChanges);
     return UpdateOutcome::kCurrent;
   }
   // An earlier message may have been lost, so there may be changes between the record's revision
--- a/trefoil/store/prefix_record.h
+++ b/trefoil/store/prefix_record.h
@@ -75,7 +75,9 @@
              Instant aSentAt,
              bool aRetainChanges);
 
-// Applies an update from another host. `aRetainChanges` is as for ApplyChanges().
+// Applies an update from another host. `aRetainChanges` is as for ApplyChanges(). The record's
+// revision also advances if the update shows that there was no change: otherwise it would in a
+// quiet time fall behind the changes that the store and other hosts retain.
 UpdateOutcome
 ApplyPrefixUpdate(PrefixRecord& aRecord, const PrefixUpdate& aUpdate, bool aRetainChanges);
 
