Retain changes only since the revision that a record has

Callers could be served by an old configuration until the next change (CONFIG).

Cause: a list that arrived after a relayed update with later changes set the revision since which changes are retained to that of the list, below the record's own, and dropped the changes in between. A host between the two then got an update that claims to contain all changes and has none.

Change: retained since the record's revision, so that such a host calls the store.

Evidence: prefix_record_test "a change is relayed while the keys are being listed" failed before: an empty set of changes after 103 where 105 is one.

--- a/trefoil/store/prefix_record.cc
+++ b/trefoil/store/prefix_record.cc
@@ -23,8 +23,8 @@
 {
   // A list does not contain the keys that were removed before it.
   aRecord.mChanges.clear();
-  aRecord.mRetainedSince = aRevision;
   aRecord.mRevision = std::max(aRecord.mRevision, aRevision);
+  aRecord.mRetainedSince = aRecord.mRevision;
   aRecord.mLastChange = aRecord.mRevision;
   aRecord.mConfirmedAt = std::max(aRecord.mConfirmedAt, aSentAt);
 }
--- a/trefoil/store/prefix_record_test.cc
+++ b/trefoil/store/prefix_record_test.cc
@@ -151,6 +151,28 @@
   }
 }
 
+// Guards against: a host takes a configuration for current that it never got, from a host that had
+// it before an older list of the keys arrived there (CONFIG).
+SCENARIO("a change is relayed while the keys are being listed")
+{
+  PrefixRecord record;
+  ApplyList(record, 100, kNow);
+  ApplyPrefixUpdate(
+    record,
+    { .mRevision = 105, .mLastChange = 105, .mItemsSince = 100, .mItems = { MakeItem("a", 105) } },
+    true);
+  WHEN("the list was made before the change")
+  {
+    ApplyList(record, 103, kNow);
+    THEN("the host still has the change, and hosts that lack it are told or call the store")
+    {
+      CHECK(record.mRevision == 105);
+      const auto changes = ChangesSince(record, 103);
+      CHECK((!changes.has_value() || changes->size() == 1));
+    }
+  }
+}
+
 SCENARIO("a message with changes is lost")
 {
   PrefixRecord record;
