Relay a list as the changes that lead to it

Cause: a list dropped the retained changes and counted as a change itself, so that every host with an earlier revision lacked something, although nothing may have changed.

Change: a record knows its keys, and a list is compared with them and with the revision: newer items are changes, missing keys are removals as of the list. They are retained and relayed like those of a watch, refreshes left out. The first list, and one of another life of the store, still show no changes.

Evidence: in store_relay_fleet_test, 84 simulated hosts sent 168 lists in the 5 s after the history was dropped, now two at most; with a third of the hosts cut off 168, now 60 at most.

--- a/trefoil/steering/prefix_watch.cc
+++ b/trefoil/steering/prefix_watch.cc
@@ -171,7 +171,11 @@
   OnCallSucceeded(aSentAt);
   mLastReceivedAt = SuspendAwareNow();
   const std::int64_t revisionBefore = mRecord.mRevision;
-  ApplyList(mRecord, mListRevision, aSentAt);
+  if (const auto changes = ChangesInList(mRecord, mListedItems, mListRevision)) {
+    ApplyChanges(mRecord, ChangesToRelay(*changes), mListRevision, aSentAt, mOptions.mKeepsChanges);
+  } else {
+    ApplyList(mRecord, mListedItems, mListRevision, aSentAt);
+  }
   mCallbacks.mOnList(mListedItems, mListRevision);
   mUnapplied = 0;
   mHistoryGone = false;
@@ -183,6 +187,12 @@
   ContinueWatching();
 }
 
+std::vector<StoreItem>
+PrefixWatch::ChangesToRelay(const std::vector<StoreItem>& aItems) const
+{
+  return mCallbacks.mChangesToRelay ? mCallbacks.mChangesToRelay(aItems) : aItems;
+}
+
 void
 PrefixWatch::ContinueWatching()
 {
@@ -307,8 +317,7 @@
   OnCallSucceeded(aSentAt);
   mLastReceivedAt = SuspendAwareNow();
   ApplyChanges(mRecord,
-               mCallbacks.mChangesToRelay ? mCallbacks.mChangesToRelay(aAnswer.mItems)
-                                          : aAnswer.mItems,
+               ChangesToRelay(aAnswer.mItems),
                NewestRevision(aAnswer),
                aSentAt,
                mOptions.mKeepsChanges);
--- a/trefoil/steering/prefix_watch.h
+++ b/trefoil/steering/prefix_watch.h
@@ -146,6 +146,7 @@
   Instant AfterBackoff(int aFailures, Milliseconds aMaxBackoff);
   void List(const std::string& aAfterKey);
   void OnListPage(const StoreAnswer& aAnswer, Instant aSentAt);
+  std::vector<StoreItem> ChangesToRelay(const std::vector<StoreItem>& aItems) const;
   void ContinueWatching();
   void ScheduleCall(Instant aWhen);
   void AdvanceWatch();
--- a/trefoil/steering/store_relay_fleet_test.cc
+++ b/trefoil/steering/store_relay_fleet_test.cc
@@ -35,6 +35,8 @@
   Instant mAnsweredAt;
   Instant mNextCallAt = kStart;
   int mCalls = 0;
+  // Calls after which the keys were listed, since the store had dropped changes.
+  int mLists = 0;
 };
 
 struct SimulatedHost
@@ -69,7 +71,7 @@
           PlanRelay(host.mName, { Name(zone, 0), Name(zone, 1) }, { Name(0, 0), Name(1, 0) }),
           host.mName.Value().back() % 2);
         for (SimulatedPrefix* prefix : { &host.mOperators, &host.mServers }) {
-          ApplyList(prefix->mRecord, mRevision, kStart);
+          ApplyList(prefix->mRecord, {}, mRevision, kStart);
         }
       }
     }
@@ -88,11 +90,19 @@
     mChangedAt = mNow;
   }
 
+  // The store drops the changes up to now, or all that are older than `aKeepsHistory`.
+  void DropHistory() { mHistorySince = mRevision; }
+  void SetHistory(Milliseconds aKeepsHistory) { mKeepsHistory = aKeepsHistory; }
+
   void Run(Milliseconds aTime)
   {
     const Instant end = mNow + aTime;
     while (mNow < end) {
       mNow += kStep;
+      mRevisionAt[mNow] = mRevision;
+      if (mKeepsHistory > Milliseconds{ 0 } && mRevisionAt.contains(mNow - mKeepsHistory)) {
+        mHistorySince = std::max(mHistorySince, mRevisionAt.at(mNow - mKeepsHistory));
+      }
       mRefreshes += kRefreshesPerStep;
       mRevision += static_cast<std::int64_t>(mRefreshes);
       mRefreshes -= static_cast<double>(static_cast<std::int64_t>(mRefreshes));
@@ -115,6 +125,15 @@
     return calls;
   }
 
+  int Lists() const
+  {
+    int lists = 0;
+    for (const auto& [name, host] : mHosts) {
+      lists += host.mOperators.mLists + host.mServers.mLists;
+    }
+    return lists;
+  }
+
   // The longest time from the change until a host knew of it that is up and not rejected.
   Milliseconds LongestDelay() const
   {
@@ -173,6 +192,10 @@
     if (isChanged) {
       items.push_back({ .mKey = "changed", .mRevision = mChangeRevision });
     }
+    if (aPrefix.mRecord.mRevision < mHistorySince) {
+      ++aPrefix.mLists;
+      items = *ChangesInList(aPrefix.mRecord, items, mRevision);
+    }
     ApplyChanges(aPrefix.mRecord, items, mRevision, *aPrefix.mSentAt, true);
     aPrefix.mLastReceivedAt = mNow;
     aPrefix.mSentAt.reset();
@@ -247,6 +270,10 @@
   double mRefreshes = 0;
   std::int64_t mChangeRevision = 0;
   Instant mChangedAt;
+  std::map<Instant, std::int64_t> mRevisionAt;
+  Milliseconds mKeepsHistory{ 0 };
+  // The store has the changes after this revision.
+  std::int64_t mHistorySince = 0;
 };
 
 constexpr Milliseconds kSettle{ 5'000 };
@@ -358,6 +385,56 @@
   }
 }
 
+// Guards against: all hosts list the keys together after the store has dropped its history, and
+// hosts that were cut off meanwhile miss a change that comes after a quiet time (CONFIG).
+SCENARIO("the store drops its history while hosts are cut off")
+{
+  SimulatedFleet fleet{ 21 };
+  fleet.SetHistory(std::chrono::seconds{ 20 });
+  fleet.Run(kSettle);
+  const auto setDown = [&fleet](bool aIsDown) {
+    for (int zone = 0; zone < 4; ++zone) {
+      for (int i = 0; i < 21; i += 3) {
+        fleet.Host(zone, i).mIsDown = aIsDown;
+      }
+    }
+  };
+  WHEN("no host is cut off")
+  {
+    fleet.DropHistory();
+    fleet.Run(kSettle);
+    THEN("only the host that watches lists the keys")
+    {
+      CHECK(fleet.Lists() <= 2);
+    }
+  }
+  WHEN("a third of the hosts is cut off, the one that watches included")
+  {
+    setDown(true);
+    fleet.Run(kSettle);
+    fleet.DropHistory();
+    fleet.Run(kSettle);
+    setDown(false);
+    fleet.Run(kSettle);
+    THEN("only hosts that were cut off list the keys, each prefix once")
+    {
+      CHECK(fleet.Lists() <= 2 * (28 + 2));
+    }
+    AND_WHEN("the next change comes after more time than the store keeps changes")
+    {
+      fleet.Run(std::chrono::seconds{ 25 });
+      const int listsBefore = fleet.Lists();
+      fleet.Change();
+      fleet.Run(kSettle);
+      THEN("all hosts are told in time, and none lists the keys")
+      {
+        CHECK(fleet.LongestDelay().count() <= 1'100);
+        CHECK(fleet.Lists() == listsBefore);
+      }
+    }
+  }
+}
+
 // Guards against: bounds of small deployments become looser, or long ones make records too old.
 SCENARIO("changes are gathered for a part of the time within which they must be in force")
 {
--- a/trefoil/steering/store_relay_test.cc
+++ b/trefoil/steering/store_relay_test.cc
@@ -244,7 +244,7 @@
 SCENARIO("a host relays its record of a prefix to another host")
 {
   PrefixRecord record;
-  ApplyList(record, 100, kNow);
+  ApplyList(record, {}, 100, kNow);
   ApplyChanges(record, { { .mKey = "servers/e1", .mRevision = 101 } }, 101, kNow, true);
   const Instant relayedAt = kNow + Milliseconds{ 700 };
   WHEN("the changes fit into a datagram")
--- a/trefoil/store/prefix_record.cc
+++ b/trefoil/store/prefix_record.cc
@@ -19,7 +19,10 @@
 } // namespace
 
 void
-ApplyList(PrefixRecord& aRecord, std::int64_t aRevision, Instant aSentAt)
+ApplyList(PrefixRecord& aRecord,
+          const std::vector<StoreItem>& aItems,
+          std::int64_t aRevision,
+          Instant aSentAt)
 {
   // A list does not contain the keys that were removed before it.
   aRecord.mChanges.clear();
@@ -27,6 +30,35 @@
   aRecord.mRetainedSince = aRecord.mRevision;
   aRecord.mLastChange = aRecord.mRevision;
   aRecord.mConfirmedAt = std::max(aRecord.mConfirmedAt, aSentAt);
+  aRecord.mKeys.clear();
+  for (const StoreItem& item : aItems) {
+    aRecord.mKeys.insert(item.mKey);
+  }
+}
+
+std::optional<std::vector<StoreItem>>
+ChangesInList(const PrefixRecord& aRecord,
+              const std::vector<StoreItem>& aItems,
+              std::int64_t aRevision)
+{
+  if (aRecord.mRevision == 0 || EraOf(aRevision) != EraOf(aRecord.mRevision)) {
+    return std::nullopt;
+  }
+  std::vector<StoreItem> changes;
+  if (aRevision <= aRecord.mRevision) {
+    return changes;
+  }
+  std::set<std::string> missing = aRecord.mKeys;
+  for (const StoreItem& item : aItems) {
+    missing.erase(item.mKey);
+    if (item.mRevision > aRecord.mRevision && item.mRevision <= aRevision) {
+      changes.push_back(item);
+    }
+  }
+  for (const std::string& key : missing) {
+    changes.push_back({ .mKey = key, .mRevision = aRevision, .mRemoved = true });
+  }
+  return changes;
 }
 
 void
@@ -38,6 +70,11 @@
 {
   for (const StoreItem& item : aItems) {
     aRecord.mLastChange = std::max(aRecord.mLastChange, item.mRevision);
+    if (item.mRemoved) {
+      aRecord.mKeys.erase(item.mKey);
+    } else {
+      aRecord.mKeys.insert(item.mKey);
+    }
     if (!aRetainChanges) {
       continue;
     }
--- a/trefoil/store/prefix_record.h
+++ b/trefoil/store/prefix_record.h
@@ -1,7 +1,7 @@
 // Tracks up to which revision a host has received the changes of the keys with a prefix in the
 // store, and retains recent changes to relay them to other hosts.
 //
-//   ApplyList(record, revision, sentAt);
+//   ApplyList(record, items, revision, sentAt);
 //   ApplyChanges(record, items, revision, sentAt, true);
 //   std::optional<std::vector<StoreItem>> changes = ChangesSince(record, 1'200);
 //
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
   std::int64_t mRetainedSince = 0;
   // The newest change of each key, by key.
   std::map<std::string, StoreItem> mChanges;
+  // The keys that exist, as far as this host has received their changes.
+  std::set<std::string> mKeys;
 };
 
 // An update from another host about the same keys.
@@ -64,7 +67,19 @@
 // Records that a list of all keys, complete at `aRevision`, was received. The request for it was
 // sent at `aSentAt`. Drops the retained changes.
 void
-ApplyList(PrefixRecord& aRecord, std::int64_t aRevision, Instant aSentAt);
+ApplyList(PrefixRecord& aRecord,
+          const std::vector<StoreItem>& aItems,
+          std::int64_t aRevision,
+          Instant aSentAt);
+
+// Returns the changes after the record's revision that lead to a list, complete at `aRevision`, for
+// ApplyChanges(). A key that is missing counts as removed at `aRevision`. Items that are newer than
+// the list are left to the first watch after it. Returns std::nullopt if the changes cannot be
+// determined, before the first list and if the list is of another life of the store.
+std::optional<std::vector<StoreItem>>
+ChangesInList(const PrefixRecord& aRecord,
+              const std::vector<StoreItem>& aItems,
+              std::int64_t aRevision);
 
 // Applies all changes from the record's revision up to `aRevision`. The request for them was sent
 // at `aSentAt`. If `aRetainChanges` is true, the changes are retained for other hosts.
--- a/trefoil/store/prefix_record_test.cc
+++ b/trefoil/store/prefix_record_test.cc
@@ -23,7 +23,7 @@
   {
     CHECK_FALSE(ChangesSince(record, 0).has_value());
   }
-  ApplyList(record, 100, kNow);
+  ApplyList(record, {}, 100, kNow);
   ApplyChanges(record, { MakeItem("a", 101), MakeItem("b", 103) }, 104, kNow + kStep, true);
   ApplyChanges(record, { MakeItem("a", 106, true) }, 106, kNow + 2 * kStep, true);
   THEN("each host gets the changes that it lacks, only the newest one of each key")
@@ -39,7 +39,7 @@
   }
   WHEN("the store has compacted its history and the keys are listed again")
   {
-    ApplyList(record, 120, kNow + 3 * kStep);
+    ApplyList(record, {}, 120, kNow + 3 * kStep);
     THEN("the list shows no earlier removals, so hosts with a lower revision must query the store")
     {
       CHECK_FALSE(ChangesSince(record, 106).has_value());
@@ -51,7 +51,7 @@
 SCENARIO("a host receives updates of the keys from another host")
 {
   PrefixRecord record;
-  ApplyList(record, 100, kNow);
+  ApplyList(record, {}, 100, kNow);
   WHEN("no key has changed")
   {
     const auto outcome = ApplyPrefixUpdate(
@@ -124,9 +124,9 @@
 SCENARIO("the host that relays has listed the keys, and the next change comes after a quiet time")
 {
   PrefixRecord record;
-  ApplyList(record, 100, kNow);
+  ApplyList(record, {}, 100, kNow);
   PrefixRecord sender;
-  ApplyList(sender, 100, kNow);
+  ApplyList(sender, {}, 100, kNow);
   const auto relay = [&record, &sender] {
     const auto items = ChangesSince(sender, record.mRevision);
     return ApplyPrefixUpdate(
@@ -151,19 +151,98 @@
   }
 }
 
+// Guards against: after the store has dropped its history all hosts list the keys together, the
+// dearest call, since the list of the one that watches for them shows no changes.
+SCENARIO("the host that watches for others lists the keys again")
+{
+  PrefixRecord record;
+  ApplyList(record, { MakeItem("a", 90), MakeItem("b", 95), MakeItem("d", 96) }, 100, kNow);
+  const auto relist = [&record](const std::vector<StoreItem>& aItems, std::int64_t aRevision) {
+    const auto changes = ChangesInList(record, aItems, aRevision);
+    REQUIRE(changes.has_value());
+    ApplyChanges(record, *changes, aRevision, kNow + kStep, true);
+  };
+  WHEN("no key has changed")
+  {
+    relist({ MakeItem("a", 90), MakeItem("b", 95), MakeItem("d", 96) }, 120);
+    THEN("hosts with an earlier revision lack nothing")
+    {
+      CHECK(record.mRevision == 120);
+      CHECK(record.mLastChange <= 100);
+      CHECK(ChangesSince(record, 100)->empty());
+    }
+  }
+  WHEN("keys have changed, have come and were removed")
+  {
+    relist({ MakeItem("a", 90), MakeItem("b", 110), MakeItem("c", 112) }, 120);
+    THEN("hosts get these as changes, the removal as of the list")
+    {
+      const auto changes = ChangesSince(record, 100);
+      REQUIRE(changes.has_value());
+      REQUIRE(changes->size() == 3);
+      CHECK(record.mLastChange == 120);
+      for (const StoreItem& item : *changes) {
+        CHECK(item.mRemoved == (item.mKey == "d"));
+        CHECK(item.mRevision == (item.mKey == "b" ? 110 : item.mKey == "c" ? 112 : 120));
+      }
+    }
+    THEN("hosts whose revision is before the first list must still query the store")
+    {
+      CHECK_FALSE(ChangesSince(record, 99).has_value());
+    }
+    AND_WHEN("a key that has come is missing from the next list")
+    {
+      relist({ MakeItem("a", 90), MakeItem("b", 110) }, 130);
+      THEN("it was removed, and the one that was removed before is not removed again")
+      {
+        REQUIRE(ChangesSince(record, 120)->size() == 1);
+        CHECK(ChangesSince(record, 120)->front().mKey == "c");
+        CHECK(ChangesSince(record, 120)->front().mRemoved);
+      }
+    }
+  }
+  WHEN("a key changes while later pages of the list are read")
+  {
+    relist({ MakeItem("a", 90), MakeItem("b", 125), MakeItem("d", 96) }, 120);
+    THEN("that change is left to the next watch, which begins after the list")
+    {
+      CHECK(record.mRevision == 120);
+      CHECK(ChangesSince(record, 100)->empty());
+    }
+  }
+  WHEN("the list is older than what other hosts have relayed meanwhile")
+  {
+    ApplyChanges(record, { MakeItem("c", 130) }, 130, kNow + kStep, true);
+    relist({ MakeItem("a", 90), MakeItem("b", 95), MakeItem("d", 96) }, 120);
+    THEN("nothing is removed by it")
+    {
+      CHECK(record.mRevision == 130);
+      CHECK(ChangesSince(record, 120)->size() == 1);
+      CHECK(record.mKeys.contains("c"));
+    }
+  }
+  WHEN("the store was restored from a copy")
+  {
+    THEN("the changes are not known")
+    {
+      CHECK_FALSE(ChangesInList(record, {}, MakeStoreRevision(1, 99)).has_value());
+    }
+  }
+}
+
 // Guards against: a host takes a configuration for current that it never got, from a host that had
 // it before an older list of the keys arrived there (CONFIG).
 SCENARIO("a change is relayed while the keys are being listed")
 {
   PrefixRecord record;
-  ApplyList(record, 100, kNow);
+  ApplyList(record, {}, 100, kNow);
   ApplyPrefixUpdate(
     record,
     { .mRevision = 105, .mLastChange = 105, .mItemsSince = 100, .mItems = { MakeItem("a", 105) } },
     true);
   WHEN("the list was made before the change")
   {
-    ApplyList(record, 103, kNow);
+    ApplyList(record, {}, 103, kNow);
     THEN("the host still has the change, and hosts that lack it are told or call the store")
     {
       CHECK(record.mRevision == 105);
@@ -176,7 +255,7 @@
 SCENARIO("a message with changes is lost")
 {
   PrefixRecord record;
-  ApplyList(record, 100, kNow);
+  ApplyList(record, {}, 100, kNow);
   WHEN("the next message contains only later changes")
   {
     const PrefixUpdate update{
@@ -193,7 +272,7 @@
 SCENARIO("a host that relays changes may lose its connection to the store")
 {
   PrefixRecord record;
-  ApplyList(record, 100, kNow);
+  ApplyList(record, {}, 100, kNow);
   const Instant receivedAt = kNow + std::chrono::seconds{ 2 };
   WHEN("it has lost the connection and sends its last state")
   {
@@ -219,7 +298,7 @@
 SCENARIO("the store was restored from a copy")
 {
   PrefixRecord record;
-  ApplyList(record, MakeStoreRevision(1, 118), kNow);
+  ApplyList(record, {}, MakeStoreRevision(1, 118), kNow);
   WHEN("this host has not noticed it yet and another one sends what the store has now")
   {
     const auto outcome = ApplyPrefixUpdate(record,
@@ -236,7 +315,7 @@
   }
   WHEN("this host has listed the keys again")
   {
-    ApplyList(record, MakeStoreRevision(2, 99), kNow + kStep);
+    ApplyList(record, {}, MakeStoreRevision(2, 99), kNow + kStep);
     CHECK(record.mRevision == MakeStoreRevision(2, 99));
     THEN("hosts that know only the former life must query the store, too")
     {
