Spread the pushes of a large document over time

Cause: a watcher sent the new configuration, 13 kB here, to all its subscribers together, and only the first ones got it; the watcher counts as sent what was lost, so the next message begins after it and cannot be applied. The platform's pages say that datagrams are lost when a link is full; that it is so here is inferred from the order of arrival, not shown.

Change: pushes take at most half of a link of 10 Mbit/s and one large message ahead of that; what must wait is sent later, with the changes known by then. Changes of servers are small and go out at once, as before.

--- a/trefoil/steering/internal/store_relay_messages.cc
+++ b/trefoil/steering/internal/store_relay_messages.cc
@@ -4,6 +4,7 @@
 #include "trefoil/steering/internal/server_updates.h"
 #include "trefoil/steering/internal/store_updates.h"
 #include "trefoil/wire/age.h"
+#include "trefoil/wire/codec.h"
 
 #include <algorithm>
 #include <utility>
@@ -31,8 +32,8 @@
   return reply;
 }
 
-// Records that the changes have been sent to a subscriber. The next message contains those after the
-// newest one that was sent, not those after this host's revision: a subscriber to which only a
+// Records that the changes have been sent to a subscriber. The next message contains those after
+// the newest one that was sent, not those after this host's revision: a subscriber to which only a
 // message without changes was lost can then apply it.
 void
 AdvanceRevisions(const SteeringState& aState, RelaySubscriber& aSubscriber)
@@ -122,11 +123,25 @@
 void
 PushStoreChanges(SteeringState& aState)
 {
-  for (auto& [host, subscriber] : aState.mRelay.mSubscribers) {
+  StoreRelay& relay = aState.mRelay;
+  for (auto& [host, subscriber] : relay.mSubscribers) {
     if (!LacksChanges(subscriber, aState.mOperatorWatch->Record(), aState.mServerWatch->Record())) {
       continue;
     }
-    SendDatagram(aState, subscriber.mEndpoint, MakeReply(aState, 0, subscriber));
+    const Instant now = SuspendAwareNow();
+    const Instant pushAt = NextPushAt(relay);
+    if (!HasPassed(pushAt, now)) {
+      if (aState.mPushTimer == 0) {
+        aState.mPushTimer = aState.mLoop.CallAt(pushAt, [&aState] {
+          aState.mPushTimer = 0;
+          PushStoreChanges(aState);
+        });
+      }
+      return;
+    }
+    const std::string message = Encode(MakeReply(aState, 0, subscriber));
+    SendBytes(aState, subscriber.mEndpoint, message);
+    RecordPush(relay, message.size(), now);
     AdvanceRevisions(aState, subscriber);
   }
 }
--- a/trefoil/steering/internal/store_relay_messages.h
+++ b/trefoil/steering/internal/store_relay_messages.h
@@ -19,7 +19,8 @@
 void
 OnStoreReply(SteeringState& aState, const StoreReply& aReply);
 
-// Sends the changes to the subscribers without waiting for their queries.
+// Sends the changes to the subscribers without waiting for their queries. What would fill the link
+// is sent later, with the changes known by then.
 void
 PushStoreChanges(SteeringState& aState);
 
--- a/trefoil/steering/steering_state.h
+++ b/trefoil/steering/steering_state.h
@@ -67,6 +67,8 @@
   PeerTable mPeers;
   AggregationState mAggregation;
   StoreRelay mRelay;
+  // The timer of the next push to subscribers; 0 if none waits.
+  EventLoop::TimerId mPushTimer = 0;
   // Updates received from peers since the last PeerUpdate was posted to the traffic thread.
   PeerUpdate mPeerUpdate;
   std::vector<DispatchReport> mReceivedDispatches;
--- a/trefoil/steering/store_relay.cc
+++ b/trefoil/steering/store_relay.cc
@@ -37,6 +37,10 @@
 constexpr int kMaxRefreshesAtOnce = 10;
 // The changes of two prefixes must fit into one datagram of 64 KB.
 constexpr std::size_t kMaxRelayedBytes = 30'000;
+// Pushes use at most half of a link of 10 Mbit/s, the slowest that an entry host is expected to
+// have, and may be ahead of that by one large message.
+constexpr std::size_t kPushedBytesPerMs = 625;
+constexpr Milliseconds kMaxPushesAhead{ 25 };
 
 std::size_t
 BytesOf(const std::vector<StoreItem>& aItems)
@@ -208,6 +212,20 @@
          aSubscriber.mServerRevision < aServers.mLastChange;
 }
 
+void
+RecordPush(StoreRelay& aRelay, std::size_t aBytes, Instant aNow)
+{
+  const auto microseconds = static_cast<std::int64_t>(aBytes * 1'000 / kPushedBytesPerMs);
+  aRelay.mPushedUntil =
+    std::max(aRelay.mPushedUntil, aNow) + std::chrono::microseconds{ microseconds };
+}
+
+Instant
+NextPushAt(const StoreRelay& aRelay)
+{
+  return aRelay.mPushedUntil - kMaxPushesAhead;
+}
+
 void
 ExpireSubscribers(StoreRelay& aRelay, Instant aNow)
 {
--- a/trefoil/steering/store_relay.h
+++ b/trefoil/steering/store_relay.h
@@ -84,6 +84,8 @@
   std::size_t mMissedReplies = 0;
   std::size_t mFreshReplies = 0;
   std::map<HostId, RelaySubscriber> mSubscribers;
+  // When the link will have carried the changes that were pushed to subscribers.
+  Instant mPushedUntil;
 };
 
 // Returns the hosts of this zone that watch the store, by rank; this host may be one of them.
@@ -139,6 +141,15 @@
              const PrefixRecord& aOperators,
              const PrefixRecord& aServers);
 
+// Records that a message of `aBytes` with changes is pushed to a subscriber at `aNow`.
+void
+RecordPush(StoreRelay& aRelay, std::size_t aBytes, Instant aNow);
+
+// Returns the earliest time of the next push. A link that is full drops datagrams, so the pushes of
+// a large document are spread over time, while those of small changes need not wait.
+Instant
+NextPushAt(const StoreRelay& aRelay);
+
 // Removes the subscribers that have sent no query within the subscription timeout.
 void
 ExpireSubscribers(StoreRelay& aRelay, Instant aNow);
--- a/trefoil/steering/store_relay_test.cc
+++ b/trefoil/steering/store_relay_test.cc
@@ -241,6 +241,41 @@
   }
 }
 
+// Guards against: a new configuration reaches only the first subscribers of a watcher, since the
+// messages to the others are sent together and fill its link; they call the store a second later.
+SCENARIO("a watcher pushes changes to all its subscribers")
+{
+  StoreRelay relay;
+  const auto pushedWithin = [&relay](std::size_t aBytes, Milliseconds aTime) {
+    int pushed = 0;
+    for (Instant now = kNow; now <= kNow + aTime; now += Milliseconds{ 1 }) {
+      while (NextPushAt(relay) <= now) {
+        RecordPush(relay, aBytes, now);
+        ++pushed;
+      }
+    }
+    return pushed;
+  };
+  WHEN("a document is almost as large as a message may be")
+  {
+    THEN("the messages take at most half of a link of 10 Mbit/s, and a message more")
+    {
+      CHECK(pushedWithin(30'000, Milliseconds{ 480 }) <= 11);
+    }
+    THEN("25 subscribers have it within a part of the 3 s for all hosts")
+    {
+      CHECK(pushedWithin(30'000, Milliseconds{ 1'250 }) >= 25);
+    }
+  }
+  WHEN("a server has changed")
+  {
+    THEN("subscribers are told at once")
+    {
+      CHECK(pushedWithin(500, Milliseconds{ 0 }) >= 25);
+    }
+  }
+}
+
 SCENARIO("a host relays its record of a prefix to another host")
 {
   PrefixRecord record;
