Let the soak drop the history of the store around a revocation

Change: POST /admin/drop-history at the stand-in of the platform answers watches after an earlier revision with 410; the soak calls it before and after it revokes the key.

--- a/standin/platform_store.cc
+++ b/standin/platform_store.cc
@@ -74,6 +74,11 @@
     mDown = NumberInQuery(aRequest, "Down") != 0;
     return {};
   }
+  if (PathOf(aRequest.mTarget) == "/admin/drop-history") {
+    mChanges.clear();
+    mHistorySince = mRevision;
+    return {};
+  }
   if (PathOf(aRequest.mTarget) == kLinksPath) {
     SetHostLinks(mLinks, aRequest);
     return {};
@@ -172,13 +177,16 @@
   const std::int64_t after = NumberInQuery(aRequest, "After");
   const Instant deadline = Now() + Milliseconds{ NumberInQuery(aRequest, "WaitMs") };
   std::vector<Change> changes = ChangesAfter(prefix, after);
-  while (changes.empty() && !mDown && !HasPassed(deadline, Now())) {
+  while (changes.empty() && after >= mHistorySince && !mDown && !HasPassed(deadline, Now())) {
     mMutex.AwaitWithTimeout(absl::Condition(
                               +[](bool* aDown) { return *aDown; }, &mDown),
                             absl::FromChrono(kExpiryCheckInterval));
     Expire();
     changes = ChangesAfter(prefix, after);
   }
+  if (after < mHistorySince) {
+    return { .mStatus = kGone };
+  }
   Array events;
   for (const Change& change : changes) {
     Object event;
--- a/standin/platform_store.h
+++ b/standin/platform_store.h
@@ -7,6 +7,7 @@
 // Operators and servers write a key by `PUT /admin/key?Key=K[&LastsMs=N]` with the value as body. A
 // key with LastsMs is removed after N milliseconds unless it is written again before. After `POST
 // /admin/fault?Down=1` all calls other than /admin/ are aborted without an answer, until `Down=0`.
+// `POST /admin/drop-history` forgets all changes: watches after an earlier revision get 410.
 //
 // `PUT /admin/links` gives hosts links of their own, as host_links.h describes. Thread-safe.
 #pragma once
@@ -79,6 +80,8 @@
   absl::Mutex mMutex;
   std::map<std::string, Item> mItems ABSL_GUARDED_BY(mMutex);
   std::deque<Change> mChanges ABSL_GUARDED_BY(mMutex);
+  // The changes after this revision are known.
+  std::int64_t mHistorySince ABSL_GUARDED_BY(mMutex) = 0;
   std::map<std::uint64_t, Lease> mLeases ABSL_GUARDED_BY(mMutex);
   HostLinks mLinks ABSL_GUARDED_BY(mMutex);
   std::int64_t mRevision ABSL_GUARDED_BY(mMutex) = 1;
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -150,9 +150,12 @@
     for server in $(seq $((old_servers + 1)) $servers); do kill_now TERM "server-$server"; done
   fi
 }
+# The platform forgets its changes before and after it, so that hosts that do not have it must list the keys.
 revoke_key() {
-  echo "a key is revoked"
+  echo "the platform drops its history, and a key is revoked"
+  curl -fs -X POST "http://$platform/admin/drop-history"
   configure 2 '"key"'
+  curl -fs -X POST "http://$platform/admin/drop-history"
   revoked=yes taken_away=$((until + 1))
 }
 gone() { # gone NAME: waits for the end of a process; kills it after 10 s
--- a/trefoil/steering/prefix_watch_test.cc
+++ b/trefoil/steering/prefix_watch_test.cc
@@ -1,6 +1,7 @@
 #include "trefoil/steering/prefix_watch.h"
 
 #include "trefoil/http/message_reader.h"
+#include "trefoil/http/status_code.h"
 #include "trefoil/reactor/byte_stream.h"
 
 #include <Poco/Net/ServerSocket.h>
@@ -28,7 +29,6 @@
 // More lists than fit into the time of a test with a backoff that grows.
 constexpr int kManyLists = 20;
 constexpr const char* kKey = "servers/a";
-constexpr int kGoneStatus = 410;
 
 HttpRequest
 EncodeCall(const StoreCall& aCall)
@@ -43,7 +43,7 @@
 {
   StoreAnswer answer{ .mOutcome = StoreOutcome::kDone, .mRevision = std::stoll(aAnswer.mBody) };
   const auto* watch = std::get_if<WatchKeys>(&aCall);
-  if (aAnswer.mStatus == kGoneStatus) {
+  if (aAnswer.mStatus == kGone) {
     answer.mOutcome = StoreOutcome::kCompacted;
   } else if (watch == nullptr || watch->mAfterRevision < answer.mRevision) {
     answer.mItems.push_back({ .mKey = kKey, .mRevision = answer.mRevision });
@@ -121,7 +121,7 @@
       ++mLists;
       Answer();
     } else if (mHasNoHistory || std::stoll(target.substr(1)) < mHistorySince) {
-      Answer(kGoneStatus);
+      Answer(kGone);
     } else if (std::stoll(target.substr(1)) < mRevision) {
       Answer();
     } else {
