Pace the replies with changes like the pushes

Within 15 ms of the change 15 hosts query the same watcher; it replied at once with 12.8 kB to each, and three of these replies arrived. The watcher counted all as sent, so that its next message, 328 bytes, could not be applied by the others.

Change: a query of a host that lacks changes is answered in the paced round of the pushes, with its number, as of the time at which it is sent. Others are answered at once, as before.

--- a/tests/control_path/store_push_test.cc
+++ b/tests/control_path/store_push_test.cc
@@ -58,7 +58,8 @@
   std::atomic<bool> mIsChanged{ false };
 };
 
-// Hosts that share a socket. They query once, so that a message to them that is lost stays lost.
+// Hosts that share a socket. They do not query on their own, so that a message to them that is lost
+// stays lost.
 class SubscribedHosts
 {
 public:
@@ -68,7 +69,8 @@
     mSocket.setReceiveBufferSize(kReceiveBufferBytes);
   }
 
-  void Subscribe(const Endpoint& aTo)
+  // Sends a query of each host.
+  void Query(const Endpoint& aTo)
   {
     for (int i = 0; i < kSubscribers; ++i) {
       const std::string bytes = Encode(StoreQuery{ .mHost = HostId{ fmt::format("host-{}", i + 2) },
@@ -113,13 +115,11 @@
   SubscribedHosts subscribers;
   // A host replies with a revision once it has listed the keys.
   REQUIRE(AwaitGauge(host.OwnMetrics(), "trefoil_servers_ready 0"));
-  subscribers.Subscribe(host.PeerEndpoint());
+  subscribers.Query(host.PeerEndpoint());
   for (int i = 0; i < kSubscribers; ++i) {
     REQUIRE(subscribers.ReadMessage(kTestTimeout) == false);
   }
-  WHEN("the link holds fewer messages than there are subscribers")
-  {
-    store.Change();
+  const auto receivedDocuments = [&subscribers] {
     int received = 0;
     while (received < kSubscribers) {
       const auto hasDocument = subscribers.ReadMessage(Milliseconds{ 3'000 });
@@ -129,9 +129,24 @@
       received += *hasDocument ? 1 : 0;
       std::this_thread::sleep_for(kReadInterval);
     }
+    return received;
+  };
+  WHEN("the link holds fewer messages than there are subscribers")
+  {
+    store.Change();
+    THEN("all of them get it")
+    {
+      CHECK(receivedDocuments() == kSubscribers);
+    }
+  }
+  WHEN("they query together when the first of them has been told")
+  {
+    store.Change();
+    REQUIRE(subscribers.ReadMessage(kTestTimeout) == true);
+    subscribers.Query(host.PeerEndpoint());
     THEN("all of them get it")
     {
-      CHECK(received == kSubscribers);
+      CHECK(receivedDocuments() == kSubscribers);
     }
   }
 }
--- a/trefoil/steering/internal/store_relay_messages.cc
+++ b/trefoil/steering/internal/store_relay_messages.cc
@@ -32,16 +32,28 @@
   return reply;
 }
 
-// Records that the changes have been sent to a subscriber. The next message contains those after
-// the newest one that was sent, not those after this host's revision: a subscriber to which only a
-// message without changes was lost can then apply it.
-void
-AdvanceRevisions(const SteeringState& aState, RelaySubscriber& aSubscriber)
+// Sends a subscriber what it lacks, or that it lacks nothing. Returns the size of the message in
+// bytes. The next message contains the changes after the newest one that was sent, not those after
+// this host's revision: a subscriber to which only a message without changes was lost can then
+// apply it.
+std::size_t
+SendReply(SteeringState& aState, RelaySubscriber& aSubscriber)
 {
+  const std::uint64_t queryNumber = std::exchange(aSubscriber.mQueryNumber, 0);
+  const std::string message = Encode(MakeReply(aState, queryNumber, aSubscriber));
+  SendBytes(aState, aSubscriber.mEndpoint, message);
   aSubscriber.mOperatorRevision =
     std::max(aSubscriber.mOperatorRevision, aState.mOperatorWatch->Record().mLastChange);
   aSubscriber.mServerRevision =
     std::max(aSubscriber.mServerRevision, aState.mServerWatch->Record().mLastChange);
+  return message.size();
+}
+
+// Returns whether a subscriber lacks changes that this host has.
+bool
+LacksChanges(const SteeringState& aState, const RelaySubscriber& aSubscriber)
+{
+  return LacksChanges(aSubscriber, aState.mOperatorWatch->Record(), aState.mServerWatch->Record());
 }
 
 } // namespace
@@ -97,13 +109,18 @@
 void
 OnStoreQuery(SteeringState& aState, const StoreQuery& aQuery)
 {
-  RelaySubscriber subscriber{ .mEndpoint = aQuery.mEndpoint,
-                              .mOperatorRevision = aQuery.mOperatorRevision,
-                              .mServerRevision = aQuery.mServerRevision,
-                              .mLastReceivedAt = SuspendAwareNow() };
-  SendDatagram(aState, aQuery.mEndpoint, MakeReply(aState, aQuery.mNumber, subscriber));
-  AdvanceRevisions(aState, subscriber);
-  aState.mRelay.mSubscribers[aQuery.mHost] = subscriber;
+  RelaySubscriber& subscriber = aState.mRelay.mSubscribers[aQuery.mHost];
+  subscriber = { .mEndpoint = aQuery.mEndpoint,
+                 .mOperatorRevision = aQuery.mOperatorRevision,
+                 .mServerRevision = aQuery.mServerRevision,
+                 .mLastReceivedAt = SuspendAwareNow(),
+                 .mQueryNumber = aQuery.mNumber };
+  if (LacksChanges(aState, subscriber)) {
+    // Hosts that were started together query together.
+    PushStoreChanges(aState);
+  } else {
+    SendReply(aState, subscriber);
+  }
 }
 
 void
@@ -125,7 +142,7 @@
 {
   StoreRelay& relay = aState.mRelay;
   for (auto& [host, subscriber] : relay.mSubscribers) {
-    if (!LacksChanges(subscriber, aState.mOperatorWatch->Record(), aState.mServerWatch->Record())) {
+    if (!LacksChanges(aState, subscriber)) {
       continue;
     }
     const Instant now = SuspendAwareNow();
@@ -139,10 +156,7 @@
       }
       return;
     }
-    const std::string message = Encode(MakeReply(aState, 0, subscriber));
-    SendBytes(aState, subscriber.mEndpoint, message);
-    RecordPush(relay, message.size(), now);
-    AdvanceRevisions(aState, subscriber);
+    RecordPush(relay, SendReply(aState, subscriber), now);
   }
 }
 
--- a/trefoil/steering/internal/store_relay_messages.h
+++ b/trefoil/steering/internal/store_relay_messages.h
@@ -11,7 +11,8 @@
 void
 UpdateStoreRelay(SteeringState& aState);
 
-// Replies to a query and records its sender as a subscriber.
+// Replies to a query and records its sender as a subscriber. A reply with changes may be sent
+// later, as those of PushStoreChanges().
 void
 OnStoreQuery(SteeringState& aState, const StoreQuery& aQuery);
 
--- a/trefoil/steering/store_relay.h
+++ b/trefoil/steering/store_relay.h
@@ -35,6 +35,8 @@
   std::int64_t mOperatorRevision = 0;
   std::int64_t mServerRevision = 0;
   Instant mLastReceivedAt;
+  // The number of a query that has not been answered yet; 0 if there is none.
+  std::uint64_t mQueryNumber = 0;
 };
 
 // What a host does for the relay.
