--- a/trefoil/steering/internal/store_updates.cc
+++ b/trefoil/steering/internal/store_updates.cc
@@ -192,17 +192,17 @@
                                                             : "omitted");
       break;
     case RecordEvent::kHistoryGone:
-      details = fmt::format(
-        " list_in_ms={}",
-        std::chrono::duration_cast<Milliseconds>(aReport.mListDueAt - now).count());
+      details =
+        fmt::format(" list_in_ms={}",
+                    std::chrono::duration_cast<Milliseconds>(aReport.mListDueAt - now).count());
       break;
     case RecordEvent::kListed:
       details = fmt::format(" listed_revision={}", RevisionText(aReport.mNewRevision));
       break;
     case RecordEvent::kCaughtUp:
-      details = fmt::format(
-        " behind_ms={}",
-        std::chrono::duration_cast<Milliseconds>(now - aReport.mBehindSince).count());
+      details =
+        fmt::format(" behind_ms={}",
+                    std::chrono::duration_cast<Milliseconds>(now - aReport.mBehindSince).count());
       break;
   }
   aState.mLog.Write(LogSeverity::kNotable,
